--- /dev/null
+++ b/saltmoor/__init__.py
@@ -0,0 +1,1 @@
+"""saltmoor: routes transactions to a fleet of cache servers."""
--- /dev/null
+++ b/saltmoor/choice.py
@@ -0,0 +1,619 @@
+"""Every decision of a saltmoor node; docs/design.md explains them, saltmoor/model.py is the interface.
+
+A `Node` is made with its settings as separate arguments. Its owner calls one method an event (arrived,
+hop_ended, probed, listed, woken, client_left, begun), then `settle` once after a batch, and carries out
+`Node.effects` in order. Nothing here reads a clock, a socket or another node.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import insort
+from heapq import heappop, heappush
+from zlib import crc32
+
+from saltmoor import model
+from saltmoor.model import Ended, Group, Hop, In, Micros, Readiness, Repeat, Server, State, Tx
+
+HELD_COLUMNS = ("held", "queue")  # the load figures that mean a queue, best first
+MASK = (1 << 64) - 1
+CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
+SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
+TICK, DUE = 1, 2  # tokens of the two timers
+PERIOD = 100_000  # the periodic work's step: well under any time in which a server is told gone
+
+
+def may_send(tx: Tx, server: Server, now: Micros, permits: model.Permits) -> bool:
+    """Rule 2, the one place: whether another hop of this transaction may go to this server now."""
+    if len(tx.hops) >= permits.hops or now >= tx.limit:
+        return False
+    if not permits.copies and any(hop.open for hop in tx.hops):
+        return False
+    ran = tx.maybe_ran()
+    if not ran or tx.profile.repeat is Repeat.IDEMPOTENT:
+        return True
+    if tx.profile.repeat is Repeat.NON_IDEMPOTENT:
+        return False
+    first = ran[0]
+    if now >= first.sent + tx.profile.window:
+        return False
+    group = tx.profile.group
+    return group is Group.ALL or all(
+        hop.server.zone == server.zone and (group is Group.ZONE or hop.server.cell == server.cell) for hop in ran)
+
+
+def may_roll_back(tx: Tx) -> bool:
+    """Rule 2 again: whether the client may be told that trying again is harmless."""
+    repeat = tx.profile.repeat
+    return (repeat is Repeat.IDEMPOTENT or not tx.maybe_ran()
+            or (repeat is Repeat.JOURNALLED and tx.profile.group is Group.ALL))
+
+
+def spot(key: int, server: Server) -> float:
+    """A number in (0, 1) that every node gets for this key and server."""
+    mixed = ((key ^ server.salt) * 0x9E3779B97F4A7C15) & MASK
+    mixed = ((mixed ^ (mixed >> 31)) * 0xBF58476D1CE4E5B9) & MASK
+    return ((mixed ^ (mixed >> 29)) + 1) / (MASK + 2)
+
+
+def warmth(server: Server, now: Micros, cold: model.ColdStart) -> float:
+    """The share of its capacity that a server surely has: it warms no slower than evenly."""
+    age = now - server.started
+    if server.started <= 0 or age >= cold.warm_after:
+        return 1.0
+    return cold.share + (1 - cold.share) * max(0, age) / cold.warm_after
+
+
+class Room:
+    """How many hops this node keeps out at the origin: up while it is quick, down when it slows."""
+
+    def __init__(self) -> None:
+        self.limit = 8.0
+        self.quickest = 0.0
+        self.waiting: list[tuple[float, int, Tx]] = []
+
+    def learn(self, elapsed: Micros, ok: bool, goal: Micros) -> None:
+        if ok and (not self.quickest or elapsed < self.quickest):
+            self.quickest = elapsed
+        self.quickest *= 1.002  # forgets a lucky answer
+        if not ok or elapsed > max(4 * self.quickest, goal / 2):
+            self.limit = max(2.0, self.limit * 0.9)
+        else:
+            self.limit = min(256.0, self.limit + 2 / self.limit)
+
+
+class Node:
+    """One node's decisions."""
+
+    def __init__(self, seed: int, now: Micros, *, profiles: list[model.Profile], quotas: list[float],
+                 permits: model.Permits, prices: model.Prices, cold: model.ColdStart, listing: model.Listing,
+                 place: model.Place, origin_kind: int | None, columns: list[str], tick: Micros) -> None:
+        self.seed, self.counter = seed.to_bytes(8, "little"), 0
+        self.profiles, self.permits, self.prices, self.cold = profiles, permits, prices, cold
+        self.listing, self.place, self.origin_kind = listing, place, origin_kind
+        self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
+        self.goal = min((profile.goal for profile in profiles), default=1_000_000)
+        self.probe_wait = max(2 * tick, self.goal // 10)
+        self.fresh = self.goal // 8
+        self.effects: list[model.Effect] = []
+        self.txs: dict[model.TxId, Tx] = {}
+        self.servers: dict[model.ServerId, Server] = {}
+        self.caches: list[Server] = []
+        self.origins: list[Server] = []
+        self.ranks: dict[int, list[Server]] = {}
+        self.fetches: dict[int, list[Tx]] = {}
+        self.room = Room()
+        self.usual = 0.0  # this node's usual time of a hit
+        self.spare = 5.0  # hops on top of the first ones that may be spent
+        self.quotas = [[rate / place.nodes, rate / place.nodes, now] for rate in quotas]
+        self.due: list[tuple] = []
+        self.armed: Micros = 0
+        self.order = 0
+        self.asked_list: Micros = 0
+        self.watching = False
+        self.list_tries = 0
+        self.mode: dict[str, bool] = {}
+        self.effects.append(model.Wake(now + PERIOD, TICK))
+        if listing.asked:
+            self.effects.append(model.WatchList())
+            self.asked_list = now
+
+    # -- chance, timers, log ------------------------------------------------------------------------
+
+    def chance(self) -> float:
+        self.counter += 1
+        return crc32(self.counter.to_bytes(8, "little"), crc32(self.seed)) / 2**32
+
+    def at(self, when: Micros, call, *args) -> None:
+        self.order += 1
+        heappush(self.due, (when, self.order, call, args))
+
+    def settle(self, now: Micros) -> None:
+        if self.due and (not self.armed or self.due[0][0] < self.armed):
+            self.armed = max(now + 1, self.due[0][0])
+            self.effects.append(model.Wake(self.armed, DUE))
+
+    def woken(self, now: Micros, token: int) -> None:
+        if token == TICK:
+            self.effects.append(model.Wake(now + PERIOD, TICK))
+            self.periodic(now)
+        elif now >= self.armed:
+            self.armed = 0
+        while self.due and self.due[0][0] <= now:
+            _, _, call, args = heappop(self.due)
+            call(now, *args)
+
+    def say(self, name: str, on: bool, figures: str) -> None:
+        if self.mode.get(name, False) != on:
+            self.mode[name] = on
+            self.effects.append(model.Log(f"{name} {'on' if on else 'off'}: {figures}"))
+
+    # -- the list -----------------------------------------------------------------------------------
+
+    def listed(self, now: Micros, kind: model.ListKind, members: list[model.Member]) -> None:
+        if kind is model.ListKind.FAILED:
+            # Guards against a storm of calls while the list is out of reach: back off, unevenly.
+            self.watching = False
+            wait = min(self.listing.within // 3 or 1_000_000, 300_000 << min(self.list_tries, 4))
+            self.list_tries += 1
+            self.at(now + int(wait * (0.5 + self.chance())), self.watch)
+            self.say("list-out-of-reach", True, f"tries={self.list_tries}")
+            return
+        if kind is not model.ListKind.REMEMBERED:
+            self.watching, self.list_tries = True, 0
+            self.say("list-out-of-reach", False, f"lines={len(members)}")
+        if kind is not model.ListKind.CHANGES:
+            named = {member.server for member in members}
+            for server in self.servers.values():
+                if server.id not in named:
+                    server.ready = False
+        for member in members:
+            server = self.servers.get(member.server)
+            if server is None:
+                salt = crc32(repr(member.server).encode()) * 0x1000193 + crc32(repr(member.server).encode(), 7)
+                server = Server(member.server, member.zone, member.kind, member.cell, member.size, salt)
+                server.started = member.started
+                self.servers[member.server] = server
+            elif member.started > server.started:
+                # A restart: empty, cold, and nothing that was learnt of the old process holds.
+                server.started, server.bad, server.seen, server.down = member.started, 0.0, 0, False
+                server.delay, server.out_until, server.penance = 0.0, 0, 0
+                self.say(f"cold {self.name(server)}", True, f"age_ms={(now - member.started) // 1000}")
+                self.mode.pop(f"cold {self.name(server)}")
+            server.size = member.size if member.size > 0 else 1.0
+            server.ready = member.readiness is Readiness.READY
+            if member.readiness is Readiness.GONE:
+                server.down = False
+        known = sorted(self.servers.values(), key=lambda server: server.id)
+        self.origins = [server for server in known if server.ready and server.kind == self.origin_kind]
+        self.caches = [server for server in known if server.ready and server.kind != self.origin_kind]
+        self.reweigh(now)
+
+    def watch(self, now: Micros) -> None:
+        if not self.watching:
+            self.asked_list = now
+            self.effects.append(model.WatchList())
+
+    def name(self, server: Server) -> str:
+        return server.id.hex() if isinstance(server.id, bytes) else str(server.id)
+
+    def reweigh(self, now: Micros) -> None:
+        changed = False
+        for server in self.caches:
+            weight = max(server.size, 0.01) * round(warmth(server, now, self.cold), 2)
+            if weight != server.weight:
+                server.weight, changed = weight, True
+        self.ranks.clear()
+
+    # -- which server -------------------------------------------------------------------------------
+
+    def ranked(self, key: int) -> list[Server]:
+        """The key's cache servers, preferred first, the same at every node: weighted rendezvous hashing."""
+        ranks = self.ranks.get(key)
+        if ranks is None:
+            ranks = sorted(self.caches, key=lambda server: -math.log(spot(key, server)) / server.weight)
+            if len(self.ranks) > 20_000:
+                self.ranks.clear()
+            self.ranks[key] = ranks
+        return ranks
+
+    def usable(self, server: Server, now: Micros) -> bool:
+        if not server.ready or server.down:
+            return False
+        if server.out_until and (now < server.out_until or server.out):
+            return False  # put aside; after that one trial at a time
+        return self.within_cold_budget(server, now)
+
+    def within_cold_budget(self, server: Server, now: Micros) -> bool:
+        """Rule 4: this node's own budget of hops to a cold server, for every window."""
+        share = warmth(server, now, self.cold)
+        if share >= 1.0:
+            return True
+        while server.sent and server.sent[0] <= now - self.cold.window:
+            server.sent.popleft()
+        warm = [other.rate / other.size for other in self.caches if other.rate > 0]
+        usual = sorted(warm)[len(warm) // 2] * server.size if warm else 0.0
+        # Half the multiple of what this node usually sends a warm peer: all nodes do alike, and no
+        # fleet is usually sent more than it can do. One hop a window goes anyway, or nothing would warm.
+        budget = max(1.0, self.cold.multiple / 2 * usual * share * self.cold.window / 1_000_000)
+        return len(server.sent) + 1 <= budget
+
+    def candidates(self, tx: Tx, now: Micros) -> list[Server]:
+        picked: list[Server] = []
+        for server in self.ranked(tx.key):
+            if server not in tx.tried and self.usable(server, now) and may_send(tx, server, now, self.permits):
+                picked.append(server)
+                if len(picked) == CANDIDATES:
+                    break
+        return picked
+
+    def queue(self, server: Server) -> float:
+        """What the server holds: its last word and this node's own hops since, or all of those."""
+        return max(len(server.out), server.held + max(0, len(server.out) - server.own_then))
+
+    def expected(self, server: Server, now: Micros) -> float:
+        """The expected delay of a hop sent now: recent hits, scaled by the queue against theirs."""
+        age = now - server.delay_at
+        delay = server.delay or self.usual or 1.0
+        if age > 2_000_000 and self.usual and server.delay:  # no hits lately: drift back, so that it is tried
+            delay = self.usual + (delay - self.usual) * 0.5 ** ((age - 2_000_000) / 2_000_000)
+        expected = delay * (self.queue(server) + 2) / (server.usual_held + 2)
+        if server.out:
+            # Guards against a server that stopped since its last report: its hops' wait is the queue.
+            quiet = now - max(server.heard, next(iter(server.out)).sent)
+            if quiet > 2 * delay + self.probe_wait:
+                expected = max(expected, quiet)
+        return expected
+
+    def silent(self, server: Server, now: Micros) -> bool:
+        return server.asked >= 0 and now - server.asked >= self.probe_wait
+
+    def known(self, server: Server, now: Micros) -> bool:
+        if self.column is None or not self.permits.probes:
+            return True
+        return self.silent(server, now) or (server.answered >= 0 and now - server.answered < self.fresh)
+
+    def ask(self, server: Server, tx: Tx, now: Micros) -> None:
+        server.askers.append(tx)
+        if server.asked < 0:
+            server.asked, server.own_then = now, len(server.out)
+            self.effects.append(model.Probe(server.id))
+            self.at(now + self.probe_wait, self.probe_late, server, now)
+
+    def soft(self, tx: Tx, now: Micros) -> float:
+        return SOFT * (tx.goal - now) * (0.5 if tx.over else 1.0)
+
+    # -- the table ----------------------------------------------------------------------------------
+
+    def feed(self, tx: Tx, given: In | None, now: Micros) -> None:
+        while given is not None:
+            row = TABLE.get((tx.state, given)) or ANYWHERE.get(given)
+            if row is None or tx.state is State.DONE:
+                return
+            tx.state, effect = row
+            given = effect(self, tx, now)
+
+    def check(self, tx: Tx, now: Micros) -> In | None:
+        """Ask the preferred server's queue, or take its fresh answer."""
+        if now >= tx.goal and not tx.profile.late_value:
+            return In.HOPELESS
+        picked = self.candidates(tx, now)
+        if not picked:
+            return In.NOBODY
+        tx.choice = picked[0]
+        if not self.known(tx.choice, now):
+            self.ask(tx.choice, tx, now)
+            return None
+        if not self.silent(tx.choice, now) and self.expected(tx.choice, now) <= self.soft(tx, now):
+            return In.UNDER
+        return In.OVER
+
+    def poll(self, tx: Tx, now: Micros) -> In | None:
+        """Ask the candidates' queues; when all have answered or fallen silent, take the shortest."""
+        picked = self.candidates(tx, now)
+        waiting = False
+        for server in picked:
+            if not self.known(server, now):
+                if server not in tx.polled or server.asked < 0:
+                    tx.polled.append(server)
+                    self.ask(server, tx, now)
+                waiting = True
+        if waiting:
+            return None
+        heard = [server for server in picked if not self.silent(server, now)]
+        if not heard:
+            return In.NOBODY
+        left = tx.goal - now
+        crossing = self.prices.crossing * left
+        tx.choice = min(heard, key=lambda server: (
+            self.expected(server, now) + (crossing if server.zone != self.place.zone else 0)))
+        if self.expected(tx.choice, now) > left * (0.5 if tx.over else 1.0):
+            return In.NOBODY
+        return In.BEST
+
+    def send(self, tx: Tx, now: Micros) -> In | None:
+        server = tx.choice
+        if server is None or not may_send(tx, server, now, self.permits):
+            return In.NOBODY
+        hop = Hop(tx, len(tx.hops), server, now, self.queue(server))
+        tx.hops.append(hop)
+        tx.tried.append(server)
+        server.out[hop] = None
+        server.sent.append(now)
+        self.effects.append(model.Send(tx.id, server.id, tx.limit))
+        if self.permits.copies and tx.profile.repeat is not Repeat.NON_IDEMPOTENT and self.usual:
+            wait = max(2.5 * self.usual, 2 * self.expected(server, now))
+            if now + wait + self.usual < tx.goal:
+                self.at(int(now + wait), self.hop_slow, hop)
+        return None
+
+    def copy(self, tx: Tx, now: Micros) -> In | None:
+        """A second copy past a hop that is far slower than usual, to the best of the other candidates."""
+        picked = [server for server in self.candidates(tx, now) if not self.silent(server, now)]
+        if not picked or self.spare < 1:
+            return None
+        tx.choice = min(picked, key=lambda server: self.expected(server, now))
+        if now + self.expected(tx.choice, now) < tx.goal:
+            self.spare -= 1
+            return self.send(tx, now)
+        return None
+
+    def to_origin(self, tx: Tx, now: Micros) -> In | None:
+        """Go on to the origin: wait for another's fetch of the key, or for room, or go."""
+        if not self.origins:
+            return In.NOBODY
+        if not tx.write and tx.shared_key:
+            if tx.key in self.fetches and not tx.leads:
+                self.fetches[tx.key].append(tx)
+                tx.state = State.WAITING
+                return None
+            self.fetches.setdefault(tx.key, [])
+            tx.leads = True
+        if sum(len(origin.out) for origin in self.origins) >= self.room.limit:
+            self.order += 1
+            insort(self.room.waiting, (-tx.profile.revenue * (0.2 if tx.over else 1), self.order, tx))
+            tx.state = State.WAITING
+            self.at(tx.goal, self.too_late, tx)
+            return None
+        tx.choice = min(self.origins, key=lambda origin: len(origin.out))
+        return self.send(tx, now)
+
+    def join(self, tx: Tx, now: Micros) -> In | None:
+        self.fetches[tx.key].append(tx)
+        self.at(tx.goal, self.too_late, tx)
+        return None
+
+    def reread(self, tx: Tx, now: Micros) -> In | None:
+        tx.tried.clear()
+        return self.check(tx, now)
+
+    def again(self, tx: Tx, now: Micros) -> In | None:
+        if tx.write and self.origin_kind is not None:
+            return self.to_origin(tx, now)
+        return self.check(tx, now)
+
+    def finish(self, tx: Tx, now: Micros) -> In | None:
+        self.txs.pop(tx.id, None)
+        if self.permits.cancel:
+            for hop in tx.open_hops():
+                self.effects.append(model.Cancel(tx.id, hop.number))
+        if tx.leads:
+            tx.leads = False
+            waiting = self.fetches.pop(tx.key, [])
+            for other in waiting:
+                self.feed(other, In.FETCHED, now)
+        return None
+
+    def give_up(self, tx: Tx, now: Micros) -> In | None:
+        """The final answer at once; harmless to try again only where rule 2 says so."""
+        if may_roll_back(tx):
+            hint = min(self.permits.longest_hint, max(0, int(self.usual)))
+            self.effects.append(model.RollBack(tx.id, hint))
+        else:
+            self.effects.append(model.Abandon(tx.id))
+        return self.finish(tx, now)
+
+    def unless_out(self, tx: Tx, now: Micros) -> In | None:
+        """Nothing more to try: wait for a hop that is still out, else give up."""
+        if tx.open_hops():
+            tx.state = State.OUT
+            return None
+        return self.give_up(tx, now)
+
+    # -- events -------------------------------------------------------------------------------------
+
+    def arrived(self, now: Micros, came: model.Arrival) -> None:
+        profile = self.profiles[came.profile]
+        key = came.key if came.key is not None else int(self.chance() * 2**32)
+        tx = Tx(came.tx, profile, key, came.key is not None, now, min(now + profile.goal, came.limit), came.limit,
+                came.write, self.beyond_share(came.tenant, now))
+        self.txs[tx.id] = tx
+        self.at(max(now, came.limit - 1), self.at_limit, tx)
+        if came.write and self.origin_kind is not None:
+            self.feed(tx, In.ORIGIN, now)
+        elif tx.shared_key and key in self.fetches and not came.write:
+            self.feed(tx, In.SHARED, now)
+        else:
+            self.feed(tx, In.READ, now)
+
+    def beyond_share(self, tenant: int | None, now: Micros) -> bool:
+        if tenant is None or tenant >= len(self.quotas):
+            return False
+        bucket = self.quotas[tenant]
+        rate, level, since = bucket
+        bucket[1:] = [min(rate * 2, level + rate * (now - since) / 1_000_000), now]
+        if bucket[1] < 1:
+            return True
+        bucket[1] -= 1
+        return False
+
+    def hop_ended(self, now: Micros, tx_id: model.TxId, number: int, server_id: model.ServerId, ended: Ended,
+                  elapsed: Micros, closed: bool, note: int, load: tuple[float, ...]) -> None:
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        hop = next((hop for hop in server.out if hop.tx.id == tx_id and hop.number == number), None)
+        if hop is None:
+            return
+        del server.out[hop]
+        hop.open, hop.ended = False, ended
+        if server.kind == self.origin_kind:
+            if ended is not Ended.CANCELLED:
+                self.room.learn(elapsed, ended is Ended.COMMITTED, self.goal)
+            self.refill(now)
+        else:
+            self.judge(server, hop, ended, elapsed, note, now)
+        tx = hop.tx
+        if tx.state is State.DONE:
+            return
+        if closed:
+            if ended is Ended.COMMITTED:
+                self.spare = min(20.0, self.spare + 0.15)
+            self.feed(tx, In.COMMITTED, now)
+        elif ended is Ended.MISS and not tx.write:
+            self.feed(tx, In.ORIGIN, now)
+        elif now >= tx.limit - 1:
+            self.feed(tx, In.LIMIT, now)
+        else:
+            self.feed(tx, In.AGAIN, now)
+
+    def judge(self, server: Server, hop: Hop, ended: Ended, elapsed: Micros, note: int, now: Micros) -> None:
+        """Health: what this hop's end says of its server."""
+        if ended in (Ended.CANCELLED, Ended.NOT_SENT):
+            return
+        if ended in (Ended.NO_CONNECTION, Ended.RESET):
+            # Guards against a dead process that the list still calls ready: believe the network first.
+            if not server.down and hop.sent >= server.heard:
+                server.down = True
+                self.say(f"down {self.name(server)}", True, f"{ended.value[0]} after_ms={elapsed // 1000}")
+            return
+        server.heard = now
+        if ended is Ended.FULL:
+            server.held = max(server.held, server.usual_held * 2 + 2)
+            return
+        server.seen += 1
+        failed = ended in (Ended.ERROR, Ended.TIMED_OUT, Ended.UNKNOWN)
+        server.bad += (failed - server.bad) * 0.2
+        if failed and server.bad > 0.35 and not (server.out_until and now < server.out_until):
+            self.put_aside(server, now)
+        elif not failed and server.out_until and server.bad < 0.25:
+            server.out_until, server.penance = 0, 0
+            self.say(f"aside {self.name(server)}", False, f"failing={server.bad:.2f}")
+        if ended is Ended.COMMITTED and note <= 1:
+            first = not server.delay
+            server.delay += (elapsed - server.delay) * (1.0 if first else 0.15)
+            server.usual_held += (hop.met - server.usual_held) * (1.0 if first else 0.15)
+            server.delay_at = now
+            self.usual += (elapsed - self.usual) * (0.03 if self.usual else 1.0)
+
+    def put_aside(self, server: Server, now: Micros) -> None:
+        """Guards against a server that fails fast: its queue is short because it does no work."""
+        well = sum(not other.out_until and not other.down for other in self.caches)
+        if 2 * well <= len(self.caches):
+            return  # half the fleet is out already: the rest would drown
+        server.penance = min(4_000_000, max(500_000, server.penance * 2))
+        server.out_until = now + server.penance
+        self.say(f"aside {self.name(server)}", True, f"failing={server.bad:.2f} hops={server.seen}")
+
+    def refill(self, now: Micros) -> None:
+        """Room at the origin: the waiting transaction of most revenue that can still make its goal."""
+        while self.room.waiting and sum(len(origin.out) for origin in self.origins) < self.room.limit:
+            tx = self.room.waiting.pop(0)[2]
+            if tx.state is State.WAITING:
+                late = now + self.room.quickest > tx.goal
+                before = len(tx.hops)
+                self.feed(tx, In.HOPELESS if late else In.ROOM, now)
+                if not late and len(tx.hops) == before:
+                    return
+
+    def probed(self, now: Micros, server_id: model.ServerId, ended: Ended, elapsed: Micros,
+               load: tuple[float, ...]) -> None:
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        server.asked = -1
+        if ended is Ended.COMMITTED:
+            server.answered = server.heard = now
+            if self.column is not None and len(load) > self.column:
+                server.held = max(0.0, load[self.column])
+            if server.down:
+                server.down = False
+                self.say(f"down {self.name(server)}", False, f"probe_ms={elapsed // 1000}")
+        elif ended is Ended.NO_CONNECTION and not server.down:
+            server.down = True
+            self.say(f"down {self.name(server)}", True, "probe found no connection")
+        self.wake_askers(server, now)
+
+    def probe_late(self, now: Micros, server: Server, sent: Micros) -> None:
+        if server.asked == sent:
+            self.wake_askers(server, now)
+
+    def wake_askers(self, server: Server, now: Micros) -> None:
+        askers, server.askers = server.askers, []
+        for tx in askers:
+            if tx.state is State.CHECKING:
+                self.feed(tx, self.check(tx, now), now)
+            elif tx.state is State.POLLING:
+                self.feed(tx, self.poll(tx, now), now)
+
+    def hop_slow(self, now: Micros, hop: Hop) -> None:
+        if hop.open and hop.tx.state in (State.OUT, State.FETCHING):
+            self.feed(hop.tx, In.SLOW, now)
+
+    def too_late(self, now: Micros, tx: Tx) -> None:
+        if tx.state is State.WAITING:
+            self.feed(tx, In.HOPELESS, now)
+
+    def at_limit(self, now: Micros, tx: Tx) -> None:
+        self.feed(tx, In.LIMIT, now)
+
+    def client_left(self, now: Micros, tx_id: model.TxId) -> None:
+        tx = self.txs.get(tx_id)
+        if tx is not None:
+            self.feed(tx, In.LEFT, now)
+
+    def begun(self, now: Micros, tx_id: model.TxId) -> None:
+        """The answer streams to the client already: it is that hop's to finish."""
+
+    def periodic(self, now: Micros) -> None:
+        """The one periodic job: weights of warming servers, news of lost ones, rates, the list."""
+        if any(server.started and now - server.started < self.cold.warm_after + 2 * PERIOD
+               for server in self.caches):
+            self.reweigh(now)
+        for server in self.caches:
+            recent = len(server.sent)
+            if warmth(server, now, self.cold) >= 1.0:
+                while server.sent and server.sent[0] <= now - 1_000_000:
+                    server.sent.popleft()
+                server.rate += (recent - server.rate) * 0.05
+            if server.down and server.asked < 0 and self.permits.probes:
+                server.asked = now
+                self.effects.append(model.Probe(server.id))
+        if self.listing.asked and not self.watching and now - self.asked_list > max(self.listing.within // 3, 1):
+            self.watch(now)
+
+
+S, I = State, In
+# (state, input): (next state, effect); an effect may hand the loop the next input.
+TABLE = {
+    (S.NEW, I.READ): (S.CHECKING, Node.check),
+    (S.NEW, I.ORIGIN): (S.FETCHING, Node.to_origin),
+    (S.NEW, I.SHARED): (S.WAITING, Node.join),
+    (S.CHECKING, I.UNDER): (S.OUT, Node.send),
+    (S.CHECKING, I.OVER): (S.POLLING, Node.poll),
+    (S.POLLING, I.BEST): (S.OUT, Node.send),
+    (S.OUT, I.ORIGIN): (S.FETCHING, Node.to_origin),
+    (S.FETCHING, I.ORIGIN): (S.FETCHING, lambda node, tx, now: None),
+    (S.OUT, I.SLOW): (S.OUT, Node.copy),
+    (S.OUT, I.AGAIN): (S.CHECKING, Node.again),
+    (S.FETCHING, I.AGAIN): (S.FETCHING, Node.to_origin),
+    (S.WAITING, I.ROOM): (S.FETCHING, Node.to_origin),
+    (S.WAITING, I.FETCHED): (S.CHECKING, Node.reread),
+}
+ANYWHERE = {
+    I.NOBODY: (S.DONE, Node.unless_out),
+    I.HOPELESS: (S.DONE, Node.unless_out),
+    I.COMMITTED: (S.DONE, Node.finish),
+    I.LIMIT: (S.DONE, Node.give_up),
+    I.LEFT: (S.DONE, Node.finish),
+}
--- /dev/null
+++ b/saltmoor/model.py
@@ -0,0 +1,286 @@
+"""The plain types between the decisions and whatever speaks a protocol for them.
+
+`saltmoor.choice.Node` takes the settings below as separate arguments of its constructor, one record a
+concern. Events are its methods; what it decides is appended to `Node.effects` as the effect records at
+the end of the interface, in the order in which they are to be carried out. All times are whole microseconds
+on one clock. Transactions and cache servers are named by opaque ids here, and only here.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum, auto
+from typing import Any
+
+Micros = int
+TxId = int
+ServerId = Any  # comparable and hashable; the same at every node
+
+
+class Repeat(Enum):
+    IDEMPOTENT = "idempotent"
+    JOURNALLED = "journalled"
+    NON_IDEMPOTENT = "non-idempotent"
+
+
+class Group(Enum):
+    """Which cache servers drop the repeats of a journalled transaction."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Ended(Enum):
+    """How a hop or a probe ended; the second value tells whether the hop may have run."""
+
+    COMMITTED = ("committed", True)
+    ERROR = ("error", True)
+    FULL = ("full", False)
+    TIMED_OUT = ("timed out", True)
+    NO_CONNECTION = ("no connection", False)
+    RESET = ("reset", True)
+    CANCELLED = ("cancelled", True)
+    NOT_SENT = ("not sent", False)
+    MISS = ("miss", False)
+    UNKNOWN = ("unknown", True)
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.value[1]
+
+
+class Readiness(IntEnum):
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class ListKind(Enum):
+    CHANGES = "changes"
+    FULL = "full"
+    REMEMBERED = "remembered"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Profile:
+    goal: Micros
+    limit: Micros
+    repeat: Repeat
+    revenue: float = 1.0
+    group: Group = Group.ALL
+    window: Micros = 0
+    late_value: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Permits:
+    hops: int = 1
+    copies: bool = False
+    cancel: bool = False
+    probes: bool = False
+    longest_hint: Micros = 0  # 0: clients take no stay-away hint
+
+
+@dataclass(slots=True, frozen=True)
+class Prices:
+    crossing: float = 0.0
+    waste: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class ColdStart:
+    share: float = 1.0  # what a server that just started can do, at least
+    warm_after: Micros = 0
+    multiple: float = 1.0
+    window: Micros = 1_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    asked: bool = False  # whether the list has to be asked for
+    within: Micros = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    zone: int = 0
+    nodes: int = 1
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """One line of the list of cache servers."""
+
+    server: ServerId
+    zone: int
+    kind: int
+    cell: int
+    readiness: Readiness
+    size: float
+    started: Micros  # 0: a long time ago
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """A transaction as it comes in."""
+
+    tx: TxId
+    profile: int
+    tenant: int | None
+    key: int | None
+    limit: Micros
+    cost: Micros | None = None
+    write: bool = False
+    again: bool = False  # the client marked it as a try of its own after the first
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    tx: TxId
+    server: ServerId
+    until: Micros
+
+
+@dataclass(slots=True, frozen=True)
+class RollBack:
+    tx: TxId
+    stay_away: Micros
+
+
+@dataclass(slots=True, frozen=True)
+class Abandon:
+    tx: TxId
+
+
+@dataclass(slots=True, frozen=True)
+class Cancel:
+    tx: TxId
+    hop: int
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    server: ServerId
+
+
+@dataclass(slots=True, frozen=True)
+class Wake:
+    at: Micros
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class WatchList:
+    on: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Log:
+    line: str
+
+
+Effect = Send | RollBack | Abandon | Cancel | Probe | Wake | WatchList | Log
+
+
+# What a node keeps of its transactions and cache servers: records only; saltmoor.choice decides on them.
+
+
+class State(Enum):
+    NEW = auto()
+    CHECKING = auto()  # the preferred server's queue is being asked for
+    POLLING = auto()  # the other candidates' queues are
+    OUT = auto()  # a hop to a cache server is out
+    FETCHING = auto()  # a hop to the origin is out
+    WAITING = auto()  # for a fetch of the same key, or for room at the origin
+    DONE = auto()
+
+
+class In(Enum):
+    READ = auto()
+    ORIGIN = auto()  # a write, where writes go to the origin; or a miss
+    SHARED = auto()  # this node is fetching the key already
+    HOPELESS = auto()  # cannot make its service goal any more
+    UNDER = auto()
+    OVER = auto()
+    BEST = auto()
+    NOBODY = auto()
+    ROOM = auto()
+    FETCHED = auto()
+    AGAIN = auto()
+    SLOW = auto()
+    COMMITTED = auto()
+    LIMIT = auto()
+    LEFT = auto()
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """A cache server (or the origin) as this node has come to know it."""
+
+    id: ServerId
+    zone: int
+    kind: int
+    cell: int
+    size: float
+    salt: int
+    ready: bool = True
+    started: Micros = 0
+    weight: float = 1.0
+    # load
+    held: float = 0.0  # last reported queue
+    answered: Micros = -1  # when that probe was answered; -1: never
+    own_then: int = 0  # own hops out when it was asked
+    asked: Micros = -1  # when the probe that is out was sent; -1: none is out
+    askers: list[Tx] = field(default_factory=list)
+    out: dict[Hop, None] = field(default_factory=dict)
+    heard: Micros = 0  # the last sign of life: a hop that ended by its work, or a probe
+    # health
+    delay: float = 0.0  # recent time of a hit; 0: not known
+    usual_held: float = 0.0  # queue that those hits met
+    delay_at: Micros = 0
+    bad: float = 0.0  # share of hops that failed, lately
+    seen: int = 0
+    down: bool = False  # nothing reaches it, as far as this node can tell
+    out_until: Micros = 0
+    penance: Micros = 0
+    sent: deque = field(default_factory=deque)  # times of hops, within the cold window
+    rate: float = 0.0  # hops a second that this node sends it when warm
+
+
+@dataclass(slots=True, eq=False)
+class Hop:
+    tx: Tx
+    number: int
+    server: Server
+    sent: Micros
+    met: float  # the queue it was expected to meet
+    open: bool = True
+    ended: Ended | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Tx:
+    id: TxId
+    profile: Profile
+    key: int
+    shared_key: bool
+    arrived: Micros
+    goal: Micros
+    limit: Micros
+    write: bool
+    over: bool  # beyond its tenant's share
+    state: State = State.NEW
+    hops: list[Hop] = field(default_factory=list)
+    tried: list[Server] = field(default_factory=list)
+    polled: list[Server] = field(default_factory=list)
+    choice: Server | None = None
+    leads: bool = False  # others wait for its fetch
+
+    def open_hops(self) -> list[Hop]:
+        return [hop for hop in self.hops if hop.open]
+
+    def maybe_ran(self) -> list[Hop]:
+        return [hop for hop in self.hops if hop.open or hop.ended.may_have_run]
