--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -487,19 +487,23 @@
                 server.down = True
                 self.say(f"down {self.name(server)}", True, f"{ended.value[0]} after_ms={elapsed // 1000}")
             return
-        server.heard = now
+        if ended is not Ended.TIMED_OUT:
+            server.heard = now
         if ended is Ended.FULL:
             server.held = max(server.held, server.usual_held * 2 + 2)
             return
         server.seen += 1
-        failed = ended in (Ended.ERROR, Ended.TIMED_OUT, Ended.UNKNOWN)
+        # A time-out tells of a long queue, not of a broken server: setting servers aside for it under load
+        # left the same work to fewer of them, and these timed out next. It counts as a long delay below.
+        late = ended is Ended.TIMED_OUT
+        failed = ended in (Ended.ERROR, Ended.UNKNOWN)
         server.bad += (failed - server.bad) * 0.2
         if failed and server.bad > 0.35 and not (server.out_until and now < server.out_until):
             self.put_aside(server, now)
         elif not failed and server.out_until and server.bad < 0.25:
             server.out_until, server.penance = 0, 0
             self.say(f"aside {self.name(server)}", False, f"failing={server.bad:.2f}")
-        if ended is Ended.COMMITTED and note <= 1:
+        if late or (ended is Ended.COMMITTED and note <= 1):
             first = not server.delay
             server.delay += (elapsed - server.delay) * (1.0 if first else 0.15)
             server.usual_held += (hop.met - server.usual_held) * (1.0 if first else 0.15)
