--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -388,6 +388,11 @@
         return self.check(tx, now)
 
     def again(self, tx: Tx, now: Micros) -> In | None:
+        if tx.hops[-1].ended and tx.hops[-1].ended.may_have_run:
+            # Guards against a storm of repeats: each that costs a server work again is paid from commits.
+            if self.spare < 1:
+                return In.NOBODY
+            self.spare -= 1
         if tx.write and self.origin_kind is not None:
             return self.to_origin(tx, now)
         return self.check(tx, now)
@@ -499,7 +504,10 @@
         failed = ended in (Ended.ERROR, Ended.UNKNOWN)
         server.bad += (failed - server.bad) * 0.2
         if failed and server.bad > 0.35 and not (server.out_until and now < server.out_until):
-            self.put_aside(server, now)
+            # Against the origin's own failures, which reach this node through every server: judged by its peers.
+            peers = sorted(other.bad for other in self.caches if other.seen)
+            if server.bad - peers[len(peers) // 2] > 0.3:
+                self.put_aside(server, now)
         elif not failed and server.out_until and server.bad < 0.25:
             server.out_until, server.penance = 0, 0
             self.say(f"aside {self.name(server)}", False, f"failing={server.bad:.2f}")
