--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -177,7 +177,7 @@
             elif member.started > server.started:
                 # A restart: empty, cold, and nothing that was learnt of the old process holds.
                 server.started, server.bad, server.seen, server.down = member.started, 0.0, 0, False
-                server.delay, server.out_until, server.penance = 0.0, 0, 0
+                server.delay, server.out_until, server.penance, server.unanswered = 0.0, 0, 0, 0
                 self.say(f"cold {self.name(server)}", True, f"age_ms={(now - member.started) // 1000}")
                 self.mode.pop(f"cold {self.name(server)}")
             server.size = member.size if member.size > 0 else 1.0
@@ -266,7 +266,8 @@
         return expected
 
     def silent(self, server: Server, now: Micros) -> bool:
-        return server.asked >= 0 and now - server.asked >= self.probe_wait
+        """Once silent, a server stays so until a probe is answered: no second transaction waits for it."""
+        return server.unanswered > 0 or (server.asked >= 0 and now - server.asked >= self.probe_wait)
 
     def known(self, server: Server, now: Micros) -> bool:
         if self.column is None or not self.permits.probes:
@@ -546,14 +547,20 @@
         server.asked = -1
         if ended is Ended.COMMITTED:
             server.answered = server.heard = now
+            server.unanswered = 0
             if self.column is not None and len(load) > self.column:
                 server.held = max(0.0, load[self.column])
             if server.down:
                 server.down = False
                 self.say(f"down {self.name(server)}", False, f"probe_ms={elapsed // 1000}")
-        elif ended is Ended.NO_CONNECTION and not server.down:
-            server.down = True
-            self.say(f"down {self.name(server)}", True, "probe found no connection")
+        else:
+            server.unanswered += 1
+            server.again_at = now + self.goal // 2
+            # Guards against a process that hangs instead of refusing connections: two silences, no other sign.
+            if not server.down and (ended is Ended.NO_CONNECTION or (
+                    server.unanswered >= 2 and now - server.heard > 2 * self.goal)):
+                server.down = True
+                self.say(f"down {self.name(server)}", True, f"probe {ended.value[0]} n={server.unanswered}")
         self.wake_askers(server, now)
 
     def probe_late(self, now: Micros, server: Server, sent: Micros) -> None:
@@ -598,7 +605,8 @@
                 while server.sent and server.sent[0] <= now - 1_000_000:
                     server.sent.popleft()
                 server.rate += (recent - server.rate) * 0.05
-            if server.down and server.asked < 0 and self.permits.probes:
+            lost = server.down or server.unanswered
+            if lost and now >= server.again_at and server.asked < 0 and self.permits.probes:
                 server.asked = now
                 self.effects.append(model.Probe(server.id))
         if self.listing.asked and not self.watching and now - self.asked_list > max(self.listing.within // 3, 1):
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -234,6 +234,8 @@
     answered: Micros = -1  # when that probe was answered; -1: never
     own_then: int = 0  # own hops out when it was asked
     asked: Micros = -1  # when the probe that is out was sent; -1: none is out
+    unanswered: int = 0  # probes in a row that brought no answer
+    again_at: Micros = 0  # when a lost server is probed next
     askers: list[Tx] = field(default_factory=list)
     out: dict[Hop, None] = field(default_factory=dict)
     heard: Micros = 0  # the last sign of life: a hop that ended by its work, or a probe
