A server's queue: own hops, known at once, plus a smoothed share of the others'

Cause: reports are up to a second old and reach every node alike, so nodes moved together to what had been short.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -248,8 +248,8 @@
         return picked
 
     def queue(self, server: Server) -> float:
-        """What the server holds: its last word and this node's own hops since, or all of those."""
-        return max(len(server.out), server.held + max(0, len(server.out) - server.own_then))
+        """What the server holds: this node's own hops, known to the moment, and the others', as reported."""
+        return len(server.out) + server.others
 
     def expected(self, server: Server, now: Micros) -> float:
         """The expected delay of a hop sent now: recent hits, scaled by the queue against theirs."""
@@ -277,7 +277,7 @@
     def ask(self, server: Server, tx: Tx, now: Micros) -> None:
         server.askers.append(tx)
         if server.asked < 0:
-            server.asked, server.own_then = now, len(server.out)
+            server.asked = now
             self.effects.append(model.Probe(server.id))
             self.at(now + self.probe_wait, self.probe_late, server, now)
 
@@ -496,7 +496,7 @@
         if ended is not Ended.TIMED_OUT:
             server.heard = now
         if ended is Ended.FULL:
-            server.held = max(server.held, server.usual_held * 2 + 2)
+            server.others = max(server.others, server.usual_held * 2 + 2)
             return
         server.seen += 1
         # A time-out tells of a long queue, not of a broken server: setting servers aside for it under load
@@ -546,10 +546,12 @@
             return
         server.asked = -1
         if ended is Ended.COMMITTED:
-            server.answered = server.heard = now
+            known, server.answered, server.heard = server.answered >= 0, now, now
             server.unanswered = 0
             if self.column is not None and len(load) > self.column:
-                server.held = max(0.0, load[self.column])
+                # Reports come late and at once to every node: half of each, or all nodes swing together.
+                others = max(0.0, load[self.column] - len(server.out))
+                server.others += (others - server.others) * (0.5 if known else 1.0)
             if server.down:
                 server.down = False
                 self.say(f"down {self.name(server)}", False, f"probe_ms={elapsed // 1000}")
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -230,9 +230,8 @@
     started: Micros = 0
     weight: float = 1.0
     # load
-    held: float = 0.0  # last reported queue
+    others: float = 0.0  # queue beyond this node's own hops, as reported lately
     answered: Micros = -1  # when that probe was answered; -1: never
-    own_then: int = 0  # own hops out when it was asked
     asked: Micros = -1  # when the probe that is out was sent; -1: none is out
     unanswered: int = 0  # probes in a row that brought no answer
     again_at: Micros = 0  # when a lost server is probed next
