Turn away at three quarters of the time left to the service goal

Cause: hops were admitted until the expected delay filled the whole service goal, so in a jam most admitted hops ended late.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -19,6 +19,7 @@
 MASK = (1 << 64) - 1
 CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
 SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
+HARD = 0.75  # of it: beyond, so many hops would end late that the work is better spent on others
 TICK, DUE = 1, 2  # tokens of the two timers
 PERIOD = 100_000  # the periodic work's step: well under any time in which a server is told gone
 
@@ -328,7 +329,7 @@
         crossing = self.prices.crossing * left
         tx.choice = min(heard, key=lambda server: (
             self.expected(server, now) + (crossing if server.zone != self.place.zone else 0)))
-        if self.expected(tx.choice, now) > left * (0.5 if tx.over else 1.0):
+        if self.expected(tx.choice, now) > HARD * left * (0.5 if tx.over else 1.0):
             return In.NOBODY
         return In.BEST
 
