Learn how soon to turn away from the share of admitted hops that end late

Now it falls with each hop that ends past its goal and creeps back with each in time, so that a tenth end late.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -19,7 +19,7 @@
 MASK = (1 << 64) - 1
 CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
 SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
-HARD = 0.75  # of it: beyond, so many hops would end late that the work is better spent on others
+LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
 TICK, DUE = 1, 2  # tokens of the two timers
 PERIOD = 100_000  # the periodic work's step: well under any time in which a server is told gone
 
@@ -105,6 +105,7 @@
         self.fetches: dict[int, list[Tx]] = {}
         self.room = Room()
         self.usual = 0.0  # this node's usual time of a hit
+        self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.quotas = [[rate / place.nodes, rate / place.nodes, now] for rate in quotas]
         self.due: list[tuple] = []
@@ -283,7 +284,7 @@
             self.at(now + self.probe_wait, self.probe_late, server, now)
 
     def soft(self, tx: Tx, now: Micros) -> float:
-        return SOFT * (tx.goal - now) * (0.5 if tx.over else 1.0)
+        return SOFT * self.strict * (tx.goal - now) * (0.5 if tx.over else 1.0)
 
     # -- the table ----------------------------------------------------------------------------------
 
@@ -329,7 +330,7 @@
         crossing = self.prices.crossing * left
         tx.choice = min(heard, key=lambda server: (
             self.expected(server, now) + (crossing if server.zone != self.place.zone else 0)))
-        if self.expected(tx.choice, now) > HARD * left * (0.5 if tx.over else 1.0):
+        if self.expected(tx.choice, now) > self.strict * left * (0.5 if tx.over else 1.0):
             return In.NOBODY
         return In.BEST
 
@@ -513,6 +514,11 @@
         elif not failed and server.out_until and server.bad < 0.25:
             server.out_until, server.penance = 0, 0
             self.say(f"aside {self.name(server)}", False, f"failing={server.bad:.2f}")
+        if late or ended is Ended.COMMITTED:
+            # Guards against jams that feed themselves: admitted work that ends late is lost to all.
+            step = -0.02 if now > hop.tx.goal else 0.02 * LATE_SHARE / (1 - LATE_SHARE)
+            self.strict = min(1.0, max(0.25, self.strict + step))
+            self.say("jam", self.strict < (0.9 if self.mode.get("jam") else 0.7), f"admit_share={self.strict:.2f}")
         if late or (ended is Ended.COMMITTED and note <= 1):
             first = not server.delay
             server.delay += (elapsed - server.delay) * (1.0 if first else 0.15)
