--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -105,6 +105,7 @@
         self.fetches: dict[int, list[Tx]] = {}
         self.room = Room()
         self.usual = 0.0  # this node's usual time of a hit
+        self.fetch = 0.0  # what a miss adds, usually
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.quotas = [[rate / place.nodes, rate / place.nodes, now] for rate in quotas]
@@ -284,7 +285,7 @@
             self.at(now + self.probe_wait, self.probe_late, server, now)
 
     def soft(self, tx: Tx, now: Micros) -> float:
-        return SOFT * self.strict * (tx.goal - now) * (0.5 if tx.over else 1.0)
+        return min(SOFT, self.strict) * (tx.goal - now) * (0.5 if tx.over else 1.0)
 
     # -- the table ----------------------------------------------------------------------------------
 
@@ -328,8 +329,10 @@
             return In.NOBODY
         left = tx.goal - now
         crossing = self.prices.crossing * left
+        # A spilled read mostly finds no copy: its fetch is part of the delay that it moves to.
         tx.choice = min(heard, key=lambda server: (
-            self.expected(server, now) + (crossing if server.zone != self.place.zone else 0)))
+            self.expected(server, now) + (crossing if server.zone != self.place.zone else 0)
+            + (self.fetch if server is not picked[0] and not tx.write else 0)))
         if self.expected(tx.choice, now) > self.strict * left * (0.5 if tx.over else 1.0):
             return In.NOBODY
         return In.BEST
@@ -468,6 +471,7 @@
         if server.kind == self.origin_kind:
             if ended is not Ended.CANCELLED:
                 self.room.learn(elapsed, ended is Ended.COMMITTED, self.goal)
+                self.fetch += (elapsed - self.fetch) * 0.05
             self.refill(now)
         else:
             self.judge(server, hop, ended, elapsed, note, now)
@@ -519,6 +523,8 @@
             step = -0.02 if now > hop.tx.goal else 0.02 * LATE_SHARE / (1 - LATE_SHARE)
             self.strict = min(1.0, max(0.25, self.strict + step))
             self.say("jam", self.strict < (0.9 if self.mode.get("jam") else 0.7), f"admit_share={self.strict:.2f}")
+        if ended is Ended.COMMITTED and note == 2:
+            self.fetch += (max(0.0, elapsed - self.usual) - self.fetch) * 0.05
         if late or (ended is Ended.COMMITTED and note <= 1):
             first = not server.delay
             server.delay += (elapsed - server.delay) * (1.0 if first else 0.15)
