--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from bisect import insort
+from bisect import bisect, insort
 from heapq import heappop, heappush
 from zlib import crc32
 
@@ -377,7 +377,12 @@
             tx.leads = True
         if sum(len(origin.out) for origin in self.origins) >= self.room.limit:
             self.order += 1
-            insort(self.room.waiting, (-tx.profile.revenue * (0.2 if tx.over else 1), self.order, tx))
+            turn = (-tx.profile.revenue * (0.2 if tx.over else 1), self.order, tx)
+            # Guards against waits that end in nothing: no room in time means an answer now.
+            ahead = bisect(self.room.waiting, turn)
+            if now + self.fetch * (1 + (ahead + 1) / self.room.limit) > tx.goal:
+                return In.HOPELESS
+            insort(self.room.waiting, turn)
             tx.state = State.WAITING
             self.at(tx.goal, self.too_late, tx)
             return None
@@ -546,7 +551,7 @@
         while self.room.waiting and sum(len(origin.out) for origin in self.origins) < self.room.limit:
             tx = self.room.waiting.pop(0)[2]
             if tx.state is State.WAITING:
-                late = now + self.room.quickest > tx.goal
+                late = now + self.fetch > tx.goal
                 before = len(tx.hops)
                 self.feed(tx, In.HOPELESS if late else In.ROOM, now)
                 if not late and len(tx.hops) == before:
