--- a/saltmoor/adapter/host.py
+++ b/saltmoor/adapter/host.py
@@ -79,10 +79,8 @@
         elif name == "backends_changed":
             _, mode, lines = fields
             node.listed(now, LISTS.get(mode, model.ListKind.FAILED), [member(line) for line in lines])
-        elif name == "abandoned":
-            node.client_left(now, fields[0])
-        elif name == "begun":
-            node.begun(now, fields[0])
+        elif name in ("abandoned", "begun"):
+            node.out_of_hands(now, fields[0])
 
     def batch(self, frame: bytes) -> bytes:
         _, _, clock, number = codec.HEAD.unpack_from(frame)
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -178,11 +178,8 @@
                 server.started = member.started
                 self.servers[member.server] = server
             elif member.started > server.started:
-                # A restart: empty, cold, and nothing that was learnt of the old process holds.
-                server.started, server.bad, server.seen, server.down = member.started, 0.0, 0, False
-                server.delay, server.out_until, server.penance, server.unanswered = 0.0, 0, 0, 0
-                self.say(f"cold {self.name(server)}", True, f"age_ms={(now - member.started) // 1000}")
-                self.mode.pop(f"cold {self.name(server)}")
+                server.restart(member.started)
+                self.effects.append(model.Log(f"cold {self.name(server)}: age_ms={(now - member.started) // 1000}"))
             server.size = member.size if member.size > 0 else 1.0
             server.ready = member.readiness is Readiness.READY
             if member.readiness is Readiness.GONE:
@@ -289,7 +286,7 @@
 
     # -- the table ----------------------------------------------------------------------------------
 
-    def feed(self, tx: Tx, given: In | None, now: Micros) -> None:
+    def feed(self, now: Micros, tx: Tx, given: In | None) -> None:
         while given is not None:
             row = TABLE.get((tx.state, given)) or ANYWHERE.get(given)
             if row is None or tx.state is State.DONE:
@@ -350,13 +347,16 @@
         if self.permits.copies and tx.profile.repeat is not Repeat.NON_IDEMPOTENT and self.usual:
             wait = max(2.5 * self.usual, 2 * self.expected(server, now))
             if now + wait + self.usual < tx.goal:
-                self.at(int(now + wait), self.hop_slow, hop)
+                hop.slow_at = int(now + wait)
+                self.at(hop.slow_at, self.feed, tx, In.SLOW)
         return None
 
     def copy(self, tx: Tx, now: Micros) -> In | None:
         """A second copy past a hop that is far slower than usual, to the best of the other candidates."""
+        if not tx.hops[-1].open or now < tx.hops[-1].slow_at or self.spare < 1:
+            return None
         picked = [server for server in self.candidates(tx, now) if not self.silent(server, now)]
-        if not picked or self.spare < 1:
+        if not picked:
             return None
         tx.choice = min(picked, key=lambda server: self.expected(server, now))
         if now + self.expected(tx.choice, now) < tx.goal:
@@ -384,14 +384,14 @@
                 return In.HOPELESS
             insort(self.room.waiting, turn)
             tx.state = State.WAITING
-            self.at(tx.goal, self.too_late, tx)
+            self.at(tx.goal, self.feed, tx, In.LATE)
             return None
         tx.choice = min(self.origins, key=lambda origin: len(origin.out))
         return self.send(tx, now)
 
     def join(self, tx: Tx, now: Micros) -> In | None:
         self.fetches[tx.key].append(tx)
-        self.at(tx.goal, self.too_late, tx)
+        self.at(tx.goal, self.feed, tx, In.LATE)
         return None
 
     def reread(self, tx: Tx, now: Micros) -> In | None:
@@ -417,7 +417,7 @@
             tx.leads = False
             waiting = self.fetches.pop(tx.key, [])
             for other in waiting:
-                self.feed(other, In.FETCHED, now)
+                self.feed(now, other, In.FETCHED)
         return None
 
     def give_up(self, tx: Tx, now: Micros) -> In | None:
@@ -444,13 +444,13 @@
         tx = Tx(came.tx, profile, key, came.key is not None, now, min(now + profile.goal, came.limit), came.limit,
                 came.write, self.beyond_share(came.tenant, now))
         self.txs[tx.id] = tx
-        self.at(max(now, came.limit - 1), self.at_limit, tx)
+        self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
         if came.write and self.origin_kind is not None:
-            self.feed(tx, In.ORIGIN, now)
+            self.feed(now, tx, In.ORIGIN)
         elif tx.shared_key and key in self.fetches and not came.write:
-            self.feed(tx, In.SHARED, now)
+            self.feed(now, tx, In.SHARED)
         else:
-            self.feed(tx, In.READ, now)
+            self.feed(now, tx, In.READ)
 
     def beyond_share(self, tenant: int | None, now: Micros) -> bool:
         if tenant is None or tenant >= len(self.quotas):
@@ -486,13 +486,13 @@
         if closed:
             if ended is Ended.COMMITTED:
                 self.spare = min(20.0, self.spare + 0.15)
-            self.feed(tx, In.COMMITTED, now)
+            self.feed(now, tx, In.COMMITTED)
         elif ended is Ended.MISS and not tx.write:
-            self.feed(tx, In.ORIGIN, now)
+            self.feed(now, tx, In.ORIGIN)
         elif now >= tx.limit - 1:
-            self.feed(tx, In.LIMIT, now)
+            self.feed(now, tx, In.LIMIT)
         else:
-            self.feed(tx, In.AGAIN, now)
+            self.feed(now, tx, In.AGAIN)
 
     def judge(self, server: Server, hop: Hop, ended: Ended, elapsed: Micros, note: int, now: Micros) -> None:
         """Health: what this hop's end says of its server."""
@@ -553,7 +553,7 @@
             if tx.state is State.WAITING:
                 late = now + self.fetch > tx.goal
                 before = len(tx.hops)
-                self.feed(tx, In.HOPELESS if late else In.ROOM, now)
+                self.feed(now, tx, In.HOPELESS if late else In.ROOM)
                 if not late and len(tx.hops) == before:
                     return
 
@@ -591,28 +591,14 @@
         askers, server.askers = server.askers, []
         for tx in askers:
             if tx.state is State.CHECKING:
-                self.feed(tx, self.check(tx, now), now)
+                self.feed(now, tx, self.check(tx, now))
             elif tx.state is State.POLLING:
-                self.feed(tx, self.poll(tx, now), now)
-
-    def hop_slow(self, now: Micros, hop: Hop) -> None:
-        if hop.open and hop.tx.state in (State.OUT, State.FETCHING):
-            self.feed(hop.tx, In.SLOW, now)
-
-    def too_late(self, now: Micros, tx: Tx) -> None:
-        if tx.state is State.WAITING:
-            self.feed(tx, In.HOPELESS, now)
-
-    def at_limit(self, now: Micros, tx: Tx) -> None:
-        self.feed(tx, In.LIMIT, now)
-
-    def client_left(self, now: Micros, tx_id: model.TxId) -> None:
-        tx = self.txs.get(tx_id)
-        if tx is not None:
-            self.feed(tx, In.LEFT, now)
+                self.feed(now, tx, self.poll(tx, now))
 
-    def begun(self, now: Micros, tx_id: model.TxId) -> None:
-        """The answer streams to the client already: it is that hop's to finish."""
+    def out_of_hands(self, now: Micros, tx_id: model.TxId) -> None:
+        """The client left, or its answer is streaming to it already."""
+        if tx_id in self.txs:
+            self.feed(now, self.txs[tx_id], In.LEFT)
 
     def periodic(self, now: Micros) -> None:
         """The one periodic job: weights of warming servers, news of lost ones, rates, the list."""
@@ -647,6 +633,8 @@
     (S.OUT, I.SLOW): (S.OUT, Node.copy),
     (S.OUT, I.AGAIN): (S.CHECKING, Node.again),
     (S.FETCHING, I.AGAIN): (S.FETCHING, Node.to_origin),
+    (S.FETCHING, I.SLOW): (S.FETCHING, Node.copy),
+    (S.WAITING, I.LATE): (S.DONE, Node.unless_out),
     (S.WAITING, I.ROOM): (S.FETCHING, Node.to_origin),
     (S.WAITING, I.FETCHED): (S.CHECKING, Node.reread),
 }
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -202,6 +202,7 @@
     READ = auto()
     ORIGIN = auto()  # a write, where writes go to the origin; or a miss
     SHARED = auto()  # this node is fetching the key already
+    LATE = auto()
     HOPELESS = auto()  # cannot make its service goal any more
     UNDER = auto()
     OVER = auto()
@@ -250,6 +251,11 @@
     sent: deque = field(default_factory=deque)  # times of hops, within the cold window
     rate: float = 0.0  # hops a second that this node sends it when warm
 
+    def restart(self, started: Micros) -> None:
+        """A new process: cold and empty, and nothing that was learnt of the old one holds."""
+        self.started, self.delay, self.bad, self.seen, self.down = started, 0.0, 0.0, 0, False
+        self.out_until, self.penance, self.unanswered = 0, 0, 0
+
 
 @dataclass(slots=True, eq=False)
 class Hop:
@@ -258,6 +264,7 @@
     server: Server
     sent: Micros
     met: float  # the queue it was expected to meet
+    slow_at: Micros = 0  # when it is far slower than usual
     open: bool = True
     ended: Ended | None = None
 
