--- a/saltmoor/adapter/host.py
+++ b/saltmoor/adapter/host.py
@@ -70,7 +70,8 @@
                                             cost // 1000 if bits & 1 else None, bool(bits & 4), bool(bits & 2)))
         elif name == "returned":
             tx, hop, server, code, elapsed, closed, detail, load = fields
-            node.hop_ended(now, tx, hop, server, ended(code), elapsed // 1000, bool(closed), detail, load)
+            node.hop_ended(now, model.HopEnd(
+                tx, hop, server, ended(code), elapsed // 1000, bool(closed), detail, load))
         elif name == "probe_result":
             elapsed, server, code, load = fields
             node.probed(now, server, ended(code), elapsed // 1000, load)
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -9,10 +9,10 @@
 
 import math
 from bisect import bisect, insort
-from heapq import heappop, heappush
 from zlib import crc32
 
 from saltmoor import model
+from saltmoor.agenda import PERIOD, Agenda
 from saltmoor.model import Ended, Group, Hop, In, Micros, Readiness, Repeat, Server, State, Tx
 
 HELD_COLUMNS = ("held", "queue")  # the load figures that mean a queue, best first
@@ -20,8 +20,6 @@
 CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
 SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
 LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
-TICK, DUE = 1, 2  # tokens of the two timers
-PERIOD = 100_000  # the periodic work's step: well under any time in which a server is told gone
 
 
 def may_send(tx: Tx, server: Server, now: Micros, permits: model.Permits) -> bool:
@@ -83,20 +81,19 @@
             self.limit = min(256.0, self.limit + 2 / self.limit)
 
 
-class Node:
+class Node(Agenda):
     """One node's decisions."""
 
     def __init__(self, seed: int, now: Micros, *, profiles: list[model.Profile], quotas: list[float],
                  permits: model.Permits, prices: model.Prices, cold: model.ColdStart, listing: model.Listing,
                  place: model.Place, origin_kind: int | None, columns: list[str], tick: Micros) -> None:
-        self.seed, self.counter = seed.to_bytes(8, "little"), 0
+        super().__init__(seed, now)
         self.profiles, self.permits, self.prices, self.cold = profiles, permits, prices, cold
         self.listing, self.place, self.origin_kind = listing, place, origin_kind
         self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
         self.goal = min((profile.goal for profile in profiles), default=1_000_000)
         self.probe_wait = max(2 * tick, self.goal // 10)
         self.fresh = self.goal // 8
-        self.effects: list[model.Effect] = []
         self.txs: dict[model.TxId, Tx] = {}
         self.servers: dict[model.ServerId, Server] = {}
         self.caches: list[Server] = []
@@ -109,47 +106,8 @@
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.quotas = [[rate / place.nodes, rate / place.nodes, now] for rate in quotas]
-        self.due: list[tuple] = []
-        self.armed: Micros = 0
-        self.order = 0
-        self.asked_list: Micros = 0
-        self.watching = False
-        self.list_tries = 0
-        self.mode: dict[str, bool] = {}
-        self.effects.append(model.Wake(now + PERIOD, TICK))
-        if listing.asked:
-            self.effects.append(model.WatchList())
-            self.asked_list = now
-
-    # -- chance, timers, log ------------------------------------------------------------------------
-
-    def chance(self) -> float:
-        self.counter += 1
-        return crc32(self.counter.to_bytes(8, "little"), crc32(self.seed)) / 2**32
-
-    def at(self, when: Micros, call, *args) -> None:
-        self.order += 1
-        heappush(self.due, (when, self.order, call, args))
-
-    def settle(self, now: Micros) -> None:
-        if self.due and (not self.armed or self.due[0][0] < self.armed):
-            self.armed = max(now + 1, self.due[0][0])
-            self.effects.append(model.Wake(self.armed, DUE))
-
-    def woken(self, now: Micros, token: int) -> None:
-        if token == TICK:
-            self.effects.append(model.Wake(now + PERIOD, TICK))
-            self.periodic(now)
-        elif now >= self.armed:
-            self.armed = 0
-        while self.due and self.due[0][0] <= now:
-            _, _, call, args = heappop(self.due)
-            call(now, *args)
-
-    def say(self, name: str, on: bool, figures: str) -> None:
-        if self.mode.get(name, False) != on:
-            self.mode[name] = on
-            self.effects.append(model.Log(f"{name} {'on' if on else 'off'}: {figures}"))
+        self.asked_list, self.watching, self.list_tries = now, not listing.asked, 0
+        self.watch(now)
 
     # -- the list -----------------------------------------------------------------------------------
 
@@ -173,17 +131,15 @@
         for member in members:
             server = self.servers.get(member.server)
             if server is None:
-                salt = crc32(repr(member.server).encode()) * 0x1000193 + crc32(repr(member.server).encode(), 7)
-                server = Server(member.server, member.zone, member.kind, member.cell, member.size, salt)
+                word = repr(member.server).encode()
+                server = self.servers[member.server] = Server(
+                    member.server, member.zone, member.kind, member.cell, crc32(word) << 32 | crc32(word, 7))
                 server.started = member.started
-                self.servers[member.server] = server
             elif member.started > server.started:
                 server.restart(member.started)
-                self.effects.append(model.Log(f"cold {self.name(server)}: age_ms={(now - member.started) // 1000}"))
+                self.effects.append(model.Log(f"cold {server.name}: age_ms={(now - member.started) // 1000}"))
             server.size = member.size if member.size > 0 else 1.0
             server.ready = member.readiness is Readiness.READY
-            if member.readiness is Readiness.GONE:
-                server.down = False
         known = sorted(self.servers.values(), key=lambda server: server.id)
         self.origins = [server for server in known if server.ready and server.kind == self.origin_kind]
         self.caches = [server for server in known if server.ready and server.kind != self.origin_kind]
@@ -194,15 +150,9 @@
             self.asked_list = now
             self.effects.append(model.WatchList())
 
-    def name(self, server: Server) -> str:
-        return server.id.hex() if isinstance(server.id, bytes) else str(server.id)
-
     def reweigh(self, now: Micros) -> None:
-        changed = False
         for server in self.caches:
-            weight = max(server.size, 0.01) * round(warmth(server, now, self.cold), 2)
-            if weight != server.weight:
-                server.weight, changed = weight, True
+            server.weight = server.size * warmth(server, now, self.cold)
         self.ranks.clear()
 
     # -- which server -------------------------------------------------------------------------------
@@ -279,10 +229,7 @@
         if server.asked < 0:
             server.asked = now
             self.effects.append(model.Probe(server.id))
-            self.at(now + self.probe_wait, self.probe_late, server, now)
-
-    def soft(self, tx: Tx, now: Micros) -> float:
-        return min(SOFT, self.strict) * (tx.goal - now) * (0.5 if tx.over else 1.0)
+            self.at(now + self.probe_wait, self.wake_askers, server)
 
     # -- the table ----------------------------------------------------------------------------------
 
@@ -305,21 +252,17 @@
         if not self.known(tx.choice, now):
             self.ask(tx.choice, tx, now)
             return None
-        if not self.silent(tx.choice, now) and self.expected(tx.choice, now) <= self.soft(tx, now):
-            return In.UNDER
-        return In.OVER
+        soft = min(SOFT, self.strict) * (tx.goal - now) * tx.favour
+        short = not self.silent(tx.choice, now) and self.expected(tx.choice, now) <= soft
+        return In.UNDER if short else In.OVER
 
     def poll(self, tx: Tx, now: Micros) -> In | None:
         """Ask the candidates' queues; when all have answered or fallen silent, take the shortest."""
         picked = self.candidates(tx, now)
-        waiting = False
-        for server in picked:
-            if not self.known(server, now):
-                if server not in tx.polled or server.asked < 0:
-                    tx.polled.append(server)
-                    self.ask(server, tx, now)
-                waiting = True
-        if waiting:
+        unknown = [server for server in picked if not self.known(server, now)]
+        for server in unknown:
+            self.ask(server, tx, now)
+        if unknown:
             return None
         heard = [server for server in picked if not self.silent(server, now)]
         if not heard:
@@ -330,7 +273,7 @@
         tx.choice = min(heard, key=lambda server: (
             self.expected(server, now) + (crossing if server.zone != self.place.zone else 0)
             + (self.fetch if server is not picked[0] and not tx.write else 0)))
-        if self.expected(tx.choice, now) > self.strict * left * (0.5 if tx.over else 1.0):
+        if self.expected(tx.choice, now) > self.strict * left * tx.favour:
             return In.NOBODY
         return In.BEST
 
@@ -377,7 +320,7 @@
             tx.leads = True
         if sum(len(origin.out) for origin in self.origins) >= self.room.limit:
             self.order += 1
-            turn = (-tx.profile.revenue * (0.2 if tx.over else 1), self.order, tx)
+            turn = (-tx.profile.revenue * tx.favour, self.order, tx)
             # Guards against waits that end in nothing: no room in time means an answer now.
             ahead = bisect(self.room.waiting, turn)
             if now + self.fetch * (1 + (ahead + 1) / self.room.limit) > tx.goal:
@@ -442,7 +385,7 @@
         profile = self.profiles[came.profile]
         key = came.key if came.key is not None else int(self.chance() * 2**32)
         tx = Tx(came.tx, profile, key, came.key is not None, now, min(now + profile.goal, came.limit), came.limit,
-                came.write, self.beyond_share(came.tenant, now))
+                came.write, 0.5 if self.beyond_share(came.tenant, now) else 1.0)
         self.txs[tx.id] = tx
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
         if came.write and self.origin_kind is not None:
@@ -463,27 +406,24 @@
         bucket[1] -= 1
         return False
 
-    def hop_ended(self, now: Micros, tx_id: model.TxId, number: int, server_id: model.ServerId, ended: Ended,
-                  elapsed: Micros, closed: bool, note: int, load: tuple[float, ...]) -> None:
-        server = self.servers.get(server_id)
-        if server is None:
-            return
-        hop = next((hop for hop in server.out if hop.tx.id == tx_id and hop.number == number), None)
+    def hop_ended(self, now: Micros, end: model.HopEnd) -> None:
+        server, ended = self.servers[end.server], end.ended
+        hop = next((hop for hop in server.out if hop.tx.id == end.tx and hop.number == end.hop), None)
         if hop is None:
             return
         del server.out[hop]
         hop.open, hop.ended = False, ended
         if server.kind == self.origin_kind:
             if ended is not Ended.CANCELLED:
-                self.room.learn(elapsed, ended is Ended.COMMITTED, self.goal)
-                self.fetch += (elapsed - self.fetch) * 0.05
+                self.room.learn(end.elapsed, ended is Ended.COMMITTED, self.goal)
+                self.fetch += (end.elapsed - self.fetch) * 0.05
             self.refill(now)
         else:
-            self.judge(server, hop, ended, elapsed, note, now)
+            self.judge(server, hop, ended, end.elapsed, end.note, now)
         tx = hop.tx
         if tx.state is State.DONE:
             return
-        if closed:
+        if end.closed:
             if ended is Ended.COMMITTED:
                 self.spare = min(20.0, self.spare + 0.15)
             self.feed(now, tx, In.COMMITTED)
@@ -502,7 +442,7 @@
             # Guards against a dead process that the list still calls ready: believe the network first.
             if not server.down and hop.sent >= server.heard:
                 server.down = True
-                self.say(f"down {self.name(server)}", True, f"{ended.value[0]} after_ms={elapsed // 1000}")
+                self.say(f"down {server.name}", True, f"{ended.value[0]} after_ms={elapsed // 1000}")
             return
         if ended is not Ended.TIMED_OUT:
             server.heard = now
@@ -515,14 +455,19 @@
         late = ended is Ended.TIMED_OUT
         failed = ended in (Ended.ERROR, Ended.UNKNOWN)
         server.bad += (failed - server.bad) * 0.2
-        if failed and server.bad > 0.35 and not (server.out_until and now < server.out_until):
-            # Against the origin's own failures, which reach this node through every server: judged by its peers.
+        if failed and server.bad > 0.35 and now >= server.out_until:
+            # Guards against a server that fails fast: its queue is short because it does no work. Its peers
+            # are the measure, as the origin's failures reach this node through every server; and half the
+            # fleet stays in, or the rest would drown.
             peers = sorted(other.bad for other in self.caches if other.seen)
-            if server.bad - peers[len(peers) // 2] > 0.3:
-                self.put_aside(server, now)
+            well = sum(not other.out_until and not other.down for other in self.caches)
+            if server.bad - peers[len(peers) // 2] > 0.3 and 2 * well > len(self.caches):
+                server.penance = min(4_000_000, max(500_000, server.penance * 2))
+                server.out_until = now + server.penance
+                self.say(f"aside {server.name}", True, f"failing={server.bad:.2f} hops={server.seen}")
         elif not failed and server.out_until and server.bad < 0.25:
             server.out_until, server.penance = 0, 0
-            self.say(f"aside {self.name(server)}", False, f"failing={server.bad:.2f}")
+            self.say(f"aside {server.name}", False, f"failing={server.bad:.2f}")
         if late or ended is Ended.COMMITTED:
             # Guards against jams that feed themselves: admitted work that ends late is lost to all.
             step = -0.02 if now > hop.tx.goal else 0.02 * LATE_SHARE / (1 - LATE_SHARE)
@@ -537,15 +482,6 @@
             server.delay_at = now
             self.usual += (elapsed - self.usual) * (0.03 if self.usual else 1.0)
 
-    def put_aside(self, server: Server, now: Micros) -> None:
-        """Guards against a server that fails fast: its queue is short because it does no work."""
-        well = sum(not other.out_until and not other.down for other in self.caches)
-        if 2 * well <= len(self.caches):
-            return  # half the fleet is out already: the rest would drown
-        server.penance = min(4_000_000, max(500_000, server.penance * 2))
-        server.out_until = now + server.penance
-        self.say(f"aside {self.name(server)}", True, f"failing={server.bad:.2f} hops={server.seen}")
-
     def refill(self, now: Micros) -> None:
         """Room at the origin: the waiting transaction of most revenue that can still make its goal."""
         while self.room.waiting and sum(len(origin.out) for origin in self.origins) < self.room.limit:
@@ -559,9 +495,7 @@
 
     def probed(self, now: Micros, server_id: model.ServerId, ended: Ended, elapsed: Micros,
                load: tuple[float, ...]) -> None:
-        server = self.servers.get(server_id)
-        if server is None:
-            return
+        server = self.servers[server_id]
         server.asked = -1
         if ended is Ended.COMMITTED:
             known, server.answered, server.heard = server.answered >= 0, now, now
@@ -572,7 +506,7 @@
                 server.others += (others - server.others) * (0.5 if known else 1.0)
             if server.down:
                 server.down = False
-                self.say(f"down {self.name(server)}", False, f"probe_ms={elapsed // 1000}")
+                self.say(f"down {server.name}", False, f"probe_ms={elapsed // 1000}")
         else:
             server.unanswered += 1
             server.again_at = now + self.goal // 2
@@ -580,20 +514,13 @@
             if not server.down and (ended is Ended.NO_CONNECTION or (
                     server.unanswered >= 2 and now - server.heard > 2 * self.goal)):
                 server.down = True
-                self.say(f"down {self.name(server)}", True, f"probe {ended.value[0]} n={server.unanswered}")
-        self.wake_askers(server, now)
-
-    def probe_late(self, now: Micros, server: Server, sent: Micros) -> None:
-        if server.asked == sent:
-            self.wake_askers(server, now)
+                self.say(f"down {server.name}", True, f"probe {ended.value[0]} n={server.unanswered}")
+        self.wake_askers(now, server)
 
-    def wake_askers(self, server: Server, now: Micros) -> None:
+    def wake_askers(self, now: Micros, server: Server) -> None:
         askers, server.askers = server.askers, []
         for tx in askers:
-            if tx.state is State.CHECKING:
-                self.feed(now, tx, self.check(tx, now))
-            elif tx.state is State.POLLING:
-                self.feed(now, tx, self.poll(tx, now))
+            self.feed(now, tx, In.HEARD)
 
     def out_of_hands(self, now: Micros, tx_id: model.TxId) -> None:
         """The client left, or its answer is streaming to it already."""
@@ -611,8 +538,7 @@
                 while server.sent and server.sent[0] <= now - 1_000_000:
                     server.sent.popleft()
                 server.rate += (recent - server.rate) * 0.05
-            lost = server.down or server.unanswered
-            if lost and now >= server.again_at and server.asked < 0 and self.permits.probes:
+            if (server.down or server.unanswered) and now >= server.again_at and server.asked < 0 and self.permits.probes:
                 server.asked = now
                 self.effects.append(model.Probe(server.id))
         if self.listing.asked and not self.watching and now - self.asked_list > max(self.listing.within // 3, 1):
@@ -626,6 +552,8 @@
     (S.NEW, I.ORIGIN): (S.FETCHING, Node.to_origin),
     (S.NEW, I.SHARED): (S.WAITING, Node.join),
     (S.CHECKING, I.UNDER): (S.OUT, Node.send),
+    (S.CHECKING, I.HEARD): (S.CHECKING, Node.check),
+    (S.POLLING, I.HEARD): (S.POLLING, Node.poll),
     (S.CHECKING, I.OVER): (S.POLLING, Node.poll),
     (S.POLLING, I.BEST): (S.OUT, Node.send),
     (S.OUT, I.ORIGIN): (S.FETCHING, Node.to_origin),
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -137,6 +137,20 @@
     again: bool = False  # the client marked it as a try of its own after the first
 
 
+@dataclass(slots=True, frozen=True)
+class HopEnd:
+    """How a hop ended; closed: the transaction has ended with it, or had before."""
+
+    tx: TxId
+    hop: int
+    server: ServerId
+    ended: Ended
+    elapsed: Micros
+    closed: bool
+    note: int = 0  # 1: the copy was there, 2: it was fetched
+    load: tuple[float, ...] = ()
+
+
 @dataclass(slots=True, frozen=True)
 class Send:
     tx: TxId
@@ -204,6 +218,7 @@
     SHARED = auto()  # this node is fetching the key already
     LATE = auto()
     HOPELESS = auto()  # cannot make its service goal any more
+    HEARD = auto()  # a probe was answered, or its wait is over
     UNDER = auto()
     OVER = auto()
     BEST = auto()
@@ -225,8 +240,8 @@
     zone: int
     kind: int
     cell: int
-    size: float
     salt: int
+    size: float = 1.0
     ready: bool = True
     started: Micros = 0
     weight: float = 1.0
@@ -251,6 +266,10 @@
     sent: deque = field(default_factory=deque)  # times of hops, within the cold window
     rate: float = 0.0  # hops a second that this node sends it when warm
 
+    @property
+    def name(self) -> str:
+        return self.id.hex() if isinstance(self.id, bytes) else str(self.id)
+
     def restart(self, started: Micros) -> None:
         """A new process: cold and empty, and nothing that was learnt of the old one holds."""
         self.started, self.delay, self.bad, self.seen, self.down = started, 0.0, 0.0, 0, False
@@ -279,11 +298,10 @@
     goal: Micros
     limit: Micros
     write: bool
-    over: bool  # beyond its tenant's share
+    favour: float  # less than 1 where it is beyond its tenant's share
     state: State = State.NEW
     hops: list[Hop] = field(default_factory=list)
     tried: list[Server] = field(default_factory=list)
-    polled: list[Server] = field(default_factory=list)
     choice: Server | None = None
     leads: bool = False  # others wait for its fetch
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -76,7 +76,7 @@
 
     def ends(self, tx: int, hop: int, server: int, how: Ended, took: int = 50) -> None:
         self.note(f"tx {tx} hop {hop} {how.value[0]}")
-        self.node.hop_ended(self.now * MS, tx, hop, server, how, took * MS, how is Ended.COMMITTED, 0, ())
+        self.node.hop_ended(self.now * MS, model.HopEnd(tx, hop, server, how, took * MS, how is Ended.COMMITTED))
         self.told()
 
     def wait(self, ms: int) -> None:
