A try begun late in its client's wait keeps its first goal

Cause: in a jam each transaction came back two or three times, and late tries took the place of ones that could still be in time. Their shorter time left shows them.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -105,6 +105,7 @@
         self.fetch = 0.0  # what a miss adds, usually
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
+        self.longest = [0] * len(profiles)  # the longest time that a try of the profile had left
         self.quotas = [[rate / place.nodes, rate / place.nodes, now] for rate in quotas]
         self.asked_list, self.watching, self.list_tries = now, not listing.asked, 0
         self.watch(now)
@@ -384,7 +385,15 @@
     def arrived(self, now: Micros, came: model.Arrival) -> None:
         profile = self.profiles[came.profile]
         key = came.key if came.key is not None else int(self.chance() * 2**32)
-        tx = Tx(came.tx, profile, key, came.key is not None, now, min(now + profile.goal, came.limit), came.limit,
+        # The client's whole wait ends at the hard limit: a try with less time than others was begun long ago,
+        # and in a jam one past its goal must not take the place of one that can still be in time.
+        self.longest[came.profile] = max(self.longest[came.profile], came.limit - now)
+        goal = now + profile.goal
+        if came.limit - now < 0.9 * self.longest[came.profile]:
+            goal = came.limit - profile.limit + profile.goal
+            if goal <= now and self.strict >= 0.9:
+                goal = came.limit
+        tx = Tx(came.tx, profile, key, came.key is not None, now, min(goal, came.limit), came.limit,
                 came.write, 0.5 if self.beyond_share(came.tenant, now) else 1.0)
         self.txs[tx.id] = tx
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
