--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -486,6 +486,8 @@
             self.fetch += (max(0.0, elapsed - self.usual) - self.fetch) * 0.05
         if late or (ended is Ended.COMMITTED and note <= 1):
             first = not server.delay
+            # Against a few very costly transactions: one says little of its server, several in a row much.
+            elapsed = min(elapsed, 3 * max(server.delay, self.usual)) if self.usual else elapsed
             server.delay += (elapsed - server.delay) * (1.0 if first else 0.15)
             server.usual_held += (hop.met - server.usual_held) * (1.0 if first else 0.15)
             server.delay_at = now
