--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -92,12 +92,10 @@
         self.listing, self.place, self.origin_kind = listing, place, origin_kind
         self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
         self.goal = min((profile.goal for profile in profiles), default=1_000_000)
-        self.probe_wait = max(2 * tick, self.goal // 10)
-        self.fresh = self.goal // 8
+        self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal // 2
         self.txs: dict[model.TxId, Tx] = {}
         self.servers: dict[model.ServerId, Server] = {}
-        self.caches: list[Server] = []
-        self.origins: list[Server] = []
+        self.caches, self.origins = [], []
         self.ranks: dict[int, list[Server]] = {}
         self.fetches: dict[int, list[Tx]] = {}
         self.room = Room()
@@ -221,12 +219,12 @@
         return server.unanswered > 0 or (server.asked >= 0 and now - server.asked >= self.probe_wait)
 
     def known(self, server: Server, now: Micros) -> bool:
-        if self.column is None or not self.permits.probes:
-            return True
-        return self.silent(server, now) or (server.answered >= 0 and now - server.answered < self.fresh)
+        fresh = server.answered >= 0 and now - server.answered < self.fresh
+        return fresh or self.column is None or not self.permits.probes or self.silent(server, now)
 
-    def ask(self, server: Server, tx: Tx, now: Micros) -> None:
-        server.askers.append(tx)
+    def ask(self, server: Server, tx: Tx | None, now: Micros) -> None:
+        if tx:
+            server.askers.append(tx)
         if server.asked < 0:
             server.asked = now
             self.effects.append(model.Probe(server.id))
@@ -280,32 +278,13 @@
 
     def send(self, tx: Tx, now: Micros) -> In | None:
         server = tx.choice
-        if server is None or not may_send(tx, server, now, self.permits):
+        if not may_send(tx, server, now, self.permits):
             return In.NOBODY
-        hop = Hop(tx, len(tx.hops), server, now, self.queue(server))
-        tx.hops.append(hop)
+        tx.hops.append(Hop(tx, len(tx.hops), server, now, self.queue(server)))
         tx.tried.append(server)
-        server.out[hop] = None
+        server.out[tx.hops[-1]] = None
         server.sent.append(now)
         self.effects.append(model.Send(tx.id, server.id, tx.limit))
-        if self.permits.copies and tx.profile.repeat is not Repeat.NON_IDEMPOTENT and self.usual:
-            wait = max(2.5 * self.usual, 2 * self.expected(server, now))
-            if now + wait + self.usual < tx.goal:
-                hop.slow_at = int(now + wait)
-                self.at(hop.slow_at, self.feed, tx, In.SLOW)
-        return None
-
-    def copy(self, tx: Tx, now: Micros) -> In | None:
-        """A second copy past a hop that is far slower than usual, to the best of the other candidates."""
-        if not tx.hops[-1].open or now < tx.hops[-1].slow_at or self.spare < 1:
-            return None
-        picked = [server for server in self.candidates(tx, now) if not self.silent(server, now)]
-        if not picked:
-            return None
-        tx.choice = min(picked, key=lambda server: self.expected(server, now))
-        if now + self.expected(tx.choice, now) < tx.goal:
-            self.spare -= 1
-            return self.send(tx, now)
         return None
 
     def to_origin(self, tx: Tx, now: Micros) -> In | None:
@@ -323,8 +302,7 @@
             self.order += 1
             turn = (-tx.profile.revenue * tx.favour, self.order, tx)
             # Guards against waits that end in nothing: no room in time means an answer now.
-            ahead = bisect(self.room.waiting, turn)
-            if now + self.fetch * (1 + (ahead + 1) / self.room.limit) > tx.goal:
+            if now + self.fetch * (1 + (bisect(self.room.waiting, turn) + 1) / self.room.limit) > tx.goal:
                 return In.HOPELESS
             insort(self.room.waiting, turn)
             tx.state = State.WAITING
@@ -359,8 +337,7 @@
                 self.effects.append(model.Cancel(tx.id, hop.number))
         if tx.leads:
             tx.leads = False
-            waiting = self.fetches.pop(tx.key, [])
-            for other in waiting:
+            for other in self.fetches.pop(tx.key, []):
                 self.feed(now, other, In.FETCHED)
         return None
 
@@ -430,11 +407,8 @@
         else:
             self.judge(server, hop, ended, end.elapsed, end.note, now)
         tx = hop.tx
-        if tx.state is State.DONE:
-            return
         if end.closed:
-            if ended is Ended.COMMITTED:
-                self.spare = min(20.0, self.spare + 0.15)
+            self.spare = min(20.0, self.spare + 0.15)
             self.feed(now, tx, In.COMMITTED)
         elif ended is Ended.MISS and not tx.write:
             self.feed(now, tx, In.ORIGIN)
@@ -449,9 +423,8 @@
             return
         if ended in (Ended.NO_CONNECTION, Ended.RESET):
             # Guards against a dead process that the list still calls ready: believe the network first.
-            if not server.down and hop.sent >= server.heard:
-                server.down = True
-                self.say(f"down {server.name}", True, f"{ended.value[0]} after_ms={elapsed // 1000}")
+            if hop.sent >= server.heard:
+                self.lose(server, now, f"hop {ended.value[0]} after_ms={elapsed // 1000}")
             return
         if ended is not Ended.TIMED_OUT:
             server.heard = now
@@ -493,6 +466,14 @@
             server.delay_at = now
             self.usual += (elapsed - self.usual) * (0.03 if self.usual else 1.0)
 
+    def lose(self, server: Server, now: Micros, figures: str) -> None:
+        """Nothing reaches it: its hops go elsewhere too where that is allowed; it is probed until it answers."""
+        if not server.down:
+            server.down = True
+            self.say(f"down {server.name}", True, figures)
+            for hop in list(server.out):
+                self.feed(now, hop.tx, In.AGAIN)
+
     def refill(self, now: Micros) -> None:
         """Room at the origin: the waiting transaction of most revenue that can still make its goal."""
         while self.room.waiting and sum(len(origin.out) for origin in self.origins) < self.room.limit:
@@ -522,10 +503,8 @@
             server.unanswered += 1
             server.again_at = now + self.goal // 2
             # Guards against a process that hangs instead of refusing connections: two silences, no other sign.
-            if not server.down and (ended is Ended.NO_CONNECTION or (
-                    server.unanswered >= 2 and now - server.heard > 2 * self.goal)):
-                server.down = True
-                self.say(f"down {server.name}", True, f"probe {ended.value[0]} n={server.unanswered}")
+            if ended is Ended.NO_CONNECTION or (server.unanswered >= 2 and now - server.heard > 2 * self.goal):
+                self.lose(server, now, f"probe {ended.value[0]} n={server.unanswered}")
         self.wake_askers(now, server)
 
     def wake_askers(self, now: Micros, server: Server) -> None:
@@ -549,9 +528,8 @@
                 while server.sent and server.sent[0] <= now - 1_000_000:
                     server.sent.popleft()
                 server.rate += (recent - server.rate) * 0.05
-            if (server.down or server.unanswered) and now >= server.again_at and server.asked < 0 and self.permits.probes:
-                server.asked = now
-                self.effects.append(model.Probe(server.id))
+            if (server.down or server.unanswered) and now >= server.again_at and self.permits.probes:
+                self.ask(server, None, now)
         if self.listing.asked and not self.watching and now - self.asked_list > max(self.listing.within // 3, 1):
             self.watch(now)
 
@@ -569,10 +547,8 @@
     (S.POLLING, I.BEST): (S.OUT, Node.send),
     (S.OUT, I.ORIGIN): (S.FETCHING, Node.to_origin),
     (S.FETCHING, I.ORIGIN): (S.FETCHING, lambda node, tx, now: None),
-    (S.OUT, I.SLOW): (S.OUT, Node.copy),
     (S.OUT, I.AGAIN): (S.CHECKING, Node.again),
     (S.FETCHING, I.AGAIN): (S.FETCHING, Node.to_origin),
-    (S.FETCHING, I.SLOW): (S.FETCHING, Node.copy),
     (S.WAITING, I.LATE): (S.DONE, Node.unless_out),
     (S.WAITING, I.ROOM): (S.FETCHING, Node.to_origin),
     (S.WAITING, I.FETCHED): (S.CHECKING, Node.reread),
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -226,7 +226,6 @@
     ROOM = auto()
     FETCHED = auto()
     AGAIN = auto()
-    SLOW = auto()
     COMMITTED = auto()
     LIMIT = auto()
     LEFT = auto()
@@ -283,7 +282,6 @@
     server: Server
     sent: Micros
     met: float  # the queue it was expected to meet
-    slow_at: Micros = 0  # when it is far slower than usual
     open: bool = True
     ended: Ended | None = None
 
