--- a/saltmoor/adapter/host.py
+++ b/saltmoor/adapter/host.py
@@ -66,8 +66,9 @@
         if name == "inbound":
             tx, profile, tenant, key, limit, cost, _, bits = fields
             # The limit is rounded down: nothing that is derived from it may come after it.
-            node.arrived(now, model.Arrival(tx, profile, tenant, key or None, limit // 1000,
-                                            cost // 1000 if bits & 1 else None, bool(bits & 4), bool(bits & 2)))
+            hint = cost // 1000 if bits & 1 else None
+            node.arrived(now, model.Arrival(
+                tx, profile, tenant, key or None, limit // 1000, hint, bool(bits & 4), bool(bits & 2)))
         elif name == "returned":
             tx, hop, server, code, elapsed, closed, detail, load = fields
             node.hop_ended(now, model.HopEnd(
--- a/saltmoor/adapter/settings.py
+++ b/saltmoor/adapter/settings.py
@@ -46,7 +46,8 @@
         "cold": model.ColdStart(
             float(rule.get("cold_from", 1.0)), micros(rule.get("cold_ns")),
             float(rule.get("overload_factor", 1.0)), micros(rule.get("fall_ns")) or 1_000_000),
-        "listing": model.Listing(said.get("membership_mode") == "subscribe", micros(rule.get("ask_within_ns"))),
+        "listing": model.Listing(said.get("membership_mode") == "subscribe",
+                                 micros(rule.get("ask_within_ns"))),
         "place": model.Place(int(said.get("locality", 0)), max(1, int(said.get("fleet_size", 1)))),
         "origin_kind": int(family["origin_kind"]) if aside else None,
         "columns": [COLUMNS.get(name, name) for name in report.get("columns") or []],
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -37,8 +37,8 @@
     if now >= first.sent + tx.profile.window:
         return False
     group = tx.profile.group
-    return group is Group.ALL or all(
-        hop.server.zone == server.zone and (group is Group.ZONE or hop.server.cell == server.cell) for hop in ran)
+    return group is Group.ALL or all(hop.server.zone == server.zone and (
+        group is Group.ZONE or hop.server.cell == server.cell) for hop in ran)
 
 
 def may_roll_back(tx: Tx) -> bool:
@@ -92,7 +92,7 @@
         self.listing, self.place, self.origin_kind = listing, place, origin_kind
         self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
         self.goal = min((profile.goal for profile in profiles), default=1_000_000)
-        self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal // 2
+        self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal
         self.txs: dict[model.TxId, Tx] = {}
         self.servers: dict[model.ServerId, Server] = {}
         self.caches, self.origins = [], []
@@ -108,8 +108,6 @@
         self.asked_list, self.watching, self.list_tries = now, not listing.asked, 0
         self.watch(now)
 
-    # -- the list -----------------------------------------------------------------------------------
-
     def listed(self, now: Micros, kind: model.ListKind, members: list[model.Member]) -> None:
         if kind is model.ListKind.FAILED:
             # Guards against a storm of calls while the list is out of reach: back off, unevenly.
@@ -154,8 +152,6 @@
             server.weight = server.size * warmth(server, now, self.cold)
         self.ranks.clear()
 
-    # -- which server -------------------------------------------------------------------------------
-
     def ranked(self, key: int) -> list[Server]:
         """The key's cache servers, preferred first, the same at every node: weighted rendezvous hashing."""
         ranks = self.ranks.get(key)
@@ -167,11 +163,8 @@
         return ranks
 
     def usable(self, server: Server, now: Micros) -> bool:
-        if not server.ready or server.down:
-            return False
-        if server.out_until and (now < server.out_until or server.out):
-            return False  # put aside; after that one trial at a time
-        return self.within_cold_budget(server, now)
+        aside = server.out_until and (now < server.out_until or server.out)  # after that one trial at a time
+        return server.ready and not server.down and not aside and self.within_cold_budget(server, now)
 
     def within_cold_budget(self, server: Server, now: Micros) -> bool:
         """Rule 4: this node's own budget of hops to a cold server, for every window."""
@@ -182,15 +175,18 @@
             server.sent.popleft()
         warm = [other.rate / other.size for other in self.caches if other.rate > 0]
         usual = sorted(warm)[len(warm) // 2] * server.size if warm else 0.0
-        # Half the multiple of what this node usually sends a warm peer: all nodes do alike, and no
-        # fleet is usually sent more than it can do. One hop a window goes anyway, or nothing would warm.
-        budget = max(1.0, self.cold.multiple / 2 * usual * share * self.cold.window / 1_000_000)
+        core = 1_000_000 / self.usual / self.place.nodes if self.usual else 0.0
+        # Half the multiple of what this node usually sends a warm peer, or of its part of a single core's
+        # work: all nodes do alike. One hop a window goes anyway, or nothing would warm.
+        budget = max(1.0, self.cold.multiple / 2 * max(usual, core) * share * self.cold.window / 1_000_000)
         return len(server.sent) + 1 <= budget
 
     def candidates(self, tx: Tx, now: Micros) -> list[Server]:
         picked: list[Server] = []
         for server in self.ranked(tx.key):
-            if server not in tx.tried and self.usable(server, now) and may_send(tx, server, now, self.permits):
+            if server in tx.tried or not self.usable(server, now):
+                continue
+            if may_send(tx, server, now, self.permits):
                 picked.append(server)
                 if len(picked) == CANDIDATES:
                     break
@@ -230,8 +226,6 @@
             self.effects.append(model.Probe(server.id))
             self.at(now + self.probe_wait, self.wake_askers, server)
 
-    # -- the table ----------------------------------------------------------------------------------
-
     def feed(self, now: Micros, tx: Tx, given: In | None) -> None:
         while given is not None:
             row = TABLE.get((tx.state, given)) or ANYWHERE.get(given)
@@ -357,8 +351,6 @@
             return None
         return self.give_up(tx, now)
 
-    # -- events -------------------------------------------------------------------------------------
-
     def arrived(self, now: Micros, came: model.Arrival) -> None:
         profile = self.profiles[came.profile]
         key = came.key if came.key is not None else int(self.chance() * 2**32)
@@ -434,14 +426,13 @@
         server.seen += 1
         # A time-out tells of a long queue, not of a broken server: setting servers aside for it under load
         # left the same work to fewer of them, and these timed out next. It counts as a long delay below.
-        late = ended is Ended.TIMED_OUT
-        failed = ended in (Ended.ERROR, Ended.UNKNOWN)
+        late, failed = ended is Ended.TIMED_OUT, ended in (Ended.ERROR, Ended.UNKNOWN)
         server.bad += (failed - server.bad) * 0.2
         if failed and server.bad > 0.35 and now >= server.out_until:
             # Guards against a server that fails fast: its queue is short because it does no work. Its peers
             # are the measure, as the origin's failures reach this node through every server; and half the
             # fleet stays in, or the rest would drown.
-            peers = sorted(other.bad for other in self.caches if other.seen)
+            peers = sorted(other.bad for other in self.caches)
             well = sum(not other.out_until and not other.down for other in self.caches)
             if server.bad - peers[len(peers) // 2] > 0.3 and 2 * well > len(self.caches):
                 server.penance = min(4_000_000, max(500_000, server.penance * 2))
@@ -454,7 +445,8 @@
             # Guards against jams that feed themselves: admitted work that ends late is lost to all.
             step = -0.02 if now > hop.tx.goal else 0.02 * LATE_SHARE / (1 - LATE_SHARE)
             self.strict = min(1.0, max(0.25, self.strict + step))
-            self.say("jam", self.strict < (0.9 if self.mode.get("jam") else 0.7), f"admit_share={self.strict:.2f}")
+            jam = self.strict < (0.9 if self.mode.get("jam") else 0.7)
+            self.say("jam", jam, f"admit_share={self.strict:.2f}")
         if ended is Ended.COMMITTED and note == 2:
             self.fetch += (max(0.0, elapsed - self.usual) - self.fetch) * 0.05
         if late or (ended is Ended.COMMITTED and note <= 1):
@@ -467,7 +459,7 @@
             self.usual += (elapsed - self.usual) * (0.03 if self.usual else 1.0)
 
     def lose(self, server: Server, now: Micros, figures: str) -> None:
-        """Nothing reaches it: its hops go elsewhere too where that is allowed; it is probed until it answers."""
+        """Nothing reaches it: its hops go elsewhere too where allowed; it is probed until it answers."""
         if not server.down:
             server.down = True
             self.say(f"down {server.name}", True, figures)
@@ -502,8 +494,9 @@
         else:
             server.unanswered += 1
             server.again_at = now + self.goal // 2
-            # Guards against a process that hangs instead of refusing connections: two silences, no other sign.
-            if ended is Ended.NO_CONNECTION or (server.unanswered >= 2 and now - server.heard > 2 * self.goal):
+            # Guards against a process that hangs instead of refusing connections.
+            hung = server.unanswered >= 2 and now - server.heard > 2 * self.goal
+            if ended is Ended.NO_CONNECTION or hung:
                 self.lose(server, now, f"probe {ended.value[0]} n={server.unanswered}")
         self.wake_askers(now, server)
 
@@ -530,7 +523,7 @@
                 server.rate += (recent - server.rate) * 0.05
             if (server.down or server.unanswered) and now >= server.again_at and self.permits.probes:
                 self.ask(server, None, now)
-        if self.listing.asked and not self.watching and now - self.asked_list > max(self.listing.within // 3, 1):
+        if now - self.asked_list > self.listing.within // 3:
             self.watch(now)
 
 
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -273,6 +273,7 @@
         """A new process: cold and empty, and nothing that was learnt of the old one holds."""
         self.started, self.delay, self.bad, self.seen, self.down = started, 0.0, 0.0, 0, False
         self.out_until, self.penance, self.unanswered = 0, 0, 0
+        self.sent.clear()
 
 
 @dataclass(slots=True, eq=False)
