--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -315,11 +315,10 @@
         return self.check(tx, now)
 
     def again(self, tx: Tx, now: Micros) -> In | None:
-        if tx.hops[-1].ended and tx.hops[-1].ended.may_have_run:
-            # Guards against a storm of repeats: each that costs a server work again is paid from commits.
-            if self.spare < 1:
-                return In.NOBODY
-            self.spare -= 1
+        # Guards against a storm of repeats: each is paid from what commits left.
+        if self.spare < 1:
+            return In.NOBODY
+        self.spare -= 1
         if tx.write and self.origin_kind is not None:
             return self.to_origin(tx, now)
         return self.check(tx, now)
@@ -421,7 +420,10 @@
         if ended is not Ended.TIMED_OUT:
             server.heard = now
         if ended is Ended.FULL:
-            server.others = max(server.others, server.usual_held * 2 + 2)
+            # Guards against a storm of hops from one full server to the next: full is a queue as long as a
+            # goal, until probes say otherwise.
+            long = self.goal / (server.delay or self.goal) * (server.usual_held + 2)
+            server.others, server.answered = max(server.others, long), min(server.answered, now - self.fresh)
             return
         server.seen += 1
         # A time-out tells of a long queue, not of a broken server: setting servers aside for it under load
