--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -98,6 +98,7 @@
         self.caches, self.origins = [], []
         self.ranks: dict[int, list[Server]] = {}
         self.fetches: dict[int, list[Tx]] = {}
+        self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.room = Room()
         self.usual = 0.0  # this node's usual time of a hit
         self.fetch = 0.0  # what a miss adds, usually
@@ -148,6 +149,7 @@
             self.effects.append(model.WatchList())
 
     def reweigh(self, now: Micros) -> None:
+        """Weights by size and warm-up; ranks are worked out anew, so that they never pile up."""
         for server in self.caches:
             server.weight = server.size * warmth(server, now, self.cold)
         self.ranks.clear()
@@ -157,8 +159,6 @@
         ranks = self.ranks.get(key)
         if ranks is None:
             ranks = sorted(self.caches, key=lambda server: -math.log(spot(key, server)) / server.weight)
-            if len(self.ranks) > 20_000:
-                self.ranks.clear()
             self.ranks[key] = ranks
         return ranks
 
@@ -292,11 +292,12 @@
                 return None
             self.fetches.setdefault(tx.key, [])
             tx.leads = True
-        if sum(len(origin.out) for origin in self.origins) >= self.room.limit:
+        if self.crowded():
             self.order += 1
             turn = (-tx.profile.revenue * tx.favour, self.order, tx)
             # Guards against waits that end in nothing: no room in time means an answer now.
             if now + self.fetch * (1 + (bisect(self.room.waiting, turn) + 1) / self.room.limit) > tx.goal:
+                self.missing[tx.key] = now + int(self.fetch)
                 return In.HOPELESS
             insort(self.room.waiting, turn)
             tx.state = State.WAITING
@@ -330,8 +331,10 @@
                 self.effects.append(model.Cancel(tx.id, hop.number))
         if tx.leads:
             tx.leads = False
+            # Guards against joiners that go and miss once more, when there is no room for their fetch either.
+            failed = tx.hops[-1].ended is not Ended.COMMITTED and self.crowded()
             for other in self.fetches.pop(tx.key, []):
-                self.feed(now, other, In.FETCHED)
+                self.feed(now, other, In.HOPELESS if failed else In.FETCHED)
         return None
 
     def give_up(self, tx: Tx, now: Micros) -> In | None:
@@ -367,10 +370,10 @@
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
         if came.write and self.origin_kind is not None:
             self.feed(now, tx, In.ORIGIN)
-        elif tx.shared_key and key in self.fetches and not came.write:
-            self.feed(now, tx, In.SHARED)
+        elif self.missing.get(key, now) > now and self.crowded():
+            self.feed(now, tx, In.HOPELESS)  # just missed, and no room for its fetch: spare the cache server
         else:
-            self.feed(now, tx, In.READ)
+            self.feed(now, tx, In.SHARED if key in self.fetches and not came.write else In.READ)
 
     def beyond_share(self, tenant: int | None, now: Micros) -> bool:
         if tenant is None or tenant >= len(self.quotas):
@@ -468,9 +471,12 @@
             for hop in list(server.out):
                 self.feed(now, hop.tx, In.AGAIN)
 
+    def crowded(self) -> bool:
+        return sum(len(origin.out) for origin in self.origins) >= self.room.limit
+
     def refill(self, now: Micros) -> None:
         """Room at the origin: the waiting transaction of most revenue that can still make its goal."""
-        while self.room.waiting and sum(len(origin.out) for origin in self.origins) < self.room.limit:
+        while self.room.waiting and not self.crowded():
             tx = self.room.waiting.pop(0)[2]
             if tx.state is State.WAITING:
                 late = now + self.fetch > tx.goal
@@ -514,8 +520,9 @@
 
     def periodic(self, now: Micros) -> None:
         """The one periodic job: weights of warming servers, news of lost ones, rates, the list."""
-        if any(server.started and now - server.started < self.cold.warm_after + 2 * PERIOD
-               for server in self.caches):
+        self.missing = {key: until for key, until in self.missing.items() if until > now}
+        warming = any(now - server.started < self.cold.warm_after + 2 * PERIOD for server in self.caches)
+        if warming or len(self.ranks) > 20_000:
             self.reweigh(now)
         for server in self.caches:
             recent = len(server.sent)
