--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -75,10 +75,8 @@
         if ok and (not self.quickest or elapsed < self.quickest):
             self.quickest = elapsed
         self.quickest *= 1.002  # forgets a lucky answer
-        if not ok or elapsed > max(4 * self.quickest, goal / 2):
-            self.limit = max(2.0, self.limit * 0.9)
-        else:
-            self.limit = min(256.0, self.limit + 2 / self.limit)
+        slow = not ok or elapsed > max(4 * self.quickest, goal / 2)
+        self.limit = max(2.0, self.limit * 0.9) if slow else min(256.0, self.limit + 2 / self.limit)
 
 
 class Node(Agenda):
@@ -202,13 +200,7 @@
         delay = server.delay or self.usual or 1.0
         if age > 2_000_000 and self.usual and server.delay:  # no hits lately: drift back, so that it is tried
             delay = self.usual + (delay - self.usual) * 0.5 ** ((age - 2_000_000) / 2_000_000)
-        expected = delay * (self.queue(server) + 2) / (server.usual_held + 2)
-        if server.out:
-            # Guards against a server that stopped since its last report: its hops' wait is the queue.
-            quiet = now - max(server.heard, next(iter(server.out)).sent)
-            if quiet > 2 * delay + self.probe_wait:
-                expected = max(expected, quiet)
-        return expected
+        return delay * (self.queue(server) + 2) / (server.usual_held + 2)
 
     def silent(self, server: Server, now: Micros) -> bool:
         """Once silent, a server stays so until a probe is answered: no second transaction waits for it."""
