--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -440,8 +440,9 @@
             self.say(f"aside {server.name}", False, f"failing={server.bad:.2f}")
         if late or ended is Ended.COMMITTED:
             # Guards against jams that feed themselves: admitted work that ends late is lost to all.
-            step = -0.02 if now > hop.tx.goal else 0.02 * LATE_SHARE / (1 - LATE_SHARE)
-            self.strict = min(1.0, max(0.25, self.strict + step))
+            # Above 1 it mends expectations that are too long: those refuse what could be in time.
+            step = -0.03 if now > hop.tx.goal else 0.03 * LATE_SHARE / (1 - LATE_SHARE)
+            self.strict = min(4.0, max(0.25, self.strict * (1 + step)))
             jam = self.strict < (0.9 if self.mode.get("jam") else 0.7)
             self.say("jam", jam, f"admit_share={self.strict:.2f}")
         if ended is Ended.COMMITTED and note == 2:
