--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -92,8 +92,7 @@
         self.goal = min((profile.goal for profile in profiles), default=1_000_000)
         self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal
         self.txs: dict[model.TxId, Tx] = {}
-        self.servers: dict[model.ServerId, Server] = {}
-        self.caches, self.origins = [], []
+        self.servers, self.caches, self.origins = {}, [], []
         self.ranks: dict[int, list[Server]] = {}
         self.fetches: dict[int, list[Tx]] = {}
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
@@ -136,9 +135,9 @@
                 self.effects.append(model.Log(f"cold {server.name}: age_ms={(now - member.started) // 1000}"))
             server.size = member.size if member.size > 0 else 1.0
             server.ready = member.readiness is Readiness.READY
-        known = sorted(self.servers.values(), key=lambda server: server.id)
-        self.origins = [server for server in known if server.ready and server.kind == self.origin_kind]
-        self.caches = [server for server in known if server.ready and server.kind != self.origin_kind]
+        known = sorted((one for one in self.servers.values() if one.ready), key=lambda server: server.id)
+        self.origins = [server for server in known if server.kind == self.origin_kind]
+        self.caches = [server for server in known if server.kind != self.origin_kind]
         self.reweigh(now)
 
     def watch(self, now: Micros) -> None:
@@ -147,9 +146,10 @@
             self.effects.append(model.WatchList())
 
     def reweigh(self, now: Micros) -> None:
-        """Weights by size and warm-up; ranks are worked out anew, so that they never pile up."""
         for server in self.caches:
-            server.weight = server.size * warmth(server, now, self.cold)
+            # Near ties go to the own zone: there a hop saves the price of crossing, a share of its worth.
+            near = 1 + 2 * self.prices.crossing * (server.zone == self.place.zone)
+            server.weight = server.size * warmth(server, now, self.cold) * near
         self.ranks.clear()
 
     def ranked(self, key: int) -> list[Server]:
@@ -472,11 +472,7 @@
         while self.room.waiting and not self.crowded():
             tx = self.room.waiting.pop(0)[2]
             if tx.state is State.WAITING:
-                late = now + self.fetch > tx.goal
-                before = len(tx.hops)
-                self.feed(now, tx, In.HOPELESS if late else In.ROOM)
-                if not late and len(tx.hops) == before:
-                    return
+                self.feed(now, tx, In.HOPELESS if now + self.fetch > tx.goal else In.ROOM)
 
     def probed(self, now: Micros, server_id: model.ServerId, ended: Ended, elapsed: Micros,
                load: tuple[float, ...]) -> None:
