--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -101,7 +101,7 @@
         self.fetch = 0.0  # what a miss adds, usually
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
-        self.longest = [0] * len(profiles)  # the longest time that a try of the profile had left
+        self.middle = [0.0] * len(profiles)  # the time that the middle try of the profile has left
         self.quotas = [[rate / place.nodes, rate / place.nodes, now] for rate in quotas]
         self.asked_list, self.watching, self.list_tries = now, not listing.asked, 0
         self.watch(now)
@@ -350,9 +350,11 @@
         key = came.key if came.key is not None else int(self.chance() * 2**32)
         # The client's whole wait ends at the hard limit: a try with less time than others was begun long ago,
         # and in a jam one past its goal must not take the place of one that can still be in time.
-        self.longest[came.profile] = max(self.longest[came.profile], came.limit - now)
+        # The middle of what tries have left is the measure: the longest one is some clients' last try.
+        left, middle = came.limit - now, self.middle[came.profile] or came.limit - now
+        self.middle[came.profile] = middle + ((left > middle) - (left < middle)) * profile.limit / 50
         goal = now + profile.goal
-        if came.limit - now < 0.9 * self.longest[came.profile]:
+        if left < 0.9 * middle - profile.limit / 50:
             goal = came.limit - profile.limit + profile.goal
             if goal <= now and self.strict >= 0.9:
                 goal = came.limit
