Remove a dead table row, an unread field and stale names

Found on reading the whole change again: a row of the table that did nothing and moved nowhere, a transaction's time of arrival that nothing reads, a clamp that cannot act, and two comments that named what is gone.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -1,7 +1,7 @@
 """Every decision of a saltmoor node; docs/design.md explains them, saltmoor/model.py is the interface.
 
 A `Node` is made with its settings as separate arguments. Its owner calls one method an event (arrived,
-hop_ended, probed, listed, woken, client_left, begun), then `settle` once after a batch, and carries out
+hop_ended, probed, listed, woken, out_of_hands), then `settle` once after a batch, and carries out
 `Node.effects` in order. Nothing here reads a clock, a socket or another node.
 """
 
@@ -332,7 +332,7 @@
     def give_up(self, tx: Tx, now: Micros) -> In | None:
         """The final answer at once; harmless to try again only where rule 2 says so."""
         if may_roll_back(tx):
-            hint = min(self.permits.longest_hint, max(0, int(self.usual)))
+            hint = min(self.permits.longest_hint, int(self.usual))
             self.effects.append(model.RollBack(tx.id, hint))
         else:
             self.effects.append(model.Abandon(tx.id))
@@ -358,7 +358,7 @@
             goal = came.limit - profile.limit + profile.goal
             if goal <= now and self.strict >= 0.9:
                 goal = came.limit
-        tx = Tx(came.tx, profile, key, came.key is not None, now, min(goal, came.limit), came.limit,
+        tx = Tx(came.tx, profile, key, came.key is not None, min(goal, came.limit), came.limit,
                 came.write, 0.5 if self.beyond_share(came.tenant, now) else 1.0)
         self.txs[tx.id] = tx
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
@@ -539,7 +539,6 @@
     (S.CHECKING, I.OVER): (S.POLLING, Node.poll),
     (S.POLLING, I.BEST): (S.OUT, Node.send),
     (S.OUT, I.ORIGIN): (S.FETCHING, Node.to_origin),
-    (S.FETCHING, I.ORIGIN): (S.FETCHING, lambda node, tx, now: None),
     (S.OUT, I.AGAIN): (S.CHECKING, Node.again),
     (S.FETCHING, I.AGAIN): (S.FETCHING, Node.to_origin),
     (S.WAITING, I.LATE): (S.DONE, Node.unless_out),
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -246,7 +246,7 @@
     weight: float = 1.0
     # load
     others: float = 0.0  # queue beyond this node's own hops, as reported lately
-    answered: Micros = -1  # when that probe was answered; -1: never
+    answered: Micros = -1  # when a probe was last answered; -1: never
     asked: Micros = -1  # when the probe that is out was sent; -1: none is out
     unanswered: int = 0  # probes in a row that brought no answer
     again_at: Micros = 0  # when a lost server is probed next
@@ -293,7 +293,6 @@
     profile: Profile
     key: int
     shared_key: bool
-    arrived: Micros
     goal: Micros
     limit: Micros
     write: bool
