Lost servers are asked again by need, ever later, not by every node all the time

Cause: each node probed each lost or draining server every half goal: 5.6 probes a transaction with 71 nodes.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -102,7 +102,7 @@
         self.fetches: dict[int, list[Tx]] = {}
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.room = Room()
-        self.usual = 0.0  # this node's usual time of a hit
+        self.usual = self.usual_held = 0.0  # the usual time of a hit at this node, and the queue it met
         self.fetch = 0.0  # what a miss adds, usually
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
@@ -167,7 +167,8 @@
 
     def usable(self, server: Server, now: Micros) -> bool:
         aside = server.out_until and (now < server.out_until or server.out)  # after that one trial at a time
-        return server.ready and not server.down and not aside and self.within_cold_budget(server, now)
+        lost = server.down and now < server.again_at
+        return server.ready and not lost and not aside and self.within_cold_budget(server, now)
 
     def within_cold_budget(self, server: Server, now: Micros) -> bool:
         """Rule 4: this node's own budget of hops to a cold server, for every window."""
@@ -195,23 +196,24 @@
 
     def expected(self, server: Server, now: Micros) -> float:
         """The expected delay of a hop sent now: recent hits, scaled by the queue against theirs."""
-        age = now - server.delay_at
-        delay = server.delay or self.usual or 1.0
-        if age > 2_000_000 and self.usual and server.delay:  # no hits lately: drift back, so that it is tried
-            delay = self.usual + (delay - self.usual) * 0.5 ** ((age - 2_000_000) / 2_000_000)
-        return delay * (self.queue(server) + 2) / (server.usual_held + 2)
+        # No hits there lately, or ever: what this node knows of the fleet, so that it is tried.
+        idle = max(0, now - server.delay_at - 2_000_000)
+        trust = 0.5 ** (idle / 2_000_000) if server.delay else 0.0
+        usual = self.usual or 1.0
+        delay = usual + (server.delay - usual) * trust
+        held = self.usual_held + (server.usual_held - self.usual_held) * trust
+        return delay * (self.queue(server) + 2) / (held + 2)
 
     def silent(self, server: Server, now: Micros) -> bool:
-        """Once silent, a server stays so until a probe is answered: no second transaction waits for it."""
-        return server.unanswered > 0 or (server.asked >= 0 and now - server.asked >= self.probe_wait)
+        """Once silent, a server stays so until it is asked again: no second transaction waits for it."""
+        return now < server.again_at or (server.asked >= 0 and now - server.asked >= self.probe_wait)
 
     def known(self, server: Server, now: Micros) -> bool:
         fresh = server.answered >= 0 and now - server.answered < self.fresh
         return fresh or self.column is None or not self.permits.probes or self.silent(server, now)
 
-    def ask(self, server: Server, tx: Tx | None, now: Micros) -> None:
-        if tx:
-            server.askers.append(tx)
+    def ask(self, server: Server, tx: Tx, now: Micros) -> None:
+        server.askers.append(tx)
         if server.asked < 0:
             server.asked = now
             self.effects.append(model.Probe(server.id))
@@ -419,7 +421,6 @@
             long = self.goal / (server.delay or self.goal) * (server.usual_held + 2)
             server.others, server.answered = max(server.others, long), min(server.answered, now - self.fresh)
             return
-        server.seen += 1
         # A time-out tells of a long queue, not of a broken server: setting servers aside for it under load
         # left the same work to fewer of them, and these timed out next. It counts as a long delay below.
         late, failed = ended is Ended.TIMED_OUT, ended in (Ended.ERROR, Ended.UNKNOWN)
@@ -433,7 +434,7 @@
             if server.bad - peers[len(peers) // 2] > 0.3 and 2 * well > len(self.caches):
                 server.penance = min(4_000_000, max(500_000, server.penance * 2))
                 server.out_until = now + server.penance
-                self.say(f"aside {server.name}", True, f"failing={server.bad:.2f} hops={server.seen}")
+                self.say(f"aside {server.name}", True, f"failing={server.bad:.2f}")
         elif not failed and server.out_until and server.bad < 0.25:
             server.out_until, server.penance = 0, 0
             self.say(f"aside {server.name}", False, f"failing={server.bad:.2f}")
@@ -447,18 +448,20 @@
         if ended is Ended.COMMITTED and note == 2:
             self.fetch += (max(0.0, elapsed - self.usual) - self.fetch) * 0.05
         if late or (ended is Ended.COMMITTED and note <= 1):
-            first = not server.delay
             # Against a few very costly transactions: one says little of its server, several in a row much.
             elapsed = min(elapsed, 3 * max(server.delay, self.usual)) if self.usual else elapsed
-            server.delay += (elapsed - server.delay) * (1.0 if first else 0.15)
-            server.usual_held += (hop.met - server.usual_held) * (1.0 if first else 0.15)
+            own, pooled = 0.15 if server.delay else 1.0, 0.03 if self.usual else 1.0
+            server.delay += (elapsed - server.delay) * own
+            server.usual_held += (hop.met - server.usual_held) * own
             server.delay_at = now
-            self.usual += (elapsed - self.usual) * (0.03 if self.usual else 1.0)
+            self.usual += (elapsed - self.usual) * pooled
+            self.usual_held += (hop.met - self.usual_held) * pooled
 
     def lose(self, server: Server, now: Micros, figures: str) -> None:
-        """Nothing reaches it: its hops go elsewhere too where allowed; it is probed until it answers."""
+        """Nothing reaches it: its hops go elsewhere too where allowed; it is asked again later."""
         if not server.down:
-            server.down = True
+            server.down, server.answered = True, -1
+            server.again_at = max(server.again_at, now + self.goal // 2)
             self.say(f"down {server.name}", True, figures)
             for hop in list(server.out):
                 self.feed(now, hop.tx, In.AGAIN)
@@ -479,7 +482,7 @@
         server.asked = -1
         if ended is Ended.COMMITTED:
             known, server.answered, server.heard = server.answered >= 0, now, now
-            server.unanswered = 0
+            server.unanswered = server.again_at = 0
             if self.column is not None and len(load) > self.column:
                 # Reports come late and at once to every node: half of each, or all nodes swing together.
                 others = max(0.0, load[self.column] - len(server.out))
@@ -488,8 +491,10 @@
                 server.down = False
                 self.say(f"down {server.name}", False, f"probe_ms={elapsed // 1000}")
         else:
-            server.unanswered += 1
-            server.again_at = now + self.goal // 2
+            # Guards against nodes that ask a lost server more often than clients ask them: a transaction that
+            # prefers it asks again, each time twice as late, unevenly by chance.
+            server.again_at = now + int((self.goal // 2 << min(server.unanswered, 5)) * (0.5 + self.chance()))
+            server.answered, server.unanswered = -1, server.unanswered + 1
             # Guards against a process that hangs instead of refusing connections.
             hung = server.unanswered >= 2 and now - server.heard > 2 * self.goal
             if ended is Ended.NO_CONNECTION or hung:
@@ -510,7 +515,7 @@
             self.feed(now, tx, In.LEFT)
 
     def periodic(self, now: Micros) -> None:
-        """The one periodic job: weights of warming servers, news of lost ones, rates, the list."""
+        """The one periodic job: weights of warming servers, rates, the list."""
         self.missing = {key: until for key, until in self.missing.items() if until > now}
         warming = any(now - server.started < self.cold.warm_after + 2 * PERIOD for server in self.caches)
         if warming or len(self.ranks) > 20_000:
@@ -521,8 +526,6 @@
                 while server.sent and server.sent[0] <= now - 1_000_000:
                     server.sent.popleft()
                 server.rate += (recent - server.rate) * 0.05
-            if (server.down or server.unanswered) and now >= server.again_at and self.permits.probes:
-                self.ask(server, None, now)
         if now - self.asked_list > self.listing.within // 3:
             self.watch(now)
 
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -249,7 +249,7 @@
     answered: Micros = -1  # when a probe was last answered; -1: never
     asked: Micros = -1  # when the probe that is out was sent; -1: none is out
     unanswered: int = 0  # probes in a row that brought no answer
-    again_at: Micros = 0  # when a lost server is probed next
+    again_at: Micros = 0  # until then a silent or lost server is not asked again
     askers: list[Tx] = field(default_factory=list)
     out: dict[Hop, None] = field(default_factory=dict)
     heard: Micros = 0  # the last sign of life: a hop that ended by its work, or a probe
@@ -258,7 +258,6 @@
     usual_held: float = 0.0  # queue that those hits met
     delay_at: Micros = 0
     bad: float = 0.0  # share of hops that failed, lately
-    seen: int = 0
     down: bool = False  # nothing reaches it, as far as this node can tell
     out_until: Micros = 0
     penance: Micros = 0
@@ -271,8 +270,8 @@
 
     def restart(self, started: Micros) -> None:
         """A new process: cold and empty, and nothing that was learnt of the old one holds."""
-        self.started, self.delay, self.bad, self.seen, self.down = started, 0.0, 0.0, 0, False
-        self.out_until, self.penance, self.unanswered = 0, 0, 0
+        self.started, self.delay, self.bad, self.down = started, 0.0, 0.0, False
+        self.out_until, self.penance, self.unanswered, self.again_at = 0, 0, 0, 0
         self.sent.clear()
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -174,6 +174,19 @@
         script.ends(1, 0, 1, Ended.RESET, took=10)
         self.check("lost-server", script)
 
+    def test_a_lost_server_is_asked_again_only_by_need_and_ever_later(self):
+        """Guards against hundreds of nodes that ask a lost server more often than clients ask them."""
+        script = Script(servers=2)
+        for number in range(1, 8):
+            script.tx(number)
+            if script.node.servers[1].asked >= 0:
+                script.queue(1, None)
+            if script.node.servers[2].asked >= 0:
+                script.queue(2, 0)
+            script.ends(number, 0, 2, Ended.COMMITTED)
+            script.wait(300)
+        self.check("lost-asked-again", script)
+
     def test_list_out_of_reach_then_renewed(self):
         script = Script(listing=model.Listing(True, 3_000 * MS))
         script.list(ListKind.FAILED)
