A tenth of each load report counts, more after a long time without: nodes no longer swing together

Cause: reports are 0.2 to 1.4 s old and every node believed the last one: hops that expected the longest queue took the least time. The middle rate of warm servers is worked out once a period, not for each candidate.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -9,6 +9,7 @@
 
 import math
 from bisect import bisect, insort
+from collections.abc import Iterator
 from itertools import islice
 from zlib import crc32
 
@@ -103,7 +104,7 @@
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.room = Room()
         self.usual = self.usual_held = 0.0  # the usual time of a hit at this node, and the queue it met
-        self.fetch = 0.0  # what a miss adds, usually
+        self.fetch = self.usual_rate = 0.0  # what a miss adds; hops a second to a warm server for its size
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.middle = [0.0] * len(profiles)  # the time that the middle try of the profile has left
@@ -158,12 +159,11 @@
         self.ranks.clear()
 
     def ranked(self, key: int) -> list[Server]:
-        """The key's cache servers, preferred first, the same at every node: weighted rendezvous hashing."""
-        ranks = self.ranks.get(key)
-        if ranks is None:
-            ranks = sorted(self.caches, key=lambda server: -math.log(spot(key, server)) / server.weight)
-            self.ranks[key] = ranks
-        return ranks
+        """The key's servers, preferred first, the same at every node: weighted rendezvous hashing."""
+        if key not in self.ranks:
+            self.ranks[key] = sorted(
+                self.caches, key=lambda server: -math.log(spot(key, server)) / server.weight)
+        return self.ranks[key]
 
     def usable(self, server: Server, now: Micros) -> bool:
         aside = server.out_until and (now < server.out_until or server.out)  # after that one trial at a time
@@ -172,23 +172,21 @@
 
     def within_cold_budget(self, server: Server, now: Micros) -> bool:
         """Rule 4: this node's own budget of hops to a cold server, for every window."""
-        share = warmth(server, now, self.cold)
-        if share >= 1.0:
+        if (share := warmth(server, now, self.cold)) >= 1.0:
             return True
         while server.sent and server.sent[0] <= now - self.cold.window:
             server.sent.popleft()
-        warm = [other.rate / other.size for other in self.caches if other.rate > 0]
-        usual = sorted(warm)[len(warm) // 2] * server.size if warm else 0.0
+        usual = self.usual_rate * server.size
         core = 1_000_000 / self.usual / self.place.nodes if self.usual else 0.0
         # Half the multiple of what this node usually sends a warm peer, or of its part of a single core's
         # work: all nodes do alike. One hop a window goes anyway, or nothing would warm.
         budget = max(1.0, self.cold.multiple / 2 * max(usual, core) * share * self.cold.window / 1_000_000)
         return len(server.sent) + 1 <= budget
 
-    def candidates(self, tx: Tx, now: Micros) -> list[Server]:
+    def candidates(self, tx: Tx, now: Micros) -> Iterator[Server]:
         fit = (server for server in self.ranked(tx.key) if server not in tx.tried
                and self.usable(server, now) and may_send(tx, server, now, self.permits))
-        return list(islice(fit, tx.reach))
+        return islice(fit, tx.reach)
 
     def queue(self, server: Server) -> float:
         """What the server holds: this node's own hops, known to the moment, and the others', as reported."""
@@ -231,10 +229,9 @@
         """Ask the preferred server's queue, or take its fresh answer."""
         if now >= tx.goal and not tx.profile.late_value:
             return In.HOPELESS
-        picked = self.candidates(tx, now)
-        if not picked:
+        tx.choice = next(self.candidates(tx, now), None)
+        if tx.choice is None:
             return In.NOBODY
-        tx.choice = picked[0]
         if not self.known(tx.choice, now):
             self.ask(tx.choice, tx, now)
             return None
@@ -244,22 +241,20 @@
 
     def poll(self, tx: Tx, now: Micros) -> In | None:
         """Ask the candidates' queues; when all have answered or fallen silent, take the shortest."""
-        picked = self.candidates(tx, now)
-        unknown = [server for server in picked if not self.known(server, now)]
-        for server in unknown:
-            self.ask(server, tx, now)
-        if unknown:
+        picked = list(self.candidates(tx, now))
+        if unknown := [server for server in picked if not self.known(server, now)]:
+            for server in unknown:
+                self.ask(server, tx, now)
             return None
         heard = [server for server in picked if not self.silent(server, now)]
         left = tx.goal - now
-        crossing = self.prices.crossing * left
         # A spilled read mostly finds no copy: its fetch is part of the delay that it moves to.
         tx.choice = min(heard, default=None, key=lambda server: (
-            self.expected(server, now) + (crossing if server.zone != self.place.zone else 0)
+            self.expected(server, now) + self.prices.crossing * left * (server.zone != self.place.zone)
             + (self.fetch if server is not picked[0] and not tx.write else 0)))
         if tx.choice and self.expected(tx.choice, now) <= self.strict * left * tx.favour:
             return In.BEST
-        # A key may be wanted more than its candidates can do, all the more in a large fleet: up to an eighth of it.
+        # A key may be wanted more than its candidates can do, the more so in a large fleet: up to an eighth.
         if len(picked) < tx.reach or tx.reach > len(self.caches) // 8 or self.mode.get("jam"):
             return In.NOBODY
         tx.reach += CANDIDATES
@@ -322,9 +317,8 @@
 
     def finish(self, tx: Tx, now: Micros) -> In | None:
         self.txs.pop(tx.id, None)
-        if self.permits.cancel:
-            for hop in tx.open_hops():
-                self.effects.append(model.Cancel(tx.id, hop.number))
+        for hop in tx.open_hops() if self.permits.cancel else ():
+            self.effects.append(model.Cancel(tx.id, hop.number))
         if tx.leads:
             tx.leads = False
             # Guards against joiners that go and miss once more, when there is no room for their fetch either.
@@ -483,12 +477,14 @@
         server = self.servers[server_id]
         server.asked = -1
         if ended is Ended.COMMITTED:
-            known, server.answered, server.heard = server.answered >= 0, now, now
+            before, server.answered, server.heard = server.answered, now, now
             server.unanswered = server.again_at = 0
             if self.column is not None and len(load) > self.column:
-                # Reports come late and at once to every node: half of each, or all nodes swing together.
+                # Guards against nodes that swing together on old reports: the queue that all of them flee is
+                # the shortest by then. A tenth of each counts; more after long without, half at twenty goals.
                 others = max(0.0, load[self.column] - len(server.out))
-                server.others += (others - server.others) * (0.5 if known else 1.0)
+                new = max(0.1, 1 - 0.5 ** ((now - before) / (20 * self.goal)))
+                server.others += (others - server.others) * new
             if server.down:
                 server.down = False
                 self.say(f"down {server.name}", False, f"probe_ms={elapsed // 1000}")
@@ -510,8 +506,7 @@
 
     def out_of_hands(self, now: Micros, tx_id: model.TxId, streaming: int | None = None) -> None:
         """The client left, or its answer is streaming to it already, from the hop with that number."""
-        tx = self.txs.get(tx_id)
-        if tx is not None:
+        if tx := self.txs.get(tx_id):
             for hop in tx.hops:
                 hop.open = hop.open and hop.number != streaming  # the client's now: never cancelled
             self.feed(now, tx, In.LEFT)
@@ -528,6 +523,8 @@
                 while server.sent and server.sent[0] <= now - 1_000_000:
                     server.sent.popleft()
                 server.rate += (recent - server.rate) * 0.05
+        warm = sorted(server.rate / server.size for server in self.caches if server.rate > 0)
+        self.usual_rate = warm[len(warm) // 2] if warm else 0.0
         if now - self.asked_list > self.listing.within // 3:
             self.watch(now)
 
