A transaction waits at most once for each server's probe

Cause: each answer let a waiting transaction ask the others again, and each asking put it into their queues once more, doubling with every answer; with the wider spill that grew without bound.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -211,7 +211,7 @@
         return fresh or self.column is None or not self.permits.probes or self.silent(server, now)
 
     def ask(self, server: Server, tx: Tx, now: Micros) -> None:
-        server.askers.append(tx)
+        server.askers[tx] = None
         if server.asked < 0:
             server.asked = now
             self.effects.append(model.Probe(server.id))
@@ -500,7 +500,7 @@
         self.wake_askers(now, server)
 
     def wake_askers(self, now: Micros, server: Server) -> None:
-        askers, server.askers = server.askers, []
+        askers, server.askers = server.askers, {}
         for tx in askers:
             self.feed(now, tx, In.HEARD)
 
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -250,7 +250,7 @@
     asked: Micros = -1  # when the probe that is out was sent; -1: none is out
     unanswered: int = 0  # probes in a row that brought no answer
     again_at: Micros = 0  # until then a silent or lost server is not asked again
-    askers: list[Tx] = field(default_factory=list)
+    askers: dict[Tx, None] = field(default_factory=dict)  # each once, in order
     out: dict[Hop, None] = field(default_factory=dict)
     heard: Micros = 0  # the last sign of life: a hop that ended by its work, or a probe
     # health
