Periodic work no longer walks the fleet; a transaction is woken once for all its probes

Cause: at 903 nodes and 143 servers the periodic job took 40% of CPU and polls were repeated with each answer.

--- a/saltmoor/agenda.py
+++ b/saltmoor/agenda.py
@@ -10,7 +10,7 @@
 from saltmoor.model import Micros
 
 TICK, DUE = 1, 2  # tokens of the two timers
-PERIOD = 100_000  # step of the periodic work: well under any time within which a server is told gone
+PERIOD = 250_000  # step of the periodic work: well under any time within which a server is told gone
 
 
 class Agenda:
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-import math
 from bisect import bisect, insort
 from collections.abc import Iterator
 from itertools import islice
+from math import log
 from zlib import crc32
 
 from saltmoor import model
@@ -50,9 +50,9 @@
             or (repeat is Repeat.JOURNALLED and tx.profile.group is Group.ALL))
 
 
-def spot(key: int, server: Server) -> float:
+def spot(key: int, salt: int) -> float:
     """A number in (0, 1) that every node gets for this key and server."""
-    mixed = ((key ^ server.salt) * 0x9E3779B97F4A7C15) & MASK
+    mixed = ((key ^ salt) * 0x9E3779B97F4A7C15) & MASK
     mixed = ((mixed ^ (mixed >> 31)) * 0xBF58476D1CE4E5B9) & MASK
     return ((mixed ^ (mixed >> 29)) + 1) / (MASK + 2)
 
@@ -104,7 +104,8 @@
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.room = Room()
         self.usual = self.usual_held = 0.0  # the usual time of a hit at this node, and the queue it met
-        self.fetch = self.usual_rate = 0.0  # what a miss adds; hops a second to a warm server for its size
+        self.fetch = 0.0  # what a miss adds, usually
+        self.hops, self.rate, self.capacity = 0, 0.0, 1.0  # to cache servers: now, a second; their size
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.middle = [0.0] * len(profiles)  # the time that the middle try of the profile has left
@@ -133,9 +134,8 @@
             server = self.servers.get(member.server)
             if server is None:
                 word = repr(member.server).encode()
-                server = self.servers[member.server] = Server(
-                    member.server, member.zone, member.kind, member.cell, crc32(word) << 32 | crc32(word, 7))
-                server.started = member.started
+                server = self.servers[member.server] = Server(member.server, member.zone, member.kind,
+                    member.cell, crc32(word) << 32 | crc32(word, 7), member.started)
             elif member.started > server.started:
                 server.restart(member.started)
                 self.effects.append(model.Log(f"cold {server.name}: age_ms={(now - member.started) // 1000}"))
@@ -144,6 +144,7 @@
         known = sorted((one for one in self.servers.values() if one.ready), key=lambda server: server.id)
         self.origins = [server for server in known if server.kind == self.origin_kind]
         self.caches = [server for server in known if server.kind != self.origin_kind]
+        self.warm_at = self.cold.warm_after + max((server.started for server in self.caches), default=0)
         self.reweigh(now)
 
     def watch(self, now: Micros) -> None:
@@ -152,17 +153,19 @@
             self.effects.append(model.WatchList())
 
     def reweigh(self, now: Micros) -> None:
+        self.capacity = 0.0
         for server in self.caches:
             # Near ties go to the own zone: there a hop saves the price of crossing, a share of its worth.
             near = 1 + 2 * self.prices.crossing * (server.zone == self.place.zone)
-            server.weight = server.size * warmth(server, now, self.cold) * near
+            warm = server.size * warmth(server, now, self.cold)
+            server.weight, self.capacity = warm * near, self.capacity + warm
         self.ranks.clear()
 
     def ranked(self, key: int) -> list[Server]:
         """The key's servers, preferred first, the same at every node: weighted rendezvous hashing."""
         if key not in self.ranks:
-            self.ranks[key] = sorted(
-                self.caches, key=lambda server: -math.log(spot(key, server)) / server.weight)
+            scored = sorted([(log(spot(key, one.salt)) / one.weight, i) for i, one in enumerate(self.caches)])
+            self.ranks[key] = [self.caches[i] for _, i in reversed(scored)]
         return self.ranks[key]
 
     def usable(self, server: Server, now: Micros) -> bool:
@@ -176,7 +179,7 @@
             return True
         while server.sent and server.sent[0] <= now - self.cold.window:
             server.sent.popleft()
-        usual = self.usual_rate * server.size
+        usual = self.rate * server.size / self.capacity
         core = 1_000_000 / self.usual / self.place.nodes if self.usual else 0.0
         # Half the multiple of what this node usually sends a warm peer, or of its part of a single core's
         # work: all nodes do alike. One hop a window goes anyway, or nothing would warm.
@@ -207,11 +210,12 @@
         return now < server.again_at or (server.asked >= 0 and now - server.asked >= self.probe_wait)
 
     def known(self, server: Server, now: Micros) -> bool:
-        fresh = server.answered >= 0 and now - server.answered < self.fresh
+        fresh = 0 <= server.answered > now - self.fresh
         return fresh or self.column is None or not self.permits.probes or self.silent(server, now)
 
     def ask(self, server: Server, tx: Tx, now: Micros) -> None:
-        server.askers[tx] = None
+        if tx not in server.askers:
+            server.askers[tx], tx.waits = None, tx.waits + 1
         if server.asked < 0:
             server.asked = now
             self.effects.append(model.Probe(server.id))
@@ -236,8 +240,8 @@
             self.ask(tx.choice, tx, now)
             return None
         soft = min(SOFT, self.strict) * (tx.goal - now) * tx.favour
-        short = not self.silent(tx.choice, now) and self.expected(tx.choice, now) <= soft
-        return In.UNDER if short else In.OVER
+        long = self.silent(tx.choice, now) or self.expected(tx.choice, now) > soft
+        return In.OVER if long else In.UNDER
 
     def poll(self, tx: Tx, now: Micros) -> In | None:
         """Ask the candidates' queues; when all have answered or fallen silent, take the shortest."""
@@ -267,7 +271,9 @@
         tx.hops.append(Hop(tx, len(tx.hops), server, now, self.queue(server)))
         tx.tried.append(server)
         server.out[tx.hops[-1]] = None
-        server.sent.append(now)
+        self.hops += server.kind != self.origin_kind
+        if warmth(server, now, self.cold) < 1:
+            server.sent.append(now)
         self.effects.append(model.Send(tx.id, server.id, tx.limit))
         return None
 
@@ -501,8 +507,9 @@
 
     def wake_askers(self, now: Micros, server: Server) -> None:
         askers, server.askers = server.askers, {}
-        for tx in askers:
-            self.feed(now, tx, In.HEARD)
+        for tx in askers:  # once all that it asked have answered or fallen silent
+            tx.waits -= 1
+            self.feed(now, tx, None if tx.waits else In.HEARD)
 
     def out_of_hands(self, now: Micros, tx_id: model.TxId, streaming: int | None = None) -> None:
         """The client left, or its answer is streaming to it already, from the hop with that number."""
@@ -514,17 +521,10 @@
     def periodic(self, now: Micros) -> None:
         """The one periodic job: weights of warming servers, rates, the list."""
         self.missing = {key: until for key, until in self.missing.items() if until > now}
-        warming = any(now - server.started < self.cold.warm_after + 2 * PERIOD for server in self.caches)
-        if warming or len(self.ranks) > 20_000:
+        self.rate, self.hops = self.rate + (self.hops * 1_000_000 / PERIOD - self.rate) * 0.1, 0
+        # Weights of warming servers change once a second, at all nodes alike: each change voids the ranks.
+        if len(self.ranks) > 20_000 or now % 1_000_000 < PERIOD and now < self.warm_at + 2_000_000:
             self.reweigh(now)
-        for server in self.caches:
-            recent = len(server.sent)
-            if warmth(server, now, self.cold) >= 1.0:
-                while server.sent and server.sent[0] <= now - 1_000_000:
-                    server.sent.popleft()
-                server.rate += (recent - server.rate) * 0.05
-        warm = sorted(server.rate / server.size for server in self.caches if server.rate > 0)
-        self.usual_rate = warm[len(warm) // 2] if warm else 0.0
         if now - self.asked_list > self.listing.within // 3:
             self.watch(now)
 
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -240,9 +240,9 @@
     kind: int
     cell: int
     salt: int
+    started: Micros = 0
     size: float = 1.0
     ready: bool = True
-    started: Micros = 0
     weight: float = 1.0
     # load
     others: float = 0.0  # queue beyond this node's own hops, as reported lately
@@ -261,8 +261,7 @@
     down: bool = False  # nothing reaches it, as far as this node can tell
     out_until: Micros = 0
     penance: Micros = 0
-    sent: deque = field(default_factory=deque)  # times of hops, within the cold window
-    rate: float = 0.0  # hops a second that this node sends it when warm
+    sent: deque = field(default_factory=deque)  # times of hops while it is cold, within the window
 
     @property
     def name(self) -> str:
@@ -301,6 +300,7 @@
     hops: list[Hop] = field(default_factory=list)
     tried: list[Server] = field(default_factory=list)
     choice: Server | None = None
+    waits: int = 0  # probes that it waits for
     leads: bool = False  # others wait for its fetch
 
     def open_hops(self) -> list[Hop]:
