--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -259,9 +259,9 @@
         if tx.choice and self.expected(tx.choice, now) <= self.strict * left * tx.favour:
             return In.BEST
         # A key may be wanted more than its candidates can do, the more so in a large fleet: up to an eighth.
-        if len(picked) < tx.reach or tx.reach > len(self.caches) // 8 or self.mode.get("jam"):
-            return In.NOBODY
-        tx.reach += CANDIDATES
+        if len(picked) < tx.reach or tx.reach > len(self.caches) // 8 or self.spare < 1:
+            return In.NOBODY  # paid like a repeat: in an overload, looking further only costs
+        tx.reach, self.spare = tx.reach + CANDIDATES, self.spare - 1
         return In.OVER
 
     def send(self, tx: Tx, now: Micros) -> In | None:
