--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -54,6 +54,20 @@
         self.check("jam", script)
 
 
+    def test_a_hot_key_spills_wider_and_asks_each_server_once(self):
+        """Guards against polls that put a transaction into a probe's queue again with every answer."""
+        script = Script(servers=24)
+        for number, length in ((1, 0), (2, 4000)):
+            script.tx(number)
+            while asked := [one for one in script.node.servers.values() if one.asked >= 0]:
+                script.note(f"waiting for probes: {[len(one.askers) for one in asked]}")
+                script.queue(asked[0].id, length)
+            script.wait(600)
+            for hop in [hop for one in script.node.servers.values() for hop in one.out]:
+                script.ends(number, 0, hop.server.id, Ended.COMMITTED)
+        self.check("wider-spill", script)
+
+
 class Origin(TraceCase):
     def test_a_miss_goes_on_and_others_wait_for_its_fetch(self):
         script = Script(origin=True)
