--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -128,14 +128,14 @@
         if kind is not model.ListKind.CHANGES:
             named = {member.server for member in members}
             for server in self.servers.values():
-                if server.id not in named:
-                    server.ready = False
+                server.ready = server.ready and server.id in named
         for member in members:
             server = self.servers.get(member.server)
             if server is None:
                 word = repr(member.server).encode()
-                server = self.servers[member.server] = Server(member.server, member.zone, member.kind,
-                    member.cell, crc32(word) << 32 | crc32(word, 7), member.started)
+                server = self.servers[member.server] = Server(
+                    member.server, member.zone, member.kind, member.cell,
+                    crc32(word) << 32 | crc32(word, 7), member.started)
             elif member.started > server.started:
                 server.restart(member.started)
                 self.effects.append(model.Log(f"cold {server.name}: age_ms={(now - member.started) // 1000}"))
