SIGHUP changes over under load; surplus bytes are no part of an answer; bad commands stay out

- SIGHUP had no handler (lifecycle.run), so it ended the process.
Now the file is read and checked again and the parts take their new settings; the watch goes over to discovery's new address at once, while the old one goes on until the new one brings news.
The file now comes before the environment, which cannot change under a running node.
- A print of every answer passed on showed origin answers of twice their Content-Length: the parser reads on behind a response, and http.Response added a second copy's body to the first (on_body, on_message_complete).
It also took noise behind a good answer for a fault of it, and 103 for the answer.
Ruled out: strange ids, second copies on the cache servers' connections (their length is framed), late bytes on pooled connections.
- The same print showed 513 hops that ended as CLIENT_ERROR, all of bad clients' commands (meta.parse): waits that are no number, reads with a write's key, ids of open transactions.
Each was sent to three servers, and servers were set aside for it.
Such commands get their error line at the node; what a server still calls malformed is abandoned at once and says nothing of the server.

--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -8,7 +8,8 @@
   saltmoor (-h | --help)
 
 Commands:
-  serve         run one node in the foreground; SIGTERM ends it once all that it took is answered
+  serve         run one node in the foreground; SIGTERM ends it once all that it took is answered, SIGHUP has
+                it read its configuration again
   check-config  read the configuration, name what is faulty, print what a node would make of it
   ping          ask the node at HOST:PORT whether it serves
   version       print the version
@@ -30,12 +31,12 @@
 from saltmoor import config
 
 
-def serve(given: config.Config) -> int:
+def serve(given: config.Config, path: str | None) -> int:
     import uvloop
 
     from saltmoor.net.lifecycle import serve as run
     try:
-        uvloop.run(run(given))
+        uvloop.run(run(given, lambda: config.load(path, os.environ)))
     except OSError as error:
         print(f"saltmoor: cannot serve at {given.listen[0]}:{given.listen[1]} ({error})", file=sys.stderr)
         return 1
@@ -78,7 +79,7 @@
     except config.Faulty as error:
         print(f"saltmoor: {error}", file=sys.stderr)
         return 2
-    return serve(given) if said["serve"] else check(given)
+    return serve(given, said["--config"]) if said["serve"] else check(given)
 
 
 if __name__ == "__main__":
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -35,8 +35,7 @@
         return True
     if tx.profile.repeat is Repeat.NON_IDEMPOTENT:
         return False
-    first = ran[0]
-    if now >= first.sent + tx.profile.window:
+    if now >= ran[0].sent + tx.profile.window:
         return False
     group = tx.profile.group
     return group is Group.ALL or all(hop.server.zone == server.zone and (
@@ -44,10 +43,10 @@
 
 
 def may_roll_back(tx: Tx) -> bool:
-    """Rule 2 again: whether the client may be told that trying again is harmless."""
-    repeat = tx.profile.repeat
-    return (repeat is Repeat.IDEMPOTENT or not tx.maybe_ran()
-            or (repeat is Repeat.JOURNALLED and tx.profile.group is Group.ALL))
+    """Rule 2 again: whether the client may be told that trying again is harmless, and not in vain."""
+    repeat, ends = tx.profile.repeat, [hop.ended for hop in tx.hops]
+    return Ended.MALFORMED not in ends and (repeat is Repeat.IDEMPOTENT or not tx.maybe_ran() or (
+        repeat is Repeat.JOURNALLED and tx.profile.group is Group.ALL))
 
 
 def spot(key: int, salt: int) -> float:
@@ -88,15 +87,9 @@
 class Node(Agenda):
     """One node's decisions."""
 
-    def __init__(self, seed: int, now: Micros, *, profiles: list[model.Profile], quotas: list[float],
-                 permits: model.Permits, prices: model.Prices, cold: model.ColdStart, listing: model.Listing,
-                 place: model.Place, origin_kind: int | None, columns: list[str], tick: Micros) -> None:
+    def __init__(self, seed: int, now: Micros, **settings) -> None:
         super().__init__(seed, now)
-        self.profiles, self.permits, self.prices, self.cold = profiles, permits, prices, cold
-        self.listing, self.place, self.origin_kind = listing, place, origin_kind
-        self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
-        self.goal = min((profile.goal for profile in profiles), default=1_000_000)
-        self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal
+        self.configure(now, **settings)
         self.txs: dict[model.TxId, Tx] = {}
         self.servers, self.caches, self.origins = {}, [], []
         self.ranks: dict[int, list[Server]] = {}
@@ -108,10 +101,20 @@
         self.hops, self.rate, self.capacity = 0, 0.0, 1.0  # to cache servers: now, a second; their size
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
+        self.asked_list, self.watching, self.list_tries = now, not self.listing.asked, 0
+        self.watch(now)
+
+    def configure(self, now: Micros, *, profiles: list[model.Profile], quotas: list[float],
+                  permits: model.Permits, prices: model.Prices, cold: model.ColdStart, listing: model.Listing,
+                  place: model.Place, origin_kind: int | None, columns: list[str], tick: Micros) -> None:
+        """Take new settings; what is under way keeps its own, and what was learnt stays."""
+        self.profiles, self.permits, self.prices, self.cold = profiles, permits, prices, cold
+        self.listing, self.place, self.origin_kind = listing, place, origin_kind
+        self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
+        self.goal = min((profile.goal for profile in profiles), default=1_000_000)
+        self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal
         self.middle = [0.0] * len(profiles)  # the time that the middle try of the profile has left
         self.quotas = [[rate / place.nodes, rate / place.nodes, now] for rate in quotas]
-        self.asked_list, self.watching, self.list_tries = now, not listing.asked, 0
-        self.watch(now)
 
     def listed(self, now: Micros, kind: model.ListKind, members: list[model.Member]) -> None:
         if kind is model.ListKind.FAILED:
@@ -198,8 +201,7 @@
     def expected(self, server: Server, now: Micros) -> float:
         """The expected delay of a hop sent now: recent hits, scaled by the queue against theirs."""
         # No hits there lately, or ever: what this node knows of the fleet, so that it is tried.
-        idle = max(0, now - server.delay_at - 2_000_000)
-        trust = 0.5 ** (idle / 2_000_000) if server.delay else 0.0
+        trust = 0.5 ** (max(0, now - server.delay_at - 2_000_000) / 2_000_000) if server.delay else 0.0
         usual = self.usual or 1.0
         delay = usual + (server.delay - usual) * trust
         held = self.usual_held + (server.usual_held - self.usual_held) * trust
@@ -373,8 +375,7 @@
     def beyond_share(self, tenant: int | None, now: Micros) -> bool:
         if tenant is None or tenant >= len(self.quotas):
             return False
-        bucket = self.quotas[tenant]
-        rate, level, since = bucket
+        rate, level, since = bucket = self.quotas[tenant]
         bucket[1:] = [min(rate * 2, level + rate * (now - since) / 1_000_000), now]
         if bucket[1] < 1:
             return True
@@ -389,7 +390,7 @@
         del server.out[hop]
         hop.open, hop.ended = False, ended
         if server.kind == self.origin_kind:
-            if ended is not Ended.CANCELLED:
+            if ended not in (Ended.CANCELLED, Ended.MALFORMED):
                 self.room.learn(end.elapsed, ended is Ended.COMMITTED, self.goal, len(server.out))
                 self.fetch = self.room.usual
             self.refill(now)
@@ -401,14 +402,14 @@
             self.feed(now, tx, In.COMMITTED)
         elif ended is Ended.MISS and not tx.write:
             self.feed(now, tx, In.ORIGIN)
-        elif now >= tx.limit - 1:
+        elif ended is Ended.MALFORMED or now >= tx.limit - 1:
             self.feed(now, tx, In.LIMIT)
         else:
             self.feed(now, tx, In.AGAIN)
 
     def judge(self, server: Server, hop: Hop, ended: Ended, elapsed: Micros, note: int, now: Micros) -> None:
         """Health: what this hop's end says of its server."""
-        if ended in (Ended.CANCELLED, Ended.NOT_SENT):
+        if ended in (Ended.CANCELLED, Ended.NOT_SENT, Ended.MALFORMED):  # no word on the server
             return
         if ended in (Ended.NO_CONNECTION, Ended.RESET):
             # Guards against a dead process that the list still calls ready: believe the network first.
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -213,8 +213,9 @@
                   [line.text("name") for line in settings.sections("tenants")],
                   settings.texts("azs"), settings.texts("kinds"),
                   settings.section("report").texts("columns"))
-    listen = env.get("ROUTER_LISTEN") or top.text("listen", "127.0.0.1:11211")
-    discovery = env.get("ROUTER_DISCOVERY") or top.text("discovery")
+    # The file comes first: the environment stays what it was when the file is replaced under a running node.
+    listen = top.text("listen") or env.get("ROUTER_LISTEN") or "127.0.0.1:11211"
+    discovery = top.text("discovery") or env.get("ROUTER_DISCOVERY")
     known, may = top.section("known"), settings.section("permissions")
     node = node_arguments(settings.said, "settings.")
     # On sockets the list comes to those who watch it, also where the settings call its changes unasked for:
@@ -225,7 +226,7 @@
     except ValueError:
         raise top.fault("seed", "hexadecimal digits") from None
     return Config(
-        name=env.get("ROUTER_NAME") or top.text("name", "saltmoor"), listen=address("listen", listen),
+        name=top.text("name") or env.get("ROUTER_NAME") or "saltmoor", listen=address("listen", listen),
         discovery=address("discovery", discovery) if discovery else None, seed=seed,
         caps=Caps.within(memory_mb, sockets), names=names, node=node,
         idle=may.micros("conn_idle_ns") or 30_000_000,
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from typing import Any
 
 from saltmoor import model
 from saltmoor.choice import Node
@@ -99,6 +100,13 @@
         node.listed(clock(), ListKind.REMEMBERED, list(known))
         self._settle(clock())
 
+    def configure(self, settings: dict[str, Any], columns: list[str]) -> None:
+        """New settings: what is under way keeps its own, and what was learnt stays."""
+        now, self.columns = self.clock(), columns
+        self.node.configure(now, **settings)
+        self.node.reweigh(now)
+        self._settle(now)
+
     async def pick(self, tx: Tx) -> Step:
         """The next step of this transaction; waits until there is one. After a final one there is none."""
         if not tx.id and not tx.over:
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -45,6 +45,7 @@
     NOT_SENT = ("not sent", False)
     MISS = ("miss", False)
     UNKNOWN = ("unknown", True)
+    MALFORMED = ("malformed", True)  # the server cannot use the command: no other could either
 
     @property
     def may_have_run(self) -> bool:
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -28,10 +28,10 @@
 class Slot:
     """One command's place in the order of answers."""
 
-    __slots__ = ("answer", "tx")
+    __slots__ = ("answer", "id", "tx")
 
     def __init__(self, answer: bytes | None = None) -> None:
-        self.answer, self.tx = answer, None
+        self.answer, self.id, self.tx = answer, b"", None
 
 
 class Client:
@@ -174,15 +174,19 @@
                  clock: Callable[[], Micros], *, names: config.Names, profiles: list[Profile],
                  caps: config.Caps) -> None:
         self.door, self.upstream, self.buffers, self.log, self.clock = door, upstream, buffers, log, clock
-        self.profiles, self.caps = profiles, caps
-        self.profile_of = {name.encode(): i for i, name in enumerate(names.profiles)}
-        self.tenant_of = {name.encode(): i for i, name in enumerate(names.tenants)}
+        self.configure(names, profiles, caps)
         self.clients: set[Client] = set()
         self.tasks: set[asyncio.Task] = set()
-        self.open_txs, self.closing = 0, False
+        self.open_ids: set[bytes] = set()
+        self.closing = False
         self.listener: socket.socket | None = None
         self.listening = False
 
+    def configure(self, names: config.Names, profiles: list[Profile], caps: config.Caps) -> None:
+        self.profiles, self.caps = profiles, caps
+        self.profile_of = {name.encode(): i for i, name in enumerate(names.profiles)}
+        self.tenant_of = {name.encode(): i for i, name in enumerate(names.tenants)}
+
     def spawn(self, work) -> asyncio.Task:
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -249,24 +253,28 @@
         if profile is None:
             command.fault = "unknown profile"
             return
-        if self.open_txs >= self.caps.txs and not self.drop_stalled():
+        if command.id in self.open_ids:  # guards against two answers to one id, of which one is a stranger's
+            command.fault = "this id is open"
+            return
+        if len(self.open_ids) >= self.caps.txs and not self.drop_stalled():
             # No memory to hold it. Nothing was sent, so trying again is harmless.
             slot.answer = meta.rolled_back(0)
             return
         wait = command.attrs.get(b"d", b"")
-        given = int(wait) * 1000 if wait.isdigit() else self.profiles[profile].limit
+        given = int(wait) * 1000 if wait else self.profiles[profile].limit
         key = int.from_bytes(blake2b(command.key, digest_size=8).digest())  # the same at every node
         limit = self.clock() + min(given, self.profiles[profile].limit)
         tenant = self.tenant_of.get(command.attrs.get(b"t", b""))
         slot.tx = facade.Tx(profile, tenant, key, limit, command.write,
                             again=command.attrs.get(b"r") == b"1")
-        self.open_txs += 1
+        slot.id = command.id
+        self.open_ids.add(command.id)
         self.spawn(self.conduct(client, slot, slot.tx, command))
 
     def done(self, slot: Slot) -> None:
         """The answer was written, or its client has gone."""
         if slot.tx:
-            self.open_txs -= 1
+            self.open_ids.discard(slot.id)
             self.door.leave(slot.tx)
             slot.tx = None
 
@@ -307,7 +315,7 @@
             self.log(f"fault in a hop: {type(error).__name__}: {error}")
         else:
             reply = task.result()
-        if reply.ended is Ended.UNKNOWN and reply.body:
+        if reply.ended is Ended.MALFORMED:
             self.log(f"refused by {step.server}: {reply.body!r}")
         self.door.report(step, reply.ended, answer=reply.body, note=reply.note, load=reply.load)
 
--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -27,32 +27,66 @@
     lines: list[config.Line]
 
 
+@dataclass(slots=True, eq=False)
+class Watch:
+    """One call to discovery."""
+
+    address: tuple[str, int]
+    task: asyncio.Task | None = None
+    heard: int = 0  # lines that it brought
+    stopped_for: str = "replaced"
+
+    def stop(self, code: str) -> None:
+        self.stopped_for = code
+        self.task.cancel()
+
+
 class Discovery:
     def __init__(self, address: tuple[str, int], buffers: Buffers, log: Log, *, names: config.Names,
                  generation: int) -> None:
         self.address, self.buffers, self.log = address, buffers, log
         self.names, self.generation = names, generation
-        self.running: asyncio.Task | None = None
-        self.heard, self.stopped_for = 0, "replaced"  # news of the running watch; why it was stopped
+        self.asked: tuple[Micros, Callable[[News], None]] | None = None  # how the list is to be followed
+        self.running: Watch | None = None
+        self.leaving: Watch | None = None  # at the address before, until the new one brings news
 
     def watch(self, silence: Micros, tell: Callable[[News], None]) -> None:
         """Start a watch in place of the one before; `tell` gets its news, the last of them that it failed.
 
         Guards against losing one's turn: calls are answered in turn, so one still without an answer goes on.
         """
-        if self.running and not self.running.done() and not self.heard:
+        if self.running and not self.running.task.done() and not self.running.heard:
             return
         self.stop("replaced")
-        self.running = asyncio.create_task(self.follow(silence / 1_000_000, tell))
+        self.begin(silence, tell)
 
-    def stop(self, code: str) -> None:
-        self.stopped_for = code
-        if self.running:
-            self.running.cancel()
+    def begin(self, silence: Micros, tell: Callable[[News], None]) -> None:
+        self.asked, self.running = (silence, tell), Watch(self.address)
+        self.running.task = asyncio.create_task(self.follow(self.running, silence / 1_000_000, tell))
+
+    def move(self, address: tuple[str, int], names: config.Names) -> None:
+        """Follow the list at another address: what was asked for goes over to it at once.
 
-    async def follow(self, silence: float, tell: Callable[[News], None]) -> None:
-        host, port = self.address
-        code, self.heard = "", 0  # here, as a watch that was replaced still logs its own number
+        Guards against a gap in the news while the new address answers: the old watch goes on until then.
+        """
+        self.names = names
+        if address != self.address:
+            self.address = address
+            if self.leaving:
+                self.leaving.stop("moved")
+            self.leaving = self.running
+            if self.asked:
+                self.begin(*self.asked)
+
+    def stop(self, code: str) -> None:
+        for watch in (self.running, self.leaving):
+            if watch:
+                watch.stop(code)
+        self.running = self.leaving = None
+
+    async def follow(self, watch: Watch, silence: float, tell: Callable[[News], None]) -> None:
+        host, port = watch.address
+        code = ""
         sock = socket.socket(family(host), socket.SOCK_STREAM)
         try:
             stream, held = Stream(sock, self.buffers), bytearray()
@@ -62,8 +96,11 @@
                 while (end := held.find(b"\n")) >= 0:
                     line = bytes(held[:end]).strip()
                     del held[:end + 1]
-                    self.heard += 1
-                    if line or self.heard == 1:
+                    watch.heard += 1
+                    if watch is self.running and self.leaving:
+                        self.leaving.stop("moved")
+                        self.leaving = None
+                    if line or watch.heard == 1:
                         tell(self.news(json.loads(line or b"{}")))
                 if len(held) > LONGEST:
                     raise http.Garbled("line too long")
@@ -89,8 +126,9 @@
             self.log(f"garbled list: {error}")
         finally:
             sock.close()
-            self.log.ended("discovery", f"{host}:{port}", code or self.stopped_for, news=self.heard)
-        tell(News(ListKind.FAILED, []))
+            self.log.ended("discovery", f"{host}:{port}", code or watch.stopped_for, news=watch.heard)
+        if watch is self.running:  # one that is being left has failed nobody
+            tell(News(ListKind.FAILED, []))
 
     def news(self, said: object) -> News:
         top, lines = config.Section(said, "list."), []
--- a/saltmoor/net/http.py
+++ b/saltmoor/net/http.py
@@ -1,6 +1,7 @@
 """Owns the HTTP text spoken beside the main protocol: requests as bytes, responses out of bytes by httptools.
 
-Knows no socket, no server and no meaning of a status; bodies past a stated length are refused, not kept.
+Knows no socket, no server and no meaning of a status; bodies past a stated length are refused, not kept, and
+nothing that comes behind a response is ever taken for a part of it.
 """
 
 from __future__ import annotations
@@ -9,6 +10,8 @@
 
 import httptools
 
+INTERIM = 8  # 1xx responses ahead of the one that counts
+
 
 class Garbled(Exception):
     """This is no HTTP response that can be read."""
@@ -21,35 +24,66 @@
         self.longest, self.each = longest, each
         self.parser = httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
-        self.body, self.status, self.whole, self.clean = b"", 0, False, False
+        self.body, self.status, self.whole, self.clean, self.interim = b"", 0, False, False, 0
+        self.fault = ""
 
     def feed(self, data: bytes) -> bool:
         """True once the response is whole."""
-        if self.whole:
-            raise Garbled("bytes beyond the response")
         try:
-            self.parser.feed_data(data)
+            if not self.whole:
+                self.parser.feed_data(data)
+            else:
+                self.clean = False
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise Garbled(str(error)) from None
+            # Guards against losing a good answer for the noise behind it: that spoils the connection alone.
+            if not self.whole:
+                raise Garbled(self.fault or str(error)) from None
+            self.clean = False
         return self.whole
 
+    def refuse(self, fault: str) -> None:
+        self.fault = fault
+        raise Garbled(fault)
+
+    # The parser's calls. It reads on behind the response in the same bytes: guards against a second copy whose
+    # body would be added to the first one's.
+
+    def on_message_begin(self) -> None:
+        self.clean = False
+
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.whole:
+            return
         if len(self.headers) >= 64:
-            raise Garbled("too many headers")
+            self.refuse("too many headers")
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
+        if self.whole:
+            return
         self.status = self.parser.get_status_code()
+        length = self.headers.get("content-length", "0")
+        if not length.isdecimal() or int(length) > self.longest:
+            self.refuse("body too long")
 
     def on_body(self, data: bytes) -> None:
+        if self.whole:
+            return
         if self.each and self.status == 200:
             self.each(data)
             return
         self.body += data
         if len(self.body) > self.longest:
-            raise Garbled("body too long")
+            self.refuse("body too long")
 
     def on_message_complete(self) -> None:
+        if self.whole:
+            return
+        if self.status < 200:  # guards against taking `103 Early Hints` for the answer
+            self.headers, self.interim = {}, self.interim + 1
+            if self.interim > INTERIM:
+                self.refuse("too many interim responses")
+            return
         self.whole, self.clean = True, self.parser.should_keep_alive()
 
 
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -1,4 +1,4 @@
-"""Owns the node's life: builds its parts, runs what falls due, ends it on a signal with nothing left owed.
+"""Owns the node's life: builds its parts, runs what falls due, takes new settings, ends with nothing owed.
 
 It must never end the process while a transaction is unanswered and its time not over, nor speak a protocol.
 """
@@ -10,6 +10,7 @@
 import signal
 import socket
 import time
+from collections.abc import Callable
 
 from saltmoor import config, facade
 from saltmoor.choice import Node
@@ -32,29 +33,67 @@
 class Service:
     """One running node."""
 
-    def __init__(self, given: config.Config) -> None:
+    def __init__(self, given: config.Config, read: Callable[[], config.Config]) -> None:
+        self.given, self.read = given, read
         self.log = Log(given.log_lines)
         self.loop = asyncio.get_running_loop()
         self.timer: asyncio.TimerHandle | None = None
         self.nudged = False
-        buffers = Buffers(keep=given.caps.connections)
+        self.buffers = buffers = Buffers(keep=given.caps.connections)
         self.upstream = Upstream(buffers, self.log, clock, cap=self.upstream_cap, idle=given.idle,
                                  connect_wait=given.connect_wait, figures=bool(given.names.columns))
         self.upstream.listed(given.known)
-        self.discovery = given.discovery and Discovery(
-            given.discovery, buffers, self.log, names=given.names, generation=given.generation)
+        self.discovery = self.make_discovery()
         node = Node(given.seed, clock(), **given.node)
         self.door = facade.Facade(node, [line.member for line in given.known], columns=given.names.columns,
                                   clock=clock, nudge=self.nudge, log=self.log)
         self.clients = Clients(self.door, self.upstream, buffers, self.log, clock, names=given.names,
                                profiles=given.node["profiles"], caps=given.caps)
-        self.sweep = min(1.0, given.idle / 20_000_000)  # so that no connection is found closed for its age
-        self.linger = given.linger / 1_000_000
-        self.longest = max(profile.limit for profile in given.node["profiles"])
+        self.longest = 0
+        self.settings(given)
         self.listener = socket.create_server(
             given.listen, backlog=1024, family=family(given.listen[0]))
         self.listener.setblocking(False)
 
+    def settings(self, given: config.Config) -> None:
+        self.sweep = min(1.0, given.idle / 20_000_000)  # so that no connection is found closed for its age
+        self.linger = given.linger / 1_000_000
+        # What was taken under earlier settings keeps its time.
+        self.longest = max(self.longest, *(profile.limit for profile in given.node["profiles"]))
+
+    def reload(self) -> None:
+        """Read the configuration again and change over; what is faulty changes nothing.
+
+        Guards against a signal that ends the node, and against a list followed where it is not told any more.
+        """
+        try:
+            given = self.read()
+        except Exception as error:  # whatever is wrong with the file
+            self.log(f"configuration kept: {error if isinstance(error, config.Faulty) else repr(error)}")
+            return
+        old, self.given = self.given, given
+        self.log.rate = given.log_lines
+        self.settings(given)
+        self.upstream.configure(given.idle, given.connect_wait, bool(given.names.columns))
+        self.clients.configure(given.names, given.node["profiles"], given.caps)
+        if (given.node, given.names) != (old.node, old.names):
+            self.door.configure(given.node, given.names.columns)
+        if self.discovery and given.discovery:
+            self.discovery.move(given.discovery, given.names)
+        elif self.discovery:
+            self.discovery.stop("replaced")
+            self.discovery = None
+        elif given.discovery:
+            self.discovery = self.make_discovery()
+        if given.listen != old.listen:
+            self.log("configuration: listen needs a restart")
+        self.log(f"configuration read: discovery={'%s:%d' % given.discovery if given.discovery else 'none'}")
+
+    def make_discovery(self) -> Discovery | None:
+        given = self.given
+        return given.discovery and Discovery(given.discovery, self.buffers, self.log, names=given.names,
+                                             generation=given.generation)
+
     def upstream_cap(self) -> int:
         """Connections to servers may take what clients leave."""
         caps = self.clients.caps
@@ -105,6 +144,7 @@
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.clients.listener = self.listener
         self.clients.listen()
         gc.collect()
@@ -117,18 +157,18 @@
                 await asyncio.wait_for(stop.wait(), self.sweep)
             except TimeoutError:
                 pass
-        self.log(f"stopping: clients={len(self.clients.clients)} txs={self.clients.open_txs}")
+        self.log(f"stopping: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         await asyncio.sleep(self.linger)
         self.clients.settle_down()
         end = clock() + self.longest + 100_000  # the last one's answer is on its way then
         while self.clients.clients and clock() < end:
             await asyncio.sleep(0.02)
             self.clients.release()
-        self.log(f"stopped: clients={len(self.clients.clients)} txs={self.clients.open_txs}")
+        self.log(f"stopped: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.discovery:
             self.discovery.stop("stopping")
         self.upstream.close_all()
 
 
-async def serve(given: config.Config) -> None:
-    await Service(given).run()
+async def serve(given: config.Config, read: Callable[[], config.Config]) -> None:
+    await Service(given, read).run()
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -11,7 +11,7 @@
 
 from saltmoor.model import Ended
 
-LONGEST_LINE, LONGEST_KEY, LONGEST_VALUE = 2048, 250, 65_536
+LONGEST_LINE, LONGEST_KEY, LONGEST_ID, LONGEST_VALUE = 2048, 250, 32, 65_536
 SWALLOW = 1 << 20  # a value too long for us, but short enough to read past
 PRINTABLE = bytes(range(33, 127))
 NOTES = {(b"h1", False): 1, (b"h0", False): 2, (b"h0", True): 3}
@@ -74,20 +74,39 @@
     verb = words[0] if words else b""
     if verb not in (b"mg", b"ms"):
         return Command(verb, words=words)
-    flags = words[3 if verb == b"ms" else 2:]
     command = Command(verb, words[1] if len(words) > 1 else b"", words)
-    if not 0 < len(command.key) <= LONGEST_KEY or line.translate(None, PRINTABLE + b" "):
-        command.fault = "bad key or line"
+    command.fault = "bad key or line" if line.translate(None, PRINTABLE + b" ") else understand(command)
+    return command
+
+
+def understand(command: Command) -> str:
+    """Take the flags apart; what is wrong with the command, if anything.
+
+    Guards against passing on what no server can use: it would be refused at one after the other, and what was
+    learnt of their health with it.
+    """
+    flags = command.words[3 if command.write else 2:]
+    if not 0 < len(command.key) <= LONGEST_KEY:
+        return "bad key or line"
     for flag in flags:
-        if flag[:1] == b"O":
+        if flag[:1] == b"O" and not command.id:
             command.id = flag[1:]
-        elif flag[:1] == b"P":
+        elif flag[:1] == b"P" and not command.listed:
             command.listed = flag[1:]
-    pairs = (pair.partition(b"=") for pair in command.listed.split(b",") if pair)
+        elif flag != b"v" or command.write:
+            return "flag not known, or twice"
+    if not command.id or not command.listed or len(command.id) > LONGEST_ID:
+        return "O and P are needed"
+    pairs = [pair.partition(b"=") for pair in command.listed.split(b",")]
     command.attrs = {name: value for name, _, value in pairs}
-    if not command.id or not command.listed:
-        command.fault = command.fault or "O and P are needed"
-    return command
+    wait = command.attrs.get(b"d")
+    if len(command.attrs) < len(pairs):
+        return "a name twice"
+    if wait is not None and not (wait.isdigit() and len(wait) < 10):
+        return "bad wait"
+    if not command.write and (b"v" not in flags or b"k" in command.attrs):
+        return "a read has v and no key of a write"
+    return ""
 
 
 class Commands:
@@ -199,7 +218,7 @@
         if kind == b"SERVER_ERROR":
             self.reply = Reply(server_error(words))
         elif kind in (b"CLIENT_ERROR", b"ERROR"):
-            self.reply = Reply(Ended.UNKNOWN, b" ".join(words))
+            self.reply = Reply(Ended.MALFORMED, b" ".join(words))
         elif kind in (b"EN", b"HD" if self.command.write else b"VA"):
             flags = words[2 if kind == b"VA" else 1:]
             if b"O" + self.command.id not in flags:
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -40,13 +40,16 @@
     def __init__(self, buffers: Buffers, log: Log, clock: Callable[[], Micros], *, cap: Callable[[], int],
                  idle: Micros, connect_wait: Micros, figures: bool) -> None:
         self.buffers, self.log, self.clock = buffers, log, clock
-        self.cap, self.connect_wait = cap, connect_wait
-        self.ask = meta.PROBE[figures]
-        self.idle = idle * 4 // 5  # closed well before the server would
+        self.cap = cap
+        self.configure(idle, connect_wait, figures)
         self.address: dict[ServerId, tuple[str, int]] = {}
         self.free: dict[ServerId, list[Link]] = {}
         self.open = 0
 
+    def configure(self, idle: Micros, connect_wait: Micros, figures: bool) -> None:
+        self.connect_wait, self.ask = connect_wait, meta.PROBE[figures]
+        self.idle = idle * 4 // 5  # closed well before the server would
+
     def listed(self, lines: Iterable[config.Line]) -> None:
         """Where servers are reached now; free connections to those that left or moved are closed."""
         for line in lines:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -142,7 +142,7 @@
     """A node on loopback sockets with one cache server, the origin and discovery, all scripted.
 
     A key says what the cache server does with it: hit, miss, busy, fail, cut (the connection ends), slow (an
-    answer after 150 ms), mute (none), odd (an answer to something else). Every command it gets is noted.
+    answer after 150 ms), mute (none), refuse (the command is malformed), odd (an answer to something else). Every command it gets is noted.
     """
 
     def __init__(self, **changed) -> None:
@@ -162,7 +162,8 @@
                       "lifecycle": "up"}]
         said = {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}", "seed": "1",
                 "known": {"generation": 7, "instances": self.list}, "settings": settings()} | self.changed
-        self.service = lifecycle.Service(config.parse(said, {}))
+        self.said = said
+        self.service = lifecycle.Service(config.parse(said, {}), lambda: config.parse(self.said, {}))
         self.address = self.service.listener.getsockname()
         self.running = asyncio.create_task(self.service.run())
         await self.asked.wait()
@@ -210,7 +211,7 @@
                 break
             await asyncio.sleep(0.15 if key == "slow" else 0)
             answers = {"miss": f"EN {tag}", "busy": "SERVER_ERROR busy", "fail": "SERVER_ERROR failed",
-                       "odd": "VA 1 Oother\r\nx"}
+                       "odd": "VA 1 Oother\r\nx", "refuse": "CLIENT_ERROR no"}
             writer.write(answers.get(key, f"VA {len(key)} {tag} h1\r\n{key}").encode() + b"\r\n")
         writer.close()
 
@@ -235,10 +236,17 @@
         self.note(f"  discovery is asked from {path.rpartition('=')[2]}")
         self.asked.set()
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        while news := await self.news.get():
+        queue = self.news
+        while news := await queue.get():
             writer.write(b"%x\r\n%b\r\n" % (len(news), news))
         writer.close()
 
+    async def second_discovery(self) -> str:
+        """Another one; the first goes on, but has no news any more."""
+        self.news, self.asked = asyncio.Queue(), asyncio.Event()
+        self.servers.append(await asyncio.start_server(self.discovery, "127.0.0.1", 0))
+        return "127.0.0.1:%d" % self.servers[-1].sockets[0].getsockname()[1]
+
     async def client(self) -> Caller:
         return Caller(self, *await asyncio.open_connection(*self.address[:2]))
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 import uvloop
 
 from saltmoor import config
-from saltmoor.net import lifecycle, meta, origin
+from saltmoor.net import http, lifecycle, meta, origin
 from saltmoor.net.log import Log
 from tests.helper import TraceCase, Town, read, settings, write
 
@@ -56,7 +56,9 @@
             one = await town.client()
             for bad in ("hello\r\n", "\r\n", "mg\r\n", f"mg {'k' * 251} v O1 Pc=read\r\n",
                         "mg k\x01 v O1 Pc=read\r\n",
-                        "mg k v Pc=read\r\n", "mg k v O1 Pc=other\r\n",
+                        "mg k v Pc=read\r\n", "mg k v O1 Pc=other\r\n", "mg k v O1 Pc=read,d=\r\n",
+                        "mg k v O1 Pc=read,d=-5\r\n", f"mg k v O1 Pc=read,d={'9' * 23}\r\n",
+                        "mg k v O1 Pc=put,k=77\r\n", "mg k v q O1 Pc=read\r\n", "mg k v O1 Pc=read,c=put\r\n",
                         f"ms k 70000 O1 Pc=put\r\n{'x' * 70000}\r\n", read("hit")):
                 await one.ask(bad)
             for bad in ("ms k five O1 Pc=put\r\n", "ms k 3 O1 Pc=put\r\ntoolong\r\n", "m" * 3000, "quit\r\n"):
@@ -65,9 +67,41 @@
                 await other.hear()
             await one.ask(read("hit", "2"))
             town.codes("client")
+            one.say(read("slow", "3"))
+            await other_ask(town, read("hit", "3"))  # the id of an open transaction of another client
+            await one.hear()
+            await one.ask(read("refuse", "4"))  # a server calls it malformed: no other one is asked
+
+        async def other_ask(town: Town, text: str) -> None:
+            await asyncio.sleep(0.02)
+            await (await town.client()).ask(text)
 
         self.play("net-bad-input", scene)
 
+    def test_new_settings_are_taken_while_serving(self):
+        """Guards against a signal that ends the node, a faulty file that is taken, a list followed no more."""
+        async def scene(town: Town) -> None:
+            one, two = await town.client(), await town.second_discovery()
+            one.say(read("slow", "1"))
+            for change in ({"limits": {"sockets": 3}}, {"discovery": two, "settings": settings(
+                    classes=settings()["classes"] + [{"name": "extra", "deadline_ns": 10**9}])}):
+                town.said = town.said | change
+                os.kill(os.getpid(), signal.SIGHUP)
+                await asyncio.sleep(0.03)
+                town.said.pop("limits", None)
+            await one.hear()
+            await one.ask(read("hit", "2", "extra"))
+            town.codes("discovery")
+            news = json.dumps({"generation": 9, "instances": [town.list[0] | {"lifecycle": "draining"}]})
+            town.news.put_nowait(news.encode() + b"\n")
+            await asyncio.sleep(0.03)
+            await one.ask(read("hit", "3"))
+            town.codes("discovery")
+            town.note("; ".join(line for line in town.logged.getvalue().splitlines() if "configuration" in line)
+                      .replace(two, "the second"))
+
+        self.play("net-reload", scene)
+
     def test_no_hop_is_repeated_that_may_have_run(self):
         async def scene(town: Town) -> None:
             one = await town.client()
@@ -206,6 +240,23 @@
             self.lines.append(f"{head!r}: {got.ended.value[0]} {got.body!r} {got.load}")
         self.check("net-answers", self)
 
+    def test_what_comes_behind_or_ahead_of_an_answer_is_no_part_of_it(self):
+        """Guards against a value that holds its own second copy, and a good answer lost for noise behind it."""
+        head, self.lines = "HTTP/1.1 200 OK\r\nContent-Length: ", []
+        good, early = head + "4\r\n\r\nmade", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        for text in (good, good + good, good + "\x01noise\r\n\r\n", early + good, early * 9 + good,
+                     head + "3\r\nContent-Length: 4\r\n\r\nmade", head + "3000000000\r\n\r\n"):
+            for cut in (1, len(text)):
+                reader, at = origin.OriginReply(), 0
+                try:
+                    while at < len(text) and not reader.feed(text[at:at + cut].encode()):
+                        at += cut
+                    what = f"{reader.reply.ended.value[0]} {reader.reply.body!r}, clean: {reader.clean}"
+                except http.Garbled as error:
+                    what = f"garbled: {error}"
+                self.lines.append(f"{text[9:44]!r}, {len(text)} bytes by {cut}: {what}")
+        self.check("net-surplus", self)
+
     def test_the_log_counts_what_it_leaves_out(self):
         """Guards against a flood of lines that costs the loop its time."""
         with contextlib.redirect_stderr(io.StringIO()) as out:
