One broken connection is no proof that its server is down; ages at which they break are avoided

A print of each exchange (how long its connection had been free, how it ended) showed 6% of them reset at any age, new connections as well, so the servers were well: Node.judge lost the whole server, and copied its hops, for any one reset. Now the next transaction asks first, and only a second reset without a sign of life, or a refused connection, counts.

The same print: of connections free for 128 ms or longer 40% broke, though the settings say 30 s. Upstream.take now goes by the age from which uses broke lately.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -74,7 +74,6 @@
 
 
 class Node(Agenda):
-    """One node's decisions."""
 
     def __init__(self, seed: int, now: Micros, **settings) -> None:
         super().__init__(seed, now)
@@ -85,8 +84,7 @@
         self.fetches: dict[int, list[Tx]] = {}
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.room = Room()
-        self.usual = self.usual_held = 0.0  # the usual time of a hit at this node, and the queue it met
-        self.fetch = 0.0  # what a miss adds, usually
+        self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hops, self.rate, self.capacity = 0, 0.0, 1.0  # to cache servers: now, a second; their size
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
@@ -169,11 +167,11 @@
         while server.sent and server.sent[0] <= now - self.cold.window:
             server.sent.popleft()
         usual = self.rate * server.size / self.capacity
-        core = 1_000_000 / self.usual / self.place.nodes if self.usual else 0.0
+        core = self.usual and 1e6 / self.usual / self.place.nodes
         # Half the multiple of what this node usually sends a warm peer, or of its part of a single core's
         # work: all nodes do alike. One hop a window goes anyway, or nothing would warm.
-        budget = max(1.0, self.cold.multiple / 2 * max(usual, core) * share * self.cold.window / 1_000_000)
-        return len(server.sent) + 1 <= budget
+        own = self.cold.multiple / 2 * max(usual, core) * share * self.cold.window / 1e6
+        return len(server.sent) + 1 <= max(1, own)
 
     def candidates(self, tx: Tx, now: Micros) -> Iterator[Server]:
         fit = (server for server in self.ranked(tx.key) if server not in tx.tried
@@ -410,9 +408,12 @@
         if ended in (Ended.CANCELLED, Ended.NOT_SENT, Ended.MALFORMED):  # no word on the server
             return
         if ended in (Ended.NO_CONNECTION, Ended.RESET):
-            # Guards against a dead process that the list still calls ready: believe the network first.
+            # Guards against a dead process that the list still calls ready: believe the network first. But
+            # one connection that breaks is no proof: only what breaks next, and the next transaction asks.
             if hop.sent >= server.heard:
-                self.lose(server, now, f"hop {ended.value[0]} after_ms={elapsed // 1000}")
+                if ended is Ended.NO_CONNECTION or server.doubted > server.heard:
+                    self.lose(server, now, f"hop {ended.value[0]} after_ms={elapsed // 1000}")
+                server.doubted, server.answered = now, min(server.answered, now - self.fresh)
             return
         if ended is not Ended.TIMED_OUT:
             server.heard, server.newest = now, max(server.newest, hop.sent)
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -255,6 +255,7 @@
     out: dict[Hop, None] = field(default_factory=dict)
     newest: Micros = 0  # when the youngest hop that it answered was sent
     heard: Micros = 0  # the last sign of life: a hop that ended by its work, or a probe
+    doubted: Micros = 0  # when a connection to it broke last
     # health
     delay: float = 0.0  # recent time of a hit; 0: not known
     usual_held: float = 0.0  # queue that those hits met
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -19,6 +19,9 @@
 from saltmoor.net.log import Log
 
 
+MEMORY = 10_000_000  # what was learnt of connections is worth half after so long
+
+
 class Reader(Protocol):
     """Takes what a connection brings until the answer is whole."""
 
@@ -36,11 +39,37 @@
         self.exchanges = 0
 
 
+class Ages:
+    """How long a free connection stays good: less than the settings say where uses after such a time broke.
+
+    Guards against servers, or what stands between, that drop idle connections early and without a word.
+    """
+
+    def __init__(self) -> None:
+        self.uses = [[0.0, 0.0] for _ in range(32)]  # how many, how many broke; by doublings of milliseconds
+
+    def learn(self, age: Micros, broke: bool) -> None:
+        counts = self.uses[min(31, (age // 1000).bit_length())]
+        counts[0] += 1
+        counts[1] += broke
+
+    def forget(self) -> None:
+        """Half of it, so that what was given up is tried again some time."""
+        self.uses = [[used / 2, broke / 2] for used, broke in self.uses]
+
+    def good(self, most: Micros) -> Micros:
+        """The age from which on every fourth use or more broke."""
+        for i, (used, broke) in enumerate(self.uses):
+            if broke >= 4 and 4 * broke > used:
+                return min(most, 1000 << i >> 1)
+        return most
+
+
 class Upstream:
     def __init__(self, buffers: Buffers, log: Log, clock: Callable[[], Micros], *, cap: Callable[[], int],
                  idle: Micros, connect_wait: Micros, figures: bool) -> None:
         self.buffers, self.log, self.clock = buffers, log, clock
-        self.cap = cap
+        self.cap, self.ages, self.forget_at = cap, Ages(), 0
         self.configure(idle, connect_wait, figures)
         self.address: dict[ServerId, tuple[str, int]] = {}
         self.free: dict[ServerId, list[Link]] = {}
@@ -48,7 +77,7 @@
 
     def configure(self, idle: Micros, connect_wait: Micros, figures: bool) -> None:
         self.connect_wait, self.ask = connect_wait, meta.PROBE[figures]
-        self.idle = idle * 4 // 5  # closed well before the server would
+        self.idle = self.good = idle * 4 // 5  # closed well before the server would
 
     def listed(self, lines: list[config.Line], whole: bool = False) -> None:
         """Where servers are reached now; what is kept for those that left, and links to the moved, goes."""
@@ -64,13 +93,15 @@
 
     async def exchange(self, server: ServerId, data: bytes, reader: Reader, until: Micros) -> meta.Reply:
         """Write it, read the answer; the reply's `ended` tells how far it came when there is none."""
-        link, written, code = None, False, "internal"
+        link, written, code, got, age = None, False, "internal", b"", -1
         try:
             # Guards against giving up a moment early, which looks like time for another hop: the loop's
             # timers go by whole milliseconds, so one more is added.
             async with asyncio.timeout((until - self.clock()) / 1_000_000 + 0.001):
                 link = self.take(server)
-                if link is None:
+                if link:
+                    age = self.clock() - link.used
+                else:
                     if self.open >= self.cap() and not self.evict():
                         return meta.Reply(Ended.NOT_SENT)
                     made = await self.connect(server)
@@ -102,6 +133,8 @@
             self.log(f"garbled answer from {server}: {error}")
             return meta.Reply(Ended.UNKNOWN)
         finally:
+            if age >= 0 and (got or code in ("ended", "reset")):
+                self.ages.learn(age, not got)
             if link and not code and self.address.get(server) != link.address:
                 code = "left-list"
             if link and code:
@@ -118,7 +151,7 @@
         links = self.free.get(server, [])
         while links:
             link = links.pop()
-            if link.used > self.clock() - self.idle and link.stream.quiet():
+            if link.used > self.clock() - self.good and link.stream.quiet():
                 return link
             self.close(link, "stale")
         return None
@@ -163,8 +196,12 @@
     def sweep(self) -> None:
         """Close what would soon have been idle for too long."""
         now = self.clock()
+        if now >= self.forget_at:
+            self.ages.forget()
+            self.forget_at = now + MEMORY
+        self.good = self.ages.good(self.idle)
         for links in self.free.values():
-            while links and links[0].used <= now - self.idle:
+            while links and links[0].used <= now - self.good:
                 self.close(links.pop(0), "idle")
 
     def close(self, link: Link, code: str) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,6 +12,7 @@
 from saltmoor import config
 from saltmoor.net import http, lifecycle, meta, origin
 from saltmoor.net.log import Log
+from saltmoor.net.upstream import Ages
 from tests.helper import TraceCase, Town, read, settings, write
 
 
@@ -257,6 +258,16 @@
                 self.lines.append(f"{text[9:44]!r}, {len(text)} bytes by {cut}: {what}")
         self.check("net-surplus", self)
 
+    def test_ages_at_which_connections_break_are_avoided(self):
+        """Guards against servers that drop idle connections sooner than the settings say."""
+        ages, self.lines = Ages(), []
+        for age, broke in [(5_000, 0)] * 40 + [(5_000, 1)] * 4 + [(150_000, 0)] * 6 + [(150_000, 1)] * 4:
+            ages.learn(age, bool(broke))
+        for turn in range(2):
+            self.lines.append(f"good for {ages.good(24_000_000)} us")
+            ages.forget()
+        self.assertEqual(self.lines, ["good for 128000 us", "good for 24000000 us"])
+
     def test_the_log_counts_what_it_leaves_out(self):
         """Guards against a flood of lines that costs the loop its time."""
         with contextlib.redirect_stderr(io.StringIO()) as out:
