--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -171,6 +171,8 @@
         finals = finals or {}
         stops: list[model.Cancel] = []
         self.node.settle(now)
+        if not self.node.effects and not finals:
+            return
         for effect in self.node.effects:
             match effect:
                 case model.Send(tx_id, server, until):
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -28,10 +28,10 @@
 class Slot:
     """One command's place in the order of answers."""
 
-    __slots__ = ("answer", "id", "tx")
+    __slots__ = ("answer", "id", "task", "tx")
 
     def __init__(self, answer: bytes | None = None) -> None:
-        self.answer, self.id, self.tx = answer, b"", None
+        self.answer, self.id, self.task, self.tx = answer, b"", None, None
 
 
 class Client:
@@ -78,10 +78,13 @@
                         await self.answered(0)
                         return "client-quit"
                     self.take(command)
-                    await self.answered(PIPELINE)
+                    if self.slots and self.slots[0].answer is not None:
+                        await self.flush()
+                    if len(self.slots) > PIPELINE:
+                        await self.answered(PIPELINE)
             except meta.FramingLost as error:
                 self.slots.append(Slot(b"CLIENT_ERROR %b\r\n" % str(error).encode()))
-                self.flush()
+                await self.flush()
                 await self.answered(0)
                 await self.part()
                 return "framing-lost"
@@ -114,19 +117,12 @@
             self.house.begin(self, slot, command)
         if command.fault:
             slot.answer = b"CLIENT_ERROR %b\r\n" % command.fault.encode()
-        if slot.answer is not None:
-            self.flush()
 
-    def answer(self, slot: Slot, data: bytes) -> None:
-        slot.answer = data
-        self.flush()
-
-    def flush(self) -> None:
-        if not self.writer and not self.code:
-            self.writer = self.house.spawn(self.write())
-
-    async def write(self) -> None:
-        """Write the answers that are ready, in the order of their commands."""
+    async def flush(self) -> None:
+        """Write the answers that are ready, in the order of their commands; one task at a time does."""
+        if self.writer or self.code:
+            return
+        self.writer = asyncio.current_task()
         try:
             while self.slots and self.slots[0].answer is not None:
                 await self.stream.write(self.slots[0].answer)
@@ -134,6 +130,8 @@
                 self.used = self.house.clock()
                 self.room.set()
         except OSError:
+            if self.writer is self.reader:
+                raise
             self.reader.cancel()
         finally:
             self.writer = None
@@ -156,7 +154,7 @@
                 self.reader.cancel()
 
     def end(self) -> None:
-        if self.writer:
+        if self.writer and self.writer is not self.reader:
             self.writer.cancel()
         for slot in self.slots:
             self.house.done(slot)
@@ -269,7 +267,7 @@
                             again=command.attrs.get(b"r") == b"1")
         slot.id = command.id
         self.open_ids.add(command.id)
-        self.spawn(self.conduct(client, slot, slot.tx, command))
+        slot.task = asyncio.create_task(self.conduct(client, slot, slot.tx, command))
 
     def done(self, slot: Slot) -> None:
         """The answer was written, or its client has gone."""
@@ -284,7 +282,7 @@
         answer = meta.ABANDONED
         try:
             while isinstance(step := await self.door.pick(tx), facade.Send):
-                hops[step.hop] = self.spawn(self.hop(step, command))
+                hops[step.hop] = asyncio.create_task(self.hop(step, command))
                 hops[step.hop].add_done_callback(lambda task, step=step: self.hop_done(step, task))
             for number in step.stop:
                 hops[number].cancel()
@@ -295,7 +293,8 @@
                     answer = meta.rolled_back(stay_away // 1000)
         except Exception as error:
             self.log(f"fault in a transaction: {type(error).__name__}: {error}")
-        client.answer(slot, answer)
+        slot.answer = answer
+        await client.flush()
 
     async def hop(self, step: facade.Send, command: meta.Command) -> meta.Reply:
         if step.origin:
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -22,6 +22,7 @@
 from saltmoor.net.log import Log
 from saltmoor.net.upstream import Upstream
 
+GRAIN = 2  # milliseconds
 OFFSET = time.time_ns() // 1000 - time.monotonic_ns() // 1000
 
 
@@ -113,8 +114,9 @@
             errands, again = self.door.tick()
         except Exception as error:  # the next tick must come whatever happened in this one
             self.log(f"fault in a tick: {type(error).__name__}: {error}")
-        # The loop's timers go by whole milliseconds: rounded up, or it would wake just before the time.
-        self.timer = self.loop.call_later(max(0, -(-(again - clock()) // 1000)) / 1000, self.tick)
+        # The loop's timers go by whole milliseconds: rounded up, or it would wake just before the time. What
+        # falls due within GRAIN runs together.
+        self.timer = self.loop.call_later(max(GRAIN, -(-(again - clock()) // 1000)) / 1000, self.tick)
         for errand in errands:
             match errand:
                 case facade.Probe():
@@ -149,6 +151,7 @@
         self.clients.listen()
         gc.collect()
         gc.freeze()
+        gc.set_threshold(20_000, 20, 20)  # what one transaction needs goes by itself when it is over
         self.nudge()
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -94,36 +94,36 @@
     async def exchange(self, server: ServerId, data: bytes, reader: Reader, until: Micros) -> meta.Reply:
         """Write it, read the answer; the reply's `ended` tells how far it came when there is none."""
         link, written, code, got, age = None, False, "internal", b"", -1
+        # Guards against giving up a moment early, which looks like time for another hop: the loop's timers go by
+        # whole milliseconds, so one more is added.
+        timer = asyncio.get_running_loop().call_later(
+            max(0, until - self.clock()) / 1_000_000 + 0.001, asyncio.current_task().cancel)
         try:
-            # Guards against giving up a moment early, which looks like time for another hop: the loop's
-            # timers go by whole milliseconds, so one more is added.
-            async with asyncio.timeout((until - self.clock()) / 1_000_000 + 0.001):
-                link = self.take(server)
-                if link:
-                    age = self.clock() - link.used
-                else:
-                    if self.open >= self.cap() and not self.evict():
-                        return meta.Reply(Ended.NOT_SENT)
-                    made = await self.connect(server)
-                    if isinstance(made, Ended):
-                        return meta.Reply(made)
-                    link = made
-                await link.stream.write(data)
-                written, link.exchanges = True, link.exchanges + 1
-                while True:
-                    got = await link.stream.read()
-                    if not got:
-                        code = "ended"
-                        return meta.Reply(Ended.RESET)
-                    if reader.feed(got):
-                        break
-                code = "" if reader.clean else "closed"
-                return reader.reply
+            link = self.take(server)
+            if link:
+                age = self.clock() - link.used
+            else:
+                if self.open >= self.cap() and not self.evict():
+                    return meta.Reply(Ended.NOT_SENT)
+                made = await self.connect(server)
+                if isinstance(made, Ended):
+                    return meta.Reply(made)
+                link = made
+            await link.stream.write(data)
+            written, link.exchanges = True, link.exchanges + 1
+            while True:
+                got = await link.stream.read()
+                if not got:
+                    code = "ended"
+                    return meta.Reply(Ended.RESET)
+                if reader.feed(got):
+                    break
+            code = "" if reader.clean else "closed"
+            return reader.reply
         except asyncio.CancelledError:
             code = "stopped" if self.clock() < until else "gave-up"
-            raise
-        except TimeoutError:
-            code = "gave-up"
+            if code == "stopped":
+                raise
             return meta.Reply(Ended.TIMED_OUT if written else Ended.NO_CONNECTION)
         except OSError:
             code = "reset"
@@ -133,6 +133,7 @@
             self.log(f"garbled answer from {server}: {error}")
             return meta.Reply(Ended.UNKNOWN)
         finally:
+            timer.cancel()
             if age >= 0 and (got or code in ("ended", "reset")):
                 self.ages.learn(age, not got)
             if link and not code and self.address.get(server) != link.address:
