A full server is no queue that hits are said to have met; silence waits until sockets are read

A print of what the module believes, once a second, showed servers with a queue of 1,224 transactions and hits that had met 549: Node.judge wrote a full server's penalty into its queue, Node.send wrote that queue into the hop as what it meets, and the next penalty was reckoned from the hits that had met it. Each round made it larger, until every delay was expected to be a few milliseconds or a second, by chance.

Now what falls due is run two passes of the loop later, and only that timer, not the time that another transaction looks, makes a server silent (Node.silent).

A hop whose answer was spoilt or broke off left its copy, so the repeat may go to the same server; one spoilt answer weighs half of an error. The first hits count alike, as they open connections: the first one alone stood for 30. A client that stops inside a command gets its error line after serve.unfinished_ms.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -80,12 +80,11 @@
         self.configure(now, **settings)
         self.txs: dict[model.TxId, Tx] = {}
         self.servers, self.caches, self.origins = {}, [], []
-        self.ranks: dict[int, list[Server]] = {}
-        self.fetches: dict[int, list[Tx]] = {}
+        self.ranks, self.fetches = {}, {}  # by key: its servers in order; who waits for its fetch
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.room = Room()
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
-        self.hops, self.rate, self.capacity = 0, 0.0, 1.0  # to cache servers: now, a second; their size
+        self.hits, self.hops, self.rate, self.capacity = 0, 0, 0.0, 1.0  # hops to caches: now, a second; size
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.asked_list, self.watching, self.list_tries = now, not self.listing.asked, 0
@@ -189,11 +188,11 @@
         usual = self.usual or 1.0
         delay = usual + (server.delay - usual) * trust
         held = self.usual_held + (server.usual_held - self.usual_held) * trust
-        return delay * (self.queue(server) + 2) / (held + 2)
+        return delay * (self.queue(server) + 2) / (held + 2) + server.full
 
     def silent(self, server: Server, now: Micros) -> bool:
         """Once silent, a server stays so until it is asked again: no second transaction waits for it."""
-        return now < server.again_at or (server.asked >= 0 and now - server.asked >= self.probe_wait)
+        return now < server.again_at or server.mute
 
     def known(self, server: Server, now: Micros) -> bool:
         fresh = 0 <= server.answered > now - self.fresh
@@ -205,7 +204,7 @@
         if server.asked < 0:
             server.asked = now
             self.effects.append(model.Probe(server.id, now + self.goal // 3))
-            self.at(now + self.probe_wait, self.wake_askers, server)
+            self.at(now + self.probe_wait, self.wake_askers, server, now)
 
     def feed(self, now: Micros, tx: Tx, given: In | None) -> None:
         while given is not None:
@@ -217,10 +216,8 @@
 
     def check(self, tx: Tx, now: Micros) -> In | None:
         """Ask the preferred server's queue, or take its fresh answer."""
-        if now >= tx.goal and not tx.profile.late_value:
-            return In.NOBODY
         tx.choice = next(self.candidates(tx, now), None)
-        if tx.choice is None:
+        if tx.choice is None or (now >= tx.goal and not tx.profile.late_value):
             return In.NOBODY
         if not self.known(tx.choice, now):
             self.ask(tx.choice, tx, now)
@@ -243,7 +240,7 @@
             + (self.fetch if server is not picked[0] and not tx.write else 0)))
         # Guards against a jam that outlives its cause: where nothing is sent nothing is learnt, so no idle
         # server is held to be too slow.
-        if tx.choice and (self.queue(tx.choice) < 1
+        if tx.choice and (self.queue(tx.choice) + tx.choice.full < 1
                           or self.expected(tx.choice, now) <= self.strict * left * tx.favour):
             return In.BEST
         # A key may be wanted more than its candidates can do, the more so in a large fleet: up to an eighth.
@@ -257,7 +254,7 @@
         if not may_send(tx, server, now, self.permits):
             return In.NOBODY
         tx.hops.append(Hop(tx, len(tx.hops), server, now, self.queue(server)))
-        tx.tried.append(server)
+        tx.tried.add(server)
         server.out[tx.hops[-1]] = None
         self.hops += server.kind != self.origin_kind
         if warmth(server, now, self.cold) < 1:
@@ -271,7 +268,6 @@
         """Guards against answers that get lost: what was sent later is answered, so it is no queue."""
         if hop.open and hop.tx.state is State.OUT and now < hop.tx.goal:
             if hop.server.newest > hop.sent:
-                hop.tx.tried.remove(hop.server)  # the copy is there, and the server works
                 self.feed(now, hop.tx, In.AGAIN)
             else:
                 self.at(now + self.goal // 8, self.overdue, hop)
@@ -316,6 +312,8 @@
         if self.spare < 1:
             return In.NOBODY
         self.spare -= 1
+        # What broke or got lost on its way back has left its copy: the same server may be asked again.
+        tx.tried -= {hop.server for hop in tx.hops if hop.ended in (None, Ended.UNKNOWN, Ended.RESET)}
         if tx.write and self.origin_kind is not None:
             return self.to_origin(tx, now)
         return self.check(tx, now)
@@ -418,16 +416,15 @@
         if ended is not Ended.TIMED_OUT:
             server.heard, server.newest = now, max(server.newest, hop.sent)
         if ended is Ended.FULL:
-            # Guards against a storm of hops from one full server to the next: full is a queue as long as a
-            # goal, until probes say otherwise.
-            long = self.goal / (server.delay or self.goal) * (server.usual_held + 2)
-            server.others, server.answered = max(server.others, long), min(server.answered, now - self.fresh)
+            # Guards against a storm of hops from one full server to the next: full is a delay as long as a
+            # goal, until probes say otherwise. It is no queue, or it would be learnt as one that hits met.
+            server.full, server.answered = self.goal, min(server.answered, now - self.fresh)
             return
         # A time-out tells of a long queue, not of a broken server: it counts as a long delay below, but where
         # the server answered what was sent later: there it tells of a lost answer.
         late = ended is Ended.TIMED_OUT and hop.sent >= server.newest
         failed = ended in (Ended.ERROR, Ended.UNKNOWN)
-        server.bad += (failed - server.bad) * 0.2
+        server.bad += (failed - server.bad) * (0.1 if ended is Ended.UNKNOWN else 0.2)
         if failed and server.bad > 0.35 and now >= server.out_until:
             # Guards against a server that fails fast: its queue is short because it does no work. Its peers
             # are the measure, as some failures come through every server; half of the fleet stays in.
@@ -451,7 +448,9 @@
         if late or (ended is Ended.COMMITTED and note <= 1):
             # Against a few very costly transactions: one says little of its server, several in a row much.
             elapsed = min(elapsed, 3 * max(server.delay, self.usual)) if self.usual else elapsed
-            own, pooled = 0.15 if server.delay else 1.0, 0.03 if self.usual else 1.0
+            # The first ones open connections, which takes them longer: they count alike, none for all.
+            self.hits, server.hits = self.hits + 1, server.hits + 1
+            own, pooled = max(0.15, 1 / server.hits), max(0.03, 1 / self.hits)
             server.delay += (elapsed - server.delay) * own
             server.usual_held += (hop.met - server.usual_held) * own
             server.delay_at = now
@@ -483,16 +482,15 @@
         server.asked = -1
         if ended is Ended.COMMITTED:
             before, server.answered, server.heard = server.answered, now, now
-            server.unanswered = server.again_at = 0
+            server.unanswered, server.again_at, server.full = 0, 0, server.full // 2
             if self.column is not None and len(load) > self.column:
                 # Guards against nodes that swing together on old reports: the queue that all of them flee is
                 # the shortest by then. A tenth of each counts; more after long without, half at twenty goals.
                 others = max(0.0, load[self.column] - len(server.out))
                 new = max(0.1, 1 - 0.5 ** ((now - before) / (20 * self.goal)))
                 server.others += (others - server.others) * new
-            if server.down:
-                server.down = False
-                self.say(f"down {server.name}", False, f"probe_ms={elapsed // 1000}")
+            server.down = False
+            self.say(f"down {server.name}", False, f"probe_ms={elapsed // 1000}")
         else:
             # Guards against nodes that ask a lost server more often than clients ask them: a transaction that
             # prefers it asks again, each time twice as late, unevenly by chance.
@@ -501,10 +499,11 @@
             # Guards against a process that hangs instead of refusing connections.
             if ended is Ended.NO_CONNECTION or server.unanswered > 1 and now - server.heard > 2 * self.goal:
                 self.lose(server, now, f"probe {ended.value[0]} n={server.unanswered}")
-        self.wake_askers(now, server)
+        self.wake_askers(now, server, -1)
 
-    def wake_askers(self, now: Micros, server: Server) -> None:
-        askers, server.askers = server.askers, {}
+    def wake_askers(self, now: Micros, server: Server, asked: Micros) -> None:
+        server.mute = server.asked == asked >= 0
+        askers, server.askers = (server.askers, {}) if server.asked == asked else ({}, server.askers)
         for tx in askers:  # once all that it asked have answered or fallen silent
             tx.waits -= 1
             self.feed(now, tx, None if tx.waits else In.HEARD)
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -172,6 +172,7 @@
     idle: int  # an idle connection is closed by the servers after so many microseconds
     connect_wait: int
     linger: int  # after the signal to stop: how long new connections are still taken
+    unfinished: int  # how long a client may take over one command
     log_lines: float
     known: list[Line]
     generation: int
@@ -232,6 +233,7 @@
         idle=may.micros("conn_idle_ns") or 30_000_000,
         connect_wait=may.micros("connect_timeout_ns") or 1_000_000,
         linger=int(serve.number("linger_ms", 500) * 1000),
+        unfinished=int(serve.number("unfinished_ms", 2000, least=1) * 1000),
         log_lines=serve.number("log_lines_per_s", 50, least=1),
         known=[line(entry, names) for entry in known.sections("instances")],
         generation=int(known.number("generation")))
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -247,8 +247,10 @@
     weight: float = 1.0
     # load
     others: float = 0.0  # queue beyond this node's own hops, as reported lately
+    full: Micros = 0  # delay that it counts for as it turned a hop away
     answered: Micros = -1  # when a probe was last answered; -1: never
     asked: Micros = -1  # when the probe that is out was sent; -1: none is out
+    mute: bool = False  # it has not answered within a probe's wait
     unanswered: int = 0  # probes in a row that brought no answer
     again_at: Micros = 0  # until then a silent or lost server is not asked again
     askers: dict[Tx, None] = field(default_factory=dict)  # each once, in order
@@ -258,6 +260,7 @@
     doubted: Micros = 0  # when a connection to it broke last
     # health
     delay: float = 0.0  # recent time of a hit; 0: not known
+    hits: int = 0  # that its delay was learnt from
     usual_held: float = 0.0  # queue that those hits met
     delay_at: Micros = 0
     bad: float = 0.0  # share of hops that failed, lately
@@ -272,7 +275,7 @@
 
     def restart(self, started: Micros) -> None:
         """A new process: cold and empty, and nothing that was learnt of the old one holds."""
-        self.started, self.delay, self.bad, self.down = started, 0.0, 0.0, False
+        self.started, self.delay, self.hits, self.bad, self.down = started, 0.0, 0, 0.0, False
         self.out_until, self.penance, self.unanswered, self.again_at = 0, 0, 0, 0
         self.sent.clear()
 
@@ -301,7 +304,7 @@
     reach: int  # how many candidates it may use
     state: State = State.NEW
     hops: list[Hop] = field(default_factory=list)
-    tried: list[Server] = field(default_factory=list)
+    tried: set[Server] = field(default_factory=set)
     choice: Server | None = None
     waits: int = 0  # probes that it waits for
     leads: bool = False  # others wait for its fetch
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -40,7 +40,7 @@
     def __init__(self, house: Clients, stream: Stream, peer: str) -> None:
         self.house, self.stream, self.peer, self.since = house, stream, peer, house.clock()
         self.commands, self.slots = meta.Commands(), deque()
-        self.used, self.count, self.code = self.since, 0, ""
+        self.used, self.began, self.count, self.code = self.since, 0, 0, ""
         self.ending = ""  # why it is to end once all that was read is answered
         self.room = asyncio.Event()
         self.writer: asyncio.Task | None = None
@@ -88,6 +88,13 @@
                 await self.answered(0)
                 await self.part()
                 return "framing-lost"
+            self.began = (self.began or self.used) if self.commands.partial else 0
+
+    async def cut(self) -> None:
+        """End a command that does not go on: its client is told so."""
+        self.slots.append(Slot(b"CLIENT_ERROR the command is not finished\r\n"))
+        await self.flush()
+        self.close("unfinished")
 
     async def part(self) -> None:
         """Say the end and read past what still comes, so that the client gets the last answer whole."""
@@ -235,6 +242,13 @@
             min(free, key=lambda one: one.used).close("evicted")
         return bool(free)
 
+    def sweep(self, longest: Micros) -> None:
+        """Guards against clients that stop in the middle of a command and keep their descriptor."""
+        for client in self.clients:
+            if client.began and client.began < self.clock() - longest and not client.ending:
+                client.began = 0
+                self.spawn(client.cut())
+
     def drop_stalled(self) -> bool:
         """End the connection whose client has not read an answer for longest."""
         stalled = [one for one in self.clients
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -57,7 +57,7 @@
         self.listener.setblocking(False)
 
     def settings(self, given: config.Config) -> None:
-        self.sweep = min(1.0, given.idle / 20_000_000)  # so that no connection is found closed for its age
+        self.sweep = min(0.5, given.idle / 20_000_000)  # so that no connection is found closed for its age
         self.linger = given.linger / 1_000_000
         # What was taken under earlier settings keeps its time.
         self.longest = max(self.longest, *(profile.limit for profile in given.node["profiles"]))
@@ -105,6 +105,12 @@
             self.nudged = True
             self.loop.call_soon(self.tick)
 
+    def fall_due(self, passes: int) -> None:
+        """Guards against a late loop, which runs timers first: what waits in the sockets is read before
+        anything is held to be overdue. One pass of the loop brings it in, the next one hands it on.
+        """
+        self.timer = self.loop.call_soon(self.fall_due, passes - 1) if passes else self.tick()
+
     def tick(self) -> None:
         self.nudged = False
         if self.timer:
@@ -116,7 +122,7 @@
             self.log(f"fault in a tick: {type(error).__name__}: {error}")
         # The loop's timers go by whole milliseconds: rounded up, or it would wake just before the time. What
         # falls due within GRAIN runs together.
-        self.timer = self.loop.call_later(max(GRAIN, -(-(again - clock()) // 1000)) / 1000, self.tick)
+        self.timer = self.loop.call_later(max(GRAIN, -(-(again - clock()) // 1000)) / 1000, self.fall_due, 2)
         for errand in errands:
             match errand:
                 case facade.Probe():
@@ -156,6 +162,7 @@
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
             self.upstream.sweep()
+            self.clients.sweep(self.given.unfinished)
             try:
                 await asyncio.wait_for(stop.wait(), self.sweep)
             except TimeoutError:
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -94,8 +94,8 @@
     async def exchange(self, server: ServerId, data: bytes, reader: Reader, until: Micros) -> meta.Reply:
         """Write it, read the answer; the reply's `ended` tells how far it came when there is none."""
         link, written, code, got, age = None, False, "internal", b"", -1
-        # Guards against giving up a moment early, which looks like time for another hop: the loop's timers go by
-        # whole milliseconds, so one more is added.
+        # Guards against giving up a moment early, which looks like time for another hop: the loop's timers go
+        # by whole milliseconds, so one more is added.
         timer = asyncio.get_running_loop().call_later(
             max(0, until - self.clock()) / 1_000_000 + 0.001, asyncio.current_task().cancel)
         try:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -89,6 +89,29 @@
         script.wait(400)  # not to be repeated, however late
         self.check("lost-answer", script)
 
+    def test_a_full_server_is_no_lesson_on_queues(self):
+        """Guards against a penalty learnt as the queue that hits met: it grew with each server that was full."""
+        script = Script(servers=2)
+        script.queue(2, 0)
+        for number in range(1, 30, 2):
+            script.served(number, 1)
+            script.tx(number + 1)
+            script.ends(number + 1, 0, 1, Ended.FULL, took=1)
+            script.ends(number + 1, 1, 2, Ended.COMMITTED)
+        one = script.node.servers[1]
+        del script.lines[14:]
+        script.note(f"queue {script.node.queue(one):.1f}, met by hits {one.usual_held:.1f}")
+        self.check("full-server", script)
+
+    def test_silence_is_judged_by_its_own_time_alone(self):
+        """Guards against a late loop that holds a server silent whose answer waits in the socket."""
+        script = Script(servers=1)
+        script.tx(1)
+        script.now += 80  # nothing has run since
+        script.tx(2)
+        script.queue(1, 0)
+        self.check("late-loop", script)
+
     def test_what_left_is_forgotten(self):
         """Guards against memory that grows with every server that ever was."""
         script = Script()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -79,6 +79,19 @@
 
         self.play("net-bad-input", scene)
 
+    def test_a_command_that_does_not_go_on_is_cut(self):
+        """Guards against a client that waits inside a command: it is owed an error, and its descriptor is."""
+        async def scene(town: Town) -> None:
+            one, two = await town.client(), await town.client()
+            one.say(read("slow"))
+            two.say("ms k 50 O1 Pc=put,k=7\r\nshort\r\n")
+            await one.hear()  # however slow the answer is, nothing is unfinished there
+            await two.hear(2)
+            await one.ask(read("hit", "2"))
+            town.codes("client")
+
+        self.play("net-unfinished", scene, serve={"unfinished_ms": 100})
+
     def test_new_settings_are_taken_while_serving(self):
         """Guards against a signal that ends the node, a faulty file that is taken, a list followed no more."""
         async def scene(town: Town) -> None:
