One timer runs what is due: one that came late to its tick could not be cancelled

Seen while reading Service.fall_due again: it set the timer to what the tick returned, nothing, after the tick had set the next one. That one ran on beside its successors, which cost ticks.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -109,7 +109,10 @@
         """Guards against a late loop, which runs timers first: what waits in the sockets is read before
         anything is held to be overdue. One pass of the loop brings it in, the next one hands it on.
         """
-        self.timer = self.loop.call_soon(self.fall_due, passes - 1) if passes else self.tick()
+        if passes:
+            self.timer = self.loop.call_soon(self.fall_due, passes - 1)
+        else:
+            self.tick()
 
     def tick(self) -> None:
         self.nudged = False
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -92,6 +92,15 @@
 
         self.play("net-unfinished", scene, serve={"unfinished_ms": 100})
 
+    def test_one_timer_runs_what_is_due(self):
+        """Guards against timers that nobody can cancel: each lives on, and they add up."""
+        async def scene(town: Town) -> None:
+            await (await town.client()).ask(read("hit"))
+            await asyncio.sleep(0.3)  # the last tick came by the timer
+            town.note(f"one timer is held: {town.service.timer is not None}")
+
+        self.play("net-timer", scene)
+
     def test_new_settings_are_taken_while_serving(self):
         """Guards against a signal that ends the node, a faulty file that is taken, a list followed no more."""
         async def scene(town: Town) -> None:
