Clients that ask once and keep their connection leave room for others to ask

A count of clients' connections by state showed 128 that had asked once and were kept, a third of the descriptors, which is all that clients may hold for requests; Clients.has_room closed free ones at the node's own cap only. Now those that have asked and have nothing open are closed beyond a sixth of the descriptors, the longest free first.

--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -140,6 +140,7 @@
 
     connections: int  # of both sides together
     clients: int
+    kept: int  # of clients that have asked and have nothing open: the longest free are closed beyond it
     upstreams: int  # what is never taken by clients; more where they leave it
     txs: int
 
@@ -148,7 +149,7 @@
         usable, room = sockets - RESERVED, int((memory_mb - INTERPRETER_MB) * MIB)
         floor = usable // 4
         # Half of the memory for what clients have half written, half for values on their way back.
-        return cls(usable, min(usable - floor, room // 2 // (BUFFER + 65_536)), floor,
+        return cls(usable, min(usable - floor, room // 2 // (BUFFER + 65_536)), sockets // 6, floor,
                    room // 2 // (2 * 65_536))
 
 
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -112,6 +112,7 @@
 
     def take(self, command: meta.Command) -> None:
         self.count += 1
+        self.house.free.pop(self, None)
         slot = Slot()
         self.slots.append(slot)
         if command.verb == b"mn":
@@ -136,6 +137,8 @@
                 self.house.done(self.slots.popleft())
                 self.used = self.house.clock()
                 self.room.set()
+            if not self.slots:
+                self.house.rest(self)
         except OSError:
             if self.writer is self.reader:
                 raise
@@ -167,6 +170,7 @@
             self.house.done(slot)
         self.stream.close()
         self.house.clients.discard(self)
+        self.house.free.pop(self, None)
         self.house.listen()
         age = (self.house.clock() - self.since) // 1000
         self.house.log.ended("client", self.peer, self.code, n=self.count, ms=age)
@@ -181,6 +185,7 @@
         self.door, self.upstream, self.buffers, self.log, self.clock = door, upstream, buffers, log, clock
         self.configure(names, profiles, caps)
         self.clients: set[Client] = set()
+        self.free: dict[Client, None] = {}  # that have asked and have nothing open, the longest free first
         self.tasks: set[asyncio.Task] = set()
         self.open_ids: set[bytes] = set()
         self.closing = False
@@ -242,6 +247,19 @@
             min(free, key=lambda one: one.used).close("evicted")
         return bool(free)
 
+    def rest(self, client: Client) -> None:
+        """All that it asked is answered.
+
+        Guards against clients that ask once and keep their connection: who sits before the nodes has a limited
+        number for requests, and with all of them held there is none left to ask on.
+        """
+        if not client.ending and not client.code:
+            self.free[client] = None
+        while len(self.free) > self.caps.kept:
+            longest = next(iter(self.free))
+            del self.free[longest]
+            longest.close("kept-long")
+
     def sweep(self, longest: Micros) -> None:
         """Guards against clients that stop in the middle of a command and keep their descriptor."""
         for client in self.clients:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -170,6 +170,20 @@
 
         self.play("net-cap", scene, limits={"sockets": 64})
 
+    def test_clients_that_ask_once_do_not_hold_all_connections(self):
+        """Guards against connections kept for good: their number is limited, and none is left to ask on."""
+        async def scene(town: Town) -> None:
+            many = [await town.client() for _ in range(13)]
+            for one in many:
+                one.writer.write(b"mn\r\n")
+                await one.reader.readline()
+            await many[0].hear()  # the end, as it was free for longest
+            await many[12].ask("mn\r\n")
+            await asyncio.sleep(0.05)
+            town.codes("client")
+
+        self.play("net-kept", scene, limits={"sockets": 64})
+
     def test_a_connection_that_its_server_closed_is_not_used(self):
         """Guards against writing to a connection closed while idle: a reset that may have run."""
         async def scene(town: Town) -> None:
