A lost answer of the origin is asked for again, like one of a cache server

A print of what ended late showed half of it waiting for the origin up to the hard limit after a miss, and others waiting for such a fetch of their key; the origin was well (26 ms a fetch, 1 to 4 out). Ruled out: room at the origin, spoilt answers, servers down. Node.overdue looked at hops to cache servers only; now it looks at the origin's after three times the usual fetch.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -260,15 +260,15 @@
         if warmth(server, now, self.cold) < 1:
             server.sent.append(now)
         self.effects.append(model.Send(tx.id, server.id, tx.limit))
-        if server.kind != self.origin_kind:
-            self.at(now + max(self.goal // 4, 1.5 * self.expected(server, now)), self.overdue, tx.hops[-1])
+        wait = 3 * self.fetch if server.kind == self.origin_kind else 1.5 * self.expected(server, now)
+        self.at(now + max(self.goal // 4, wait), self.overdue, tx.hops[-1])
         return None
 
     def overdue(self, now: Micros, hop: Hop) -> None:
         """Guards against answers that get lost: what was sent half a hit's time later is answered."""
-        if hop.open and hop.tx.state is State.OUT and now < hop.tx.goal:
-            if hop.server.newest > hop.sent + hop.server.delay / 2:
-                self.spare += 0.5  # half the price: where later hops are answered it feeds no storm
+        if hop.open and hop is hop.tx.hops[-1] and now < hop.tx.goal and hop.tx.state is not State.WAITING:
+            if hop.server.newest > hop.sent + (hop.server.delay or self.fetch) / 2 and self.spare >= 0.5:
+                self.spare += 0.5 - (hop.tx.state is State.FETCHING)  # half the price: it feeds no storm
                 self.feed(now, hop.tx, In.AGAIN)
             else:
                 self.at(now + self.goal // 8, self.overdue, hop)
@@ -387,7 +387,7 @@
         if server.kind == self.origin_kind:
             if ended not in (Ended.CANCELLED, Ended.MALFORMED):
                 self.room.learn(end.elapsed, ended is Ended.COMMITTED, self.goal, len(server.out))
-                self.fetch = self.room.usual
+                self.fetch, server.newest = self.room.usual, max(server.newest, hop.sent)
             self.refill(now)
         else:
             self.judge(server, hop, ended, end.elapsed, end.note, now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -89,6 +89,17 @@
         script.wait(400)  # not to be repeated, however late
         self.check("lost-answer", script)
 
+    def test_a_lost_answer_of_the_origin_is_asked_for_again(self):
+        """Guards against a fetch that never ends, and all that wait for it."""
+        script = Script(origin=True, permits=model.Permits(hops=3, copies=True, cancel=True, probes=True))
+        for number, key in ((1, 7), (2, 8), (3, 9)):
+            script.tx(number, key=key, profile=JOURNALLED, write=True)
+            script.wait(60)
+        script.ends(1, 0, 99, Ended.COMMITTED, took=90)
+        script.ends(3, 0, 99, Ended.COMMITTED, took=50)
+        script.wait(300)
+        self.check("lost-fetch", script)
+
     def test_a_full_server_is_no_lesson_on_queues(self):
         """Guards against a penalty learnt as the queue that hits met: it grew with each server that was full."""
         script = Script(servers=2)
