--- a/saltmoor/agenda.py
+++ b/saltmoor/agenda.py
@@ -66,5 +66,5 @@
 
     def say(self, name: str, on: bool, figures: str) -> None:
         if (name in self.mode) != on:
-            self.mode.symmetric_difference_update((name,))
+            (self.mode.add if on else self.mode.remove)(name)
             self.effects.append(model.Log(f"{name} {'on' if on else 'off'}: {figures}"))
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -250,8 +250,8 @@
     def rest(self, client: Client) -> None:
         """All that it asked is answered.
 
-        Guards against clients that ask once and keep their connection: who sits before the nodes has a limited
-        number for requests, and with all of them held there is none left to ask on.
+        Guards against clients that ask once and keep their connection: who sits before the nodes has a
+        limited number for requests, and with all of them held there is none left to ask on.
         """
         if not client.ending and not client.code:
             self.free[client] = None
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -121,9 +121,10 @@
             code = "" if reader.clean else "closed"
             return reader.reply
         except asyncio.CancelledError:
-            code = "stopped" if self.clock() < until else "gave-up"
-            if code == "stopped":
+            if self.clock() < until:
+                code = "stopped"
                 raise
+            code = "gave-up"
             return meta.Reply(Ended.TIMED_OUT if written else Ended.NO_CONNECTION)
         except OSError:
             code = "reset"
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -142,7 +142,8 @@
     """A node on loopback sockets with one cache server, the origin and discovery, all scripted.
 
     A key says what the cache server does with it: hit, miss, busy, fail, cut (the connection ends), slow (an
-    answer after 150 ms), mute (none), refuse (the command is malformed), odd (an answer to something else). Every command it gets is noted.
+    answer after 150 ms), mute (none), refuse (the command is malformed), odd (an answer to something else).
+    Every command it gets is noted.
     """
 
     def __init__(self, **changed) -> None:
@@ -245,7 +246,7 @@
 
     async def second_discovery(self) -> str:
         """Another one; the first goes on, but has no news any more."""
-        self.silenced, self.news, self.asked = self.news, asyncio.Queue(), asyncio.Event()
+        self.silenced, self.news = self.news, asyncio.Queue()
         self.servers.append(await asyncio.start_server(self.discovery, "127.0.0.1", 0))
         return "127.0.0.1:%d" % self.servers[-1].sockets[0].getsockname()[1]
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -101,7 +101,7 @@
         self.check("lost-fetch", script)
 
     def test_a_full_server_is_no_lesson_on_queues(self):
-        """Guards against a penalty learnt as the queue that hits met: it grew with each server that was full."""
+        """Guards against a penalty learnt as the queue that hits met: it grew with each full server."""
         script = Script(servers=2)
         script.queue(2, 0)
         for number in range(1, 30, 2):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -102,7 +102,7 @@
         self.play("net-timer", scene)
 
     def test_new_settings_are_taken_while_serving(self):
-        """Guards against a signal that ends the node, a faulty file that is taken, a list followed no more."""
+        """Guards against a signal that ends the node, a faulty file taken, a list followed no more."""
         async def scene(town: Town) -> None:
             one, two = await town.client(), await town.second_discovery()
             one.say(read("slow", "1"))
@@ -120,8 +120,8 @@
             await asyncio.sleep(0.03)
             await one.ask(read("hit", "3"))
             town.codes("discovery")
-            town.note("; ".join(line for line in town.logged.getvalue().splitlines() if "configuration" in line)
-                      .replace(two, "the second"))
+            said = [line for line in town.logged.getvalue().splitlines() if "configuration" in line]
+            town.note("; ".join(said).replace(two, "the second"))
 
         self.play("net-reload", scene)
 
@@ -278,7 +278,7 @@
         self.check("net-answers", self)
 
     def test_what_comes_behind_or_ahead_of_an_answer_is_no_part_of_it(self):
-        """Guards against a value that holds its own second copy, and a good answer lost for noise behind it."""
+        """Guards against a value that holds its second copy, and a good answer lost for noise behind."""
         head, self.lines = "HTTP/1.1 200 OK\r\nContent-Length: ", []
         good, early = head + "4\r\n\r\nmade", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
         for text in (good, good + good, good + "\x01noise\r\n\r\n", early + good, early * 9 + good,
