Slow work is no lost answer: how long one may take is learnt from those that come

Node.overdue took a hop for lost that was out for 1.5 times its expected delay while one sent half a hit's time later was answered. Node.judge also forgave each time-out behind which anything had been answered, so a jam was noticed late.

Change: the multiple of the expected delay after which an answer counts as lost is learnt: one in 200 of the answers that come may come later (choice.Patience). A time-out sooner than that is a late one.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -19,6 +19,7 @@
 HELD_COLUMNS = ("held", "queue")  # the load figures that mean a queue, best first
 CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
 SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
+LATE_ANSWERS = 0.005  # of the answers that come: after them an answer counts as lost
 LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
 
 
@@ -73,6 +74,21 @@
             self.limit += 2 / self.limit if self.slowed else 1
 
 
+class Patience:
+    """How often its expected delay a hop is given before its answer counts as lost.
+
+    Guards against slow work taken for lost answers: where times vary widely, or a miss is fetched on the way,
+    what was sent later is often answered first. Of the answers that come at all few may come after that.
+    """
+
+    def __init__(self) -> None:
+        self.times = 1.5
+
+    def learn(self, hop: Hop, elapsed: Micros) -> None:
+        step = 0.1 if elapsed > hop.patience else -0.1 * LATE_ANSWERS / (1 - LATE_ANSWERS)
+        self.times = min(12.0, max(1.5, self.times * (1 + step)))
+
+
 class Node(Agenda):
 
     def __init__(self, seed: int, now: Micros, **settings) -> None:
@@ -82,7 +98,7 @@
         self.servers, self.caches, self.origins = {}, [], []
         self.ranks, self.fetches = {}, {}  # by key: its servers in order; who waits for its fetch
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
-        self.room = Room()
+        self.room, self.patience = Room(), Patience()
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hits, self.hops, self.rate, self.capacity = 0, 0, 0.0, 1.0  # hops to caches: now, a second; size
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
@@ -260,8 +276,11 @@
         if warmth(server, now, self.cold) < 1:
             server.sent.append(now)
         self.effects.append(model.Send(tx.id, server.id, tx.limit))
-        wait = 3 * self.fetch if server.kind == self.origin_kind else 1.5 * self.expected(server, now)
-        self.at(now + max(self.goal // 4, wait), self.overdue, tx.hops[-1])
+        # A fetch is no work of a cache server: copies of slow ones pay there, also where times vary widely.
+        wait = (3 * self.fetch if server.kind == self.origin_kind else
+                self.patience.times * self.expected(server, now))
+        tx.hops[-1].patience = max(self.goal // 4, int(wait))
+        self.at(now + tx.hops[-1].patience, self.overdue, tx.hops[-1])
         return None
 
     def overdue(self, now: Micros, hop: Hop) -> None:
@@ -422,8 +441,8 @@
             server.full, server.answered = self.goal, min(server.answered, now - self.fresh)
             return
         # A time-out tells of a long queue, not of a broken server: it counts as a long delay below, but where
-        # the server answered what was sent later: there it tells of a lost answer.
-        late = ended is Ended.TIMED_OUT and hop.sent >= server.newest
+        # the server answered what was sent later and the answer had its time: there it tells of a lost one.
+        late = ended is Ended.TIMED_OUT and (hop.sent >= server.newest or elapsed < hop.patience)
         failed = ended in (Ended.ERROR, Ended.UNKNOWN)
         server.bad += (failed - server.bad) * (0.1 if ended is Ended.UNKNOWN else 0.2)
         if failed and server.bad > 0.35 and now >= server.out_until:
@@ -446,6 +465,8 @@
             self.say("jam", self.strict < 0.7 + 0.2 * ("jam" in self.mode), f"admit_share={self.strict:.2f}")
         if ended is Ended.COMMITTED and note == 2:
             self.fetch += (max(0.0, elapsed - self.usual) - self.fetch) * 0.05
+        if ended is Ended.COMMITTED:
+            self.patience.learn(hop, elapsed)
         if late or (ended is Ended.COMMITTED and note <= 1):
             # Against a few very costly transactions: one says little of its server, several in a row much.
             elapsed = min(elapsed, 3 * max(server.delay, self.usual)) if self.usual else elapsed
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -287,6 +287,7 @@
     server: Server
     sent: Micros
     met: float  # the queue it was expected to meet
+    patience: Micros = 0  # after it its answer may be lost
     open: bool = True
     ended: Ended | None = None
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -89,6 +89,26 @@
         script.wait(400)  # not to be repeated, however late
         self.check("lost-answer", script)
 
+    def test_slow_work_is_no_lost_answer(self):
+        """Guards against slow work that is copied, and forgiven its time-out, as if its answer were lost."""
+        script = Script(permits=model.Permits(hops=3, copies=True, cancel=True, probes=True))
+        for number in range(1, 161, 2):
+            script.tx(number)
+            script.queue(1, 0)
+            script.served(number + 1, 1)  # overtakes it
+            script.wait(100 if number % 10 == 1 else 0)
+            script.ends(number, 0, 1, Ended.COMMITTED, took=150 if number % 10 == 1 else 50)
+        del script.lines[:-2]
+        script.note(f"waits {script.node.patience.times:.1f} times the expected delay")
+        script.tx(170)
+        script.wait(50)
+        script.served(171, 1)
+        script.wait(99)  # a lost answer would be asked for again here
+        delay = script.node.servers[1].delay
+        script.ends(170, 0, 1, Ended.TIMED_OUT, took=149)
+        script.note(f"its time-out tells of a long delay: {script.node.servers[1].delay > delay}")
+        self.check("slow-work", script)
+
     def test_a_lost_answer_of_the_origin_is_asked_for_again(self):
         """Guards against a fetch that never ends, and all that wait for it."""
         script = Script(origin=True, permits=model.Permits(hops=3, copies=True, cancel=True, probes=True))
