The lab: stand-ins, faults, open load, a ledger of the four rules, experiments and reports

Change: saltmoor/lab and `saltmoor lab` (list, run, compare, report, toy). Servers' work is computed in exact virtual time (station, lru), protocols are spoken a second time on real sockets, each node has ports of its own at each stand-in, load is drawn ahead and offered in open loop by processes of its own, and every rule is read off rows that clients and servers wrote. The daemon imports none of it; the command line is handed on before docopt sees it. examples/toy.py now starts the lab's stand-ins.

--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -5,6 +5,7 @@
   saltmoor check-config [--config=FILE]
   saltmoor ping [--timeout=SECONDS] ADDRESS
   saltmoor version
+  saltmoor lab ...
   saltmoor (-h | --help)
 
 Commands:
@@ -13,6 +14,7 @@
   check-config  read the configuration, name what is faulty, print what a node would make of it
   ping          ask the node at HOST:PORT whether it serves
   version       print the version
+  lab           stand-in servers, load and experiments; see saltmoor lab --help
 
 Options:
   --config=FILE      the configuration, JSON; otherwise ROUTER_CONFIG names it
@@ -68,6 +70,10 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    argv = sys.argv[1:] if argv is None else argv
+    if argv[:1] == ["lab"]:  # a command line of its own, and libraries that a node does not need
+        from saltmoor.lab.cli import main as lab
+        return lab(argv[1:])
     said = docopt(__doc__, argv)
     if said["version"]:
         print(f"saltmoor {saltmoor.__version__}")
--- /dev/null
+++ b/saltmoor/lab/cli.py
@@ -0,0 +1,159 @@
+"""saltmoor's lab: stand-in servers, load and experiments on loopback.
+
+Usage:
+  saltmoor lab list
+  saltmoor lab run SCENARIO [--seed=N] [--nodes=N] [--json=FILE] [--keep=DIR] [--capture=FILE]
+                   [--replay=FILE] [--build=BUILD]
+  saltmoor lab compare A B [--scenario=S] [--rounds=N] [--seed=N] [--json=FILE]
+  saltmoor lab report FILE... --html=FILE
+  saltmoor lab toy
+  saltmoor lab (-h | --help)
+
+SCENARIO is the name of one that comes with saltmoor, or a TOML file. A and B are checkouts of saltmoor, or
+JSON files that go over the configuration of this one's nodes.
+
+Options:
+  --seed=N        seeds all chance of the run [default: 1]
+  --nodes=N       so many nodes instead of the scenario's
+  --json=FILE     write figures, bounds and series there
+  --keep=DIR      keep books, logs and configurations in that folder
+  --capture=FILE  keep the run's arrivals, to be replayed
+  --replay=FILE   play these arrivals instead of drawn ones
+  --build=BUILD   measure that checkout or configuration
+  --scenario=S    what is compared [default: steady]
+  --rounds=N      how often each is played, in turn, each round with a seed of its own [default: 3]
+  --html=FILE     the page that is written
+
+The exit status is 0 if every bound held, 1 if one did not or the run was void, 2 for a faulty scenario.
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+from pathlib import Path
+
+import msgspec
+from docopt import docopt
+
+from saltmoor.lab import scenario as plan
+
+
+def number(said: dict, name: str, least: int = 0) -> int | None:
+    text = said[name]
+    if text is None:
+        return None
+    if not text.isdigit() or int(text) < least:
+        raise plan.Faulty(f"{name}: must be a whole number of at least {least}, is {text!r}")
+    return int(text)
+
+
+class Progress:
+    """One line that is written over on a terminal; elsewhere a line every ten seconds."""
+
+    def __init__(self) -> None:
+        self.last, self.live = "", sys.stderr.isatty()
+
+    def __call__(self, line: str) -> None:
+        if line == self.last:
+            return
+        self.last = line
+        if self.live:
+            print(f"\r{line}   ", end="", file=sys.stderr, flush=True)
+        elif int(line.split(": ")[1].split()[0]) % 10 == 0:
+            print(line, file=sys.stderr, flush=True)
+
+    def done(self) -> None:
+        if self.live and self.last:
+            print(file=sys.stderr)
+
+
+def listed() -> int:
+    for name in plan.shipped():
+        one = plan.load(name)
+        print(f"{name:18} {one.length_s:5.0f} s  {one.load.rate:6.0f}/s  {one.about}")
+    return 0
+
+
+def show(result) -> None:
+    print(f"{result.scenario}, seed {result.seed}, {result.build}")
+    for name, value in result.figures.items():
+        print(f"  {name:24} {value:>12}")
+    for line in result.breaches[:20]:
+        print(f"  breach: {line}")
+    for bound in result.bounds:
+        sign = "at least" if bound.least else "at most"
+        print(f"  {'held  ' if bound.held else 'BROKEN'} {bound.name} {sign} {bound.limit:g}: {bound.figure}")
+    for why in result.void:
+        print(f"  void: {why}")
+
+
+def run(said: dict) -> int:
+    from saltmoor.lab import experiment, nodes
+    scenario = plan.load(said["SCENARIO"])
+    if count := number(said, "--nodes", 1):
+        scenario = plan.check(msgspec.to_builtins(msgspec.structs.replace(
+            scenario, nodes=msgspec.structs.replace(scenario.nodes, count=count))))
+    if said["--replay"]:
+        scenario = msgspec.structs.replace(
+            scenario, load=msgspec.structs.replace(scenario.load, replay=said["--replay"]))
+    progress, build = Progress(), nodes.Build.named(said["--build"]) if said["--build"] else None
+    capture, keep = (Path(said[name]) if said[name] else None for name in ("--capture", "--keep"))
+    result = experiment.run(scenario, number(said, "--seed"), build=build, keep=keep, capture=capture,
+                            progress=progress)
+    progress.done()
+    show(result)
+    if said["--json"]:
+        Path(said["--json"]).write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1))
+    return 0 if result.held else 1
+
+
+def compare(said: dict) -> int:
+    """Two builds on the same seeds, in turn, with the spread between runs."""
+    from saltmoor.lab import experiment, nodes
+    scenario, rounds = plan.load(said["--scenario"]), number(said, "--rounds", 1)
+    builds = [nodes.Build.named(said[name]) for name in ("A", "B")]
+    results, progress, held = ([], []), Progress(), True
+    for turn in range(rounds):
+        seed = number(said, "--seed") + turn
+        order = (0, 1) if turn % 2 == 0 else (1, 0)  # neither is always the first on a machine that drifts
+        for which in order:
+            results[which].append(experiment.run(scenario, seed, build=builds[which], progress=progress))
+            if results[which][-1].void:
+                print(f"void, {builds[which].name}, seed {seed}: {results[which][-1].void[0]}")
+    progress.done()
+    pairs = [(a, b) for a, b in zip(*results) if not a.void and not b.void]
+    print(f"{scenario.name}: {len(pairs)} of {rounds} rounds count; A {builds[0].name}, B {builds[1].name}")
+    print(f"  {'figure':24} {'A':>10} {'B':>10} {'B - A':>10} {'spread':>10}")
+    for name in pairs[0][0].figures if pairs else ():
+        a, b = ([float(one.figures.get(name, 0)) for one in side] for side in zip(*pairs))
+        gaps = [two - one for one, two in zip(a, b)]
+        spread = statistics.stdev(gaps) if len(gaps) > 1 else 0.0
+        means = f"{statistics.mean(a):10.4g} {statistics.mean(b):10.4g} {statistics.mean(gaps):+10.3g}"
+        print(f"  {name:24} {means} {spread:10.3g}")
+        held = held and not (name == "breaches" and any(b))
+    if said["--json"]:
+        Path(said["--json"]).write_bytes(msgspec.json.encode({"A": results[0], "B": results[1]}))
+    return 0 if pairs and held else 1
+
+
+def main(argv: list[str]) -> int:
+    said = docopt(__doc__, ["lab", *argv])
+    try:
+        if said["list"]:
+            return listed()
+        if said["compare"]:
+            return compare(said)
+        if said["report"]:
+            from saltmoor.lab import report
+            return report.write([Path(one) for one in said["FILE"]], Path(said["--html"]))
+        if said["toy"]:
+            from saltmoor.lab import toy
+            return toy.main()
+        return run(said)
+    except plan.Faulty as error:
+        print(f"saltmoor lab: {error}", file=sys.stderr)
+        return 2
+    except ImportError as error:
+        print(f"saltmoor lab: {error.name} is missing; install saltmoor[lab]", file=sys.stderr)
+        return 1
--- /dev/null
+++ b/saltmoor/lab/ledger.py
@@ -0,0 +1,257 @@
+"""Owns the four rules as seen from outside: it reads what clients and servers wrote, and names each breach.
+
+It shares no code with the node that it checks, knows nothing of its decisions, and takes no word of its own
+for anything. Figures of service are counted here too, as they stand on the same rows.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from saltmoor.lab.scenario import Scenario
+
+SLACK = 50_000  # each time limit is so much longer on sockets
+NOT_RUN = ("busy", "miss")
+
+
+@dataclass(slots=True)
+class Breach:
+    rule: int  # 1 lost, 2 twice, 3 drains, 4 cold; 0: the protocol itself
+    tx: str  # the id, or the server where there is none
+    what: str
+
+    def __str__(self) -> str:
+        return f"rule {self.rule} {self.tx}: {self.what}"
+
+
+@dataclass(slots=True)
+class Got:
+    """A command at a server: when its first and last byte came, and what was said to it."""
+
+    first: int
+    last: int
+    server: str
+    node: int
+    write: bool
+    mark: str
+    told: str = ""
+    told_at: int = 0
+
+    def may_have_run(self, until: int) -> bool:
+        """As far as the node could know by then: only a word that it was not taken says so."""
+        return not (self.told in NOT_RUN and self.told_at <= until)
+
+
+@dataclass(slots=True)
+class Asked:
+    """A client's try: when its last byte was written, and all that came back."""
+
+    id: str
+    at: int
+    tx: int
+    node: int
+    profile: str
+    mark: str
+    wait: int
+    times: int = 1  # written so often: once more where its connection was closed in between
+    replies: list[tuple[int, str, int, int, int]] = field(default_factory=list)
+    sent: list[int] = field(default_factory=list)  # when it was written, each time
+    ended: list[int] = field(default_factory=list)  # when its connection ended with no answer, each time
+    spoilt: int = 0
+    left: int = 0
+    gots: list[Got] = field(default_factory=list)
+
+
+class Ledger:
+    def __init__(self, scenario: Scenario, rows: list[list]) -> None:
+        self.scenario, self.breaches = scenario, []
+        self.profiles = {one.name: one for one in scenario.profile}
+        self.asked: dict[str, Asked] = {}
+        self.gots: dict[str, list[Got]] = defaultdict(list)
+        self.told: dict[str, set[tuple[str, int]]] = defaultdict(set)
+        self.ran: dict[str, list[tuple[int, str]]] = defaultdict(list)  # by mark or id: when, for which id
+        self.listed: list[tuple[int, int, str, str]] = []
+        self.nodes: dict[int, list[tuple[int, str]]] = defaultdict(list)
+        self.extra: list[tuple[int, str, int]] = []
+        self.life: list[tuple[int, str, str]] = []
+        self.marks: list[tuple[int, str]] = []
+        self.samples: list[tuple[int, dict]] = []
+        self.bad: list[tuple[int, str, int, str]] = []
+        self.unanswered: list[str] = []
+        for row in sorted((row for row in rows if row[0] not in ("late", "rude")), key=lambda row: row[1]):
+            getattr(self, "_" + row[0])(*row[1:])
+        for ident, asked in self.asked.items():
+            asked.gots = self.gots.get(ident, [])
+
+    # Rows, in the order of their times.
+
+    def _ask(self, at, ident, tx, node, conn, verb, key, profile, mark, wait) -> None:
+        if ident in self.asked:
+            self.asked[ident].times += 1  # on a new connection, as the one before was closed unread
+            self.asked[ident].at = at
+            self.asked[ident].sent.append(at)
+        else:
+            self.asked[ident] = Asked(ident, at, tx, node, profile, mark, wait, sent=[at])
+
+    def _reply(self, at, ident, how, crc, length, hint) -> None:
+        self.asked[ident].replies.append((at, how, crc, length, hint))
+
+    def _spoilt(self, at, ident) -> None:
+        self.asked[ident].spoilt = at
+
+    def _end(self, at, ident, conn, sent) -> None:
+        if ident in self.asked:
+            self.asked[ident].ended.append(at)
+
+    def _left(self, at, ident) -> None:
+        if ident in self.asked:
+            self.asked[ident].left = at
+
+    def _extra(self, at, ident, node, size) -> None:
+        self.extra.append((at, ident, size))
+
+    def _got(self, first, last, server, node, ident, verb, key, mark, conn) -> None:
+        self.gots[ident].append(Got(first, last, server, node, verb in ("ms", "PUT"), mark))
+
+    def _told(self, at, server, ident, what, crc) -> None:
+        self.told[ident].add((what, crc))
+        for got in reversed(self.gots[ident]):
+            if got.server == server and not got.told:
+                got.told, got.told_at = what, at
+                break
+
+    def _ran(self, at, place, ident, mark, key) -> None:
+        self.ran[mark or ident].append((at, ident))
+
+    def _listed(self, at, node, server, state) -> None:
+        self.listed.append((at, node, server, state))
+
+    def _bad(self, at, server, node, text) -> None:
+        self.bad.append((at, server, node, text))
+
+    def _life(self, at, server, what) -> None:
+        self.life.append((at, server, what))
+
+    def _node(self, at, node, what, code) -> None:
+        self.nodes[node].append((at, what))
+
+    def _sample(self, at, figures) -> None:
+        self.samples.append((at, figures))
+
+    def _mark(self, at, what) -> None:
+        self.marks.append((at, what))
+
+    # The rules.
+
+    def check(self) -> list[Breach]:
+        for at, server, node, text in self.bad:
+            self.breach(0, server, f"node {node} sent what no client sends: {text!r}")
+        for at, ident, size in self.extra:
+            self.breach(1, ident, f"{size} bytes came behind its answer, with nothing open")
+        for asked in self.asked.values():
+            self.answered(asked)
+            self.repeated(asked)
+        self.effects()
+        self.drains()
+        for at, server, what in self.life:
+            if what == "fell":
+                self.breach(4, server, "was pushed over while it was cold")
+        for node, events in self.nodes.items():
+            for at, what in events:
+                if what == "crashed":
+                    self.breach(1, f"node {node}", "ended by itself")
+        return self.breaches
+
+    def breach(self, rule: int, tx: str, what: str) -> None:
+        self.breaches.append(Breach(rule, tx, what))
+
+    def killed(self, node: int, since: int, until: int) -> bool:
+        """Whether the node was killed outright in that time: what it held is its clients' to retry."""
+        return any(what == "killed" and since - SLACK <= at <= until for at, what in self.nodes[node])
+
+    def answered(self, asked: Asked) -> None:
+        """Rule 1: one final answer, whole, made for it, before its limit."""
+        limit = asked.at + asked.wait + SLACK
+        for sent, ended in zip(asked.sent, asked.ended):
+            if any(sent <= got.first <= ended for got in asked.gots) and not self.killed(asked.node, sent, ended):
+                self.breach(1, asked.id, "its connection ended with no answer, after it was sent on")
+        if len(asked.replies) > 1:
+            self.breach(1, asked.id, f"{len(asked.replies)} answers")
+        for at, how, crc, length, _ in asked.replies[:1]:
+            if how == "odd":
+                self.breach(1, asked.id, "an answer that is none to it")
+            elif how == "served" and self.told[asked.id].isdisjoint({("value", crc), ("receipt", crc)}):
+                self.breach(1, asked.id, f"served with {length} bytes that no server made for it")
+            if at > limit:
+                self.unanswered.append(asked.id)
+        if asked.replies:
+            return
+        if self.killed(asked.node, asked.at, limit + SLACK):
+            return
+        if asked.spoilt:
+            self.breach(1, asked.id, "its answer ended before it was whole")
+        else:  # a connection that is closed before the command on it is read has failed it, and lost nothing
+            self.unanswered.append(asked.id)
+
+    def repeated(self, asked: Asked) -> None:
+        """Rule 2, by what was sent and what was said."""
+        profile = self.profiles[asked.profile]
+        hops = asked.gots
+        if len(hops) > self.scenario.nodes.hops + (asked.times - 1) * self.scenario.nodes.hops:
+            self.breach(2, asked.id, f"{len(hops)} hops")
+        if profile.repeat == "idempotent":
+            return
+        for i, hop in enumerate(hops[1:], 1):
+            before = [one for one in hops[:i] if one.may_have_run(hop.first)]
+            if not before:
+                continue
+            if profile.repeat == "non-idempotent":
+                self.breach(2, asked.id, f"sent to {hop.server} though it may have run at {before[0].server}")
+            elif hop.first > before[0].first + profile.window_ms * 1000 + SLACK:
+                late = (hop.first - before[0].last) // 1000
+                self.breach(2, asked.id,
+                            f"sent to {hop.server} {late} ms after {before[0].server}, past its window")
+        if profile.repeat == "non-idempotent" and asked.replies and asked.replies[0][1] == "refused":
+            if any(hop.may_have_run(asked.replies[0][0]) for hop in hops):
+                self.breach(2, asked.id, "refused as harmless to try again though it may have run")
+
+    def effects(self) -> None:
+        """Rule 2, by what happened."""
+        for mark, ran in self.ran.items():
+            for (_, first), (_, second) in zip(ran, ran[1:]):
+                one = self.asked.get(first)
+                if first == second:
+                    self.breach(2, first, "its effect happened twice")
+                elif one and one.replies and one.replies[0][1] == "refused":
+                    self.breach(2, first, f"refused after its effect, which {second} repeated")
+
+    def drains(self) -> None:
+        """Rule 3: nothing new later than the grace after a node was told."""
+        grace = self.scenario.discovery.grace_ms * 1000 + SLACK
+        told: dict[tuple[int, str], list[tuple[int, bool]]] = defaultdict(list)
+        for at, node, server, state in self.listed:
+            if server:
+                told[node, server].append((at, state == "up"))
+                continue
+            named = set(state.split()[1:])
+            for (other, one), says in told.items():
+                if other == node and one not in named and says[-1][1]:
+                    says.append((at, False))
+        for ident, gots in self.gots.items():
+            for got in gots:
+                since = 0
+                for at, up in told.get((got.node, got.server), ()):
+                    if at > got.first:
+                        break
+                    since = 0 if up else since or at
+                # What an earlier process of this node was told, the present one may not know.
+                starts = [at for at, what in self.nodes[got.node] if what == "ready" and at <= got.first]
+                ready = max(starts, default=0)
+                if since and max(since, ready) + grace < got.first and since >= ready:
+                    late = (got.first - since) // 1000
+                    self.breach(3, ident, f"sent to {got.server} {late} ms after node {got.node} was told")
+
+
+def counted(breaches: list[Breach]) -> Counter[int]:
+    return Counter(breach.rule for breach in breaches)
--- /dev/null
+++ b/saltmoor/lab/nodes.py
@@ -0,0 +1,235 @@
+"""Owns the real nodes of a run: their configuration, their processes, signals and restarts, what they use.
+
+A node is started by the same command as anywhere else, from this checkout or another one; nothing here speaks
+to it but `mn`, to see that it serves.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from saltmoor.lab import scenario as plan
+from saltmoor.lab.book import Book, clock
+from saltmoor.lab.wire import HOST
+
+READY_WITHIN = 15.0
+REPEATS = {"idempotent": "idempotent", "journalled": "deduplicated", "non-idempotent": "at_most_once"}
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(slots=True, frozen=True)
+class Build:
+    """Which program is measured: a checkout, and what its configuration gets on top."""
+
+    name: str
+    folder: Path
+    overlay: dict[str, Any] = field(default_factory=dict)
+
+    @classmethod
+    def named(cls, name: str) -> Build:
+        """A folder with a checkout, or a JSON file that goes over this one's configuration."""
+        here, path = Path(__file__).resolve().parents[2], Path(name)
+        if path.is_dir() and (path / "saltmoor").is_dir():
+            return cls(name, path.resolve())
+        try:
+            return cls(name, here, json.loads(path.read_text()))
+        except (OSError, ValueError) as error:
+            raise plan.Faulty(f"{name}: neither a checkout nor a JSON configuration ({error})") from None
+
+
+def merged(under: Any, over: Any) -> Any:
+    if not isinstance(under, dict) or not isinstance(over, dict):
+        return over
+    return under | {name: merged(under.get(name), value) for name, value in over.items()}
+
+
+def settings(scenario: plan.Scenario, node: int) -> dict[str, Any]:
+    """The settings object of a node, in the operators' names: times in nanoseconds."""
+    may, cold, fleet = scenario.nodes, scenario.cold, scenario.fleet
+    kinds = [kind.name for kind in fleet.kind or [plan.Kind(name="std")]]
+    return {
+        "classes": [{"name": one.name, "aim_ns": int(one.goal_ms * 1e6), "deadline_ns": int(one.limit_ms * 1e6),
+                     "repeat": REPEATS[one.repeat], "group": "all", "key_ttl_ns": int(one.window_ms * 1e6),
+                     "worth": one.revenue} for one in scenario.profile],
+        "tenants": [{"name": one.name, "quota_per_s": one.quota_per_s or scenario.load.rate * 2}
+                    for one in scenario.tenant],
+        "azs": fleet.sites, "kinds": [*kinds, "origin"], "fleet_size": may.count,
+        "locality": node % len(fleet.sites), "membership_mode": "subscribe",
+        "family_info": {"mode": fleet.mode, "origin_kind": len(kinds)},
+        "report": {"how": "on_probe", "columns": fleet.report},
+        "permissions": {"max_attempts": may.hops, "may_duplicate": may.copies, "cancel": may.cancel,
+                        "probes": may.probes, "retry_after": may.hint_ms > 0,
+                        "max_retry_after_ns": int(may.hint_ms * 1e6), "conn_idle_ns": int(fleet.idle_s * 1e9),
+                        "connect_timeout_ns": 250_000_000},
+        "rules": {"ask_within_ns": int(scenario.discovery.within_s * 1e9), "cold_from": cold.share,
+                  "cold_ns": int(cold.warm_s * 1e9), "overload_factor": cold.multiple,
+                  "fall_ns": int(cold.window_s * 1e9),
+                  "stop_sending_within_ns": int(scenario.discovery.grace_ms * 1e6)}}
+
+
+class Node:
+    """One node's process, and the next one after it."""
+
+    def __init__(self, number: int, scenario: plan.Scenario, build: Build, run: Path, book: Book,
+                 seed: int) -> None:
+        self.number, self.scenario, self.build, self.run, self.book = number, scenario, build, run, book
+        self.seed, self.starts, self.process, self.wanted = seed, 0, None, True
+        with socket.create_server((HOST, 0)) as sock:
+            self.port = sock.getsockname()[1]
+        self.file = run / f"node{number}.json"
+        self.cpu_s, self.cpu_most, self.memory_mb, self.descriptors = 0.0, 0.0, 0.0, 0
+        self.before: tuple[float, float] | None = None  # CPU seconds, and when; `window`: a second ago
+        self.window = (0.0, 0.0)
+
+    def configure(self, discovery: str, known: dict[str, Any]) -> None:
+        limits = self.scenario.nodes
+        said = {"name": f"n{self.number}", "listen": f"{HOST}:{self.port}", "discovery": discovery,
+                "seed": f"{self.seed * 1000 + self.number * 10 + self.starts:016x}",
+                "limits": {"memory_mb": limits.memory_mb, "sockets": limits.sockets}, "known": known,
+                "serve": {"linger_ms": limits.linger_ms}, "settings": settings(self.scenario, self.number)}
+        self.file.write_text(json.dumps(merged(said, self.build.overlay)))
+
+    def start(self) -> None:
+        self.starts += 1
+        self.before = None
+        log = (self.run / f"node{self.number}.log").open("ab")
+        self.process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "saltmoor", "serve", f"--config={self.file}"], cwd=self.build.folder,
+            env=os.environ | {"PYTHONPATH": str(self.build.folder)}, stdout=log, stderr=log,
+            stdin=subprocess.DEVNULL)
+        log.close()
+
+    def ready(self) -> bool:
+        """Wait until it serves."""
+        end = time.monotonic() + READY_WITHIN
+        while time.monotonic() < end and self.process.poll() is None:
+            try:
+                with socket.create_connection((HOST, self.port), 0.5) as sock:
+                    sock.sendall(b"mn\r\n")
+                    if sock.recv(16).startswith(b"MN"):
+                        self.book.note("node", clock(), self.number, "ready", 0)
+                        return True
+            except OSError:
+                time.sleep(0.02)
+        return False
+
+    def signal(self, number: signal.Signals, what: str) -> None:
+        self.book.note("node", clock(), self.number, what, int(number))
+        self.process.send_signal(number)
+
+    def look(self) -> None:
+        """Note what it uses; also whether it is gone without having been asked."""
+        if self.process.poll() is not None:
+            if self.wanted:
+                self.wanted = False
+                self.book.note("node", clock(), self.number, "crashed", self.process.returncode)
+            return
+        place = Path("/proc") / str(self.process.pid)
+        try:
+            fields = (place / "stat").read_text().rpartition(")")[2].split()
+            memory = int((place / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
+            count = len(os.listdir(place / "fd"))
+        except OSError:
+            return
+        used, now = (int(fields[11]) + int(fields[12])) / TICKS, time.monotonic()
+        if self.before is None:
+            self.before = self.window = used, now
+        self.cpu_s += used - self.before[0]
+        self.before = used, now
+        if now - self.window[1] >= 1:
+            self.cpu_most = max(self.cpu_most, round((used - self.window[0]) / (now - self.window[1]), 2))
+            self.window = used, now
+        self.memory_mb, self.descriptors = max(self.memory_mb, round(memory, 1)), max(self.descriptors, count)
+
+    def restart(self, how: str, away: float, known) -> None:
+        """Kill it or ask it to end, and start it again after so many seconds; runs in a thread of its own."""
+        self.wanted = False
+        self.look()
+        if how == "kill":
+            self.signal(signal.SIGKILL, "killed")
+        else:
+            self.signal(signal.SIGTERM, "termed")
+        try:
+            code = self.process.wait(20)
+            self.book.note("node", clock(), self.number, "exited", code)
+        except subprocess.TimeoutExpired:
+            self.book.note("node", clock(), self.number, "crashed", 0)  # it did not end in time
+            self.process.kill()
+            self.process.wait()
+        time.sleep(away)
+        said = json.loads(self.file.read_text())
+        self.configure(said["discovery"], known(self.number))
+        self.start()
+        if self.ready():
+            self.wanted = True
+        else:
+            self.book.note("node", clock(), self.number, "crashed", 0)
+
+    def reload(self) -> None:
+        """Its configuration is written anew, and it is told so."""
+        said = json.loads(self.file.read_text())
+        said["serve"]["log_lines_per_s"] = said["serve"].get("log_lines_per_s", 50) + 1
+        self.file.write_text(json.dumps(said))
+        self.signal(signal.SIGHUP, "hup")
+
+    def end(self) -> None:
+        self.wanted = False
+        if self.process and self.process.poll() is None:
+            self.process.terminate()
+            try:
+                self.process.wait(15)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+                self.process.wait()
+
+    def used(self) -> dict[str, Any]:
+        return {"cpu_s": self.cpu_s, "cpu_most": self.cpu_most, "memory_mb": self.memory_mb,
+                "descriptors": self.descriptors}
+
+
+class Keeper(threading.Thread):
+    """Looks at the nodes twice a second and carries out their faults while a run goes on."""
+
+    def __init__(self, nodes: list[Node], faults: list[plan.Fault], begin: int, known) -> None:
+        super().__init__(daemon=True)
+        self.nodes, self.begin, self.known, self.over = nodes, begin, known, threading.Event()
+        self.due = sorted((fault for fault in faults if fault.on == "node"), key=lambda fault: fault.at_s)
+        self.threads: list[threading.Thread] = []
+
+    def run(self) -> None:
+        while not self.over.wait(0.02 if self.due else 0.25):
+            now = (clock() - self.begin) / 1e6
+            while self.due and self.due[0].at_s <= now:
+                fault = self.due.pop(0)
+                for number in fault.which or range(max(1, round(fault.part * len(self.nodes)))):
+                    self.strike(self.nodes[number], fault)
+            if not self.threads or int(now * 50) % 12 == 0:
+                for node in self.nodes:
+                    node.look()
+
+    def strike(self, node: Node, fault: plan.Fault) -> None:
+        if fault.kind == "hup":
+            node.reload()
+            return
+        thread = threading.Thread(target=node.restart, daemon=True,
+                                  args=(fault.kind, fault.for_s or 0.5, self.known))
+        self.threads.append(thread)
+        thread.start()
+
+    def stop(self) -> None:
+        self.over.set()
+        self.join()
+        for thread in self.threads:
+            thread.join(30)
+        for node in self.nodes:
+            node.look()
