A new connection closes a free one beyond a sixth at once; others only after half a second

With free connections kept for half a second, clients that ask once and keep their connection held the third of the descriptors that clients may have.

Change: Clients.trim runs with no delay when a connection is accepted, with half a second otherwise; what holds something unread is never closed. Tests of turning away before any hop, of turns, of what the kernel knows of unread bytes, and of the ledger's exemption for killed nodes.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -256,6 +256,7 @@
             self.clients.add(Client(self, Stream(sock, self.buffers), f"{peer[0]}:{peer[1]}"))
         except OSError:
             sock.close()
+        self.trim(0)
 
     def has_room(self) -> bool:
         """Whether one more may be taken; at the cap the connection that is free longest makes room."""
@@ -281,15 +282,18 @@
         """
         if not client.ending and not client.code:
             self.free[client] = None
-        self.trim()
+        self.trim(KEPT)
 
-    def trim(self) -> None:
-        """Close what has been free for longest, beyond the number that may be kept."""
+    def trim(self, since: Micros) -> None:
+        """Close what has been free for longest, and at least so long, beyond the number that may be kept.
+
+        Guards against closing under a client that is about to ask, which then has to connect again: a new
+        connection makes room for itself at once, otherwise only what was free for a while goes; never what
+        holds something unread.
+        """
         while len(self.free) > self.caps.kept:
             longest = next(iter(self.free))
-            # Guards against closing under a client that is about to ask, which then has to connect again: only
-            # what has been free for a while, and holds nothing unread, goes.
-            if longest.used > self.clock() - KEPT:
+            if longest.used > self.clock() - since:
                 return
             del self.free[longest]
             if longest.stream.quiet():
@@ -297,7 +301,7 @@
 
     def sweep(self, longest: Micros) -> None:
         """Guards against clients that stop in the middle of a command and keep their descriptor."""
-        self.trim()
+        self.trim(KEPT)
         for client in self.clients:
             if client.began and client.began < self.clock() - longest and not client.ending:
                 client.began = 0
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,6 +14,7 @@
 
 from saltmoor.lab import arrivals, cli, experiment, figures, report, scenario as plan
 from saltmoor.lab.book import Book
+from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.lru import Lru
 from saltmoor.lab.nodes import Build, settings
 from saltmoor.lab.station import Station, Warming
@@ -155,6 +156,24 @@
             lines += [f"{plant}: {'each named' if named else 'not named'}", *(f"   {kind}" for kind in kinds)]
         self.compare("lab-planted", lines)
 
+    def test_what_a_killed_node_held_is_its_clients_to_ask_again(self):
+        """The same rows with the kill and without it: no breach, and each rule that is broken then."""
+        scenario, lines = plan.check(SMALL), []
+        rows = [["node", 0, 0, "ready", 0],
+                ["ask", 100_000, "a1", 0, 0, 7, "ms", "k", "once", "", 500_000],
+                ["got", 101_000, 101_000, "origin", 0, "a1", "PUT", "k", "", 1],
+                ["ran", 105_000, "origin", "a1", "", "k"],
+                ["end", 110_000, "a1", 7, 3],
+                ["ask", 111_000, "a1", 0, 1, 8, "ms", "k", "once", "", 500_000],
+                ["got", 112_000, 112_000, "origin", 1, "a1", "PUT", "k", "", 2],
+                ["ran", 116_000, "origin", "a1", "", "k"],
+                ["told", 117_000, "origin", "a1", "receipt", 5],
+                ["reply", 118_000, "a1", "served", 5, 2, 0]]
+        for what, more in (("killed", [["node", 109_000, 0, "killed", 9]]), ("not killed", [])):
+            lines.append(what)
+            lines += [f"   {one}" for one in Ledger(scenario, rows + more).check()]
+        self.compare("lab-killed", lines)
+
     def test_faulty_scenarios_name_the_key(self):
         lines = []
         for path, value in (("fleet.servers", 0), ("fleet.colour", 1),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -184,6 +184,57 @@
 
         self.play("net-kept", scene, limits={"sockets": 64})
 
+    def test_a_crowded_node_turns_away_before_any_hop(self):
+        """Guards against work done for what cannot be served: no hop, an answer at once, other commands go on."""
+        async def scene(town: Town) -> None:
+            one, gate = await town.client(), town.service.door.gate
+            await one.ask(read("hit"))
+            gate.limit, gate.budget, gate.filled = 20.0, 0.0, 1 << 60  # nothing may be taken
+            await one.ask(read("hit", "2"))
+            await one.ask(write("farm", tag="3"))
+            await one.ask("mn\r\n")
+            gate.limit = 0.0
+            await one.ask(read("hit", "4"))
+
+        self.play("net-crowded", scene)
+
+    def test_paced_connections_take_turns(self):
+        """Guards against a core that only reads: who may not be read from yet keeps what it said, in order."""
+        async def scene(town: Town) -> None:
+            first, second, clients = await town.client(), await town.client(), town.service.clients
+            await first.ask("mn\r\n")
+            await second.ask("mn\r\n")
+            town.service.door.ran = lambda late, passed: 0.0
+            await asyncio.sleep(0.02)
+            for one in first, second:  # the read that each had begun already
+                await one.ask(read("hit"))
+            first.say(read("hit", "3"))
+            second.say(read("hit", "4"))
+            await asyncio.sleep(0.05)
+            town.note(f"waiting for their turn: {len(clients.turns)}")
+            clients.pace(1.0)
+            await first.hear()
+            town.service.door.ran = lambda late, passed: None  # no limit any more
+            await second.hear()
+
+        self.play("net-paced", scene)
+
+    def test_a_command_that_stood_unread_is_told_so(self):
+        """Guards against work for a client whose time went by in the socket, as the kernel can tell."""
+        async def scene(town: Town) -> None:
+            one, gate, clients = await town.client(), town.service.door.gate, town.service.clients
+            await one.ask(read("hit"))
+            gate.limit, gate.budget, gate.filled = 1000.0, 50.0, 0
+            asked = town.service.door.turned_away
+            town.note(f"unread for 300 of 900 ms: taken {asked(0, None, False, 300_000, 900_000) is None}")
+            town.note(f"unread for 500 of 900 ms: taken {asked(0, None, False, 500_000, 900_000) is None}")
+            gate.limit = 0.0
+            client = next(iter(clients.clients))
+            await asyncio.sleep(0.05)
+            town.note(f"the kernel knows: {client.stream.waited() >= 40_000}")
+
+        self.play("net-unread", scene)
+
     def test_a_connection_that_its_server_closed_is_not_used(self):
         """Guards against writing to a connection closed while idle: a reset that may have run."""
         async def scene(town: Town) -> None:
