Tidy the lab: one place that keeps a copy, no dead code, no world that is not there yet

Seen on reading the change again: a copy's size was reckoned in three places beside the constant for it, two figures were kept that nobody reads, and a scenario could say `world = "virtual"` and would have been played on loopback without a word.

Change: CacheServer.keep; the unread figures go; another world is a faulty scenario until it exists. The node is untouched.

--- a/saltmoor/lab/cache.py
+++ b/saltmoor/lab/cache.py
@@ -45,6 +45,10 @@
         super().start(cold, elsewhere)
         self._refresh()
 
+    def keep(self, key: bytes, copy: tuple[int, int]) -> None:
+        """A copy is its version and its bytes."""
+        self.copies.put(key, copy, copy[1] + ITEM, self.stage.line.now)
+
     def _refresh(self) -> None:
         """Reports are made now and then, and are old when they can be read."""
         if not self.running:
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from saltmoor.lab.scenario import Scenario
@@ -260,7 +260,3 @@
                 if since and max(since, ready) + grace < got.first and since >= ready:
                     late = (got.first - since) // 1000
                     self.breach(3, ident, f"sent to {got.server} {late} ms after node {got.node} was told")
-
-
-def counted(breaches: list[Breach]) -> Counter[int]:
-    return Counter(breach.rule for breach in breaches)
--- a/saltmoor/lab/origin.py
+++ b/saltmoor/lab/origin.py
@@ -91,7 +91,7 @@
 
         def ended(how: str, copy) -> None:
             if how == "done":
-                server.copies.put(key, copy, copy[1] + 60, self.stage.line.now)
+                server.keep(key, copy)
             for each in self.joined.pop(place):
                 each(how, copy)
 
--- a/saltmoor/lab/registry.py
+++ b/saltmoor/lab/registry.py
@@ -25,7 +25,6 @@
         self.floor = [1] * stage.nodes  # from an older version on a node gets the whole list
         self.told = [0] * stage.nodes  # when the last change reaches it
         self.watches: list[set[Watch]] = [set() for _ in range(stage.nodes)]
-        self.calls = 0
         links = [Link(self.rng) for _ in range(stage.nodes)]
         self.ports = [Port(stage.driver, link, self._welcome(node)) for node, link in enumerate(links)]
 
@@ -113,7 +112,6 @@
 
     def on_message_complete(self) -> None:
         registry, node = self.registry, self.node
-        registry.calls += 1
         asked = parse_qs(urlsplit(self.url.decode("latin-1")).query)
         index = int(asked.get("index", ["0"])[0])
         reset = index < registry.floor[node]
--- a/saltmoor/lab/scenario.py
+++ b/saltmoor/lab/scenario.py
@@ -206,7 +206,7 @@
     about: str
     length_s: Positive = 20.0
     settle_s: NotNegative = 3.0  # at the start, left out of the figures but not of the rules
-    world: Literal["loopback", "virtual"] = "loopback"
+    world: Literal["loopback"] = "loopback"
     nodes: Nodes = Nodes()
     fleet: Fleet = Fleet()
     cold: Cold = Cold()
--- a/saltmoor/lab/stage.py
+++ b/saltmoor/lab/stage.py
@@ -54,7 +54,7 @@
         if self.scenario.fleet.start == "warm":
             for server in self.caches:
                 for key, size in zip(keys, sizes):
-                    server.copies.put(key, (0, size), size + 60, self.line.now)
+                    server.keep(key, (0, size))
 
     def site_of(self, node: int) -> str:
         return self.sites[node % len(self.sites)]
@@ -89,7 +89,7 @@
         """The origin has answered a read: its value goes where the transaction missed."""
         for server in self.missed.pop(ident, ()):
             if server.running:
-                server.copies.put(key, copy, copy[1] + 60, self.line.now)
+                server.keep(key, copy)
 
     def void(self, key: bytes) -> None:
         for server in self.caches:
