--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -20,6 +20,7 @@
 CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
 SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
 LATE_ANSWERS = 0.005  # of the answers that come: after them an answer counts as lost
+LOOK = 0.06  # of the transactions does the other thing, asks or does not, so that the better one is known
 LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
 
 
@@ -102,6 +103,7 @@
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hits, self.hops, self.rate, self.capacity = 0, 0, 0.0, 1.0  # hops to caches: now, a second; size
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
+        self.lost = [1 / self.place.nodes, 0.0]  # share of the transactions not in time: unasked, and asked
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.asked_list, self.watching, self.list_tries = now, not self.listing.asked, 0
         self.watch(now)
@@ -214,8 +216,8 @@
         fresh = 0 <= server.answered > now - self.fresh
         return fresh or self.column is None or not self.permits.probes or self.silent(server, now)
 
-    def ask(self, server: Server, tx: Tx, now: Micros) -> None:
-        if tx not in server.askers:
+    def ask(self, server: Server, tx: Tx | None, now: Micros) -> None:
+        if tx and tx not in server.askers:
             server.askers[tx], tx.waits = None, tx.waits + 1
         if server.asked < 0:
             server.asked = now
@@ -235,25 +237,49 @@
         tx.choice = next(self.candidates(tx, now), None)
         if tx.choice is None or (now >= tx.goal and not tx.profile.late_value):
             return In.NOBODY
-        if not self.known(tx.choice, now):
+        soft = min(SOFT, self.strict) * (tx.goal - now) * tx.favour
+        if not self.known(tx.choice, now) and self.worth_asking(tx, tx.choice, now):
             self.ask(tx.choice, tx, now)
             return None
-        soft = min(SOFT, self.strict) * (tx.goal - now) * tx.favour
         return In.OVER if self.silent(tx.choice, now) or self.expected(tx.choice, now) > soft else In.UNDER
 
+    def asking_pays(self) -> bool:
+        return self.lost[False] - self.lost[True] >= self.prices.probe or not self.prices.probe
+
+    def worth_asking(self, tx: Tx, server: Server, now: Micros) -> bool:
+        """Whether asking is likely enough to save this transaction, for the price of a probe.
+
+        Guards against nodes that meet each server seldom and pay for a probe with every transaction: how many
+        more are lost unasked is learnt, as one in a few does what the others do not.
+        """
+        slow = self.silent(server, now) or (
+            self.expected(server, now) > min(1.0, self.strict) * (tx.goal - now) * tx.favour)
+        if slow or server.wary or not self.prices.probe:
+            return True
+        if tx.asked is None:
+            tx.asked = (self.chance() < LOOK) != self.asking_pays()
+        return tx.asked
+
+    def cost(self, tx: Tx, server: Server, preferred: Server, now: Micros) -> float:
+        """The delay that it means, with what crossing is worth. A spilled read mostly finds no copy: its fetch
+        is part of the delay that it moves to."""
+        return (self.expected(server, now) + (self.fetch if server is not preferred and not tx.write else 0)
+                + self.prices.crossing * (tx.goal - now) * (server.zone != self.place.zone))
+
     def poll(self, tx: Tx, now: Micros) -> In | None:
         """Ask the candidates' queues; when all have answered or fallen silent, take the shortest."""
         picked = list(self.candidates(tx, now))
-        if unknown := [server for server in picked if not self.known(server, now)]:
+        best = min(picked, default=None, key=lambda server: self.cost(tx, server, picked[0], now))
+        unknown = [server for server in picked if not self.known(server, now)]
+        if not self.asking_pays():
+            unknown = [best] if best in unknown and self.worth_asking(tx, best, now) else []
+        if unknown:
             for server in unknown:
                 self.ask(server, tx, now)
             return None
         heard = [server for server in picked if not self.silent(server, now)]
         left = tx.goal - now
-        # A spilled read mostly finds no copy: its fetch is part of the delay that it moves to.
-        tx.choice = min(heard, default=None, key=lambda server: (
-            self.expected(server, now) + self.prices.crossing * left * (server.zone != self.place.zone)
-            + (self.fetch if server is not picked[0] and not tx.write else 0)))
+        tx.choice = min(heard, default=None, key=lambda server: self.cost(tx, server, picked[0], now))
         # Guards against a jam that outlives its cause: where nothing is sent nothing is learnt, so no idle
         # server is held to be too slow.
         if tx.choice and (self.queue(tx.choice) + tx.choice.full < 1
@@ -286,7 +312,12 @@
     def overdue(self, now: Micros, hop: Hop) -> None:
         """Guards against answers that get lost: what was sent half a hit's time later is answered."""
         if hop.open and hop is hop.tx.hops[-1] and now < hop.tx.goal and hop.tx.state is not State.WAITING:
-            if hop.server.newest > hop.sent + (hop.server.delay or self.fetch) / 2 and self.spare >= 0.5:
+            server = hop.server
+            # Guards against a server that has fallen silent: one not asked before the hop is asked now.
+            if hop.tx.asked is False and server.kind != self.origin_kind and not self.known(server, now):
+                self.ask(server, None, now)
+            lost = server.newest > hop.sent + (server.delay or self.fetch) / 2
+            if (lost or server.kind != self.origin_kind and self.silent(server, now)) and self.spare >= 0.5:
                 self.spare += 0.5 - (hop.tx.state is State.FETCHING)  # half the price: it feeds no storm
                 self.feed(now, hop.tx, In.AGAIN)
             else:
@@ -340,6 +371,9 @@
 
     def finish(self, tx: Tx, now: Micros) -> In | None:
         self.txs.pop(tx.id, None)
+        if tx.asked is not None:
+            good = now <= tx.goal and any(hop.ended is Ended.COMMITTED for hop in tx.hops)
+            self.lost[tx.asked] += (1 - good - self.lost[tx.asked]) * 0.03
         for hop in tx.open_hops() if self.permits.cancel else ():
             self.effects.append(model.Cancel(tx.id, hop.number))
         if tx.leads:
@@ -425,6 +459,7 @@
         """Health: what this hop's end says of its server."""
         if ended in (Ended.CANCELLED, Ended.NOT_SENT, Ended.MALFORMED):  # no word on the server
             return
+        server.wary = server.wary or ended not in (Ended.COMMITTED, Ended.MISS) or elapsed > hop.patience
         if ended in (Ended.NO_CONNECTION, Ended.RESET):
             # Guards against a dead process that the list still calls ready: believe the network first. But
             # one connection that breaks is no proof: only what breaks next, and the next transaction asks.
@@ -504,7 +539,7 @@
         server.asked = -1
         if ended is Ended.COMMITTED:
             before, server.answered, server.heard = server.answered, now, now
-            server.unanswered, server.again_at, server.full = 0, 0, server.full // 2
+            server.unanswered, server.again_at, server.full, server.wary = 0, 0, server.full // 2, False
             if self.column is not None and len(load) > self.column:
                 # Guards against nodes that swing together on old reports: the queue that all of them flee is
                 # the shortest by then. A tenth of each counts; more after long without, half at twenty goals.
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -89,6 +89,7 @@
 class Prices:
     crossing: float = 0.0
     waste: float = 0.0
+    probe: float = 0.0  # of one probe a transaction, as a share of what a transaction is worth
 
 
 @dataclass(slots=True, frozen=True)
@@ -251,6 +252,7 @@
     answered: Micros = -1  # when a probe was last answered; -1: never
     asked: Micros = -1  # when the probe that is out was sent; -1: none is out
     mute: bool = False  # it has not answered within a probe's wait
+    wary: bool = True  # something since its last answer says that it is not as it was then
     unanswered: int = 0  # probes in a row that brought no answer
     again_at: Micros = 0  # until then a silent or lost server is not asked again
     askers: dict[Tx, None] = field(default_factory=dict)  # each once, in order
@@ -277,6 +279,7 @@
         """A new process: cold and empty, and nothing that was learnt of the old one holds."""
         self.started, self.delay, self.hits, self.bad, self.down = started, 0.0, 0, 0.0, False
         self.out_until, self.penance, self.unanswered, self.again_at = 0, 0, 0, 0
+        self.wary = True
         self.sent.clear()
 
 
@@ -307,6 +310,7 @@
     hops: list[Hop] = field(default_factory=list)
     tried: set[Server] = field(default_factory=set)
     choice: Server | None = None
+    asked: bool | None = None  # whether it asked before its hop; None: it had no choice
     waits: int = 0  # probes that it waits for
     leads: bool = False  # others wait for its fetch
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,164 @@
+"""Forty nodes on one scripted clock, with servers, origin and list that answer by rule: each test prints the
+sums over the fleet, a line each, and compares them with the ones kept."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from itertools import count
+
+from saltmoor import model
+from saltmoor.choice import Node
+from saltmoor.model import Ended, ListKind, Readiness, Repeat
+from tests.helper import MS, TraceCase
+
+ORIGIN = 999
+GOAL, LIMIT = 400 * MS, 1200 * MS
+
+
+class Fleet:
+    """Times are in microseconds. A server has four places for work; what finds none waits its turn."""
+
+    def __init__(self, nodes: int, servers: int, told: int | None = None, rate: int = 25, price: float = 0.08,
+                 lines: list[str] | None = None) -> None:
+        self.lines = [] if lines is None else lines  # one trace may tell of several fleets
+        self.now, self.order, self.heap, self.ids = 0, count(), [], count(1)
+        self.sums: dict[str, int] = {}
+        self.rate, self.told = rate, told or nodes
+        self.price = price
+        self.busy: dict[int, list[int]] = {}  # by server: when each place is free again
+        self.copies: dict[int, set[int]] = {ORIGIN: set()}
+        self.bad: set[int] = set()  # fail at once
+        self.dead: set[int] = set()  # refuse connections
+        self.work = {ORIGIN: 60 * MS}
+        self.members = {}
+        for server in range(1, servers + 1):
+            self.add(server)
+        self.members[ORIGIN] = model.Member(ORIGIN, 0, 1, 0, Readiness.READY, 1.0, 0)
+        self.nodes = [self.start(i) for i in range(nodes)]
+
+    def add(self, server: int, started: int = 0, state: Readiness = Readiness.READY) -> None:
+        self.members[server] = model.Member(server, server % 2, 0, 0, state, 1.0, started)
+        self.copies.setdefault(server, set())
+
+    def start(self, i: int) -> Node:
+        node = Node(i + 1, self.now, **{
+            "profiles": [model.Profile(GOAL, LIMIT, Repeat.IDEMPOTENT)], "quotas": [],
+            "permits": model.Permits(hops=3, copies=True, cancel=True, probes=True, longest_hint=MS * 1000),
+            "prices": model.Prices(0.16, 0.12, self.price), "cold": model.ColdStart(0.14, 23_000 * MS, 4.0, 1000 * MS),
+            "listing": model.Listing(True, 10_000 * MS), "place": model.Place(i % 2, self.told),
+            "origin_kind": 1, "columns": ["queue"], "tick": MS})
+        node.listed(self.now, ListKind.REMEMBERED, list(self.members.values()))
+        self.carry_out(node)
+        return node
+
+    def count(self, what: str, n: int = 1) -> None:
+        self.sums[what] = self.sums.get(what, 0) + n
+
+    def at(self, when: int, call, *args) -> None:
+        heappush(self.heap, (when, next(self.order), call, args))
+
+    def carry_out(self, node: Node) -> None:
+        node.settle(self.now)
+        effects, node.effects[:] = list(node.effects), []
+        for effect in effects:
+            match effect:
+                case model.Send(tx, server, until):
+                    self.hop(node, tx, node.txs[tx].hops[-1].number, server, until)
+                case model.Probe(server, until):
+                    self.probe(node, server, until)
+                case model.Wake(at, token):
+                    self.at(max(at, self.now), self.event, node, Node.woken, token)
+                case model.RollBack() | model.Abandon():
+                    self.count("given up")
+                case model.WatchList():
+                    self.count("calls")
+                    self.listen(node)
+
+    def event(self, node: Node, call, *args) -> None:
+        if node in self.nodes:  # a node that was killed hears nothing more
+            call(node, self.now, *args)
+            self.carry_out(node)
+
+    def listen(self, node: Node) -> None:
+        """The list comes at once, unless a test says otherwise."""
+        self.at(self.now + 2 * MS, self.event, node, Node.listed, ListKind.FULL, list(self.members.values()))
+
+    def turn(self, server: int, work: int) -> int:
+        """When work that comes now will be done."""
+        places = self.busy.setdefault(server, [0] * (24 if server == ORIGIN else 4))
+        at = places.index(min(places))
+        places[at] = max(places[at], self.now) + work
+        return places[at]
+
+    def hop(self, node: Node, tx: int, number: int, server: int, until: int) -> None:
+        where = "fetches" if server == ORIGIN else "hops"
+        self.count(where)
+        key = node.txs[tx].key
+        ended, note, done = Ended.COMMITTED, 1, self.now + MS
+        if server in self.dead:
+            self.count("dead hops")
+            ended = Ended.NO_CONNECTION
+        elif server in self.bad:
+            self.count("bad hops")
+            ended = Ended.ERROR
+        elif server != ORIGIN and key not in self.copies[server]:
+            ended = Ended.MISS
+            self.copies[server].add(key)  # its fetch stores it
+        else:
+            done = self.turn(server, self.work.get(server, 80 * MS))
+        if done >= until:
+            ended, done = Ended.TIMED_OUT, until
+        closed = ended is Ended.COMMITTED
+        if closed and done <= node.txs[tx].goal:
+            self.at(done, self.count, "in time")
+        self.at(done, self.event, node, Node.hop_ended,
+                model.HopEnd(tx, number, server, ended, done - self.now, closed, note))
+
+    def probe(self, node: Node, server: int, until: int) -> None:
+        self.count("probes")
+        waits = sum(max(0, free - self.now) for free in self.busy.get(server, ())) / (80 * MS)
+        ended = Ended.NO_CONNECTION if server in self.dead else Ended.ERROR if server in self.bad else Ended.COMMITTED
+        self.at(self.now + MS, self.event, node, Node.probed, server, ended, MS,
+                (max(0.0, waits - 4),) if ended is Ended.COMMITTED else ())
+
+    def come(self, i: int) -> None:
+        """Clients ask, evenly, keys of unlike popularity."""
+        node, tx = self.nodes[i], next(self.ids)
+        self.count("txs")
+        key = int(500 * ((tx * 7919) % 1000 / 1000) ** 2) if tx % 3 else 1000 + (tx * 104_729) % 600
+        self.event(node, Node.arrived, model.Arrival(tx, 0, None, key, self.now + LIMIT))
+        self.at(self.now + 1_000_000 // self.rate, self.come, i)
+
+    def run(self, seconds: float) -> None:
+        if not any(entry[2] == self.come for entry in self.heap):
+            for i in range(len(self.nodes)):
+                self.at(self.now + i * 1_000_000 // (self.rate * len(self.nodes)), self.come, i)
+        end = self.now + int(seconds * 1_000_000)
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, call, args = heappop(self.heap)
+            call(*args)
+        self.now = end
+
+    def say(self, title: str, *names: str) -> None:
+        """The sums since the last line, per 100 transactions where they are of transactions."""
+        txs = self.sums.get("txs", 0) or 100
+        said = ", ".join(f"{name} {100 * self.sums.get(name, 0) / txs:.0f}" for name in names)
+        self.lines.append(f"{title}: of 100 tx {said}")
+        self.sums = {}
+
+
+class Probes(TraceCase):
+    def test_nodes_that_meet_a_server_seldom_do_not_pay_a_probe_each_time(self):
+        """Guards against a fleet that pays a probe a transaction where no answer would change a thing."""
+        fleet = Fleet(nodes=40, servers=60)
+        for second in range(1, 5):
+            fleet.run(1)
+            fleet.say(f"40 nodes, second {second}", "probes", "in time", "given up")
+        fleet = Fleet(nodes=40, servers=60, price=0.0, lines=fleet.lines)
+        fleet.run(3)
+        fleet.say("40 nodes, probes are free", "probes", "in time", "given up")
+        fleet = Fleet(nodes=1, servers=6, rate=60, price=0.01, lines=fleet.lines)
+        fleet.run(6)
+        fleet.say("one node, 6 servers, cheap", "probes", "in time", "given up")
+        self.check("fleet-probes", fleet)
+
