--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -21,6 +21,8 @@
 SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
 LATE_ANSWERS = 0.005  # of the answers that come: after them an answer counts as lost
 LOOK = 0.06  # of the transactions does the other thing, asks or does not, so that the better one is known
+LARGE = 12, 8  # cache servers of the own zone: from then on it prefers its own; under that no more
+ZONED = 2.5  # times its price a crossing counts there, as the own zone's servers are warm too
 LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
 
 
@@ -99,6 +101,7 @@
         self.servers, self.caches, self.origins = {}, [], []
         self.ranks, self.fetches = {}, {}  # by key: its servers in order; who waits for its fetch
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
+        self.zoned = False  # whether a key's preferred server is one of the own zone
         self.room, self.patience = Room(), Patience()
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hits, self.hops, self.rate, self.capacity = 0, 0, 0.0, 1.0  # hops to caches: now, a second; size
@@ -148,6 +151,9 @@
         known = sorted((one for one in self.servers.values() if one.ready), key=lambda server: server.id)
         self.origins = [server for server in known if server.kind == self.origin_kind]
         self.caches = [server for server in known if server.kind != self.origin_kind]
+        # Guards against halving the caches of a small fleet: a copy in each zone costs it more than it saves.
+        own = sum(server.zone == self.place.zone for server in self.caches)
+        self.zoned = self.prices.crossing > 0 and LARGE[self.zoned] <= own < len(self.caches)
         self.warm_at = self.cold.warm_after + max((server.started for server in self.caches), default=0)
         self.reweigh(now)
 
@@ -160,16 +166,25 @@
         self.capacity = 0.0
         for server in self.caches:
             # Near ties go to the own zone: there a hop saves the price of crossing, a share of its worth.
-            near = 1 + 2 * self.prices.crossing * (server.zone == self.place.zone)
+            near = 1 + 2 * self.prices.crossing * (server.zone == self.place.zone and not self.zoned)
             warm = server.size * warmth(server, now, self.cold)
             server.weight, self.capacity = warm * near, self.capacity + warm
         self.ranks.clear()
 
     def ranked(self, key: int) -> list[Server]:
-        """The key's servers, preferred first, the same at every node: weighted rendezvous hashing."""
+        """The key's servers, preferred first, the same at every node: weighted rendezvous hashing.
+
+        In a large zone the own zone's first is preferred, and next comes the first of the others, which is warm
+        by what the nodes there send it.
+        """
         if key not in self.ranks:
             scored = sorted([(log(spot(key, one.salt)) / one.weight, i) for i, one in enumerate(self.caches)])
-            self.ranks[key] = [self.caches[i] for _, i in reversed(scored)]
+            order = [self.caches[i] for _, i in reversed(scored)]
+            if self.zoned:
+                own = [server for server in order if server.zone == self.place.zone]
+                away = [server for server in order if server.zone != self.place.zone]
+                order = own[:1] + away[:1] + own[1:] + away[1:]
+            self.ranks[key] = order
         return self.ranks[key]
 
     def usable(self, server: Server, now: Micros) -> bool:
@@ -260,16 +275,18 @@
             tx.asked = (self.chance() < LOOK) != self.asking_pays()
         return tx.asked
 
-    def cost(self, tx: Tx, server: Server, preferred: Server, now: Micros) -> float:
-        """The delay that it means, with what crossing is worth. A spilled read mostly finds no copy: its fetch
-        is part of the delay that it moves to."""
-        return (self.expected(server, now) + (self.fetch if server is not preferred and not tx.write else 0)
-                + self.prices.crossing * (tx.goal - now) * (server.zone != self.place.zone))
+    def cost(self, tx: Tx, server: Server, picked: list[Server], now: Micros) -> float:
+        """The delay that a hop there means, with what crossing is worth."""
+        away = (server.zone != self.place.zone) * (ZONED if self.zoned else 1)
+        # A spilled read mostly finds no copy: its fetch is part of the delay that it moves to.
+        warm = tx.write or server is next(one for one in picked if not self.zoned or one.zone == server.zone)
+        return (self.expected(server, now) + (0 if warm else self.fetch)
+                + self.prices.crossing * away * (tx.goal - now))
 
     def poll(self, tx: Tx, now: Micros) -> In | None:
         """Ask the candidates' queues; when all have answered or fallen silent, take the shortest."""
         picked = list(self.candidates(tx, now))
-        best = min(picked, default=None, key=lambda server: self.cost(tx, server, picked[0], now))
+        best = min(picked, default=None, key=lambda server: self.cost(tx, server, picked, now))
         unknown = [server for server in picked if not self.known(server, now)]
         if not self.asking_pays():
             unknown = [best] if best in unknown and self.worth_asking(tx, best, now) else []
@@ -279,7 +296,7 @@
             return None
         heard = [server for server in picked if not self.silent(server, now)]
         left = tx.goal - now
-        tx.choice = min(heard, default=None, key=lambda server: self.cost(tx, server, picked[0], now))
+        tx.choice = min(heard, default=None, key=lambda server: self.cost(tx, server, picked, now))
         # Guards against a jam that outlives its cause: where nothing is sent nothing is learnt, so no idle
         # server is held to be too slow.
         if tx.choice and (self.queue(tx.choice) + tx.choice.full < 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -79,6 +79,12 @@
             call(node, self.now, *args)
             self.carry_out(node)
 
+    def tell(self) -> None:
+        """A change of the list reaches all nodes, in half a second, one after the other."""
+        for i, node in enumerate(self.nodes):
+            self.at(self.now + i * 500 * MS // len(self.nodes), self.event, node, Node.listed, ListKind.FULL,
+                    list(self.members.values()))
+
     def listen(self, node: Node) -> None:
         """The list comes at once, unless a test says otherwise."""
         self.at(self.now + 2 * MS, self.event, node, Node.listed, ListKind.FULL, list(self.members.values()))
@@ -91,8 +97,8 @@
         return places[at]
 
     def hop(self, node: Node, tx: int, number: int, server: int, until: int) -> None:
-        where = "fetches" if server == ORIGIN else "hops"
-        self.count(where)
+        self.count("fetches" if server == ORIGIN else "hops")
+        self.count("crossings", server % 2 != node.place.zone and server != ORIGIN)
         key = node.txs[tx].key
         ended, note, done = Ended.COMMITTED, 1, self.now + MS
         if server in self.dead:
@@ -162,3 +168,31 @@
         fleet.say("one node, 6 servers, cheap", "probes", "in time", "given up")
         self.check("fleet-probes", fleet)
 
+
+
+class Zones(TraceCase):
+    def test_a_large_zone_prefers_its_own_servers_and_a_small_one_all(self):
+        """Guards against paying for half of all hops to cross, and against halving a small fleet's caches."""
+        fleet = Fleet(nodes=40, servers=60)
+        fleet.run(4)
+        fleet.say("60 servers, first 4 s", "crossings", "fetches", "in time")
+        for server in [one for one in fleet.members if one % 2 and one != ORIGIN]:
+            fleet.dead.add(server)
+            fleet.busy.pop(server, None)
+        fleet.run(2)
+        fleet.say("a zone is dead and the list does not say so, 2 s", "crossings", "dead hops", "in time", "given up")
+        lost = {server: fleet.members.pop(server) for server in fleet.dead}
+        fleet.tell()
+        fleet.run(2)
+        fleet.say("the list says so", "crossings", "dead hops", "in time", "given up")
+        for server in lost:
+            fleet.add(server, started=fleet.now)
+            fleet.copies[server].clear()
+        fleet.dead.clear()
+        fleet.tell()
+        fleet.run(6)
+        fleet.say("it is back, cold, 6 s", "crossings", "fetches", "in time", "given up")
+        small = Fleet(nodes=3, servers=8, rate=40, price=0.01, lines=fleet.lines)
+        small.run(6)
+        small.say("3 nodes, 8 servers", "crossings", "fetches", "in time")
+        self.check("fleet-zones", small)
