A cold server's budget holds as a sum: no hop a window that every node takes anyway

Seen: the floor 'one hop a window goes anyway' is for each node. On a scripted fleet in a jam the worst second of a cold server got 49% of what rule 4 allows with 40 nodes and 59% with 200: it grows with their number, where the rest of the budget shrinks. With the number of nodes not told (taken for 1) each took its part of a whole core's work. Where all servers are cold the measure (what a warm peer gets) grows as the warm share falls, and bounds nothing. At fault: within_cold_budget, max(1, own), and core with the default of one node. Result, worst window in the jam: 40 nodes 41%, not told 44%, 200 nodes 34%, three nodes 21% (24% before).

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -101,12 +101,13 @@
         self.servers, self.caches, self.origins = {}, [], []
         self.ranks, self.fetches = {}, {}  # by key: its servers in order; who waits for its fetch
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
+        self.capacity = self.full_size = 1.0  # of all cache servers: as they are, and were they warm
         self.zoned = False  # whether a key's preferred server is one of the own zone
         self.room, self.patience = Room(), Patience()
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
-        self.hits, self.hops, self.rate, self.capacity = 0, 0, 0.0, 1.0  # hops to caches: now, a second; size
+        self.hits, self.hops, self.rate = 0, 0, 0.0  # hops to caches: now, a second
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
-        self.lost = [1 / self.place.nodes, 0.0]  # share of the transactions not in time: unasked, and asked
+        self.lost = [1 / max(1, self.place.nodes), 0.0]  # share of the transactions not in time: unasked, and asked
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.asked_list, self.watching, self.list_tries = now, not self.listing.asked, 0
         self.watch(now)
@@ -121,7 +122,8 @@
         self.goal = min((profile.goal for profile in profiles), default=1_000_000)
         self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal
         self.middle = [0.0] * len(profiles)  # the time that the middle try of the profile has left
-        self.quotas = [[rate / place.nodes, rate / place.nodes, now] for rate in quotas]
+        nodes = max(1, place.nodes)  # 0: not told
+        self.quotas = [[rate / nodes, rate / nodes, now] for rate in quotas]
 
     def listed(self, now: Micros, kind: model.ListKind, members: list[model.Member]) -> None:
         if kind is model.ListKind.FAILED:
@@ -142,9 +144,11 @@
             server = self.servers.get(member.server)
             if server is None:
                 server = self.servers[member.server] = Server(
-                    member.server, member.zone, member.kind, member.cell, salt(member.server), member.started)
+                    member.server, member.zone, member.kind, member.cell, salt(member.server), member.started,
+                    allowed=self.first_turn(member), allowed_at=now)
             elif member.started > server.started:
                 server.restart(member.started)
+                server.allowed, server.allowed_at = self.first_turn(member), now
                 self.effects.append(model.Log(f"cold {server.name}: age_ms={(now - member.started) // 1000}"))
             server.size = member.size if member.size > 0 else 1.0
             server.ready = member.readiness is Readiness.READY
@@ -163,7 +167,7 @@
             self.effects.append(model.WatchList(silence=max(2_500_000, self.listing.within // 2)))
 
     def reweigh(self, now: Micros) -> None:
-        self.capacity = 0.0
+        self.capacity, self.full_size = 0.0, sum(server.size for server in self.caches) or 1.0
         for server in self.caches:
             # Near ties go to the own zone: there a hop saves the price of crossing, a share of its worth.
             near = 1 + 2 * self.prices.crossing * (server.zone == self.place.zone and not self.zoned)
@@ -193,17 +197,26 @@
         return server.ready and not lost and not aside and self.within_cold_budget(server, now)
 
     def within_cold_budget(self, server: Server, now: Micros) -> bool:
-        """Rule 4: this node's own budget of hops to a cold server, for every window."""
+        """Rule 4: this node's own budget of hops to a cold server, as a level that rises with time.
+
+        Guards against a floor that counts once a node: what is less than one hop a window adds up, and starts
+        at a level drawn by chance, so that the sum over all nodes holds however many they are.
+        """
         if (share := warmth(server, now, self.cold)) >= 1.0:
             return True
-        while server.sent and server.sent[0] <= now - self.cold.window:
-            server.sent.popleft()
-        usual = self.rate * server.size / self.capacity
-        core = self.usual and 1e6 / self.usual / self.place.nodes
-        # Half the multiple of what this node usually sends a warm peer, or of its part of a single core's
-        # work: all nodes do alike. One hop a window goes anyway, or nothing would warm.
-        own = self.cold.multiple / 2 * max(usual, core) * share * self.cold.window / 1e6
-        return len(server.sent) + 1 <= max(1, own)
+        # Half the multiple of what a warm peer gets, but where hardly one is left to measure by, no more than
+        # three quarters of the multiple of what it would get were all warm. Or of this node's part of a single
+        # core's work, where it is told how many nodes there are. All nodes do alike.
+        usual = self.rate * server.size * min(0.5 / self.capacity, 0.75 / self.full_size)
+        core = self.usual and self.place.nodes and 0.5e6 / self.usual / self.place.nodes
+        own = self.cold.multiple * max(usual, core) * share
+        server.allowed = min(max(2.0, own * self.cold.window / 2e6),  # what was saved, and what a window adds
+                             server.allowed + own * (now - server.allowed_at) / 1e6)
+        server.allowed_at = now
+        return server.allowed >= 1
+
+    def first_turn(self, member: model.Member) -> float:
+        return 2 * self.chance() if member.started > 0 else 0.0
 
     def candidates(self, tx: Tx, now: Micros) -> Iterator[Server]:
         fit = (server for server in self.ranked(tx.key) if server not in tx.tried
@@ -317,7 +330,7 @@
         server.out[tx.hops[-1]] = None
         self.hops += server.kind != self.origin_kind
         if warmth(server, now, self.cold) < 1:
-            server.sent.append(now)
+            server.allowed -= 1
         self.effects.append(model.Send(tx.id, server.id, tx.limit))
         # A fetch is no work of a cache server: copies of slow ones pay there, also where times vary widely.
         wait = (3 * self.fetch if server.kind == self.origin_kind else
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -117,7 +117,7 @@
             float(rule.number("cold_from", 1.0)), rule.micros("cold_ns"),
             float(rule.number("overload_factor", 1.0)), rule.micros("fall_ns") or 1_000_000),
         "listing": model.Listing(top.text("membership_mode") == "subscribe", rule.micros("ask_within_ns")),
-        "place": model.Place(int(top.number("locality")), max(1, int(top.number("fleet_size", 1)))),
+        "place": model.Place(int(top.number("locality")), int(top.number("fleet_size"))),
         "origin_kind": origin if aside else None,
         "columns": [COLUMNS.get(name, name) for name in report.texts("columns")],
         "tick": top.micros("tick_ns") or 1000,
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum, auto
 from typing import Any
@@ -109,7 +108,7 @@
 @dataclass(slots=True, frozen=True)
 class Place:
     zone: int = 0
-    nodes: int = 1
+    nodes: int = 1  # 0: not told
 
 
 @dataclass(slots=True, frozen=True)
@@ -269,7 +268,8 @@
     down: bool = False  # nothing reaches it, as far as this node can tell
     out_until: Micros = 0
     penance: Micros = 0
-    sent: deque = field(default_factory=deque)  # times of hops while it is cold, within the window
+    allowed: float = 0.0  # hops that may go there now while it is cold
+    allowed_at: Micros = 0
 
     @property
     def name(self) -> str:
@@ -280,7 +280,6 @@
         self.started, self.delay, self.hits, self.bad, self.down = started, 0.0, 0, 0.0, False
         self.out_until, self.penance, self.unanswered, self.again_at = 0, 0, 0, 0
         self.wary = True
-        self.sent.clear()
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,10 +23,12 @@
         self.lines = [] if lines is None else lines  # one trace may tell of several fleets
         self.now, self.order, self.heap, self.ids = 0, count(), [], count(1)
         self.sums: dict[str, int] = {}
-        self.rate, self.told = rate, told or nodes
+        self.rate, self.told = rate, nodes if told is None else told
         self.price = price
         self.busy: dict[int, list[int]] = {}  # by server: when each place is free again
         self.copies: dict[int, set[int]] = {ORIGIN: set()}
+        self.cold: dict[tuple[int, int], int] = {}  # by cold server and second: hops of all nodes
+        self.worst = 0.0  # the most of them, as a share of what the rule allows
         self.bad: set[int] = set()  # fail at once
         self.dead: set[int] = set()  # refuse connections
         self.work = {ORIGIN: 60 * MS}
@@ -101,6 +103,11 @@
         self.count("crossings", server % 2 != node.place.zone and server != ORIGIN)
         key = node.txs[tx].key
         ended, note, done = Ended.COMMITTED, 1, self.now + MS
+        if started := self.members.get(server, self.members[ORIGIN]).started:
+            window = (server, self.now // 1_000_000)
+            self.cold[window] = self.cold.get(window, 0) + 1
+            can = 4 * 50 * min(1.0, 0.14 + 0.86 * (self.now - started) / 23e6)  # in a second, times the multiple
+            self.worst = max(self.worst, self.cold[window] / can)
         if server in self.dead:
             self.count("dead hops")
             ended = Ended.NO_CONNECTION
@@ -196,3 +203,22 @@
         small.run(6)
         small.say("3 nodes, 8 servers", "crossings", "fetches", "in time")
         self.check("fleet-zones", small)
+
+
+class Cold(TraceCase):
+    def test_all_nodes_together_keep_to_what_a_cold_server_may_get(self):
+        """Guards against a floor of one hop a window that every node takes: sums, whatever number is told."""
+        lines = []
+        for nodes, told, rate in ((40, 40, 25), (40, 40, 100), (40, 0, 100), (200, 200, 20), (3, 3, 100)):
+            fleet = Fleet(nodes, servers=min(60, 4 * nodes), told=told, rate=rate, lines=lines)
+            fleet.run(1.5)
+            old = [one for one in fleet.members if one != ORIGIN and one % 5 > 1]
+            for server in old:
+                fleet.members.pop(server)
+                fleet.add(server + 100, started=fleet.now)
+            fleet.tell()
+            fleet.sums, fleet.worst = {}, 0.0
+            fleet.run(2)
+            fleet.say(f"{nodes} nodes, told {told}, {nodes * rate} tx a second, {len(old)} of {len(fleet.members) - 1}"
+                      f" new: worst window {100 * fleet.worst:.0f}% of the rule", "hops", "in time", "given up")
+        self.check("fleet-cold", fleet)
