--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -107,7 +107,7 @@
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hits, self.hops, self.rate = 0, 0, 0.0  # hops to caches: now, a second
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
-        self.lost = [1 / max(1, self.place.nodes), 0.0]  # share of the transactions not in time: unasked, and asked
+        self.lost = [1 / max(1, self.place.nodes), 0.0]  # share of transactions not in time: unasked, asked
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.asked_list, self.watching, self.list_tries = now, not self.listing.asked, 0
         self.watch(now)
@@ -178,8 +178,8 @@
     def ranked(self, key: int) -> list[Server]:
         """The key's servers, preferred first, the same at every node: weighted rendezvous hashing.
 
-        In a large zone the own zone's first is preferred, and next comes the first of the others, which is warm
-        by what the nodes there send it.
+        In a large zone the own zone's first is preferred, and next comes the first of the others, which is
+        warm by what the nodes there send it.
         """
         if key not in self.ranks:
             scored = sorted([(log(spot(key, one.salt)) / one.weight, i) for i, one in enumerate(self.caches)])
@@ -205,7 +205,7 @@
         if (share := warmth(server, now, self.cold)) >= 1.0:
             return True
         # Half the multiple of what a warm peer gets, but where hardly one is left to measure by, no more than
-        # three quarters of the multiple of what it would get were all warm. Or of this node's part of a single
+        # three quarters of the multiple of what it would get were all warm. Or of this node's part of one
         # core's work, where it is told how many nodes there are. All nodes do alike.
         usual = self.rate * server.size * min(0.5 / self.capacity, 0.75 / self.full_size)
         core = self.usual and self.place.nodes and 0.5e6 / self.usual / self.place.nodes
