--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -46,7 +46,8 @@
         node = Node(i + 1, self.now, **{
             "profiles": [model.Profile(GOAL, LIMIT, Repeat.IDEMPOTENT)], "quotas": [],
             "permits": model.Permits(hops=3, copies=True, cancel=True, probes=True, longest_hint=MS * 1000),
-            "prices": model.Prices(0.16, 0.12, self.price), "cold": model.ColdStart(0.14, 23_000 * MS, 4.0, 1000 * MS),
+            "prices": model.Prices(0.16, 0.12, self.price),
+            "cold": model.ColdStart(0.14, 23_000 * MS, 4.0, 1000 * MS),
             "listing": model.Listing(True, 10_000 * MS), "place": model.Place(i % 2, self.told),
             "origin_kind": 1, "columns": ["queue"], "tick": MS})
         node.listed(self.now, ListKind.REMEMBERED, list(self.members.values()))
@@ -106,7 +107,7 @@
         if started := self.members.get(server, self.members[ORIGIN]).started:
             window = (server, self.now // 1_000_000)
             self.cold[window] = self.cold.get(window, 0) + 1
-            can = 4 * 50 * min(1.0, 0.14 + 0.86 * (self.now - started) / 23e6)  # in a second, times the multiple
+            can = 4 * 50 * min(1.0, 0.14 + 0.86 * (self.now - started) / 23e6)  # a second, times 4
             self.worst = max(self.worst, self.cold[window] / can)
         if server in self.dead:
             self.count("dead hops")
@@ -130,7 +131,8 @@
     def probe(self, node: Node, server: int, until: int) -> None:
         self.count("probes")
         waits = sum(max(0, free - self.now) for free in self.busy.get(server, ())) / (80 * MS)
-        ended = Ended.NO_CONNECTION if server in self.dead else Ended.ERROR if server in self.bad else Ended.COMMITTED
+        ended = (Ended.NO_CONNECTION if server in self.dead else Ended.ERROR if server in self.bad
+                 else Ended.COMMITTED)
         self.at(self.now + MS, self.event, node, Node.probed, server, ended, MS,
                 (max(0.0, waits - 4),) if ended is Ended.COMMITTED else ())
 
@@ -187,7 +189,8 @@
             fleet.dead.add(server)
             fleet.busy.pop(server, None)
         fleet.run(2)
-        fleet.say("a zone is dead and the list does not say so, 2 s", "crossings", "dead hops", "in time", "given up")
+        fleet.say("a zone is dead and the list does not say so, 2 s", "crossings", "dead hops", "in time",
+                  "given up")
         lost = {server: fleet.members.pop(server) for server in fleet.dead}
         fleet.tell()
         fleet.run(2)
@@ -219,6 +222,34 @@
             fleet.tell()
             fleet.sums, fleet.worst = {}, 0.0
             fleet.run(2)
-            fleet.say(f"{nodes} nodes, told {told}, {nodes * rate} tx a second, {len(old)} of {len(fleet.members) - 1}"
-                      f" new: worst window {100 * fleet.worst:.0f}% of the rule", "hops", "in time", "given up")
+            fleet.say(f"{nodes} nodes, told {told}, {nodes * rate} tx a second, {len(old)} of"
+                      f" {len(fleet.members) - 1} new: worst window {100 * fleet.worst:.0f}% of the rule",
+                      "hops", "in time", "given up")
         self.check("fleet-cold", fleet)
+
+
+class Unlisted(Fleet):
+    """Each call for the list is given up after a second."""
+
+    def listen(self, node: Node) -> None:
+        self.at(self.now + 1_000 * MS, self.event, node, Node.listed, ListKind.FAILED, [])
+
+
+class Trouble(TraceCase):
+    def test_whatever_the_list_says_nodes_serve_what_they_can(self):
+        """Guards against a node that a list ends: none, half, twice, empty, the dead, then the truth."""
+        fleet = Unlisted(nodes=20, servers=40, told=0)
+        whole = dict(fleet.members)
+        half = [one for one in whole.values() if one.server == ORIGIN or one.server % 4 < 2]
+        gone = [model.Member(one.server, one.zone, one.kind, 0, Readiness.GONE, -1.0, 0)
+                for one in whole.values()]
+        for title, kind, said in (
+                ("never a list", None, []), ("half of it, every entry twice", ListKind.FULL, half * 2),
+                ("empty", ListKind.FULL, []), ("all are gone", ListKind.CHANGES, gone),
+                ("the truth", ListKind.FULL, list(whole.values()))):
+            for node in fleet.nodes if kind else ():
+                fleet.event(node, Node.listed, kind, said)
+            fleet.sums = {}
+            fleet.run(2)
+            fleet.say(title, "calls", "hops", "in time", "given up")
+        self.check("fleet-trouble", fleet)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -372,7 +372,7 @@
                {"known": {"instances": [{"instanceId": "s", "hostPort": "x"}]}},
                {"settings": settings(azs="a")}, {"settings": settings(permissions={"cancel": "yes"})},
                {"settings": settings(classes=[{"name": "p", "deadline_ns": -1}])},
-               {"settings": settings(classes=[{"group": "town"}])}]
+               {"settings": settings(classes=[{"group": "town"}])}, {"settings": settings(fleet_size="many")}]
         self.lines = []
         for change in bad:
             try:
