A second address: ready, lame duck on and off; a drain that sends clients away

Ruled out: clients that stay by themselves - their connections were open and idle. Change: net/admin.py on the node's loop, bounded calls with descriptors of their own; mn says no, connections end spread over 0.4 to 2.2 s. The listener shares its port (SO_REUSEPORT), for the upgrades to come.

--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -23,6 +23,7 @@
 MIB = 1 << 20
 INTERPRETER_MB = 40  # what the program itself takes, and room for what the kernel counts to it
 LIST_WITHIN = 10_000_000  # how often the list is asked for where the settings do not say
+CALLS = 8  # at the second address at once
 RESERVED = 40  # descriptors for logs, the loop, the listener, discovery, and connections on their way out
 
 
@@ -146,8 +147,8 @@
     txs: int
 
     @classmethod
-    def within(cls, memory_mb: float, sockets: int) -> Caps:
-        usable, room = sockets - RESERVED, int((memory_mb - INTERPRETER_MB) * MIB)
+    def within(cls, memory_mb: float, sockets: int, calls: int = 0) -> Caps:
+        usable, room = sockets - RESERVED - calls, int((memory_mb - INTERPRETER_MB) * MIB)
         floor = usable // 4
         # Half of the memory for what clients have half written, half for values on their way back.
         return cls(usable, min(usable - floor, room // 2 // (BUFFER + 65_536)), sockets // 6, floor,
@@ -166,6 +167,7 @@
 class Config:
     name: str
     listen: tuple[str, int]
+    admin: tuple[str, int] | None  # where staff and the front call the node; none: it listens there not
     discovery: tuple[str, int] | None
     seed: int
     caps: Caps
@@ -208,8 +210,8 @@
     memory_mb, sockets = limits.number("memory_mb", 192), int(limits.number("sockets", 1024))
     if memory_mb < INTERPRETER_MB + 16:
         raise limits.fault("memory_mb", f"at least {INTERPRETER_MB + 16}")
-    if sockets < RESERVED + 24:
-        raise limits.fault("sockets", f"at least {RESERVED + 24}")
+    if sockets < RESERVED + CALLS + 16:
+        raise limits.fault("sockets", f"at least {RESERVED + CALLS + 16}")
     if not settings.sections("classes"):
         raise Faulty("settings.classes: must name at least one profile")
     names = Names([line.text("name") for line in settings.sections("classes")],
@@ -219,6 +221,9 @@
     # The file comes first: the environment stays what it was when the file is replaced under a running node.
     listen = top.text("listen") or env.get("ROUTER_LISTEN") or "127.0.0.1:11211"
     discovery = top.text("discovery") or env.get("ROUTER_DISCOVERY")
+    admin = top.text("admin_addr") or env.get("ROUTER_ADMIN_ADDR")
+    if admin and address("admin_addr", admin) == address("listen", listen) and address("listen", listen)[1]:
+        raise Faulty(f"admin_addr: must differ from listen, is {admin!r}")
     known, may = top.section("known"), settings.section("permissions")
     node = node_arguments(settings.said, "settings.")
     # On sockets the list comes to those who watch it, also where the settings call its changes unasked for:
@@ -230,8 +235,9 @@
         raise top.fault("seed", "hexadecimal digits") from None
     return Config(
         name=top.text("name") or env.get("ROUTER_NAME") or "saltmoor", listen=address("listen", listen),
+        admin=address("admin_addr", admin) if admin else None,
         discovery=address("discovery", discovery) if discovery else None, seed=seed,
-        caps=Caps.within(memory_mb, sockets), names=names, node=node,
+        caps=Caps.within(memory_mb, sockets, CALLS if admin else 0), names=names, node=node,
         idle=may.micros("conn_idle_ns") or 30_000_000,
         connect_wait=may.micros("connect_timeout_ns") or 1_000_000,
         linger=int(serve.number("linger_ms", 500) * 1000),
--- /dev/null
+++ b/saltmoor/net/admin.py
@@ -0,0 +1,89 @@
+"""Owns the second address: calls from staff and the front, answered at once from a table of what may be asked.
+
+One call a connection, HTTP/1.1. It must never touch a transaction, wait behind clients, or let one caller wait for
+another: those that finish no call are bounded in number and time, the one open longest goes first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Mapping
+
+from saltmoor.config import CALLS
+from saltmoor.net import http
+from saltmoor.net.buffers import Buffers, Stream, family
+from saltmoor.net.log import Log
+
+LONGEST = 8192  # bytes of one call
+PATIENCE = 5.0  # seconds that a call may take to come, and its answer to be taken
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+Answer = Callable[[], tuple[bool, str]]  # whether it is a yes, and the state in a few words
+
+
+class Admin:
+    def __init__(self, address: tuple[str, int], buffers: Buffers, log: Log,
+                 table: Mapping[str, tuple[str, Answer]]) -> None:
+        self.buffers, self.log, self.table = buffers, log, table
+        self.calls: dict[asyncio.Task, None] = {}  # the one open longest first
+        self.listener = socket.create_server(address, backlog=128, family=family(address[0]), reuse_port=True)
+        self.listener.setblocking(False)
+        asyncio.get_running_loop().add_reader(self.listener, self.accept)
+
+    def accept(self) -> None:
+        for _ in range(CALLS):
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:  # none is left, or the caller has given up
+                return
+            if len(self.calls) >= CALLS:
+                oldest = next(iter(self.calls))
+                del self.calls[oldest]
+                oldest.cancel()
+            call = asyncio.create_task(self.answer(sock))
+            self.calls[call] = None
+            call.add_done_callback(lambda done: self.calls.pop(done, None))
+
+    async def answer(self, sock: socket.socket) -> None:
+        try:
+            stream, request = Stream(sock, self.buffers), http.Request(LONGEST)
+            async with asyncio.timeout(PATIENCE):
+                try:
+                    while not request.feed(data := await stream.read()):
+                        if not data:
+                            return
+                    status, headers, text = self.decide(request)
+                except http.TooLong as error:
+                    status, headers, text = 431, {}, str(error)
+                except http.Garbled as error:
+                    status, headers, text = 400, {}, str(error)
+                except Exception as error:  # a fault of ours is told, and harms no client
+                    self.log(f"fault in a call: {type(error).__name__}: {error}")
+                    status, headers, text = 500, {}, "fault"
+                body = f"{text}\n".encode()
+                await stream.write(http.response(status, REASONS[status], headers, body))
+                # Guards against a reset that takes the answer with it: what still comes is read past.
+                sock.shutdown(socket.SHUT_WR)
+                while await stream.read():
+                    pass
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            sock.close()
+
+    def decide(self, request: http.Request) -> tuple[int, dict[str, str], str]:
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        if path not in self.table:
+            return 404, {}, "no such path"
+        method, answer = self.table[path]
+        if request.method != method:
+            return 405, {"Allow": method}, f"{method} only"
+        yes, text = answer()
+        return (200 if yes else 503), {}, text
+
+    def stop(self) -> None:
+        """Take no more calls; those under way get their answers."""
+        asyncio.get_running_loop().remove_reader(self.listener)
+        self.listener.close()
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from hashlib import blake2b
+from zlib import crc32
 
 import saltmoor
 from saltmoor import config, facade
@@ -20,8 +21,11 @@
 from saltmoor.net.log import Log
 from saltmoor.net.upstream import Upstream
 
+DRAINING = b"SERVER_ERROR draining\r\n"  # to `mn` while the node is emptied
 PIPELINE = 64  # commands of one connection that may wait for their answers; then it is not read from
 ACCEPTS = 64  # connections taken in one go, so that others get their turn
+DRAIN = 400_000, 1_800_000  # of a drain: from when on connections end, and over how long they are spread
+STRAY = 300_000  # how long a connection that comes late in a drain stays without a word
 KEPT = 500_000  # how long a connection stays free at least, unless there is no room for another
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
 
@@ -43,6 +47,7 @@
         self.commands, self.slots = meta.Commands(), deque()
         self.used, self.began, self.count, self.code, self.waited = self.since, 0, 0, "", 0
         self.ending = ""  # why it is to end once all that was read is answered
+        self.leaves = 0  # while the node is emptied: from when on it ends as soon as nothing is open
         self.room = asyncio.Event()
         self.writer: asyncio.Task | None = None
         self.reader = asyncio.create_task(self.serve())
@@ -121,7 +126,7 @@
         slot = Slot()
         self.slots.append(slot)
         if command.verb == b"mn":
-            slot.answer = b"MN\r\n"
+            slot.answer = DRAINING if self.house.lame else b"MN\r\n"
         elif command.verb == b"version":
             slot.answer = b"VERSION saltmoor %b\r\n" % saltmoor.__version__.encode()
         elif command.verb not in (b"mg", b"ms"):
@@ -152,6 +157,8 @@
             self.writer = None
         if self.house.closing and self.idle:
             self.close("stopping")
+        elif self.leaves and self.idle and self.leaves <= self.house.clock():
+            self.close("draining")
         if not self.house.listening:
             self.house.listen()  # this one may make room now
 
@@ -198,6 +205,8 @@
         self.reads = 0.0
         self.listener: socket.socket | None = None
         self.listening = False
+        self.drawn = 0
+        self.lame: Micros = 0  # since when the node is emptied; 0: it takes clients
 
     def configure(self, names: config.Names, profiles: list[Profile], caps: config.Caps) -> None:
         self.profiles, self.caps = profiles, caps
@@ -253,11 +262,35 @@
 
     def welcome(self, sock: socket.socket, peer: tuple) -> None:
         try:
-            self.clients.add(Client(self, Stream(sock, self.buffers), f"{peer[0]}:{peer[1]}"))
+            client = Client(self, Stream(sock, self.buffers), f"{peer[0]}:{peer[1]}")
         except OSError:
             sock.close()
+            return
+        self.clients.add(client)
+        if self.lame:
+            self.send_away(client)
         self.trim(0)
 
+    def empty(self, on: bool) -> None:
+        """Send the clients away, or take them again. What they ask meanwhile is served in full.
+
+        Guards against all of them coming to the other nodes in one instant: each connection has a moment of
+        its own, from which on it ends once nothing is open on it.
+        """
+        if on == bool(self.lame):
+            return
+        self.lame = self.clock() if on else 0
+        for client in self.clients:
+            client.leaves = 0
+            if on:
+                self.send_away(client)
+        self.log(f"lame duck {'on' if on else 'off'}: clients={len(self.clients)} txs={len(self.open_ids)}")
+
+    def send_away(self, client: Client) -> None:
+        self.drawn += 1
+        first, spread = self.lame + DRAIN[0], DRAIN[1] * crc32(self.drawn.to_bytes(4, "little")) >> 32
+        client.leaves = first + spread if self.clock() < first else self.clock() + STRAY
+
     def has_room(self) -> bool:
         """Whether one more may be taken; at the cap the connection that is free longest makes room."""
         if len(self.clients) + self.upstream.open >= self.caps.connections and not self.upstream.evict():
@@ -302,7 +335,10 @@
     def sweep(self, longest: Micros) -> None:
         """Guards against clients that stop in the middle of a command and keep their descriptor."""
         self.trim(KEPT)
+        now = self.clock()
         for client in self.clients:
+            if client.leaves and client.leaves <= now and client.idle:
+                client.close("draining")
             if client.began and client.began < self.clock() - longest and not client.ending:
                 client.began = 0
                 self.spawn(client.cut())
--- a/saltmoor/net/http.py
+++ b/saltmoor/net/http.py
@@ -1,4 +1,4 @@
-"""Owns the HTTP text spoken beside the main protocol: requests as bytes, responses out of bytes by httptools.
+"""Owns the HTTP text spoken beside the main protocol: requests and responses to bytes and back, by httptools.
 
 Knows no socket, no server and no meaning of a status; bodies past a stated length are refused, not kept, and
 nothing that comes behind a response is ever taken for a part of it.
@@ -17,6 +17,10 @@
     """This is no HTTP response that can be read."""
 
 
+class TooLong(Garbled):
+    """More than was to come."""
+
+
 class Response:
     """One response as it comes in; a streamed body goes to `each` and is not kept."""
 
@@ -87,6 +91,43 @@
         self.whole, self.clean = True, self.parser.should_keep_alive()
 
 
+class Request:
+    """One request as it comes in; its body, if it has one, is read past."""
+
+    def __init__(self, longest: int) -> None:
+        self.left, self.parser = longest, httptools.HttpRequestParser(self)
+        self.target, self.method, self.whole = b"", "", False
+
+    def feed(self, data: bytes) -> bool:
+        """True once the request is whole; TooLong past its bound."""
+        self.left -= len(data)
+        try:
+            if not self.whole:
+                self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            pass  # the request was whole; what it would change over to is not spoken here
+        except httptools.HttpParserError as error:
+            if not self.whole:  # what comes behind a whole one does not matter
+                raise Garbled(str(error)) from None
+        if self.left < 0 and not self.whole:
+            raise TooLong("the request is too long")
+        return self.whole
+
+    def on_url(self, url: bytes) -> None:
+        if not self.whole:
+            self.target += url
+
+    def on_message_complete(self) -> None:
+        if not self.whole:
+            self.method, self.whole = self.parser.get_method().decode("latin-1"), True
+
+
+def response(status: int, reason: str, headers: dict[str, str], body: bytes) -> bytes:
+    lines = [f"HTTP/1.1 {status} {reason}", *(f"{name}: {value}" for name, value in headers.items())]
+    lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
 def request(method: str, path: str, host: str, headers: dict[str, str], body: bytes | None = None) -> bytes:
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -16,6 +16,7 @@
 from saltmoor.choice import Node
 from saltmoor.model import Ended, ListKind, Micros
 from saltmoor.net import meta
+from saltmoor.net.admin import Admin
 from saltmoor.net.buffers import Buffers, family
 from saltmoor.net.clients import Clients
 from saltmoor.net.discovery import Discovery, News
@@ -23,6 +24,7 @@
 from saltmoor.net.upstream import Upstream
 
 GRAIN = 2  # milliseconds
+HURRY = 0.05  # seconds between sweeps while the node is emptied
 LATE_EVERY = 0.005  # seconds: how often the loop's lateness is looked at, and reading is paced
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
 OFFSET = time.time_ns() // 1000 - time.monotonic_ns() // 1000
@@ -42,6 +44,7 @@
         self.loop = asyncio.get_running_loop()
         self.timer: asyncio.TimerHandle | None = None
         self.nudged, self.looked = False, time.monotonic()
+        self.hurry = asyncio.Event()  # the next sweep is to come at once
         self.buffers = buffers = Buffers(keep=given.caps.connections)
         self.upstream = Upstream(buffers, self.log, clock, cap=self.upstream_cap, idle=given.idle,
                                  connect_wait=given.connect_wait, figures=bool(given.names.columns))
@@ -55,8 +58,24 @@
         self.longest = 0
         self.settings(given)
         self.listener = socket.create_server(
-            given.listen, backlog=1024, family=family(given.listen[0]))
+            given.listen, backlog=1024, family=family(given.listen[0]), reuse_port=True)
         self.listener.setblocking(False)
+        self.ready = False
+        self.admin = given.admin and Admin(given.admin, self.buffers, self.log, {
+            "/_ready": ("GET", self.say_ready),
+            "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
+            "/_lameduck/off": ("POST", lambda: self.say_lame(False))})
+
+    def say_ready(self) -> tuple[bool, str]:
+        state = "stopping" if self.clients.closing else "lame duck" if self.clients.lame else "serving"
+        return self.ready, state if self.ready else "not ready"
+
+    def say_lame(self, on: bool) -> tuple[bool, str]:
+        if not self.ready:
+            return False, "stopping" if self.clients.closing else "not ready"
+        self.clients.empty(on)
+        self.hurry.set()
+        return True, "lame duck" if on else "serving"
 
     def settings(self, given: config.Config) -> None:
         self.sweep = min(0.5, given.idle / 20_000_000)  # so that no connection is found closed for its age
@@ -88,8 +107,9 @@
             self.discovery = None
         elif given.discovery:
             self.discovery = self.make_discovery()
-        if given.listen != old.listen:
-            self.log("configuration: listen needs a restart")
+        for key in ("listen", "admin"):
+            if getattr(given, key) != getattr(old, key):
+                self.log(f"configuration: {'admin_addr' if key == 'admin' else key} needs a restart")
         self.log(f"configuration read: discovery={'%s:%d' % given.discovery if given.discovery else 'none'}")
 
     def make_discovery(self) -> Discovery | None:
@@ -165,7 +185,7 @@
         """Serve until told to stop, then until nothing is owed."""
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, stop.set)
+            self.loop.add_signal_handler(number, lambda: (stop.set(), self.hurry.set()))
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.clients.listener = self.listener
         self.clients.listen()
@@ -174,12 +194,15 @@
         gc.set_threshold(20_000, 20, 20)  # what one transaction needs goes by itself when it is over
         self.nudge()
         self.look(time.monotonic())
+        self.ready = True
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
             self.upstream.sweep()
             self.clients.sweep(self.given.unfinished)
+            self.hurry.clear()
             try:
-                await asyncio.wait_for(stop.wait(), self.sweep)
+                async with asyncio.timeout(HURRY if self.clients.lame else self.sweep):
+                    await self.hurry.wait()
             except TimeoutError:
                 pass
         self.log(f"stopping: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
@@ -192,6 +215,8 @@
         self.log(f"stopped: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.discovery:
             self.discovery.stop("stopping")
+        if self.admin:
+            self.admin.stop()
         self.upstream.close_all()
 
 
