Upgrades: one queue for both processes, connections handed on, limits shared

Ruled out: the queue of the listener (0 refused), the time to start (0.1 to 0.3 s). Change: net/sibling.py; the older process gives its listener, list and lame state to the newer, halves its caps, and hands on connections with nothing open, free links too. What the reader's task waits for tells whether bytes were taken.

--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -40,7 +40,7 @@
     try:
         uvloop.run(run(given, lambda: config.load(path, os.environ)))
     except OSError as error:
-        print(f"saltmoor: cannot serve at {given.listen[0]}:{given.listen[1]} ({error})", file=sys.stderr)
+        print(f"saltmoor: cannot serve: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -108,6 +108,7 @@
         self.hits, self.hops, self.rate = 0, 0, 0.0  # hops to caches: now, a second
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
         self.lost = [1 / max(1, self.place.nodes), 0.0]  # share of transactions not in time: unasked, asked
+        self.part = 1.0  # of what this node may do: less while two processes of it run
         self.spare = 5.0  # hops on top of the first ones that may be spent
         self.asked_list, self.watching, self.list_tries = now, not self.listing.asked, 0
         self.watch(now)
@@ -209,14 +210,14 @@
         # core's work, where it is told how many nodes there are. All nodes do alike.
         usual = self.rate * server.size * min(0.5 / self.capacity, 0.75 / self.full_size)
         core = self.usual and self.place.nodes and 0.5e6 / self.usual / self.place.nodes
-        own = self.cold.multiple * max(usual, core) * share
+        own = self.part * self.cold.multiple * max(usual, core) * share
         server.allowed = min(max(2.0, own * self.cold.window / 2e6),  # what was saved, and what a window adds
                              server.allowed + own * (now - server.allowed_at) / 1e6)
         server.allowed_at = now
         return server.allowed >= 1
 
     def first_turn(self, member: model.Member) -> float:
-        return 2 * self.chance() if member.started > 0 else 0.0
+        return 2 * self.chance() * self.part if member.started > 0 else 0.0
 
     def candidates(self, tx: Tx, now: Micros) -> Iterator[Server]:
         fit = (server for server in self.ranked(tx.key) if server not in tx.tried
@@ -454,6 +455,7 @@
         if tenant is None or tenant >= len(self.quotas):
             return False
         rate, level, since = bucket = self.quotas[tenant]
+        rate *= self.part
         bucket[1:] = [min(rate * 2, level + rate * (now - since) / 1_000_000), now]
         if bucket[1] < 1:
             return True
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -21,6 +21,7 @@
 READINESS = {"up": model.Readiness.READY, "removed": model.Readiness.GONE}
 BUFFER = 16_384  # the one size of receive buffers
 MIB = 1 << 20
+SECOND_MB = 24  # what a second process of the node takes, during an upgrade
 INTERPRETER_MB = 40  # what the program itself takes, and room for what the kernel counts to it
 LIST_WITHIN = 10_000_000  # how often the list is asked for where the settings do not say
 CALLS = 8  # at the second address at once
@@ -147,11 +148,15 @@
     txs: int
 
     @classmethod
-    def within(cls, memory_mb: float, sockets: int, calls: int = 0) -> Caps:
-        usable, room = sockets - RESERVED - calls, int((memory_mb - INTERPRETER_MB) * MIB)
+    def within(cls, memory_mb: float, sockets: int, calls: int = 0, processes: int = 1, taken: int = 0) -> Caps:
+        """`processes` of this node share the limits evenly, unless one that ends has said what it still holds."""
+        usable = max((sockets - processes * (RESERVED + calls)) // processes,
+                     sockets - 2 * (RESERVED + calls) - taken if taken else 0)
+        spare = memory_mb - INTERPRETER_MB - (processes - 1) * SECOND_MB
+        room = int(max(spare / processes, 4) * MIB)
         floor = usable // 4
         # Half of the memory for what clients have half written, half for values on their way back.
-        return cls(usable, min(usable - floor, room // 2 // (BUFFER + 65_536)), sockets // 6, floor,
+        return cls(usable, min(usable - floor, room // 2 // (BUFFER + 65_536)), min(sockets // 6, usable // 2), floor,
                    room // 2 // (2 * 65_536))
 
 
@@ -180,6 +185,11 @@
     log_lines: float
     known: list[Line]
     generation: int
+    limits: tuple[float, int, int] = (192, 1024, 0)  # what the caps were made of
+    shared: str | None = None  # a private folder that a second process of this node has too
+
+    def caps_for(self, processes: int, taken: int = 0) -> Caps:
+        return Caps.within(*self.limits, processes, taken)
 
 
 def address(where: str, value: str) -> tuple[str, int]:
@@ -244,7 +254,8 @@
         unfinished=int(serve.number("unfinished_ms", 2000, least=1) * 1000),
         log_lines=serve.number("log_lines_per_s", 50, least=1),
         known=[line(entry, names) for entry in known.sections("instances")],
-        generation=int(known.number("generation")))
+        generation=int(known.number("generation")),
+        limits=(memory_mb, sockets, CALLS if admin else 0), shared=env.get("TMPDIR"))
 
 
 def load(path: str | None, env: Mapping[str, str]) -> Config:
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -115,6 +115,21 @@
         return {"target": node.goal // 40, "revenues": [one.revenue for one in node.profiles],
                 "quotas": [bucket[0] for bucket in node.quotas], "longest_hint": node.permits.longest_hint}
 
+    def share(self, part: float) -> None:
+        """This process may use so much of what the node may do; the rest is another process's."""
+        self.node.part = part
+        self.gate.part = part
+
+    def remembered(self, members: list[model.Member]) -> None:
+        """A newer list than the one it started with, from a process of the same node."""
+        self.node.listed(self.clock(), ListKind.REMEMBERED, members)
+        self._settle(self.clock())
+
+    def members(self) -> list[model.Member]:
+        """The cache servers and origins that are to be used, as last heard."""
+        return [model.Member(one.id, one.zone, one.kind, one.cell, model.Readiness.READY, one.size, one.started)
+                for one in self.node.servers.values() if one.ready]
+
     def turned_away(self, profile: int, tenant: int | None, again: bool, waited: Micros,
                     given: Micros) -> Micros | None:
         """Before anything is done for a transaction: None where it is taken, else how long to stay away.
--- a/saltmoor/limits/admission.py
+++ b/saltmoor/limits/admission.py
@@ -38,10 +38,11 @@
     level: float
     since: Micros
 
-    def take(self, now: Micros) -> bool:
+    def take(self, now: Micros, part: float) -> bool:
         if not self.rate:
             return True
-        self.level = min(2 * self.rate, self.level + self.rate * (now - self.since) / 1_000_000)
+        rate = self.rate * part
+        self.level = min(2 * rate, self.level + rate * (now - self.since) / 1_000_000)
         self.since = now
         if self.level < 1:
             return False
@@ -74,6 +75,7 @@
     counter: int = 0
     pressed: int = 0  # steps in a row that were late
     last: Micros = 0  # how late the step before was
+    part: float = 1.0  # of the tenants' quotas: less while two processes of this node run
     retries: float = 0.0  # share of what comes that are clients' retries
 
     def __post_init__(self) -> None:
@@ -92,7 +94,7 @@
 
     def arrived(self, now: Micros, profile: int, tenant: int | None, again: bool) -> bool:
         """Whether this transaction is taken; costs no more than a look into two tables."""
-        beyond = tenant is not None and tenant < len(self.buckets) and not self.buckets[tenant].take(now)
+        beyond = tenant is not None and tenant < len(self.buckets) and not self.buckets[tenant].take(now, self.part)
         sort = self.sorts.get((profile, beyond, again))
         if sort is None:
             value = self.revenues[profile] * (BEYOND if beyond else 1.0) * (AGAIN if again else 1.0)
--- a/saltmoor/net/admin.py
+++ b/saltmoor/net/admin.py
@@ -12,7 +12,7 @@
 
 from saltmoor.config import CALLS
 from saltmoor.net import http
-from saltmoor.net.buffers import Buffers, Stream, family
+from saltmoor.net.buffers import Buffers, Stream, listener
 from saltmoor.net.log import Log
 
 LONGEST = 8192  # bytes of one call
@@ -28,8 +28,7 @@
                  table: Mapping[str, tuple[str, Answer]]) -> None:
         self.buffers, self.log, self.table = buffers, log, table
         self.calls: dict[asyncio.Task, None] = {}  # the one open longest first
-        self.listener = socket.create_server(address, backlog=128, family=family(address[0]), reuse_port=True)
-        self.listener.setblocking(False)
+        self.listener = listener("admin_addr", address)
         asyncio.get_running_loop().add_reader(self.listener, self.accept)
 
     def accept(self) -> None:
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -17,6 +17,16 @@
     return socket.AF_INET6 if ":" in host else socket.AF_INET
 
 
+def listener(key: str, address: tuple[str, int]) -> socket.socket:
+    """A listening socket that a second process of this node may share; where it can't be had the error names it."""
+    try:
+        sock = socket.create_server(address, backlog=1024, family=family(address[0]), reuse_port=True)
+    except OSError as error:
+        raise OSError(f"{key} {address[0]}:{address[1]}: {error.strerror or error}") from None
+    sock.setblocking(False)
+    return sock
+
+
 class Buffers:
     """Lends buffers; keeps as many as were ever out at once, up to the cap."""
 
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -19,6 +19,7 @@
 from saltmoor.net import meta, origin
 from saltmoor.net.buffers import Buffers, Stream
 from saltmoor.net.log import Log
+from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Upstream
 
 DRAINING = b"SERVER_ERROR draining\r\n"  # to `mn` while the node is emptied
@@ -70,6 +71,8 @@
     async def read(self) -> str:
         """Read until the connection ends; the reason's code."""
         while True:
+            if self.house.heir and self.house.closing and self.idle and not self.ending and self.give():
+                return "handed-on"
             if self.house.paced and not self.ending:
                 await self.house.turn()
             data = await self.stream.read()
@@ -156,12 +159,28 @@
         finally:
             self.writer = None
         if self.house.closing and self.idle:
-            self.close("stopping")
+            self.house.dismiss(self)
         elif self.leaves and self.idle and self.leaves <= self.house.clock():
             self.close("draining")
         if not self.house.listening:
             self.house.listen()  # this one may make room now
 
+    def give(self) -> bool:
+        """Pass the connection to the process that takes this one's place; what is unread there goes with it."""
+        said = {"client": self.peer, "since": self.since, "used": self.used, "count": self.count}
+        return self.house.heir.say(said, self.stream.sock.fileno())
+
+    def hand_on(self) -> None:
+        """The same from outside, between two commands, while the connection is read from.
+
+        Guards against bytes that are taken off the socket in this moment: then they are served here.
+        """
+        # What the task waits for tells: once it is done, it holds bytes that are nowhere else any more.
+        waits_for = getattr(self.reader, "_fut_waiter", None)
+        if not self.ending and not self.code and waits_for and not waits_for.done():
+            self.code = "handed-on" if self.give() else "cut-off"
+            self.reader.cancel()
+
     def close(self, code: str) -> None:
         """End the connection from this side, between transactions.
 
@@ -205,6 +224,7 @@
         self.reads = 0.0
         self.listener: socket.socket | None = None
         self.listening = False
+        self.heir: Sibling | None = None  # the process that takes this one's place, once it takes clients
         self.drawn = 0
         self.lame: Micros = 0  # since when the node is emptied; 0: it takes clients
 
@@ -435,13 +455,32 @@
         listener, self.listener = self.listener, None
         asyncio.get_running_loop().remove_reader(listener)
         try:
-            while True:
+            while not self.heir:  # who takes this one's place accepts from the same queue
                 self.welcome(*listener.accept())
         except OSError:
-            listener.close()
+            pass
+        listener.close()
+        self.pace(None)
         self.release()
 
     def release(self) -> None:
         for client in list(self.clients):
             if client.idle:
-                client.close("stopping")
+                self.dismiss(client)
+
+    def dismiss(self, client: Client) -> None:
+        """The process stops, and nothing is open on this connection."""
+        if not self.heir:
+            client.close("stopping")
+        elif asyncio.current_task() is not client.reader:  # that one hands on by itself
+            client.hand_on()
+
+    def adopt(self, sock: socket.socket, said: dict) -> None:
+        """A client's connection of the process before this one, with nothing open on it."""
+        client = Client(self, Stream(sock, self.buffers), str(said["client"]))
+        client.since, client.used, client.count = int(said["since"]), int(said["used"]), int(said["count"])
+        self.clients.add(client)
+        if client.count:
+            self.rest(client)
+        if self.lame:
+            self.send_away(client)
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 import socket
 import time
@@ -15,12 +16,13 @@
 from saltmoor import config, facade
 from saltmoor.choice import Node
 from saltmoor.model import Ended, ListKind, Micros
-from saltmoor.net import meta
+from saltmoor.net import meta, sibling
 from saltmoor.net.admin import Admin
-from saltmoor.net.buffers import Buffers, family
+from saltmoor.net.buffers import Buffers, listener
 from saltmoor.net.clients import Clients
 from saltmoor.net.discovery import Discovery, News
 from saltmoor.net.log import Log
+from saltmoor.net.sibling import Meeting, Message, Sibling
 from saltmoor.net.upstream import Upstream
 
 GRAIN = 2  # milliseconds
@@ -38,9 +40,11 @@
 class Service:
     """One running node."""
 
-    def __init__(self, given: config.Config, read: Callable[[], config.Config]) -> None:
+    def __init__(self, given: config.Config, read: Callable[[], config.Config], log: Log | None = None,
+                 meeting: Meeting | None = None, found: tuple[Sibling, Message, list[int]] | None = None) -> None:
         self.given, self.read = given, read
-        self.log = Log(given.log_lines)
+        self.log = log or Log(given.log_lines)
+        self.meeting, self.sibling = meeting, None
         self.loop = asyncio.get_running_loop()
         self.timer: asyncio.TimerHandle | None = None
         self.nudged, self.looked = False, time.monotonic()
@@ -57,15 +61,82 @@
                                profiles=given.node["profiles"], caps=given.caps)
         self.longest = 0
         self.settings(given)
-        self.listener = socket.create_server(
-            given.listen, backlog=1024, family=family(given.listen[0]), reuse_port=True)
-        self.listener.setblocking(False)
+        self.listener = found and self.join(*found) or listener("listen", given.listen)
         self.ready = False
         self.admin = given.admin and Admin(given.admin, self.buffers, self.log, {
             "/_ready": ("GET", self.say_ready),
             "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
             "/_lameduck/off": ("POST", lambda: self.say_lame(False))})
 
+    def join(self, sibling: Sibling, said: Message, fds: list[int]) -> socket.socket | None:
+        """Serve beside the process that was there before: its listener, where it is the right one."""
+        shared = socket.socket(fileno=fds[0]) if fds else None
+        if shared and shared.getsockname()[:2] != self.given.listen:
+            shared.close()
+            shared = None
+        if int(said.get("generation", 0)) >= self.given.generation and said.get("list"):
+            lines = [config.line(config.Section(one), self.given.names) for one in said["list"]]
+            self.upstream.listed(lines, whole=True)
+            self.door.remembered([line.member for line in lines])
+            if self.discovery:
+                self.discovery.generation = int(said["generation"])
+        self.pair_with(sibling)
+        self.clients.empty(bool(said.get("lame")))
+        return shared
+
+    def pair_with(self, sibling: Sibling) -> None:
+        """Two processes are one node: from now on each has its part of the limits."""
+        if self.sibling:
+            self.sibling.gone = lambda: None
+            self.sibling.end()
+        self.sibling, sibling.told, sibling.gone = sibling, self.told, self.alone
+        self.door.share(0.5)
+        self.cap(2)
+        if not sibling.alive:
+            self.alone()
+
+    def met(self, sibling: Sibling) -> None:
+        """A second process starts beside this one."""
+        if self.clients.closing:
+            sibling.end()
+            return
+        self.pair_with(sibling)
+        names, addresses = self.given.names, self.upstream.address
+        lines = [{"instanceId": one.server, "hostPort": "%s:%d" % addresses[one.server],
+                  "zone": names.zones[one.zone] if one.zone >= 0 else "", "cell": one.cell,
+                  "machineType": names.kinds[one.kind] if one.kind >= 0 else "", "lifecycle": "up",
+                  "weight": one.size, "startedAtMs": one.started // 1000}
+                 for one in self.door.members() if one.server in addresses]
+        said = {"lame": bool(self.clients.lame),
+                "generation": self.discovery.generation if self.discovery else self.given.generation}
+        shared = self.listener.fileno()
+        sibling.say(said | {"list": lines}, shared) or sibling.say(said, shared)
+        self.log(f"sibling: a second process starts; caps {self.clients.caps.connections} connections each")
+
+    def told(self, said: Message, fds: list[int]) -> None:
+        if "client" in said and fds:
+            self.clients.adopt(socket.socket(fileno=fds.pop(0)), said)
+        elif "server" in said and fds:
+            self.upstream.adopt(socket.socket(fileno=fds.pop(0)), said)
+        elif "lame" in said:
+            self.clients.empty(bool(said["lame"]))
+            self.hurry.set()
+        elif "left" in said:  # it ends: what it does not hold any more is there for this one
+            self.cap(2, int(said["left"]) or 1)
+
+    def alone(self) -> None:
+        """The other process has gone, one way or another."""
+        self.sibling = None
+        self.door.share(1.0)
+        self.cap(1)
+        if self.meeting and self.ready and not self.clients.closing:
+            self.meeting.publish()
+        self.log(f"sibling: gone; caps {self.clients.caps.connections} connections")
+
+    def cap(self, processes: int, taken: int = 0) -> None:
+        self.clients.caps = self.given.caps_for(processes, taken)
+        self.hurry.set()
+
     def say_ready(self) -> tuple[bool, str]:
         state = "stopping" if self.clients.closing else "lame duck" if self.clients.lame else "serving"
         return self.ready, state if self.ready else "not ready"
@@ -74,6 +145,8 @@
         if not self.ready:
             return False, "stopping" if self.clients.closing else "not ready"
         self.clients.empty(on)
+        if self.sibling:
+            self.sibling.say({"lame": on})
         self.hurry.set()
         return True, "lame duck" if on else "serving"
 
@@ -97,7 +170,8 @@
         self.log.rate = given.log_lines
         self.settings(given)
         self.upstream.configure(given.idle, given.connect_wait, bool(given.names.columns))
-        self.clients.configure(given.names, given.node["profiles"], given.caps)
+        caps = given.caps_for(2) if self.sibling else given.caps
+        self.clients.configure(given.names, given.node["profiles"], caps)
         if (given.node, given.names) != (old.node, old.names):
             self.door.configure(given.node, given.names.columns)
         if self.discovery and given.discovery:
@@ -195,6 +269,10 @@
         self.nudge()
         self.look(time.monotonic())
         self.ready = True
+        if self.sibling:
+            self.sibling.say({"ready": os.getpid()})
+        if self.meeting:
+            self.meeting.publish()
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
             self.upstream.sweep()
@@ -206,12 +284,20 @@
             except TimeoutError:
                 pass
         self.log(f"stopping: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
-        await asyncio.sleep(self.linger)
+        if self.meeting:
+            self.meeting.close()
+        if self.sibling and self.sibling.ready:
+            self.clients.heir = self.sibling
+        else:
+            await asyncio.sleep(self.linger)
+        self.ready = False
         self.clients.settle_down()
         end = clock() + self.longest + 100_000  # the last one's answer is on its way then
         while self.clients.clients and clock() < end:
+            self.hand_on()
             await asyncio.sleep(0.02)
             self.clients.release()
+        self.hand_on()
         self.log(f"stopped: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.discovery:
             self.discovery.stop("stopping")
@@ -220,5 +306,21 @@
         self.upstream.close_all()
 
 
+    def hand_on(self) -> None:
+        """What this process holds free goes to the one that takes its place, as long as that one lives."""
+        heir = self.clients.heir
+        if heir and heir.alive:
+            self.upstream.hand_on(heir.say)
+            heir.say({"left": len(self.clients.clients) + self.upstream.open})
+        else:
+            self.clients.heir = None
+
+
 async def serve(given: config.Config, read: Callable[[], config.Config]) -> None:
-    await Service(given, read).run()
+    log, meeting, found = Log(given.log_lines), None, None
+    folder = sibling.folder(given.shared) if given.listen[1] else None
+    if folder:
+        meeting = Meeting(folder, given.listen, log, lambda other: service.met(other))
+        found = await meeting.find()
+    service = Service(given, read, log, meeting, found)
+    await service.run()
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -205,6 +205,28 @@
         for links in self.free.values():
             while links and links[0].used <= now - self.good:
                 self.close(links.pop(0), "idle")
+        while self.open > self.cap() and self.evict():
+            pass  # the cap has come down
+
+    def hand_on(self, give: Callable[[dict, int], bool]) -> None:
+        """Pass free connections to the process that takes this one's place."""
+        for links in self.free.values():
+            while links:
+                link = links.pop()
+                if link.used > self.clock() - self.good and link.stream.quiet():
+                    give({"server": link.server, "address": link.address, "since": link.since, "used": link.used,
+                          "exchanges": link.exchanges}, link.stream.sock.fileno())
+                self.close(link, "handed-on")
+
+    def adopt(self, sock: socket.socket, said: dict) -> None:
+        """A free connection of the process before this one."""
+        link = Link(str(said["server"]), tuple(said["address"]), Stream(sock, self.buffers), int(said["since"]))
+        link.used, link.exchanges = int(said["used"]), int(said["exchanges"])
+        self.open += 1
+        if self.address.get(link.server) == link.address and self.open <= self.cap():
+            self.free.setdefault(link.server, []).append(link)
+        else:
+            self.close(link, "evicted")
 
     def close(self, link: Link, code: str) -> None:
         link.stream.close()
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -152,9 +152,8 @@
         self.news: asyncio.Queue[bytes] = asyncio.Queue()
         self.silenced = self.news
 
-    async def __aenter__(self) -> Town:
-        self.quiet = contextlib.redirect_stderr(self.logged)
-        self.quiet.__enter__()
+    async def stage(self) -> None:
+        """Build everything but the node."""
         self.servers = [await asyncio.start_server(each, "127.0.0.1", 0)
                         for each in (self.cache, self.origin, self.discovery)]
         cache, origin, discovery = (one.sockets[0].getsockname()[1] for one in self.servers)
@@ -162,10 +161,14 @@
                       "lifecycle": "up"},
                      {"instanceId": "o", "hostPort": f"127.0.0.1:{origin}", "machineType": "origin",
                       "lifecycle": "up"}]
-        said = {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}", "seed": "1",
-                "known": {"generation": 7, "instances": self.list}, "settings": settings()} | self.changed
-        self.said = said
-        self.service = lifecycle.Service(config.parse(said, {}), lambda: config.parse(self.said, {}))
+        self.said = {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}", "seed": "1",
+                     "known": {"generation": 7, "instances": self.list}, "settings": settings()} | self.changed
+
+    async def __aenter__(self) -> Town:
+        self.quiet = contextlib.redirect_stderr(self.logged)
+        self.quiet.__enter__()
+        await self.stage()
+        self.service = lifecycle.Service(config.parse(self.said, {}), lambda: config.parse(self.said, {}))
         self.address = self.service.listener.getsockname()
         self.running = asyncio.create_task(self.service.run())
         await self.asked.wait()
@@ -175,6 +178,11 @@
         if not self.running.done():
             os.kill(os.getpid(), signal.SIGTERM)
             await self.running
+        await self.strike()
+        self.quiet.__exit__(None, None, None)
+
+    async def strike(self) -> None:
+        """Take down what `stage` built."""
         for server in self.servers:
             server.close()
         for _ in range(2):
@@ -182,7 +190,6 @@
             self.silenced.put_nowait(b"")
         self.hang_up()
         await asyncio.sleep(0.01)  # the scripted servers see their ends
-        self.quiet.__exit__(None, None, None)
 
     def hang_up(self) -> None:
         """Close every connection from the servers' side."""
