Values of up to 4 MiB: answers pass as flows of one buffer, writes on a budget

Cause: values over 64 KiB were refused, both ways, and asked for again at the next server (1.8 hops a try, 9% late). Ruled out: chunks (none came), broken connections.

--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -21,8 +21,10 @@
 READINESS = {"up": model.Readiness.READY, "removed": model.Readiness.GONE}
 BUFFER = 16_384  # the one size of receive buffers
 MIB = 1 << 20
-SECOND_MB = 24  # what a second process of the node takes, during an upgrade
-INTERPRETER_MB = 40  # what the program itself takes, and room for what the kernel counts to it
+SECOND_MB = 18  # what a second process of the node takes, during an upgrade
+LONGEST_HELD = 65_536  # a value up to this length is held whole on its way to a client
+LONGEST_VALUE = 4 << 20
+INTERPRETER_MB = 22  # what the program itself takes, and room for what the kernel counts to it
 LIST_WITHIN = 10_000_000  # how often the list is asked for where the settings do not say
 CALLS = 8  # at the second address at once
 RESERVED = 40  # descriptors for logs, the loop, the listener, discovery, and connections on their way out
@@ -146,6 +148,7 @@
     kept: int  # of clients that have asked and have nothing open: the longest free are closed beyond it
     upstreams: int  # what is never taken by clients; more where they leave it
     txs: int
+    gathered: int  # bytes of values that clients are writing, or that wait for their answer
 
     @classmethod
     def within(cls, memory_mb: float, sockets: int, calls: int = 0, processes: int = 1, taken: int = 0) -> Caps:
@@ -155,9 +158,10 @@
         spare = memory_mb - INTERPRETER_MB - (processes - 1) * SECOND_MB
         room = int(max(spare / processes, 4) * MIB)
         floor = usable // 4
-        # Half of the memory for what clients have half written, half for values on their way back.
-        return cls(usable, min(usable - floor, room // 2 // (BUFFER + 65_536)), min(sockets // 6, usable // 2), floor,
-                   room // 2 // (2 * 65_536))
+        # Half of the memory for values that clients write, a quarter for what connections hold in pieces, the
+        # rest for values on their way back.
+        return cls(usable, min(usable - floor, room // 4 // (3 * BUFFER)), min(sockets // 6, usable // 2), floor,
+                   room // 4 // LONGEST_HELD, room // 2)
 
 
 @dataclass(slots=True, frozen=True)
@@ -218,8 +222,8 @@
     top = Section(said)
     limits, serve, settings = top.section("limits"), top.section("serve"), top.section("settings")
     memory_mb, sockets = limits.number("memory_mb", 192), int(limits.number("sockets", 1024))
-    if memory_mb < INTERPRETER_MB + 16:
-        raise limits.fault("memory_mb", f"at least {INTERPRETER_MB + 16}")
+    if memory_mb < INTERPRETER_MB + 10:
+        raise limits.fault("memory_mb", f"at least {INTERPRETER_MB + 10}")
     if sockets < RESERVED + CALLS + 16:
         raise limits.fault("sockets", f"at least {RESERVED + CALLS + 16}")
     if not settings.sections("classes"):
@@ -251,7 +255,7 @@
         idle=may.micros("conn_idle_ns") or 30_000_000,
         connect_wait=may.micros("connect_timeout_ns") or 1_000_000,
         linger=int(serve.number("linger_ms", 500) * 1000),
-        unfinished=int(serve.number("unfinished_ms", 2000, least=1) * 1000),
+        unfinished=int(serve.number("unfinished_ms", 2400, least=1) * 1000),
         log_lines=serve.number("log_lines_per_s", 50, least=1),
         known=[line(entry, names) for entry in known.sections("instances")],
         generation=int(known.number("generation")),
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -16,13 +16,15 @@
 import saltmoor
 from saltmoor import config, facade
 from saltmoor.model import Ended, Micros, Profile
-from saltmoor.net import meta, origin
+from saltmoor.net import http, meta, origin
 from saltmoor.net.buffers import Buffers, Stream
+from saltmoor.net.flow import STILL, Broken, Budget, Flow
 from saltmoor.net.log import Log
 from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Upstream
 
 DRAINING = b"SERVER_ERROR draining\r\n"  # to `mn` while the node is emptied
+SLOWEST = 32_768  # bytes a second: a value that comes more slowly is held to have stopped
 PIPELINE = 64  # commands of one connection that may wait for their answers; then it is not read from
 ACCEPTS = 64  # connections taken in one go, so that others get their turn
 DRAIN = 400_000, 1_800_000  # of a drain: from when on connections end, and over how long they are spread
@@ -40,6 +42,15 @@
         self.answer, self.id, self.task, self.tx = answer, b"", None, None
 
 
+class Passing:
+    """An answer whose value is passed on in pieces."""
+
+    __slots__ = ("flow", "head")
+
+    def __init__(self, head: bytes, flow: Flow) -> None:
+        self.head, self.flow = head, flow
+
+
 class Client:
     """One client's connection."""
 
@@ -48,6 +59,7 @@
         self.commands, self.slots = meta.Commands(), deque()
         self.used, self.began, self.count, self.code, self.waited = self.since, 0, 0, "", 0
         self.ending = ""  # why it is to end once all that was read is answered
+        self.gathered = False
         self.leaves = 0  # while the node is emptied: from when on it ends as soon as nothing is open
         self.room = asyncio.Event()
         self.writer: asyncio.Task | None = None
@@ -75,17 +87,19 @@
                 return "handed-on"
             if self.house.paced and not self.ending:
                 await self.house.turn()
-            data = await self.stream.read()
+            data = b"" if self.gathered else await self.stream.read()
             self.used = self.house.clock()
-            if not data:
+            if not data and not self.gathered:
                 if not self.ending:
                     return "client-left" if self.slots else "client-closed"
                 await self.answered(0)
                 return self.ending
+            self.gathered = False
             self.commands.feed(data)
             # Guards against work for clients that have gone on waiting while their bytes stood in the socket.
             self.waited = self.stream.waited() if self.house.late else 0
             try:
+                self.progress(len(data))
                 while (command := self.commands.next()) is not None:
                     if command.verb == b"quit":
                         await self.answered(0)
@@ -95,13 +109,40 @@
                         await self.flush()
                     if len(self.slots) > PIPELINE:
                         await self.answered(PIPELINE)
+                if self.commands.wants:
+                    await self.gather()
+                    self.gathered = True  # some of it may have come with its head
+                    continue
             except meta.FramingLost as error:
                 self.slots.append(Slot(b"CLIENT_ERROR %b\r\n" % str(error).encode()))
                 await self.flush()
                 await self.answered(0)
                 await self.part()
                 return "framing-lost"
-            self.began = (self.began or self.used) if self.commands.partial else 0
+            self.track()
+
+    def track(self) -> None:
+        """Since when a command is unfinished."""
+        if not self.commands.partial:
+            self.began = 0
+            self.house.begun.pop(self, None)
+        elif not self.began:
+            self.began = self.used
+            self.house.begun[self] = None
+
+    def progress(self, size: int) -> None:
+        """A value may take its time as long as it goes on: its bytes buy some."""
+        if self.began and self.commands.waiting:
+            self.began = min(self.used, self.began + size * 1_000_000 // SLOWEST)
+
+    async def gather(self) -> None:
+        """Wait for the memory that a large value needs; its time goes on when there is some."""
+        self.began = 0
+        self.house.begun.pop(self, None)
+        await self.house.budget.take(self.commands.wants)
+        self.commands.paid()
+        self.began = self.used = self.house.clock()
+        self.house.begun[self] = None
 
     async def cut(self) -> None:
         """End a command that does not go on: its client is told so."""
@@ -136,6 +177,8 @@
             slot.answer = b"ERROR\r\n"
         elif not command.fault:
             self.house.begin(self, slot, command)
+        if command.paid and not slot.task:
+            self.house.budget.give_back(command.paid)
         if command.fault:
             slot.answer = b"CLIENT_ERROR %b\r\n" % command.fault.encode()
 
@@ -146,15 +189,18 @@
         self.writer = asyncio.current_task()
         try:
             while self.slots and self.slots[0].answer is not None:
-                await self.stream.write(self.slots[0].answer)
+                answer = self.slots[0].answer
+                await (self.pass_on(answer) if isinstance(answer, Passing) else self.stream.write(answer))
                 self.house.done(self.slots.popleft())
                 self.used = self.house.clock()
                 self.room.set()
             if not self.slots:
                 self.house.rest(self)
-        except OSError:
+        except (OSError, Broken, meta.FramingLost, http.Garbled) as error:
+            # Of a value that cannot be finished the client is told by the end of its connection.
+            self.code = self.code or ("client-reset" if isinstance(error, OSError) else "cut-answer")
             if self.writer is self.reader:
-                raise
+                raise ConnectionResetError from error
             self.reader.cancel()
         finally:
             self.writer = None
@@ -165,6 +211,16 @@
         if not self.house.listening:
             self.house.listen()  # this one may make room now
 
+    async def pass_on(self, answer: Passing) -> None:
+        """Write a large value as it comes: no more is read of it than the client has taken."""
+        flow = answer.flow
+        await self.stream.write(answer.head)
+        while piece := await flow.piece():
+            flow.moved = self.used = self.house.clock()
+            await self.stream.write(piece)
+            flow.moved = self.house.clock()
+        await self.stream.write(b"\r\n")
+
     def give(self) -> bool:
         """Pass the connection to the process that takes this one's place; what is unread there goes with it."""
         said = {"client": self.peer, "since": self.since, "used": self.used, "count": self.count}
@@ -198,7 +254,12 @@
         if self.writer and self.writer is not self.reader:
             self.writer.cancel()
         for slot in self.slots:
+            if isinstance(slot.answer, Passing):
+                slot.answer.flow.drop()
             self.house.done(slot)
+        if self.commands.waiting and self.commands.waiting.paid:
+            self.house.budget.give_back(self.commands.waiting.paid)
+        self.house.begun.pop(self, None)
         self.stream.close()
         self.house.clients.discard(self)
         self.house.free.pop(self, None)
@@ -212,11 +273,13 @@
 
     def __init__(self, door: facade.Facade, upstream: Upstream, buffers: Buffers, log: Log,
                  clock: Callable[[], Micros], *, names: config.Names, profiles: list[Profile],
-                 caps: config.Caps) -> None:
+                 caps: config.Caps, budget: Budget) -> None:
         self.door, self.upstream, self.buffers, self.log, self.clock = door, upstream, buffers, log, clock
         self.configure(names, profiles, caps)
         self.clients: set[Client] = set()
         self.free: dict[Client, None] = {}  # that have asked and have nothing open, the longest free first
+        self.begun: dict[Client, None] = {}  # with a command that is unfinished
+        self.budget = budget
         self.tasks: set[asyncio.Task] = set()
         self.open_ids: set[bytes] = set()
         self.closing = self.late = self.paced = False  # late: the loop is, so that commands wait in their sockets
@@ -356,17 +419,24 @@
         """Guards against clients that stop in the middle of a command and keep their descriptor."""
         self.trim(KEPT)
         now = self.clock()
-        for client in self.clients:
+        for client in self.clients if self.lame else ():
             if client.leaves and client.leaves <= now and client.idle:
                 client.close("draining")
-            if client.began and client.began < self.clock() - longest and not client.ending:
+        for client in list(self.begun):
+            if client.began and client.began < now - longest and not client.ending:
                 client.began = 0
+                del self.begun[client]
                 self.spawn(client.cut())
+        for client in self.clients:
+            answer = client.slots[0].answer if client.slots else None
+            if isinstance(answer, Passing) and answer.flow.moved < now - STILL and not client.code:
+                client.code = "stalled"
+                client.reader.cancel()
 
     def drop_stalled(self) -> bool:
         """End the connection whose client has not read an answer for longest."""
         stalled = [one for one in self.clients
-                   if one.writer and one.slots and one.slots[0].answer is not None]
+                   if one.writer and one.slots and isinstance(one.slots[0].answer, bytes)]
         if stalled:
             worst = min(stalled, key=lambda one: one.used)
             worst.code = "stalled"
@@ -418,13 +488,21 @@
             for number in step.stop:
                 hops[number].cancel()
             match step:
+                case facade.Commit(Flow() as flow):
+                    answer = Passing(meta.head(command, flow.length), flow)
                 case facade.Commit(body):
                     answer = meta.committed(command, body)
                 case facade.RollBack(stay_away):
                     answer = meta.rolled_back(stay_away // 1000)
         except Exception as error:
             self.log(f"fault in a transaction: {type(error).__name__}: {error}")
+        finally:
+            if command.paid:
+                command.value = b""
+                self.budget.give_back(command.paid)
         slot.answer = answer
+        if client.code and isinstance(answer, Passing):
+            answer.flow.drop()
         await client.flush()
 
     async def hop(self, step: facade.Send, command: meta.Command) -> meta.Reply:
@@ -447,7 +525,9 @@
             reply = task.result()
         if reply.ended is Ended.MALFORMED:
             self.log(f"refused by {step.server}: {reply.body!r}")
-        self.door.report(step, reply.ended, answer=reply.body, note=reply.note, load=reply.load)
+        if reply.flow and step.tx.over:
+            reply.flow.drop()  # another hop's answer was there before
+        self.door.report(step, reply.ended, answer=reply.flow or reply.body, note=reply.note, load=reply.load)
 
     def settle_down(self) -> None:
         """Stop: take what the machine has accepted already, then end each connection between transactions."""
--- /dev/null
+++ b/saltmoor/net/flow.py
@@ -0,0 +1,110 @@
+"""Owns what is passed on or gathered piece by piece: answers too large to hold, and the memory for large writes.
+
+It must never hold a value whole on its way back, know a profile, or let a peer that is slow slow down another.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from saltmoor.config import LONGEST_HELD
+from saltmoor.model import Micros
+
+STILL: Micros = 10_000_000  # a flow in which nothing has moved for so long has ended
+
+
+class Broken(Exception):
+    """The rest of this value will not come, or is not what its head said."""
+
+
+class Flow:
+    """A large value on its way from a server's connection to a client's: one piece is held at a time."""
+
+    __slots__ = ("bring", "drop_link", "length", "moved", "over", "reader")
+
+    def __init__(self, length: int, reader, bring: Callable, drop_link: Callable[[str], None],
+                 now: Micros) -> None:
+        self.length, self.reader, self.bring, self.drop_link = length, reader, bring, drop_link
+        self.over, self.moved = False, now
+
+    async def piece(self) -> bytes:
+        """What comes next of the value; empty once all of it was passed on and its end is as it should be."""
+        while not self.over:
+            if data := self.reader.take():
+                return data
+            if self.reader.done:
+                self.drop("" if self.reader.clean else "closed")
+                break
+            if not (got := await self.bring()):
+                self.drop("ended")
+                raise Broken("the server ended it")
+            self.reader.feed(got)
+        return b""
+
+    def drop(self, code: str = "stopped") -> None:
+        """Nobody wants the rest: the connection cannot be used again, unless nothing is left on it."""
+        if not self.over:
+            self.over = True
+            self.drop_link(code)
+
+
+class Kept:
+    """A value that had to be gathered, as its length was not known before its end; passed on like one that comes."""
+
+    clean = True
+
+    def __init__(self, value: bytes, size: int) -> None:
+        self.value, self.size, self.passed = memoryview(value), size, 0
+
+    @property
+    def done(self) -> bool:
+        return self.passed == len(self.value)
+
+    def take(self) -> memoryview:
+        piece = self.value[self.passed:self.passed + self.size]
+        self.passed += len(piece)
+        return piece
+
+
+class Budget:
+    """Memory for values that clients write: paid in whole before they are read, given back when answered.
+
+    Small ones do not wait behind large ones, and a quarter is left to them.
+    """
+
+    def __init__(self, total: int) -> None:
+        self.total, self.used, self.least = total, 0, 0
+        self.small: deque[tuple[int, asyncio.Future]] = deque()
+        self.large: deque[tuple[int, asyncio.Future]] = deque()
+
+    def fits(self, size: int) -> bool:
+        return not self.used or self.used + size <= (self.total if size <= LONGEST_HELD else self.total * 3 // 4)
+
+    async def take(self, size: int) -> None:
+        queue = self.small if size <= LONGEST_HELD else self.large
+        if not queue and self.fits(size):
+            self.used += size
+            return
+        turn = asyncio.get_running_loop().create_future()
+        queue.append((size, turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            # Guards against room that is given in the moment in which nobody wants it any more.
+            if turn.done() and not turn.cancelled():
+                self.give_back(size)
+            raise
+
+    def give_back(self, size: int) -> None:
+        self.used -= size
+        self.serve()
+
+    def serve(self) -> None:
+        for queue in (self.small, self.large):
+            while queue and (queue[0][1].done() or self.fits(queue[0][0])):
+                size, turn = queue.popleft()
+                if not turn.done():
+                    self.used += size
+                    turn.set_result(None)
--- a/saltmoor/net/http.py
+++ b/saltmoor/net/http.py
@@ -24,12 +24,13 @@
 class Response:
     """One response as it comes in; a streamed body goes to `each` and is not kept."""
 
-    def __init__(self, longest: int, each: Callable[[bytes], None] | None = None) -> None:
-        self.longest, self.each = longest, each
+    def __init__(self, longest: int, each: Callable[[bytes], None] | None = None, held: int = 0) -> None:
+        """`held`: a body that says a greater length is `large`: what has come of it is taken out of `body`."""
+        self.longest, self.each, self.held, self.large, self.length = longest, each, held, False, 0
         self.parser = httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
-        self.body, self.status, self.whole, self.clean, self.interim = b"", 0, False, False, 0
-        self.fault = ""
+        self.body, self.status, self.whole, self.clean, self.interim = bytearray(), 0, False, False, 0
+        self.fault, self.to_end = "", False
 
     def feed(self, data: bytes) -> bool:
         """True once the response is whole."""
@@ -49,6 +50,14 @@
         self.fault = fault
         raise Garbled(fault)
 
+    def ended(self) -> bool:
+        """The connection has ended, and not by a reset; whether the response is whole by that.
+
+        Guards against good answers lost whose length nobody said: their end is that of the connection.
+        """
+        self.whole = self.whole or self.to_end and len(self.body) > 0
+        return self.whole
+
     # The parser's calls. It reads on behind the response in the same bytes: guards against a second copy
     # whose body would be added to the first one's.
 
@@ -60,7 +69,8 @@
             return
         if len(self.headers) >= 64:
             self.refuse("too many headers")
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        # Guards against a good answer refused for the white space that may stand round a value.
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
     def on_headers_complete(self) -> None:
         if self.whole:
@@ -69,6 +79,9 @@
         length = self.headers.get("content-length", "0")
         if not length.isdecimal() or int(length) > self.longest:
             self.refuse("body too long")
+        self.length = int(length)
+        self.to_end = not {"content-length", "transfer-encoding"} & self.headers.keys() and self.status == 200
+        self.large = self.held < self.length and self.status == 200 and not self.each and bool(self.held)
 
     def on_body(self, data: bytes) -> None:
         if self.whole:
@@ -84,7 +97,7 @@
         if self.whole:
             return
         if self.status < 200:  # guards against taking `103 Early Hints` for the answer
-            self.headers, self.interim = {}, self.interim + 1
+            self.headers, self.interim, self.large = {}, self.interim + 1, False
             if self.interim > INTERIM:
                 self.refuse("too many interim responses")
             return
@@ -128,9 +141,10 @@
     return "\r\n".join(lines).encode("latin-1") + body
 
 
-def request(method: str, path: str, host: str, headers: dict[str, str], body: bytes | None = None) -> bytes:
+def request(method: str, path: str, host: str, headers: dict[str, str], length: int | None = None) -> bytes:
+    """A request's head; `length`: of the body that follows."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    if body is not None:
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + (body or b"")
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -21,6 +21,7 @@
 from saltmoor.net.buffers import Buffers, listener
 from saltmoor.net.clients import Clients
 from saltmoor.net.discovery import Discovery, News
+from saltmoor.net.flow import Budget
 from saltmoor.net.log import Log
 from saltmoor.net.sibling import Meeting, Message, Sibling
 from saltmoor.net.upstream import Upstream
@@ -50,7 +51,8 @@
         self.nudged, self.looked = False, time.monotonic()
         self.hurry = asyncio.Event()  # the next sweep is to come at once
         self.buffers = buffers = Buffers(keep=given.caps.connections)
-        self.upstream = Upstream(buffers, self.log, clock, cap=self.upstream_cap, idle=given.idle,
+        self.budget = Budget(given.caps.gathered)
+        self.upstream = Upstream(buffers, self.log, clock, budget=self.budget, cap=self.upstream_cap, idle=given.idle,
                                  connect_wait=given.connect_wait, figures=bool(given.names.columns))
         self.upstream.listed(given.known)
         self.discovery = self.make_discovery()
@@ -58,7 +60,7 @@
         self.door = facade.Facade(node, [line.member for line in given.known], columns=given.names.columns,
                                   clock=clock, nudge=self.nudge, log=self.log)
         self.clients = Clients(self.door, self.upstream, buffers, self.log, clock, names=given.names,
-                               profiles=given.node["profiles"], caps=given.caps)
+                               profiles=given.node["profiles"], caps=given.caps, budget=self.budget)
         self.longest = 0
         self.settings(given)
         self.listener = found and self.join(*found) or listener("listen", given.listen)
@@ -134,7 +136,9 @@
         self.log(f"sibling: gone; caps {self.clients.caps.connections} connections")
 
     def cap(self, processes: int, taken: int = 0) -> None:
-        self.clients.caps = self.given.caps_for(processes, taken)
+        caps = self.clients.caps = self.given.caps_for(processes, taken)
+        self.budget.total = caps.gathered
+        self.budget.serve()
         self.hurry.set()
 
     def say_ready(self) -> tuple[bool, str]:
@@ -172,6 +176,7 @@
         self.upstream.configure(given.idle, given.connect_wait, bool(given.names.columns))
         caps = given.caps_for(2) if self.sibling else given.caps
         self.clients.configure(given.names, given.node["profiles"], caps)
+        self.budget.total = caps.gathered
         if (given.node, given.names) != (old.node, old.names):
             self.door.configure(given.node, given.names.columns)
         if self.discovery and given.discovery:
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -8,11 +8,17 @@
 
 from dataclasses import dataclass, field
 from math import isfinite
+from typing import TYPE_CHECKING
 
+from saltmoor.config import LONGEST_HELD, LONGEST_VALUE
 from saltmoor.model import Ended
 
-LONGEST_LINE, LONGEST_KEY, LONGEST_ID, LONGEST_VALUE = 2048, 250, 32, 65_536
-SWALLOW = 1 << 20  # a value too long for us, but short enough to read past
+if TYPE_CHECKING:
+    from saltmoor.net.flow import Flow
+
+LONGEST_LINE, LONGEST_KEY, LONGEST_ID = 2048, 250, 32
+SWALLOW = LONGEST_VALUE + (1 << 20)  # a value too long for us, but short enough to read past
+UNPAID = 4096  # a value up to this length is gathered without asking for memory
 PRINTABLE = bytes(range(33, 127))
 NOTES = {(b"h1", False): 1, (b"h0", False): 2, (b"h0", True): 3}
 
@@ -61,7 +67,8 @@
     id: bytes = b""
     listed: bytes = b""  # the names and values, as they came
     attrs: dict[bytes, bytes] = field(default_factory=dict)
-    value: bytes = b""
+    value: bytes | bytearray = b""
+    paid: int = 0  # bytes of the node's memory for values that it holds
     fault: str = ""
 
     @property
@@ -114,6 +121,8 @@
 
     def __init__(self) -> None:
         self.splitter, self.waiting, self.length, self.skip = Splitter(), None, 0, 0
+        self.gathering, self.filled = False, 0  # a large value: its bytes go where they stay
+        self.wants = 0  # memory that has to be had before more is read
 
     @property
     def partial(self) -> bool:
@@ -122,6 +131,28 @@
     def feed(self, data: bytes) -> None:
         self.splitter.held += data
 
+    def paid(self) -> None:
+        """The memory that it wants is there."""
+        self.waiting.paid, self.wants = self.wants, 0
+        self.waiting.value, self.gathering, self.filled = bytearray(self.length), True, 0
+
+    def gather(self) -> bool:
+        """Move what has come into the large value; whether it is whole, its line's end included."""
+        held, command = self.splitter.held, self.waiting
+        piece = min(len(held), self.length - self.filled)
+        if piece:
+            with memoryview(held) as view:
+                command.value[self.filled:self.filled + piece] = view[:piece]
+            del held[:piece]
+            self.filled += piece
+        if self.filled < self.length or len(held) < 2:
+            return False
+        if held[:2] != b"\r\n":
+            raise FramingLost("bad data chunk")
+        del held[:2]
+        self.splitter.searched, self.gathering = 0, False
+        return True
+
     def next(self) -> Command | None:
         while True:
             if self.skip:
@@ -132,6 +163,13 @@
                     return None
                 command, self.waiting = self.waiting, None
                 return command
+            if self.wants:
+                return None
+            if self.gathering:
+                if not self.gather():
+                    return None
+                command, self.waiting = self.waiting, None
+                return command
             if self.waiting:
                 if (value := self.splitter.block(self.length)) is None:
                     return None
@@ -144,12 +182,16 @@
             if not command.write:
                 return command
             length = command.words[2] if len(command.words) > 2 else b""
-            if not length.isdigit() or int(length) > SWALLOW:
+            if not length.isdigit() or len(length) > 12 or int(length) > SWALLOW:
                 raise FramingLost("bad data length")
             self.length = int(length)
             self.waiting = command
             if self.length > LONGEST_VALUE:
-                command.fault, self.skip = "value too long", self.length + 2
+                command.fault = "value too long"
+            if command.fault:
+                self.skip = self.length + 2
+            elif self.length > UNPAID:
+                self.wants = self.length
 
 
 @dataclass(slots=True)
@@ -160,6 +202,7 @@
     body: bytes = b""
     note: int = 0
     load: dict[str, float] = field(default_factory=dict)
+    flow: Flow | None = None  # what is passed on in pieces, in place of a body
 
 
 def figures(words: bytes) -> dict[str, float]:
@@ -184,6 +227,12 @@
 class LineReply:
     """What readers of answers share: the bytes held, and whether any came beyond the answer."""
 
+    large, length, done, gathered = False, 0, False, 0
+
+    def ended(self) -> bool:
+        """The connection has ended: there is no answer whose end that could be."""
+        return False
+
     def __init__(self) -> None:
         self.splitter = Splitter()
 
@@ -199,20 +248,40 @@
         super().__init__()
         self.command, self.length = command, -1
         self.reply: Reply | None = None
+        self.large, self.passed, self.done = False, 0, False
 
     def feed(self, data: bytes) -> bool:
-        """True once the answer is whole; FramingLost where it is none to this command."""
+        """True once the answer is whole, or large and begun; FramingLost where it is none to this command."""
         self.splitter.held += data
+        if self.large:
+            return True
         if self.length < 0:
             if (line := self.splitter.line()) is None:
                 return False
             self.first(line.split())
+        if self.length > LONGEST_HELD:
+            self.large = bool(self.splitter.held)
+            return self.large
         if self.length >= 0:
             if (value := self.splitter.block(self.length)) is None:
                 return False
             self.reply.body = value
         return True
 
+    def take(self) -> bytes:
+        """Of a large value: what may be passed on. The last byte only once the line's end behind it has come."""
+        held, left = self.splitter.held, self.length - self.passed
+        if left and len(held) >= left + 2:
+            if held[left:left + 2] != b"\r\n":
+                raise FramingLost("bad data chunk")
+            size, self.done = left, True
+        else:
+            size = max(0, min(len(held), left - 1))
+        piece = bytes(memoryview(held)[:size])
+        del held[:size + 2 * self.done * bool(size)]
+        self.passed += size
+        return piece
+
     def first(self, words: list[bytes]) -> None:
         kind = words[0] if words else b""
         if kind == b"SERVER_ERROR":
@@ -225,7 +294,8 @@
                 raise FramingLost("an answer to something else")
             self.reply = Reply(Ended.MISS if kind == b"EN" else Ended.COMMITTED)
             if kind == b"VA":
-                self.length = int(words[1]) if words[1].isdigit() else LONGEST_VALUE + 1
+                sane = words[1].isdigit() and len(words[1]) < 12
+                self.length = int(words[1]) if sane else LONGEST_VALUE + 1
                 if self.length > LONGEST_VALUE:
                     raise FramingLost("bad value length")
             for flag in flags:
@@ -267,18 +337,27 @@
         return False
 
 
-def hop_bytes(command: Command, wait_ms: int) -> bytes:
+def hop_bytes(command: Command, wait_ms: int) -> list[bytes]:
     """The command as it goes on to a cache server: as it came, but for how long the node will wait."""
     pairs = [b"d=%d" % wait_ms if pair[:2] == b"d=" else pair for pair in command.listed.split(b",")]
     words = [b"P" + b",".join(pairs) if word == b"P" + command.listed else word for word in command.words]
     line = b" ".join(words) + b"\r\n"
-    return line + command.value + b"\r\n" if command.write else line
+    return value_parts(line, command.value, b"\r\n") if command.write else [line]
+
+
+def value_parts(before: bytes, value: bytes | bytearray, behind: bytes) -> list[bytes]:
+    """What is to be written, in parts: guards against a second copy of a large value."""
+    return [before, value, *([behind] if behind else [])] if len(value) > UNPAID else [before + value + behind]
 
 
 def committed(command: Command, body: bytes) -> bytes:
     if command.write:
         return b"HD O%b c%b\r\n" % (command.id, body)
-    return b"VA %d O%b\r\n%b\r\n" % (len(body), command.id, body)
+    return b"%b%b\r\n" % (head(command, len(body)), body)
+
+
+def head(command: Command, length: int) -> bytes:
+    return b"VA %d O%b\r\n" % (length, command.id)
 
 
 def rolled_back(stay_away_ms: int) -> bytes:
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -13,12 +13,15 @@
 from typing import Protocol
 
 from saltmoor import config
+from saltmoor.config import LONGEST_HELD
 from saltmoor.model import Ended, Micros, Readiness, ServerId
 from saltmoor.net import http, meta
 from saltmoor.net.buffers import Buffers, Stream, family
+from saltmoor.net.flow import Budget, Flow, Kept
 from saltmoor.net.log import Log
 
 
+STEP = 1 << 18  # bytes: how memory is asked for where a value's length is not known
 MEMORY = 10_000_000  # what was learnt of connections is worth half after so long
 
 
@@ -27,6 +30,14 @@
 
     reply: meta.Reply
     clean: bool  # nothing came beyond the answer: another may follow on this connection
+    large: bool  # its answer is to be passed on in pieces
+    length: int
+    done: bool  # of a large one: all of it was taken
+    gathered: int  # bytes held of an answer whose length is not known
+
+    def ended(self) -> bool: ...
+
+    def take(self) -> bytes: ...
 
     def feed(self, data: bytes) -> bool: ...
 
@@ -66,9 +77,9 @@
 
 
 class Upstream:
-    def __init__(self, buffers: Buffers, log: Log, clock: Callable[[], Micros], *, cap: Callable[[], int],
-                 idle: Micros, connect_wait: Micros, figures: bool) -> None:
-        self.buffers, self.log, self.clock = buffers, log, clock
+    def __init__(self, buffers: Buffers, log: Log, clock: Callable[[], Micros], *, budget: Budget,
+                 cap: Callable[[], int], idle: Micros, connect_wait: Micros, figures: bool) -> None:
+        self.buffers, self.log, self.clock, self.budget = buffers, log, clock, budget
         self.cap, self.ages, self.forget_at = cap, Ages(), 0
         self.configure(idle, connect_wait, figures)
         self.address: dict[ServerId, tuple[str, int]] = {}
@@ -91,9 +102,12 @@
                     self.close(link, "left-list")
         self.address |= stay
 
-    async def exchange(self, server: ServerId, data: bytes, reader: Reader, until: Micros) -> meta.Reply:
-        """Write it, read the answer; the reply's `ended` tells how far it came when there is none."""
-        link, written, code, got, age = None, False, "internal", b"", -1
+    async def exchange(self, server: ServerId, data: list[bytes], reader: Reader, until: Micros) -> meta.Reply:
+        """Write it, read the answer; the reply's `ended` tells how far it came when there is none.
+
+        Where the answer is a large value the reply holds its flow, which has the connection from then on.
+        """
+        link, written, code, got, age, paid = None, False, "internal", b"", -1, 0
         # Guards against giving up a moment early, which looks like time for another hop: the loop's timers go
         # by whole milliseconds, so one more is added.
         timer = asyncio.get_running_loop().call_later(
@@ -109,17 +123,33 @@
                 if isinstance(made, Ended):
                     return meta.Reply(made)
                 link = made
-            await link.stream.write(data)
+            for part in data:
+                await link.stream.write(part)
             written, link.exchanges = True, link.exchanges + 1
             while True:
                 got = await link.stream.read()
                 if not got:
                     code = "ended"
-                    return meta.Reply(Ended.RESET)
+                    if not reader.ended():
+                        return meta.Reply(Ended.RESET)
+                    age = -1  # that is how it ends: no word on how long a connection stays good
+                    break
                 if reader.feed(got):
                     break
-            code = "" if reader.clean else "closed"
-            return reader.reply
+                while reader.gathered > LONGEST_HELD + paid:
+                    await self.budget.take(STEP)
+                    paid += STEP
+            reply = reader.reply
+            if reader.large:
+                reply.flow, link = self.flow(link, reader), None
+                return reply
+            code = code if code == "ended" else "" if reader.clean else "closed"
+            if reader.gathered > LONGEST_HELD:
+                value, back = reader.keep(), paid
+                reply.flow = Flow(len(value), Kept(value, STEP // 16), None,
+                                  lambda code: self.budget.give_back(back), self.clock())
+                paid = 0
+            return reply
         except asyncio.CancelledError:
             if self.clock() < until:
                 code = "stopped"
@@ -135,18 +165,28 @@
             return meta.Reply(Ended.UNKNOWN)
         finally:
             timer.cancel()
+            if paid:
+                self.budget.give_back(paid)
             if age >= 0 and (got or code in ("ended", "reset")):
                 self.ages.learn(age, not got)
-            if link and not code and self.address.get(server) != link.address:
-                code = "left-list"
-            if link and code:
-                self.close(link, code)
-            elif link:
-                link.used = self.clock()
-                self.free.setdefault(server, []).append(link)
+            if link:
+                self.leave(link, code)
+
+    def leave(self, link: Link, code: str) -> None:
+        """An exchange on it is over; with no code it stays free for the next one."""
+        if not code and self.address.get(link.server) != link.address:
+            code = "left-list"
+        if code:
+            self.close(link, code)
+        else:
+            link.used = self.clock()
+            self.free.setdefault(link.server, []).append(link)
+
+    def flow(self, link: Link, reader: Reader) -> Flow:
+        return Flow(reader.length, reader, link.stream.read, lambda code: self.leave(link, code), self.clock())
 
     async def probe(self, server: ServerId, until: Micros) -> meta.Reply:
-        return await self.exchange(server, self.ask, meta.ProbeReply(), until)
+        return await self.exchange(server, [self.ask], meta.ProbeReply(), until)
 
     def take(self, server: ServerId) -> Link | None:
         """The free connection used last, if it is still good."""
