--- a/saltmoor/net/sibling.py
+++ b/saltmoor/net/sibling.py
@@ -97,20 +97,28 @@
     def path(self, name: str) -> str:
         return f"/proc/self/fd/{self.folder}/{name}"  # a socket's path may have 107 bytes, the folder's name more
 
-    async def find(self) -> tuple[Sibling, Message, list[int]] | None:
-        """The process that serves already, and its first message; None where none is there or it hangs."""
-        mine, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        asking = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    def ask(self) -> socket.socket | None:
+        """This end of a pair whose other end was sent to whoever is there."""
+        if not os.path.exists(self.path(self.name)):
+            return None
+        try:
+            mine, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        except OSError:  # a machine without such sockets
+            return None
         try:
-            asking.setblocking(False)
-            asking.connect(self.path(self.name))
-            socket.send_fds(asking, [b'{"hello": 1}'], [theirs.fileno()])
+            with theirs, socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as asking:
+                asking.setblocking(False)
+                asking.connect(self.path(self.name))
+                socket.send_fds(asking, [b'{"hello": 1}'], [theirs.fileno()])
+            return mine
         except OSError:  # nobody, or a file left behind
             mine.close()
             return None
-        finally:
-            asking.close()
-            theirs.close()
+
+    async def find(self) -> tuple[Sibling, Message, list[int]] | None:
+        """The process that serves already, and its first message; None where none is there or it hangs."""
+        if (mine := self.ask()) is None:
+            return None
         sibling, first = Sibling(mine, self.log), asyncio.get_running_loop().create_future()
 
         def told(message: Message, fds: list[int]) -> None:
@@ -131,9 +139,9 @@
     def publish(self) -> None:
         """From now on this process is the one that is found."""
         self.close()
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
-        fresh = f"{self.name}.{os.getpid()}"
+        fresh, sock = f"{self.name}.{os.getpid()}", None
         try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
             with contextlib.suppress(OSError):
                 os.unlink(self.path(fresh))
             before = os.umask(0o077)  # none but this user's processes may write to it
@@ -143,7 +151,8 @@
                 os.umask(before)
             os.rename(self.path(fresh), self.path(self.name))
         except OSError as error:
-            sock.close()
+            if sock:
+                sock.close()
             self.log(f"sibling: cannot be found by a successor: {error}")
             return
         sock.setblocking(False)
