Hops beyond a first stay within a stated budget, in any window; the dearest go first

At fault: Node.send and Node.again. Ruled out: second copies, none allowed. Change: settings free_resends, resend_ratio, budget_window_ns (config, adapter and real node alike); Allowance counts txs taken and further hops of the window before each hop, a miss's next hop apart; profiles under the dearest leave up to half of the few. Kept trace: budget.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from bisect import bisect, insort
+from collections import deque
 from collections.abc import Iterator
 from itertools import islice
 from math import log
@@ -77,6 +78,22 @@
             self.limit += 2 / self.limit if self.slowed else 1
 
 
+class Allowance:
+    """Rule 5, where it is stated: hops beyond each transaction's first, counted in a window that slides."""
+
+    def __init__(self) -> None:
+        self.taken: deque[Micros] = deque()
+        self.further: deque[Micros] = deque()
+
+    def left(self, now: Micros, budget: model.HopBudget, part: float) -> float:
+        edge = now - budget.window
+        while self.taken and self.taken[0] <= edge:
+            self.taken.popleft()
+        while self.further and self.further[0] < edge:
+            self.further.popleft()
+        return budget.free * part + budget.share * len(self.taken) - len(self.further)
+
+
 class Patience:
     """How often its expected delay a hop is given before its answer counts as lost.
 
@@ -103,7 +120,7 @@
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.capacity = self.full_size = 1.0  # of all cache servers: as they are, and were they warm
         self.zoned = False  # whether a key's preferred server is one of the own zone
-        self.room, self.patience = Room(), Patience()
+        self.room, self.patience, self.allowance = Room(), Patience(), Allowance()
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hits, self.hops, self.rate = 0, 0, 0.0  # hops to caches: now, a second
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
@@ -115,10 +132,12 @@
 
     def configure(self, now: Micros, *, profiles: list[model.Profile], quotas: list[float],
                   permits: model.Permits, prices: model.Prices, cold: model.ColdStart, listing: model.Listing,
-                  place: model.Place, origin_kind: int | None, columns: list[str], tick: Micros) -> None:
+                  place: model.Place, origin_kind: int | None, columns: list[str], tick: Micros,
+                  budget: model.HopBudget | None = None) -> None:
         """Take new settings; what is under way keeps its own, and what was learnt stays."""
         self.profiles, self.permits, self.prices, self.cold = profiles, permits, prices, cold
-        self.listing, self.place, self.origin_kind = listing, place, origin_kind
+        self.listing, self.place, self.origin_kind, self.budget = listing, place, origin_kind, budget
+        self.dearest = max((profile.revenue for profile in profiles), default=1.0)
         self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
         self.goal = min((profile.goal for profile in profiles), default=1_000_000)
         self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal
@@ -324,8 +343,10 @@
 
     def send(self, tx: Tx, now: Micros) -> In | None:
         server = tx.choice
-        if not may_send(tx, server, now, self.permits):
+        if not may_send(tx, server, now, self.permits) or not self.allowed(tx, now):
             return In.NOBODY
+        if self.budget and self.further(tx):
+            self.allowance.further.append(now)
         tx.hops.append(Hop(tx, len(tx.hops), server, now, self.queue(server)))
         tx.tried.add(server)
         server.out[tx.hops[-1]] = None
@@ -340,6 +361,17 @@
         self.at(now + tx.hops[-1].patience, self.overdue, tx.hops[-1])
         return None
 
+    def further(self, tx: Tx) -> bool:
+        """Whether its next hop counts as a further one; what follows a miss does not."""
+        return bool(tx.hops) and tx.hops[-1].ended is not Ended.MISS
+
+    def allowed(self, tx: Tx, now: Micros) -> bool:
+        """Rule 5. What is scarce goes to the dearest first: the others leave up to half of the stated few."""
+        if not self.budget or not self.further(tx):
+            return True
+        kept = 0.5 * self.budget.free * (1 - tx.profile.revenue / self.dearest)
+        return self.allowance.left(now, self.budget, self.part) >= 1 + kept
+
     def overdue(self, now: Micros, hop: Hop) -> None:
         """Guards against answers that get lost: what was sent half a hit's time later is answered."""
         if hop.open and hop is hop.tx.hops[-1] and now < hop.tx.goal and hop.tx.state is not State.WAITING:
@@ -391,7 +423,7 @@
 
     def again(self, tx: Tx, now: Micros) -> In | None:
         # Guards against a storm of repeats: each is paid from what commits left.
-        if self.spare < 1:
+        if self.spare < 1 or not self.allowed(tx, now):
             return In.NOBODY
         self.spare -= 1
         # What broke or got lost on its way back has left its copy: the same server may be asked again.
@@ -443,6 +475,8 @@
         tx = Tx(came.tx, profile, key, came.key is not None, min(goal, came.limit), came.limit,
                 came.write, 0.5 if self.beyond_share(came.tenant, now) else 1.0, CANDIDATES)
         self.txs[tx.id] = tx
+        if self.budget:
+            self.allowance.taken.append(now)
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
         if came.write and self.origin_kind is not None:
             self.feed(now, tx, In.ORIGIN)
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -100,6 +100,13 @@
         window=line.micros("key_ttl_ns"), late_value=float(line.number("late_worth")))
 
 
+def hop_budget(rule: Section) -> model.HopBudget | None:
+    """None where no budget of further hops is stated; what is stated in part is as strict as it can be."""
+    budget = model.HopBudget(float(rule.number("free_resends")), float(rule.number("resend_ratio")),
+                             rule.micros("budget_window_ns"))
+    return budget if {"free_resends", "resend_ratio", "budget_window_ns"} & rule.said.keys() else None
+
+
 def node_arguments(said: Any, path: str = "") -> dict[str, Any]:
     """The constructor arguments of saltmoor.choice.Node, seed and clock apart, out of the settings."""
     top = Section(said, path)
@@ -120,7 +127,9 @@
         "cold": model.ColdStart(
             float(rule.number("cold_from", 1.0)), rule.micros("cold_ns"),
             float(rule.number("overload_factor", 1.0)), rule.micros("fall_ns") or 1_000_000),
-        "listing": model.Listing(top.text("membership_mode") == "subscribe", rule.micros("ask_within_ns")),
+        "listing": model.Listing(top.text("membership_mode") == "subscribe", rule.micros("ask_within_ns"),
+                                 rule.flag("soft_removal")),
+        "budget": hop_budget(rule),
         "place": model.Place(int(top.number("locality")), int(top.number("fleet_size"))),
         "origin_kind": origin if aside else None,
         "columns": [COLUMNS.get(name, name) for name in report.texts("columns")],
@@ -242,7 +251,7 @@
     node = node_arguments(settings.said, "settings.")
     # On sockets the list comes to those who watch it, also where the settings call its changes unasked for:
     # guards against a node that never learns of a drain.
-    node["listing"] = model.Listing(True, node["listing"].within or LIST_WITHIN)
+    node["listing"] = model.Listing(True, node["listing"].within or LIST_WITHIN, node["listing"].soft)
     try:
         seed = int(top.text("seed") or os.urandom(8).hex(), 16) % (1 << 64)
     except ValueError:
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -103,6 +103,16 @@
 class Listing:
     asked: bool = False  # whether the list has to be asked for
     within: Micros = 0
+    soft: bool = False  # only a listing as draining binds: what is called gone may serve all the same
+
+
+@dataclass(slots=True, frozen=True)
+class HopBudget:
+    """Hops beyond each transaction's first, in any window: so many, and a share of those that were taken in it."""
+
+    free: float
+    share: float
+    window: Micros
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -48,6 +48,7 @@
         for effect in self.node.effects:
             match effect:
                 case model.Send(tx, server, _):
+                    self.last = server
                     self.note(f"   tx {tx} -> server {server}")
                 case model.RollBack(tx, hint):
                     self.note(f"   tx {tx} rolled back, hint {hint // MS} ms")
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,7 +2,7 @@
 
 from saltmoor import model
 from saltmoor.choice import Room
-from saltmoor.model import Ended, ListKind, Readiness
+from saltmoor.model import Ended, ListKind, Readiness, Repeat
 from tests.helper import JOURNALLED, MS, ONCE, Script, TraceCase
 
 
@@ -316,3 +316,18 @@
         script.tx(1, key=None)
         script.ends(1, 0, 1, Ended.FULL)
         self.check("bare", script)
+
+    def test_further_hops_stay_within_their_budget(self):
+        """Guards against more hops beyond the first than are stated, in any window; the dearest go first."""
+        profiles = [model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=1.0),
+                    model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=5.0)]
+        script = Script(3, profiles=profiles, budget=model.HopBudget(2, 0.1, 2000 * MS), columns=[])
+        for number in range(1, 5):
+            script.tx(number, profile=number % 2, key=number)
+            script.wait(10)
+            script.ends(number, 0, script.last, Ended.ERROR)
+        script.wait(2000)
+        script.note("two seconds later")
+        script.tx(5, profile=1, key=5)
+        script.ends(5, 0, script.last, Ended.ERROR)
+        self.check("budget", script)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -372,7 +372,11 @@
                {"known": {"instances": [{"instanceId": "s", "hostPort": "x"}]}},
                {"settings": settings(azs="a")}, {"settings": settings(permissions={"cancel": "yes"})},
                {"settings": settings(classes=[{"name": "p", "deadline_ns": -1}])},
-               {"settings": settings(classes=[{"group": "town"}])}, {"settings": settings(fleet_size="many")}]
+               {"settings": settings(classes=[{"group": "town"}])}, {"settings": settings(fleet_size="many")},
+               {"settings": settings(rules={"resend_ratio": -0.1})},
+               {"settings": settings(rules={"budget_window_ns": "2 s"})},
+               {"settings": settings(rules={"soft_removal": 1.5})}, {"admin_addr": "here"},
+               {"listen": "127.0.0.1:5", "admin_addr": "127.0.0.1:5"}]
         self.lines = []
         for change in bad:
             try:
