Failed fetches spare the origin; idle connections go back while living servers refuse many

It starts with spills to servers without a copy, and at size with a copy in each zone (46 servers, a crossing 0.012, a fetch 0.03). Change: such an error blames no server; while fetches fail fewer reads of keys not known to be stored are taken, a spill pays for the risk, only the dearest is repeated; a zone has its own copies only where a crossing costs more than a fetch; while living servers refuse many connections each is given back when nothing runs on it (effect CloseIdle, also on sockets).

--- a/saltmoor/adapter/host.py
+++ b/saltmoor/adapter/host.py
@@ -38,6 +38,8 @@
             return codec.UNDO.pack(19, tx, hop)
         case model.Probe(server):
             return codec.ASK.pack(21, server)
+        case model.CloseIdle(server):
+            return codec.ASK.pack(22, server)
         case model.Wake(at, token):
             return codec.WAKE.pack(20, at * 1000, token)
         case model.WatchList(on):
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -121,6 +121,8 @@
         self.capacity = self.full_size = 1.0  # of all cache servers: as they are, and were they warm
         self.zoned = False  # whether a key's preferred server is one of the own zone
         self.room, self.patience, self.allowance = Room(), Patience(), Allowance()
+        self.fetching, self.stored = 1.0, {}  # share of reads taken that may need a fetch; keys that hit lately
+        self.refused, self.squeezed = 0.0, False  # share of connections that living servers refused; too many are
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hits, self.hops, self.rate = 0, 0, 0.0  # hops to caches: now, a second
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
@@ -177,7 +179,7 @@
         self.caches = [server for server in known if server.kind != self.origin_kind]
         # Guards against halving the caches of a small fleet: a copy in each zone costs it more than it saves.
         own = sum(server.zone == self.place.zone for server in self.caches)
-        self.zoned = self.prices.crossing > 0 and LARGE[self.zoned] <= own < len(self.caches)
+        self.zoned = self.prices.crossing > self.prices.fetch and LARGE[self.zoned] <= own < len(self.caches)
         self.warm_at = self.cold.warm_after + max((server.started for server in self.caches), default=0)
         self.reweigh(now)
 
@@ -313,7 +315,9 @@
         away = (server.zone != self.place.zone) * (ZONED if self.zoned else 1)
         # A spilled read mostly finds no copy: its fetch is part of the delay that it moves to.
         warm = tx.write or server is next(one for one in picked if not self.zoned or one.zone == server.zone)
-        return (self.expected(server, now) + (0 if warm else self.fetch)
+        # While fetches fail it may find nothing at all, and takes what others need to fill their copies.
+        fetch = 0 if warm else self.fetch + (1 - self.fetching) * 2 * (tx.goal - now)
+        return (self.expected(server, now) + fetch
                 + self.prices.crossing * away * (tx.goal - now))
 
     def poll(self, tx: Tx, now: Micros) -> In | None:
@@ -425,6 +429,9 @@
         # Guards against a storm of repeats: each is paid from what commits left.
         if self.spare < 1 or not self.allowed(tx, now):
             return In.NOBODY
+        # Guards against one failed fetch after the other for the same key: the dearest profile is tried again.
+        if tx.hops[-1].unfetched and self.fetching < 0.7 and tx.profile.revenue < self.dearest:
+            return In.NOBODY
         self.spare -= 1
         # What broke or got lost on its way back has left its copy: the same server may be asked again.
         tx.tried -= {hop.server for hop in tx.hops if hop.ended in (None, Ended.UNKNOWN, Ended.RESET)}
@@ -480,11 +487,32 @@
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
         if came.write and self.origin_kind is not None:
             self.feed(now, tx, In.ORIGIN)
-        elif self.missing.get(key, now) > now and self.crowded():
+        elif self.missing.get(key, now) > now and self.crowded() or self.spare_origin(tx):
             self.feed(now, tx, In.NOBODY)  # just missed, and no room for its fetch: spare the cache server
         else:
             self.feed(now, tx, In.SHARED if key in self.fetches and not came.write else In.READ)
 
+    def spare_origin(self, tx: Tx) -> bool:
+        """Guards against an origin that gets no further under fetches, which leaves the caches empty and so brings
+        more of them: while fetches fail, fewer reads are taken of keys that are not known to be stored.
+        """
+        return (self.fetching < 1 and tx.key not in self.stored and not tx.write
+                and self.chance() >= self.fetching * (1 + tx.profile.revenue / self.dearest))
+
+    def fetched(self, hop: Hop, ended: Ended, note: int, now: Micros) -> None:
+        """What the end of a hop says of the fetches behind the cache servers."""
+        if ended is Ended.COMMITTED:
+            # All that was taken without knowing counts, so that fewer are turned away where many are stored.
+            if hop.tx.key not in self.stored:
+                self.fetching = min(1.0, self.fetching + 0.05)
+            self.stored[hop.tx.key] = now
+        elif ended is Ended.ERROR and note > 1:
+            self.stored.pop(hop.tx.key, None)
+            hop.unfetched = True
+            self.fetching = max(0.05, self.fetching * 0.85)
+        self.say("origin spared", self.fetching < 0.4 + 0.3 * ("origin spared" in self.mode),
+                 f"share={self.fetching:.2f}")
+
     def beyond_share(self, tenant: int | None, now: Micros) -> bool:
         if tenant is None or tenant >= len(self.quotas):
             return False
@@ -510,6 +538,7 @@
             self.refill(now)
         else:
             self.judge(server, hop, ended, end.elapsed, end.note, now)
+            self.connected(server, ended, now)
         tx = hop.tx
         if end.closed:
             self.spare = min(20.0, self.spare + 0.15)
@@ -521,6 +550,21 @@
         else:
             self.feed(now, tx, In.AGAIN)
 
+    def connected(self, server: Server, ended: Ended, now: Micros) -> None:
+        """Guards against servers that hold too few connections for all nodes: who keeps one that stands idle keeps
+        the next node out, so while many are refused by servers that live each is given back at once.
+        """
+        if ended not in (Ended.CANCELLED, Ended.NOT_SENT, Ended.MALFORMED, Ended.TIMED_OUT):
+            # Each server that was heard lately counts once until it is heard again: a dead one is no crowd.
+            refused = ended is Ended.NO_CONNECTION
+            counts = not refused or server.refused <= server.heard > now - 10 * self.goal
+            self.refused += (refused - self.refused) * 0.05 * counts
+            server.refused = now if refused else 0
+            self.squeezed = self.refused > (0.03 if self.squeezed else 0.1)
+            self.say("squeezed", self.squeezed, f"refused={self.refused:.2f}")
+        if self.squeezed and not server.out and ended is not Ended.NO_CONNECTION:
+            self.effects.append(model.CloseIdle(server.id))
+
     def judge(self, server: Server, hop: Hop, ended: Ended, elapsed: Micros, note: int, now: Micros) -> None:
         """Health: what this hop's end says of its server."""
         if ended in (Ended.CANCELLED, Ended.NOT_SENT, Ended.MALFORMED):  # no word on the server
@@ -544,7 +588,8 @@
         # A time-out tells of a long queue, not of a broken server: it counts as a long delay below, but where
         # the server answered what was sent later and the answer had its time: there it tells of a lost one.
         late = ended is Ended.TIMED_OUT and (hop.sent >= server.newest or elapsed < hop.patience)
-        failed = ended in (Ended.ERROR, Ended.UNKNOWN)
+        self.fetched(hop, ended, note, now)
+        failed = ended is Ended.UNKNOWN or ended is Ended.ERROR and note <= 1  # else it is the origin's fault
         server.bad += (failed - server.bad) * (0.1 if ended is Ended.UNKNOWN else 0.2)
         if failed and server.bad > 0.35 and now >= server.out_until:
             # Guards against a server that fails fast: its queue is short because it does no work. Its peers
@@ -623,6 +668,7 @@
             if ended is Ended.NO_CONNECTION or server.unanswered > 1 and now - server.heard > 2 * self.goal:
                 self.lose(server, now, f"probe {ended.value[0]} n={server.unanswered}")
         self.wake_askers(now, server, -1)
+        self.connected(server, ended, now)
 
     def wake_askers(self, now: Micros, server: Server, asked: Micros) -> None:
         server.mute = server.asked == asked >= 0
@@ -639,6 +685,8 @@
             self.feed(now, tx, In.ENDED)
 
     def periodic(self, now: Micros) -> None:
+        if len(self.stored) > 5_000 or now % 5_000_000 < PERIOD:
+            self.stored = {key: at for key, at in self.stored.items() if at > now - 30_000_000}
         self.missing = {key: until for key, until in self.missing.items() if until > now}
         self.rate, self.hops = self.rate + (self.hops * 1_000_000 / PERIOD - self.rate) * 0.1, 0
         # Weights of warming servers change once a second, at all nodes alike: each change voids the ranks.
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -123,7 +123,7 @@
             longest_hint=may.micros("max_retry_after_ns") if may.flag("retry_after") else 0,
             probes=may.flag("probes") and report.text("how") != "off"),
         "prices": model.Prices(float(price.number("cross_zone")), float(price.number("waste")),
-                               float(price.number("probe"))),
+                               float(price.number("probe")), float(price.number("origin"))),
         "cold": model.ColdStart(
             float(rule.number("cold_from", 1.0)), rule.micros("cold_ns"),
             float(rule.number("overload_factor", 1.0)), rule.micros("fall_ns") or 1_000_000),
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -84,7 +84,14 @@
     silence: Micros
 
 
-Errand = Probe | Watch
+@dataclass(slots=True, eq=False)
+class Close:
+    """Close the connections to this server on which nothing runs."""
+
+    server: model.ServerId
+
+
+Errand = Probe | Watch | Close
 
 
 class Facade:
@@ -230,6 +237,8 @@
                     stops.append(effect)
                 case model.Probe(server, until):
                     self.errands.append(Probe(server, until, now))
+                case model.CloseIdle(server):
+                    self.errands.append(Close(server))
                 case model.WatchList(silence=silence):
                     self.errands.append(Watch(silence))
                 case model.Wake(at, token):
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -89,6 +89,7 @@
     crossing: float = 0.0
     waste: float = 0.0
     probe: float = 0.0  # of one probe a transaction, as a share of what a transaction is worth
+    fetch: float = 0.0  # of one fetch from the origin a transaction
 
 
 @dataclass(slots=True, frozen=True)
@@ -192,6 +193,13 @@
     until: Micros = 0  # where the wire has no wait of its own
 
 
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Keep no connection to this server that nothing runs on."""
+
+    server: ServerId
+
+
 @dataclass(slots=True, frozen=True)
 class Wake:
     at: Micros
@@ -209,7 +217,7 @@
     line: str
 
 
-Effect = Send | RollBack | Abandon | Cancel | Probe | Wake | WatchList | Log
+Effect = Send | RollBack | Abandon | Cancel | Probe | CloseIdle | Wake | WatchList | Log
 
 
 # What a node keeps of its transactions and cache servers: records only; saltmoor.choice decides on them.
@@ -268,6 +276,7 @@
     out: dict[Hop, None] = field(default_factory=dict)
     newest: Micros = 0  # when the youngest hop that it answered was sent
     heard: Micros = 0  # the last sign of life: a hop that ended by its work, or a probe
+    refused: Micros = 0  # when it refused a connection last, with none accepted since
     doubted: Micros = 0  # when a connection to it broke last
     # health
     delay: float = 0.0  # recent time of a hit; 0: not known
@@ -302,6 +311,7 @@
     patience: Micros = 0  # after it its answer may be lost
     open: bool = True
     ended: Ended | None = None
+    unfetched: bool = False  # it missed, and the fetch behind the server failed
 
 
 @dataclass(slots=True, eq=False)
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -233,6 +233,8 @@
                     self.clients.spawn(self.probe(errand))
                 case facade.Watch(silence):
                     self.watch(errand, silence)
+                case facade.Close(server):
+                    self.upstream.give_back(server)
 
     def look(self, due: float) -> None:
         """How late the loop is: what waits in the sockets waits as long."""
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -235,6 +235,11 @@
         self.close(oldest.pop(0), "evicted")
         return True
 
+    def give_back(self, server: ServerId) -> None:
+        """Close what stands free to this server, as others are refused there."""
+        for link in self.free.pop(server, []):
+            self.close(link, "given-back")
+
     def sweep(self) -> None:
         """Close what would soon have been idle for too long."""
         now = self.clock()
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -60,6 +60,8 @@
                     self.note(f"   probe server {server}")
                 case model.Wake(at, token):
                     self.wakes.append((-(-at // MS), token))
+                case model.CloseIdle(server):
+                    self.note(f"   closes what stands idle to server {server}")
                 case model.WatchList():
                     self.note("   watch the list")
                 case model.Log(line):
@@ -87,10 +89,10 @@
         self.node.probed(self.now * MS, server, end, MS, load)
         self.told()
 
-    def ends(self, tx: int, hop: int, server: int, how: Ended, took: int = 50) -> None:
-        self.note(f"tx {tx} hop {hop} {how.value[0]}")
+    def ends(self, tx: int, hop: int, server: int, how: Ended, took: int = 50, note: int = 0) -> None:
+        self.note(f"tx {tx} hop {hop} {how.value[0]}{' behind a miss' if note > 1 else ''}")
         closed = how is Ended.COMMITTED
-        self.node.hop_ended(self.now * MS, model.HopEnd(tx, hop, server, how, took * MS, closed))
+        self.node.hop_ended(self.now * MS, model.HopEnd(tx, hop, server, how, took * MS, closed, note))
         self.told()
 
     def wait(self, ms: int) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -331,3 +331,39 @@
         script.tx(5, profile=1, key=5)
         script.ends(5, 0, script.last, Ended.ERROR)
         self.check("budget", script)
+
+    def test_fetches_that_fail_spare_the_origin(self):
+        """Guards against an origin that gets no further: fewer reads of unknown keys, no repeats of cheap ones,
+        no server blamed; a key known to be stored is read as ever."""
+        profiles = [model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=1.0),
+                    model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=5.0)]
+        script = Script(3, profiles=profiles, columns=[])
+        script.tx(0, key=100)
+        script.ends(0, 0, script.last, Ended.COMMITTED, note=1)
+        for number in range(1, 15):
+            sent, script.last = script.last, None
+            script.tx(number, key=number)
+            if script.last:
+                script.ends(number, 0, script.last, Ended.ERROR, note=2)
+        script.note("the dearest is tried again; the stored one is read")
+        while True:
+            number += 1
+            script.last = None
+            script.tx(number, profile=1, key=number)
+            if script.last:
+                script.ends(number, 0, script.last, Ended.ERROR, note=2)
+                break
+        script.tx(99, key=100)
+        self.check("spared", script)
+
+    def test_connections_are_given_back_where_living_servers_refuse(self):
+        """Guards against idle connections that keep the other nodes out of servers that hold few."""
+        script = Script(2, columns=[])
+        for number in range(1, 9):
+            script.tx(number, key=number)
+            how = Ended.COMMITTED if number % 2 else Ended.NO_CONNECTION
+            script.ends(number, 0, script.last, how, 20)
+            if number % 2 == 0:
+                script.ends(number, 1, script.last, Ended.COMMITTED, 20)
+            script.wait(300)
+        self.check("squeezed", script)
