Where only draining binds, what the list calls gone stays while it answers

At fault: listed, which dropped what a list calls gone or leaves out. Ruled out: the servers (probes and hops sent before were answered), connections. Change: with soft_removal such a server is asked before it is sent to, stays while it answers, and is forgotten 60 s after the last of listing and answer; draining binds as ever. Real node: addresses stay as long as the decisions know the server. Could harm where many really go at once without draining: one probe a node and server, keys at their next candidates.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -24,6 +24,7 @@
 LOOK = 0.06  # of the transactions does the other thing, asks or does not, so that the better one is known
 LARGE = 12, 8  # cache servers of the own zone: from then on it prefers its own; under that no more
 ZONED = 2.5  # times its price a crossing counts there, as the own zone's servers are warm too
+UNLISTED = 60_000_000  # how long a server is kept, where lists may be wrong, without being listed or heard
 LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
 
 
@@ -121,8 +122,8 @@
         self.capacity = self.full_size = 1.0  # of all cache servers: as they are, and were they warm
         self.zoned = False  # whether a key's preferred server is one of the own zone
         self.room, self.patience, self.allowance = Room(), Patience(), Allowance()
-        self.fetching, self.stored = 1.0, {}  # share of reads taken that may need a fetch; keys that hit lately
-        self.refused, self.squeezed = 0.0, False  # share of connections that living servers refused; too many are
+        self.fetching, self.stored = 1.0, {}  # share taken of reads of unknown keys; those that hit lately
+        self.refused, self.squeezed = 0.0, False  # share of connections that living servers refuse; many do
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hits, self.hops, self.rate = 0, 0, 0.0  # hops to caches: now, a second
         self.strict = 1.0  # turn away when the shortest queue means more than this share of the time left
@@ -161,9 +162,13 @@
         if kind is not model.ListKind.CHANGES:
             named = {member.server for member in members}
             for server in self.servers.values():
-                server.ready = server.ready and server.id in named
+                if server.id not in named:
+                    self.unlist(server, now)
         for member in members:
             server = self.servers.get(member.server)
+            if server is not None and self.listing.soft and member.readiness is Readiness.GONE:
+                self.unlist(server, now)
+                continue
             if server is None:
                 server = self.servers[member.server] = Server(
                     member.server, member.zone, member.kind, member.cell, salt(member.server), member.started,
@@ -173,7 +178,22 @@
                 server.allowed, server.allowed_at = self.first_turn(member), now
                 self.effects.append(model.Log(f"cold {server.name}: age_ms={(now - member.started) // 1000}"))
             server.size = member.size if member.size > 0 else 1.0
-            server.ready = member.readiness is Readiness.READY
+            server.ready, server.unlisted = member.readiness is Readiness.READY, 0
+        self.settle_list(now)
+
+    def unlist(self, server: Server, now: Micros) -> None:
+        """The list does not name it any more, or calls it gone.
+
+        Guards, where only draining binds, against a list that is wrong: what served so far is asked before it
+        is sent to, and stays as long as it answers. It could harm where many really go at once without draining:
+        each costs a node one probe, and its keys go to their next candidates until it is forgotten.
+        """
+        if not self.listing.soft:
+            server.ready = False
+        elif server.ready and not server.unlisted:
+            server.unlisted, server.wary, server.answered = now, True, min(server.answered, now - self.fresh)
+
+    def settle_list(self, now: Micros) -> None:
         known = sorted((one for one in self.servers.values() if one.ready), key=lambda server: server.id)
         self.origins = [server for server in known if server.kind == self.origin_kind]
         self.caches = [server for server in known if server.kind != self.origin_kind]
@@ -429,7 +449,7 @@
         # Guards against a storm of repeats: each is paid from what commits left.
         if self.spare < 1 or not self.allowed(tx, now):
             return In.NOBODY
-        # Guards against one failed fetch after the other for the same key: the dearest profile is tried again.
+        # Guards against one failed fetch after the other for a key: the dearest profile is tried again.
         if tx.hops[-1].unfetched and self.fetching < 0.7 and tx.profile.revenue < self.dearest:
             return In.NOBODY
         self.spare -= 1
@@ -493,8 +513,8 @@
             self.feed(now, tx, In.SHARED if key in self.fetches and not came.write else In.READ)
 
     def spare_origin(self, tx: Tx) -> bool:
-        """Guards against an origin that gets no further under fetches, which leaves the caches empty and so brings
-        more of them: while fetches fail, fewer reads are taken of keys that are not known to be stored.
+        """Guards against an origin that gets no further under fetches, which leaves the caches empty and so
+        brings more of them: while fetches fail, fewer reads are taken of keys that are not known to be stored.
         """
         return (self.fetching < 1 and tx.key not in self.stored and not tx.write
                 and self.chance() >= self.fetching * (1 + tx.profile.revenue / self.dearest))
@@ -551,8 +571,8 @@
             self.feed(now, tx, In.AGAIN)
 
     def connected(self, server: Server, ended: Ended, now: Micros) -> None:
-        """Guards against servers that hold too few connections for all nodes: who keeps one that stands idle keeps
-        the next node out, so while many are refused by servers that live each is given back at once.
+        """Guards against servers that hold too few connections for all nodes: who keeps one that stands idle
+        keeps the next node out, so while many are refused by servers that live each is given back at once.
         """
         if ended not in (Ended.CANCELLED, Ended.NOT_SENT, Ended.MALFORMED, Ended.TIMED_OUT):
             # Each server that was heard lately counts once until it is heard again: a dead one is no crowd.
@@ -694,6 +714,10 @@
             self.reweigh(now)
         if now - self.asked_list > self.listing.within // 3:
             self.watch(now)
+        for server in self.servers.values():  # one that is not listed goes once unheard for so long
+            if server.unlisted and max(server.heard, server.unlisted) < now - UNLISTED:
+                server.ready, server.unlisted = False, 0
+                self.settle_list(now)
         # Guards against memory that grows with every server that ever was.
         for server in [one for one in self.servers.values() if not (one.ready or one.out or one.asked >= 0)]:
             del self.servers[server.id]
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -262,6 +262,7 @@
     started: Micros = 0
     size: float = 1.0
     ready: bool = True
+    unlisted: Micros = 0  # since when the list does not name it, where that alone does not bind
     weight: float = 1.0
     # load
     others: float = 0.0  # queue beyond this node's own hops, as reported lately
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -15,7 +15,7 @@
 
 from saltmoor import config, facade
 from saltmoor.choice import Node
-from saltmoor.model import Ended, ListKind, Micros
+from saltmoor.model import Ended, ListKind, Micros, Readiness
 from saltmoor.net import meta, sibling
 from saltmoor.net.admin import Admin
 from saltmoor.net.buffers import Buffers, listener
@@ -257,7 +257,9 @@
             return
 
         def tell(news: News) -> None:
-            self.upstream.listed(news.lines, news.kind is ListKind.FULL)
+            soft = self.given.node["listing"].soft  # then what is called gone may serve on, and is reached as before
+            lines = [line for line in news.lines if not soft or line.member.readiness is not Readiness.GONE]
+            self.upstream.listed(lines, news.kind is ListKind.FULL and not soft)
             self.door.report(errand, news.kind, members=[line.member for line in news.lines])
 
         self.discovery.watch(silence, tell)
@@ -283,6 +285,8 @@
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
             self.upstream.sweep()
+            if self.given.node["listing"].soft:
+                self.upstream.keep(self.door.node.servers)
             self.clients.sweep(self.given.unfinished)
             self.hurry.clear()
             try:
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Protocol
 
 from saltmoor import config
@@ -102,6 +102,12 @@
                     self.close(link, "left-list")
         self.address |= stay
 
+    def keep(self, known: Container[ServerId]) -> None:
+        """Where the list alone does not bind: forget where those are reached that the decisions have forgotten."""
+        for server in [one for one in self.address if one not in known]:
+            del self.address[server]
+            self.give_back(server)
+
     async def exchange(self, server: ServerId, data: list[bytes], reader: Reader, until: Micros) -> meta.Reply:
         """Write it, read the answer; the reply's `ended` tells how far it came when there is none.
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -367,3 +367,22 @@
                 script.ends(number, 1, script.last, Ended.COMMITTED, 20)
             script.wait(300)
         self.check("squeezed", script)
+
+    def test_a_list_that_calls_servers_gone_does_not_bind_where_only_draining_does(self):
+        """Guards against a whole fleet given up for a wrong list, and against one kept that is really gone."""
+        script = Script(3, listing=model.Listing(soft=True))
+        script.served(1, 1)
+        script.list(ListKind.CHANGES, 1, 2, state=Readiness.GONE)
+        script.list(ListKind.FULL)  # empty: all that are left out
+        script.tx(2)
+        script.queue(1, 0)
+        script.ends(2, 0, 1, Ended.COMMITTED)
+        script.note("it drains: that binds")
+        script.list(ListKind.CHANGES, 1, state=Readiness.DRAINING)
+        script.list(ListKind.CHANGES, 1, state=Readiness.GONE)
+        script.tx(3)
+        script.queue(2, None)
+        script.queue(3, 0)
+        script.wait(61_000)
+        script.note(f"kept: {sorted(script.node.servers)}")
+        self.check("soft-list", script)
