--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -185,8 +185,8 @@
         """The list does not name it any more, or calls it gone.
 
         Guards, where only draining binds, against a list that is wrong: what served so far is asked before it
-        is sent to, and stays as long as it answers. It could harm where many really go at once without draining:
-        each costs a node one probe, and its keys go to their next candidates until it is forgotten.
+        is sent to, and stays while it answers. It could harm where many really go at once undrained: each
+        costs a node one probe, and its keys go to their next candidates until it is forgotten.
         """
         if not self.listing.soft:
             server.ready = False
@@ -513,8 +513,8 @@
             self.feed(now, tx, In.SHARED if key in self.fetches and not came.write else In.READ)
 
     def spare_origin(self, tx: Tx) -> bool:
-        """Guards against an origin that gets no further under fetches, which leaves the caches empty and so
-        brings more of them: while fetches fail, fewer reads are taken of keys that are not known to be stored.
+        """Guards against an origin that gets no further under fetches, which leaves caches empty and brings
+        more of them: while fetches fail, fewer reads are taken of keys that are not known to be stored.
         """
         return (self.fetching < 1 and tx.key not in self.stored and not tx.write
                 and self.chance() >= self.fetching * (1 + tx.profile.revenue / self.dearest))
