--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,7 +9,7 @@
 
 import uvloop
 
-from saltmoor import config
+from saltmoor import config, model
 from saltmoor.net import http, lifecycle, meta, origin
 from saltmoor.net.log import Log
 from saltmoor.net.upstream import Ages
@@ -247,6 +247,29 @@
 
         self.play("net-stale", scene)
 
+    def test_what_the_decisions_give_back_is_closed_and_what_the_list_calls_gone_is_reached(self):
+        """Guards against idle connections kept where others are refused, and addresses lost to a wrong list."""
+        async def scene(town: Town) -> None:
+            one, door = await town.client(), town.service.door
+            await one.ask(read("hit", "1"))
+            door.node.effects.append(model.CloseIdle("s1"))
+            door._settle(lifecycle.clock())
+            await asyncio.sleep(0.02)
+            town.codes("server")
+            gone = {"generation": 9, "instances": [line | {"lifecycle": "removed"} for line in town.list]}
+            for news in gone, {"generation": 10, "reset": True, "instances": []}:
+                town.news.put_nowait(json.dumps(news).encode() + b"\n")
+            await asyncio.sleep(0.6)
+            await one.ask(read("hit", "2"))
+            await one.ask(read("miss", "3"))
+            town.news.put_nowait(json.dumps({"generation": 11, "instances": [
+                line | {"lifecycle": "draining"} for line in town.list[:1]]}).encode() + b"\n")
+            await asyncio.sleep(0.05)
+            await one.ask(read("hit", "4"))
+
+        rules = {"ask_within_ns": 9000 * 10**6, "soft_removal": True}
+        self.play("net-soft", scene, settings=settings(rules=rules))
+
     def test_a_connection_left_by_a_fault_is_not_used(self):
         """Guards against an exchange that fails in our own code and leaves its answer to the next one."""
         class Broken(meta.ProbeReply):
