--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -335,6 +335,7 @@
         away = (server.zone != self.place.zone) * (ZONED if self.zoned else 1)
         # A spilled read mostly finds no copy: its fetch is part of the delay that it moves to.
         warm = tx.write or server is next(one for one in picked if not self.zoned or one.zone == server.zone)
+        warm = warm or self.stored.get(tx.key, (0, None))[1] is server
         # While fetches fail it may find nothing at all, and takes what others need to fill their copies.
         fetch = 0 if warm else self.fetch + (1 - self.fetching) * 2 * (tx.goal - now)
         return (self.expected(server, now) + fetch
@@ -525,7 +526,7 @@
             # All that was taken without knowing counts, so that fewer are turned away where many are stored.
             if hop.tx.key not in self.stored:
                 self.fetching = min(1.0, self.fetching + 0.05)
-            self.stored[hop.tx.key] = now
+            self.stored[hop.tx.key] = now, hop.server
         elif ended is Ended.ERROR and note > 1:
             self.stored.pop(hop.tx.key, None)
             hop.unfetched = True
@@ -582,7 +583,7 @@
             server.refused = now if refused else 0
             self.squeezed = self.refused > (0.03 if self.squeezed else 0.1)
             self.say("squeezed", self.squeezed, f"refused={self.refused:.2f}")
-        if self.squeezed and not server.out and ended is not Ended.NO_CONNECTION:
+        if self.squeezed and not server.out and ended not in (Ended.NO_CONNECTION, Ended.FULL):
             self.effects.append(model.CloseIdle(server.id))
 
     def judge(self, server: Server, hop: Hop, ended: Ended, elapsed: Micros, note: int, now: Micros) -> None:
@@ -706,7 +707,7 @@
 
     def periodic(self, now: Micros) -> None:
         if len(self.stored) > 5_000 or now % 5_000_000 < PERIOD:
-            self.stored = {key: at for key, at in self.stored.items() if at > now - 30_000_000}
+            self.stored = {key: kept for key, kept in self.stored.items() if kept[0] > now - 30_000_000}
         self.missing = {key: until for key, until in self.missing.items() if until > now}
         self.rate, self.hops = self.rate + (self.hops * 1_000_000 / PERIOD - self.rate) * 0.1, 0
         # Weights of warming servers change once a second, at all nodes alike: each change voids the ranks.
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -366,6 +366,8 @@
             if number % 2 == 0:
                 script.ends(number, 1, script.last, Ended.COMMITTED, 20)
             script.wait(300)
+        script.tx(9, key=9)
+        script.ends(9, 0, script.last, Ended.FULL, 1)  # turned away: the connection is kept, its turn comes
         self.check("squeezed", script)
 
     def test_a_list_that_calls_servers_gone_does_not_bind_where_only_draining_does(self):
