Give back memory of a wrong large value; drop hops and txs that left the window

Read again: a large value with a bad end lost its part of the budget for good, as the parser was replaced before it was given back; with a budget of hops stated, arrivals were kept until the next further hop, however long that took; a reload set the memory for values by itself, past the one place that does. Change: Client.forget in both places; the window is trimmed once a period; reload goes through cap. Test: a wrong large write, after which the memory has to be back (kept trace flow-writes).

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -706,6 +706,8 @@
             self.feed(now, tx, In.ENDED)
 
     def periodic(self, now: Micros) -> None:
+        if self.budget:
+            self.allowance.left(now, self.budget, self.part)  # what has left the window is not kept
         if len(self.stored) > 5_000 or now % 5_000_000 < PERIOD:
             self.stored = {key: kept for key, kept in self.stored.items() if kept[0] > now - 30_000_000}
         self.missing = {key: until for key, until in self.missing.items() if until > now}
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -154,9 +154,15 @@
         await self.flush()
         self.close("unfinished")
 
+    def forget(self) -> None:
+        """What of a command has come is of no use; guards against its memory never given back."""
+        if self.commands.waiting and self.commands.waiting.paid:
+            self.house.budget.give_back(self.commands.waiting.paid)
+        self.commands = meta.Commands()
+
     async def part(self) -> None:
         """Say the end and read past what still comes, so that the client gets the last answer whole."""
-        self.commands = meta.Commands()
+        self.forget()
         self.stream.sock.shutdown(socket.SHUT_WR)
         left = meta.SWALLOW
         while left > 0 and (data := await self.stream.read()):
@@ -262,8 +268,7 @@
             if isinstance(slot.answer, Passing):
                 slot.answer.flow.drop()
             self.house.done(slot)
-        if self.commands.waiting and self.commands.waiting.paid:
-            self.house.budget.give_back(self.commands.waiting.paid)
+        self.forget()
         self.house.begun.pop(self, None)
         self.stream.close()
         self.house.clients.discard(self)
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -174,9 +174,8 @@
         self.log.rate = given.log_lines
         self.settings(given)
         self.upstream.configure(given.idle, given.connect_wait, bool(given.names.columns))
-        caps = given.caps_for(2) if self.sibling else given.caps
-        self.clients.configure(given.names, given.node["profiles"], caps)
-        self.budget.total = caps.gathered
+        self.clients.configure(given.names, given.node["profiles"], given.caps)
+        self.cap(2 if self.sibling else 1)
         if (given.node, given.names) != (old.node, old.names):
             self.door.configure(given.node, given.names.columns)
         if self.discovery and given.discovery:
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -84,6 +84,9 @@
             half.writer.write(b"ms farm %d O10 Pc=put,t=acme,d=900,k=79\r\n" % len(VALUE))
             await half.writer.drain()
             half.writer.close()  # its client has left while it waits, or has some
+            wrong = await town.client()  # its value does not end where its length says
+            wrong.writer.write(b"ms farm 50000 O11 Pc=put,t=acme,d=900,k=80\r\n" + VALUE[:50_003] + b"\r\n")
+            town.lines.append(f"wrong: {(await asyncio.wait_for(wrong.reader.readline(), 5)).decode()!r}")
             for write in writes:
                 town.lines.append(f"large: {(await asyncio.wait_for(write, 9)).decode()!r}")
             await asyncio.sleep(0.3)
