Edges of figures: shares, weights, goals and queue counters of nothing or too much

Seen: a stated cold_from of 0, or a start that lies in the future beside cold_ns 0, divides by zero at the first list (warmth, reweigh, within_cold_budget); a goal under 40 us stops admission (ran), under 8 us overdue calls itself for ever; one queue counter of 2^64-1 leaves others at 1.8e18; an end or a probe's answer for a forgotten server raises KeyError (hop_ended, probed); a failure told twice counts twice; each reload filled tenants' buckets (50 taken where 10 were due). Ruled out: NaN as a queue (max(0, nan) is 0, and figures() leaves it out); no candidates; a silent year. Mended at those lines: clamps where a figure comes in, no branch on the ordinary path. Tests: Edges, six of eight failed before.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -24,6 +24,7 @@
 LOOK = 0.06  # of the transactions does the other thing, asks or does not, so that the better one is known
 LARGE = 12, 8  # cache servers of the own zone: from then on it prefers its own; under that no more
 ZONED = 2.5  # times its price a crossing counts there, as the own zone's servers are warm too
+WRAPPED = 1_000_000  # no queue is that long: its counter has wrapped
 UNLISTED = 60_000_000  # how long a server is kept, where lists may be wrong, without being listed or heard
 LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
 
@@ -53,10 +54,10 @@
 
 def warmth(server: Server, now: Micros, cold: model.ColdStart) -> float:
     """The share of its capacity that a server surely has: it warms no slower than evenly."""
-    age = now - server.started
+    age = max(0, now - server.started)  # what lies in the future has just started
     if server.started <= 0 or age >= cold.warm_after:
         return 1.0
-    return cold.share + (1 - cold.share) * max(0, age) / cold.warm_after
+    return cold.share + (1 - cold.share) * age / cold.warm_after
 
 
 class Room:
@@ -114,6 +115,7 @@
 
     def __init__(self, seed: int, now: Micros, **settings) -> None:
         super().__init__(seed, now)
+        self.quotas = []
         self.configure(now, **settings)
         self.txs: dict[model.TxId, Tx] = {}
         self.servers, self.caches, self.origins = {}, [], []
@@ -142,11 +144,12 @@
         self.listing, self.place, self.origin_kind, self.budget = listing, place, origin_kind, budget
         self.dearest = max((profile.revenue for profile in profiles), default=1.0)
         self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
-        self.goal = min((profile.goal for profile in profiles), default=1_000_000)
+        self.goal = max(1_000, min((profile.goal for profile in profiles), default=1_000_000))
         self.probe_wait, self.fresh = max(2 * tick, self.goal // 10), self.goal
         self.middle = [0.0] * len(profiles)  # the time that the middle try of the profile has left
         nodes = max(1, place.nodes)  # 0: not told
-        self.quotas = [[rate / nodes, rate / nodes, now] for rate in quotas]
+        levels = [bucket[1] for bucket in self.quotas] + [1e19] * len(quotas)  # a reload fills none
+        self.quotas = [[rate / nodes, min(rate / nodes, level), now] for rate, level in zip(quotas, levels)]
 
     def listed(self, now: Micros, kind: model.ListKind, members: list[model.Member]) -> None:
         if kind is model.ListKind.FAILED:
@@ -177,7 +180,7 @@
                 server.restart(member.started)
                 server.allowed, server.allowed_at = self.first_turn(member), now
                 self.effects.append(model.Log(f"cold {server.name}: age_ms={(now - member.started) // 1000}"))
-            server.size = member.size if member.size > 0 else 1.0
+            server.size = min(max(member.size, 1e-3), 1e6) if member.size > 0 else 1.0
             server.ready, server.unlisted = member.readiness is Readiness.READY, 0
         self.settle_list(now)
 
@@ -213,7 +216,7 @@
         for server in self.caches:
             # Near ties go to the own zone: there a hop saves the price of crossing, a share of its worth.
             near = 1 + 2 * self.prices.crossing * (server.zone == self.place.zone and not self.zoned)
-            warm = server.size * warmth(server, now, self.cold)
+            warm = server.size * max(0.001, warmth(server, now, self.cold))  # no weight is 0
             server.weight, self.capacity = warm * near, self.capacity + warm
         self.ranks.clear()
 
@@ -546,8 +549,9 @@
         return False
 
     def hop_ended(self, now: Micros, end: model.HopEnd) -> None:
-        server, ended = self.servers[end.server], end.ended
-        hop = next((hop for hop in server.out if hop.tx.id == end.tx and hop.number == end.hop), None)
+        server, ended = self.servers.get(end.server), end.ended
+        out = server.out if server else ()
+        hop = next((hop for hop in out if hop.tx.id == end.tx and hop.number == end.hop), None)
         if hop is None:
             return
         del server.out[hop]
@@ -667,12 +671,14 @@
 
     def probed(self, now: Micros, server_id: model.ServerId, ended: Ended, elapsed: Micros,
                load: tuple[float, ...]) -> None:
-        server = self.servers[server_id]
+        server = self.servers.get(server_id)
+        if server is None or server.asked < 0 and ended is not Ended.COMMITTED:
+            return  # forgotten meanwhile, or told before
         server.asked = -1
         if ended is Ended.COMMITTED:
             before, server.answered, server.heard = server.answered, now, now
             server.unanswered, server.again_at, server.full, server.wary = 0, 0, server.full // 2, False
-            if self.column is not None and len(load) > self.column:
+            if self.column is not None and len(load) > self.column and 0 <= load[self.column] < WRAPPED:
                 # Guards against nodes that swing together on old reports: the queue that all of them flee is
                 # the shortest by then. A tenth of each counts; more after long without, half at twenty goals.
                 others = max(0.0, load[self.column] - len(server.out))
--- a/saltmoor/limits/admission.py
+++ b/saltmoor/limits/admission.py
@@ -85,7 +85,9 @@
                   longest_hint: Micros) -> None:
         """New settings; what was learnt of the node itself stays."""
         self.target, self.revenues, self.longest_hint = target, revenues, longest_hint
-        self.buckets = [Quota(rate, 2 * rate, now) for rate in quotas]
+        # Guards against a reload that fills every bucket again: each keeps its level.
+        levels = [bucket.level for bucket in self.buckets] + [1e19] * len(quotas)
+        self.buckets = [Quota(rate, min(2 * rate, level), now) for rate, level in zip(quotas, levels)]
         self.sorts.clear()
 
     def chance(self) -> float:
@@ -144,7 +146,7 @@
         rate = self.taken / step
         self.rate += (rate - self.rate) * 0.3
         self.retries += ((self.again / self.came if self.came else 0.0) - self.retries) * 0.1
-        over = late / self.target - 1
+        over = late / max(1_000, self.target) - 1  # a goal of next to nothing is no lateness
         self.pressed = self.pressed + 1 if over > 0 else 0
         # What is shrinking already needs no further cut: that of the last one shows only now, and what a pause
         # has left behind goes by itself.
--- /dev/null
+++ b/tests/test_hardening.py
@@ -0,0 +1,102 @@
+"""Edges of figures and settings, odd but legal order, counts over all layers: what failed before its mend, or held."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import unittest
+from unittest import mock
+
+import uvloop
+
+from saltmoor import config, facade, model
+from saltmoor.choice import Node
+from saltmoor.limits.admission import Admission
+from saltmoor.model import Ended, ListKind, Member, Permits, Readiness
+from saltmoor.net import discovery, lifecycle
+from tests.helper import MS, READ, Script, Town, read, settings
+
+FUTURE = 3_600_000  # milliseconds
+
+
+class Edges(unittest.TestCase):
+    def test_a_fleet_that_is_said_to_be_worth_nothing_when_cold(self):
+        """Guards against divisions by a stated share, time, weight or goal of nothing, and by starts to come."""
+        for cold in (model.ColdStart(0.0, 10_000 * MS, 4.0, 1000 * MS), model.ColdStart(0.0, 0, 0.0)):
+            script = Script(servers=2, cold=cold)
+            script.list(ListKind.FULL, 1, 2, started=FUTURE)
+            script.list(ListKind.CHANGES, 2, started=2 * FUTURE)
+            script.served(1, script.node.ranked(7)[0].id)
+            self.assertGreater(script.node.capacity, 0)
+
+    def test_weights_without_measure(self):
+        script = Script(servers=0)
+        for i, size in enumerate((5e-324, float("inf"), float("nan"), -1.0, 1e19, 0.0)):
+            script.node.listed(0, ListKind.CHANGES, [Member(i, 0, 0, 0, Readiness.READY, size, 0)])
+        self.assertEqual(len(script.node.ranked(7)), 6)
+        self.assertLess(script.node.capacity, 1e8)
+
+    def test_goals_of_next_to_nothing(self):
+        """Guards against a loop of overdue hops that never ends, and a division by the goal."""
+        script = Script(profiles=[model.Profile(3, 1000 * MS, model.Repeat.IDEMPOTENT)],
+                        permits=Permits(hops=3, copies=True, probes=True))
+        script.tx(1)
+        script.wait(2000)
+        gate = Admission(target=0, revenues=[1.0], quotas=[], longest_hint=0, seed=1, now=0)
+        gate.ran(100_000, 0)
+        self.assertEqual(gate.limit, 0.0)
+
+    def test_a_queue_counter_that_wraps(self):
+        """Guards against one wrapped figure that counts as a queue for hundreds of probes."""
+        for figure in (2.0**64 - 1, 2.0**32 - 2, float("inf"), float("nan"), -3.0):
+            script = Script(servers=1)
+            script.served(1, 1)
+            script.wait(600)
+            script.tx(2)
+            script.queue(1, figure)
+            self.assertLess(script.node.servers[1].others, 1.0, figure)
+            self.assertEqual(script.last, 1)
+            script.ends(2, 0, 1, Ended.COMMITTED)
+
+    def test_no_candidate_at_all(self):
+        script = Script(servers=0)
+        script.tx(1)
+        self.assertIn("rolled back", script.lines[-1])
+
+    def test_silence_for_a_year(self):
+        script = Script(servers=1)
+        script.served(1, 1)
+        script.now += 365 * 86_400_000
+        script.served(2, 1)
+        self.assertIn("committed", script.lines[-1])
+
+    def test_what_is_told_of_a_server_that_was_forgotten(self):
+        """Guards against an exception for a late word on what has left, and against failures told twice."""
+        script = Script(servers=2)
+        script.node.hop_ended(0, model.HopEnd(1, 0, 77, Ended.RESET, 0, False))
+        script.node.probed(0, 77, Ended.COMMITTED, 0, (1.0,))
+        script.tx(1)
+        script.queue(1, None)
+        before = script.node.servers[1].unanswered, script.node.servers[1].again_at
+        script.queue(1, None)
+        self.assertEqual(before, (script.node.servers[1].unanswered, script.node.servers[1].again_at))
+
+    def test_a_reload_fills_no_bucket(self):
+        """Guards against a tenant that gets a second of its rate anew with each reload."""
+        script = Script()
+        given = settings() | {"tenants": [{"name": "acme", "quota_per_s": 10}]}
+        node = Node(1, 0, **config.node_arguments(given))
+        gate = Admission(target=1000, revenues=[1.0], quotas=[10.0], longest_hint=0, seed=1, now=0)
+        taken = [0, 0]
+        for _ in range(5):
+            taken[0] += sum(not node.beyond_share(0, 0) for _ in range(20))
+            taken[1] += sum(gate.buckets[0].take(0, 1.0) for _ in range(30))
+            node.configure(0, **config.node_arguments(given))
+            gate.configure(0, 1000, [1.0], [10.0], 0)
+        self.assertEqual(taken, [10, 20])
+        script.wait(0)
+
+
+if __name__ == "__main__":
+    unittest.main()
