Whatever breaks in the decisions, each transaction has its answer by its limit

Seen, with a fault planted in judge and give_up: the report of a hop's end raised, its effects were carried out a second time or never, the value that had come was dropped, and a transaction set to DONE before its effect failed was never answered; tick raised IndexError. A second word on a hop that contradicts the first answered the client and left the module's half behind. A reload between reading a command and its first step applied another profile's rules. Ruled out: a module fault in arrived (its client was told, conduct catches it). Lines: facade.report, tick, _settle, pick. Now a fault is logged and answered at once (abandoned, or what had come); an ordered list of limits answers what is left half-moved; each hop and probe has one end; taking on is done when read.

--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -20,6 +20,9 @@
 from saltmoor.model import Ended, ListKind, Micros
 
 
+LONGEST_SLEEP = 250_000  # until the next tick, where nothing is due
+
+
 @dataclass(slots=True, eq=False)
 class Tx:
     """A transaction as its protocol took it; places in the settings' lists, None where not known."""
@@ -47,6 +50,7 @@
     origin: bool
     until: Micros
     since: Micros
+    told: bool = False  # how it ended
 
 
 @dataclass(slots=True)
@@ -75,6 +79,7 @@
     server: model.ServerId
     until: Micros
     since: Micros
+    told: bool = False  # how it ended
 
 
 @dataclass(slots=True, eq=False)
@@ -104,6 +109,7 @@
         self.count = 0
         self.errands: list[Errand] = []
         self.due: list[tuple[Micros, int]] = []
+        self.limits: list[tuple[Micros, model.TxId]] = []  # of what was taken: when its answer has to be there
         self.again: Micros = 0  # when tick is to come next, as its caller knows
         self.gate = Admission(**self._limits(), seed=node.seed[0] << 8 | node.seed[1], now=clock())
         node.listed(clock(), ListKind.REMEMBERED, list(known))
@@ -157,16 +163,21 @@
             self.log(line)
         return self.gate.reads(passed) if self.gate.limit else None
 
+    def arrive(self, tx: Tx) -> None:
+        """Take it on, under the settings that it was read with: at once, as a reload may come before it is picked."""
+        if tx.id or tx.over:
+            return
+        self.count += 1
+        tx.id = self.count
+        self.txs[tx.id] = tx
+        now = self.clock()
+        heappush(self.limits, (tx.limit, tx.id))
+        came = model.Arrival(tx.id, tx.profile, tx.tenant, tx.key, tx.limit, write=tx.write, again=tx.again)
+        self._settle(now, None if self._tell(self.node.arrived, now, came) else {tx.id: Abandon()})
+
     async def pick(self, tx: Tx) -> Step:
         """The next step of this transaction; waits until there is one. After a final one there is none."""
-        if not tx.id and not tx.over:
-            self.count += 1
-            tx.id = self.count
-            self.txs[tx.id] = tx
-            now = self.clock()
-            self.node.arrived(now, model.Arrival(tx.id, tx.profile, tx.tenant, tx.key, tx.limit,
-                                                 write=tx.write, again=tx.again))
-            self._settle(now)
+        self.arrive(tx)
         while not tx.steps:
             tx.waiter = asyncio.get_running_loop().create_future()
             await tx.waiter
@@ -180,12 +191,16 @@
             tx.over = True
             self._hand(tx, Abandon())
             return
-        self.node.out_of_hands(self.clock(), tx.id)
+        self._tell(self.node.out_of_hands, self.clock(), tx.id)
         self._settle(self.clock(), {tx.id: Abandon()})
 
     def report(self, what: Send | Errand, how: Ended | ListKind, *, answer: bytes = b"", note: int = 0,
                load: dict[str, float] | None = None, members: Iterable[model.Member] = ()) -> None:
         """How a hop, a probe or a list call ended; a watch reports each piece of news it brings."""
+        if not isinstance(what, Watch):
+            if what.told:  # each has one end, whoever tells it
+                return
+            what.told = True
         now = self.clock()
         finals: dict[model.TxId, Final] = {}
         figures = tuple(load[name] for name in self.columns if name in load) if load else ()
@@ -198,32 +213,54 @@
                 if how is Ended.COMMITTED and not tx.over:
                     finals[tx.id] = Commit(answer)
                 closed = tx.over or how is Ended.COMMITTED
-                self.node.hop_ended(now, model.HopEnd(tx.id, what.hop, what.server, how, now - what.since,
-                                                      closed, note, figures))
+                end = model.HopEnd(tx.id, what.hop, what.server, how, now - what.since, closed, note, figures)
+                if not self._tell(self.node.hop_ended, now, end) and not closed:
+                    finals[tx.id] = Abandon()  # nobody knows how far it was taken: answered now, not at its limit
             case Probe():
-                self.node.probed(now, what.server, how, now - what.since, figures)
+                self._tell(self.node.probed, now, what.server, how, now - what.since, figures)
             case Watch():
-                self.node.listed(now, how, list(members))
+                self._tell(self.node.listed, now, how, list(members))
         self._settle(now, finals)
 
     def tick(self) -> tuple[list[Errand], Micros]:
         """Run what is due; the errands that came up since the last call, and when to come again."""
         now = self.clock()
         while self.due and self.due[0][0] <= now:
-            self.node.woken(now, heappop(self.due)[1])
+            self._tell(self.node.woken, now, heappop(self.due)[1])
         self._settle(now)
+        self._answer_all(now)
         errands, self.errands = self.errands, []
-        self.again = self.due[0][0]
+        self.again = min([now + LONGEST_SLEEP, *(times[0][0] for times in (self.due, self.limits) if times)])
         return errands, self.again
 
+    def _tell(self, call: Callable[..., None], *what: Any) -> bool:
+        """Guards against a fault in the decisions that takes more with it than what it was about."""
+        try:
+            call(*what)
+            return True
+        except Exception as error:
+            self.log(f"fault in the decisions: {call.__name__}: {type(error).__name__}: {error}")
+            return False
+
+    def _answer_all(self, now: Micros) -> None:
+        """Guards against a transaction that a fault left half-moved: it waits for its hard limit at the latest."""
+        while self.limits and self.limits[0][0] <= now:
+            tx = self.txs.get(heappop(self.limits)[1])
+            if tx is None:
+                continue
+            self.log(f"fault: not answered by its hard limit: hops={tx.hops}")
+            self._tell(self.node.out_of_hands, now, tx.id)
+            self._settle(now, {tx.id: Abandon() if tx.hops else RollBack(self.gate.hint())})
+
     def _settle(self, now: Micros, finals: dict[model.TxId, Final] | None = None) -> None:
         """Hand what the module decided to whoever waits for it."""
         finals = finals or {}
         stops: list[model.Cancel] = []
         self.node.settle(now)
-        if not self.node.effects and not finals:
+        effects, self.node.effects = self.node.effects, []  # carried out once, whatever happens
+        if not effects and not finals:
             return
-        for effect in self.node.effects:
+        for effect in effects:
             match effect:
                 case model.Send(tx_id, server, until):
                     tx, known = self.txs[tx_id], self.node.servers[server]
@@ -245,10 +282,10 @@
                     heappush(self.due, (at, token))
                 case model.Log(line):
                     self.log(line)
-        self.node.effects.clear()
         for tx_id, final in finals.items():
             final.stop = [one.hop for one in stops if one.tx == tx_id]
-            tx = self.txs.pop(tx_id)
+            if (tx := self.txs.pop(tx_id, None)) is None:
+                continue
             tx.over = True
             self._hand(tx, final)
         if self.errands or (self.due and self.due[0][0] < self.again):
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -491,6 +491,7 @@
         slot.tx = facade.Tx(profile, tenant, key, limit, command.write, again=again)
         slot.id = command.id
         self.open_ids.add(command.id)
+        self.door.arrive(slot.tx)
         slot.task = asyncio.create_task(self.conduct(client, slot, slot.tx, command))
 
     def done(self, slot: Slot) -> None:
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -98,5 +98,92 @@
         script.wait(0)
 
 
+class Door(unittest.TestCase):
+    """The facade over a module in which something breaks."""
+
+    def setUp(self) -> None:
+        self.now, self.logged = 1000 * MS, []
+
+    def door(self, **changed) -> facade.Facade:
+        node = Script(servers=2, **changed).node
+        known = [Member(one, 0, 0, 0, Readiness.READY, 1.0, 0) for one in (1, 2)]
+        return facade.Facade(node, known, columns=["queue"], clock=lambda: self.now, nudge=lambda: None,
+                             log=self.logged.append)
+
+    def play(self, scene) -> None:
+        asyncio.run(asyncio.wait_for(scene(), 5))
+
+    async def sent(self, door: facade.Facade, tx: facade.Tx | None = None) -> tuple[facade.Tx, facade.Step]:
+        """A transaction, and its next step; every queue that is asked for is 0."""
+        tx = tx or facade.Tx(READ, None, 7, self.now + 900 * MS, False)
+        picking = asyncio.create_task(door.pick(tx))
+        await asyncio.sleep(0)
+        for errand in door.tick()[0]:
+            if isinstance(errand, facade.Probe):
+                door.report(errand, Ended.COMMITTED, load={"queue": 0.0})
+        return tx, await picking
+
+    def test_an_end_that_breaks_the_module_is_answered_at_once(self):
+        async def scene() -> None:
+            door = self.door()
+            tx, hop = await self.sent(door)
+            with mock.patch.object(door.node, "judge", side_effect=KeyError("planted")):
+                door.report(hop, Ended.ERROR)
+            self.assertIsInstance(await door.pick(tx), facade.Abandon)
+            tx, hop = await self.sent(door)
+            with mock.patch.object(door.node, "judge", side_effect=KeyError("planted")):
+                door.report(hop, Ended.COMMITTED, answer=b"made")
+            self.assertEqual((await door.pick(tx)).answer, b"made")
+            self.assertTrue(all("planted" in line for line in self.logged if "fault" in line), self.logged)
+
+        self.play(scene)
+
+    def test_a_transaction_left_half_moved_is_answered_at_its_limit(self):
+        """Guards against a client that waits for ever for what a fault has left in between."""
+        async def scene() -> None:
+            door = self.door()
+            tx, _ = await self.sent(door)
+            with mock.patch.object(door.node, "give_up", side_effect=KeyError("planted")):
+                while not tx.over and self.now < tx.limit + 5 * MS:
+                    self.now = max(self.now + 1, door.tick()[1])
+            self.assertTrue(tx.over)
+            self.assertLessEqual(self.now, tx.limit + MS)
+
+        self.play(scene)
+
+    def test_each_end_is_taken_once(self):
+        """Guards against a second word on a hop that contradicts the first, and carries on what is over."""
+        async def scene() -> None:
+            door = self.door()
+            tx, hop = await self.sent(door)
+            door.report(hop, Ended.ERROR)
+            _, again = await self.sent(door, tx)
+            door.report(hop, Ended.COMMITTED, answer=b"late")
+            self.assertFalse(tx.over)
+            door.report(again, Ended.COMMITTED, answer=b"made")
+            self.assertEqual((await door.pick(tx)).answer, b"made")
+
+        self.play(scene)
+
+    def test_a_reload_between_reading_and_picking(self):
+        """Guards against a transaction that goes by the rules of another profile, of the new settings."""
+        async def scene() -> None:
+            door = self.door()
+            tx = facade.Tx(2, None, 7, self.now + 900 * MS, True)
+            door.arrive(tx)
+            profiles = door.node.profiles[::-1]
+            node = door.node
+            door.configure({"profiles": profiles, "quotas": [], "permits": node.permits, "prices": node.prices,
+                            "cold": node.cold, "listing": node.listing, "place": node.place,
+                            "origin_kind": None, "columns": ["queue"], "tick": MS}, ["queue"])
+            for errand in door.tick()[0]:
+                if isinstance(errand, facade.Probe):
+                    door.report(errand, Ended.COMMITTED, load={"queue": 0.0})
+            door.report(await door.pick(tx), Ended.RESET)
+            self.assertIsInstance(await door.pick(tx), facade.Abandon)
+
+        self.play(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
