Two processes of a node save and spend no more than one, from the first moment

Seen: a second process drew first turns at cold servers before its part was set (Service, Facade.__init__), the first kept its whole levels and buckets, and a stated budget of hops was had once and a half in the window of the change. Ruled out: the rates of quotas, which followed the part already. Now a process that starts beside another has its part before its list, levels shrink with the part, and a part that is gained counts as used in its first window.

--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -16,6 +16,7 @@
 
 from saltmoor import model
 from saltmoor.choice import Node
+from saltmoor.limits import shares
 from saltmoor.limits.admission import Admission
 from saltmoor.model import Ended, ListKind, Micros
 
@@ -103,7 +104,8 @@
     """One node's decisions. `nudge` is called when `tick` is wanted sooner than it last said."""
 
     def __init__(self, node: Node, known: Iterable[model.Member], *, columns: list[str],
-                 clock: Callable[[], Micros], nudge: Callable[[], None], log: Callable[[str], None]) -> None:
+                 clock: Callable[[], Micros], nudge: Callable[[], None], log: Callable[[str], None],
+                 part: float = 1.0) -> None:
         self.node, self.columns, self.clock, self.nudge, self.log = node, columns, clock, nudge, log
         self.txs: dict[model.TxId, Tx] = {}
         self.count = 0
@@ -112,6 +114,8 @@
         self.limits: list[tuple[Micros, model.TxId]] = []  # of what was taken: when its answer has to be there
         self.again: Micros = 0  # when tick is to come next, as its caller knows
         self.gate = Admission(**self._limits(), seed=node.seed[0] << 8 | node.seed[1], now=clock())
+        if part < 1:  # before anything is drawn from it
+            self.share(part)
         node.listed(clock(), ListKind.REMEMBERED, list(known))
         self._settle(clock())
 
@@ -130,8 +134,7 @@
 
     def share(self, part: float) -> None:
         """This process may use so much of what the node may do; the rest is another process's."""
-        self.node.part = part
-        self.gate.part = part
+        shares.part(self.node, self.gate, self.clock(), part)
 
     def remembered(self, members: list[model.Member]) -> None:
         """A newer list than the one it started with, from a process of the same node."""
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -185,5 +185,32 @@
         self.play(scene)
 
 
+class Pair(unittest.TestCase):
+    def test_two_processes_save_no_more_than_one(self):
+        """Guards against first turns, buckets and budgets that a second process adds to those of the first."""
+        now = 1_000_000 * MS
+        cold = [Member(i, 0, 0, 0, Readiness.READY, 1.0, now - 1) for i in range(200)]
+        budget = model.HopBudget(6.0, 0.0, 10_000 * MS)
+
+        def door(seed: int, **part: float) -> facade.Facade:
+            node = Script(servers=0, quotas=[100.0], budget=budget).node
+            node.seed = seed.to_bytes(8, "little")
+            return facade.Facade(node, cold, columns=[], clock=lambda: now, nudge=lambda: None,
+                                 log=lambda line: None, **part)
+
+        old = door(1)
+        saved = sum(one.allowed for one in old.node.servers.values())
+        old.share(0.5)
+        new = door(2, part=0.5)
+        both = sum(one.allowed for each in (old, new) for one in each.node.servers.values())
+        self.assertLess(both, 1.2 * saved)
+        self.assertLessEqual(sum(each.node.quotas[0][1] for each in (old, new)), 101)
+        left = [each.node.allowance.left(now, budget, each.node.part) for each in (old, new)]
+        self.assertLessEqual(sum(max(0, int(one)) for one in left), 6)
+        old.node.allowance.further.extend([now] * 3)
+        old.share(1.0)  # the other one has gone: what it used of this window is not known
+        self.assertLess(old.node.allowance.left(now, budget, old.node.part), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
