Starts of servers are read on the node's own clock, whatever the wall clock does

Seen (read, then a test with the wall clock patched): OFFSET is taken once, starts come in wall time. Set forwards by an hour, a new server counts as cold for that hour; set backwards, as warm at once, so all nodes may push it over; a start that lies in the future is cold until then. Ruled out: the node's own times, which are monotonic. Now a start is moved onto the node's clock when it is told first, keeps that moment, and never lies ahead; a successor gets it as the list has it. Also here: the part of a second process is set at its start.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -11,7 +11,8 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Container
+from dataclasses import replace
 
 from saltmoor import config, facade
 from saltmoor.choice import Node
@@ -29,6 +30,7 @@
 GRAIN = 2  # milliseconds
 HURRY = 0.05  # seconds between sweeps while the node is emptied
 LATE_EVERY = 0.005  # seconds: how often the loop's lateness is looked at, and reading is paced
+STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
 OFFSET = time.time_ns() // 1000 - time.monotonic_ns() // 1000
 
@@ -38,6 +40,40 @@
     return time.monotonic_ns() // 1000 + OFFSET
 
 
+class Starts:
+    """When servers started, told in wall time, on the node's own clock.
+
+    Guards against a wall clock that is set while the node runs: forwards, each new server would count as cold for as
+    long as the step; backwards, as warm at once. What lies in the future has just started. A start that was told
+    before keeps its moment, so that a step makes no restart of it.
+    """
+
+    def __init__(self) -> None:
+        self.seen: dict[str, tuple[Micros, Micros]] = {}  # as told, and on the node's own clock
+
+    def own(self, lines: list[config.Line], whole: bool) -> list[config.Line]:
+        now, before, seen = clock(), self.seen, {}
+        step = now - time.time_ns() // 1000
+        step = step if abs(step) > STEP else 0  # two readings never agree to the microsecond
+        for line in lines:
+            server, told = line.member.server, line.member.started
+            last, own = before.get(server, (0, 0))
+            if told > last:
+                own = max(own + 1, min(told + step, now)) if told > 0 else 0
+                last = told
+            seen[server] = last, own
+        self.seen = seen if whole else before | seen
+        return [line if seen[line.member.server][1] == line.member.started else
+                replace(line, member=replace(line.member, started=seen[line.member.server][1])) for line in lines]
+
+    def told(self, server: str, own: Micros) -> Micros:
+        """As the list has it, for the process that takes this one's place."""
+        return self.seen.get(server, (own, own))[0]
+
+    def keep(self, known: Container[str]) -> None:
+        self.seen = {server: times for server, times in self.seen.items() if server in known}
+
+
 class Service:
     """One running node."""
 
@@ -54,11 +90,13 @@
         self.budget = Budget(given.caps.gathered)
         self.upstream = Upstream(buffers, self.log, clock, budget=self.budget, cap=self.upstream_cap, idle=given.idle,
                                  connect_wait=given.connect_wait, figures=bool(given.names.columns))
-        self.upstream.listed(given.known)
+        self.starts = Starts()
+        known = self.starts.own(given.known, whole=True)
+        self.upstream.listed(known)
         self.discovery = self.make_discovery()
         node = Node(given.seed, clock(), **given.node)
-        self.door = facade.Facade(node, [line.member for line in given.known], columns=given.names.columns,
-                                  clock=clock, nudge=self.nudge, log=self.log)
+        self.door = facade.Facade(node, [line.member for line in known], columns=given.names.columns, clock=clock,
+                                  nudge=self.nudge, log=self.log, part=0.5 if found else 1.0)
         self.clients = Clients(self.door, self.upstream, buffers, self.log, clock, names=given.names,
                                profiles=given.node["profiles"], caps=given.caps, budget=self.budget)
         self.longest = 0
@@ -78,6 +116,7 @@
             shared = None
         if int(said.get("generation", 0)) >= self.given.generation and said.get("list"):
             lines = [config.line(config.Section(one), self.given.names) for one in said["list"]]
+            lines = self.starts.own(lines, whole=False)
             self.upstream.listed(lines, whole=True)
             self.door.remembered([line.member for line in lines])
             if self.discovery:
@@ -107,7 +146,7 @@
         lines = [{"instanceId": one.server, "hostPort": "%s:%d" % addresses[one.server],
                   "zone": names.zones[one.zone] if one.zone >= 0 else "", "cell": one.cell,
                   "machineType": names.kinds[one.kind] if one.kind >= 0 else "", "lifecycle": "up",
-                  "weight": one.size, "startedAtMs": one.started // 1000}
+                  "weight": one.size, "startedAtMs": self.starts.told(one.server, one.started) // 1000}
                  for one in self.door.members() if one.server in addresses]
         said = {"lame": bool(self.clients.lame),
                 "generation": self.discovery.generation if self.discovery else self.given.generation}
@@ -256,6 +295,7 @@
             return
 
         def tell(news: News) -> None:
+            news = replace(news, lines=self.starts.own(news.lines, news.kind is ListKind.FULL))
             soft = self.given.node["listing"].soft  # then what is called gone may serve on, and is reached as before
             lines = [line for line in news.lines if not soft or line.member.readiness is not Readiness.GONE]
             self.upstream.listed(lines, news.kind is ListKind.FULL and not soft)
@@ -284,6 +324,7 @@
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
             self.upstream.sweep()
+            self.starts.keep(self.door.node.servers)
             if self.given.node["listing"].soft:
                 self.upstream.keep(self.door.node.servers)
             self.clients.sweep(self.given.unfinished)
@@ -315,7 +356,6 @@
             self.admin.stop()
         self.upstream.close_all()
 
-
     def hand_on(self) -> None:
         """What this process holds free goes to the one that takes its place, as long as that one lives."""
         heir = self.clients.heir
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -212,5 +212,32 @@
         self.assertLess(old.node.allowance.left(now, budget, old.node.part), 1)
 
 
+class Clock(unittest.TestCase):
+    def test_a_wall_clock_that_is_set(self):
+        """Guards against new servers held cold for as long as the step, or taken for warm; and false restarts."""
+        names = config.Names([], [], [], [], [])
+        now = lifecycle.clock()
+
+        def line(server: str, told: int) -> config.Line:
+            entry = {"instanceId": server, "hostPort": "h:1", "lifecycle": "up", "startedAtMs": told // 1000}
+            return config.line(config.Section(entry), names)
+
+        starts = lifecycle.Starts()
+        first = starts.own([line("a", now - 5_000_000)], True)[0].member.started
+        for step in (3_600_000_000, -3_600_000_000):
+            wall = time.time_ns() + step * 1000
+            with mock.patch.object(lifecycle.time, "time_ns", lambda: wall):
+                told = wall // 1000 - 1_000_000
+                fresh, same = starts.own([line(f"new{step}", told), line("a", now - 5_000_000)], False)
+            self.assertAlmostEqual(lifecycle.clock() - fresh.member.started, 1_000_000, delta=900_000)
+            self.assertEqual(same.member.started, first)
+        ahead = starts.own([line("b", now + 3_600_000_000)], False)[0].member.started
+        self.assertLessEqual(ahead, lifecycle.clock())
+        again = starts.own([line("b", now + 3_600_000_000)], False)[0].member.started
+        self.assertEqual(ahead, again)
+        restarted = starts.own([line("b", now + 3_601_000_000)], False)[0].member.started
+        self.assertGreater(restarted, ahead)
+
+
 if __name__ == "__main__":
     unittest.main()
