Settings at their edges, reloads that move places, drains while connecting, a watch untold

Seen, each in a test that failed before: - kinds in another order on SIGHUP: the node spoke HTTP to a cache server, as servers keep the place of their kind. Now at least 50 ms. - a fault in Admission.ran ended the look at the loop for good, and paced reads stayed paced (lifecycle.look). - linger_ms of 1e15: a stop that never ends; deadline_ns in milliseconds: nothing served; nesting without end: a trace instead of the key (config). Now faulty, with the key. - a drain that comes while a connection is made: bytes were written to the server up to connect_timeout_ns after the decision (upstream.exchange). Now it ends as not sent. - no descriptor for a watch: the list was asked for again after a third of ask_within_ns only (discovery.follow). Ruled out: a fault in taking the list, which httptools' callback already turned into a failed watch.

--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -26,6 +26,7 @@
 LONGEST_VALUE = 4 << 20
 INTERPRETER_MB = 22  # what the program itself takes, and room for what the kernel counts to it
 LIST_WITHIN = 10_000_000  # how often the list is asked for where the settings do not say
+LONGEST_LINGER = 60_000  # milliseconds: a node that is told to stop does stop
 CALLS = 8  # at the second address at once
 RESERVED = 40  # descriptors for logs, the loop, the listener, discovery, and connections on their way out
 
@@ -45,12 +46,14 @@
     def fault(self, name: str, must: str) -> Faulty:
         return Faulty(f"{self.path}{name}: must be {must}, is {self.said.get(name)!r}"[:200])
 
-    def number(self, name: str, default: float = 0, least: float = 0) -> float:
+    def number(self, name: str, default: float = 0, least: float = 0, most: float | None = None) -> float:
         value = self.said.get(name)
         if value is None:
             return default
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < 1e19:
             raise self.fault(name, f"a number of at least {least:g}")
+        if most is not None and value > most:
+            raise self.fault(name, f"a number of at most {most:g}")
         return value
 
     def micros(self, name: str) -> int:
@@ -92,6 +95,8 @@
     if group not in [one.value for one in model.Group]:
         raise line.fault("group", "all, zone or cell")
     limit = line.micros("deadline_ns")
+    if limit < 1000:  # most likely meant in another unit: nothing would be served
+        raise line.fault("deadline_ns", "a time of at least 1000000, in nanoseconds")
     return model.Profile(
         goal=line.micros("aim_ns") or limit, limit=limit,
         # A word that is not known gets the strictest reading.
@@ -263,7 +268,7 @@
         caps=Caps.within(memory_mb, sockets, CALLS if admin else 0), names=names, node=node,
         idle=may.micros("conn_idle_ns") or 30_000_000,
         connect_wait=may.micros("connect_timeout_ns") or 1_000_000,
-        linger=int(serve.number("linger_ms", 500) * 1000),
+        linger=int(serve.number("linger_ms", 500, most=LONGEST_LINGER) * 1000),
         unfinished=int(serve.number("unfinished_ms", 2400, least=1) * 1000),
         log_lines=serve.number("log_lines_per_s", 50, least=1),
         known=[line(entry, names) for entry in known.sections("instances")],
@@ -278,6 +283,6 @@
         raise Faulty("ROUTER_CONFIG: is not set, and no file was named")
     try:
         said = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise Faulty(f"{path}: cannot be read as JSON ({error})") from None
     return parse(said, env)
--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -86,9 +86,9 @@
 
     async def follow(self, watch: Watch, silence: float, tell: Callable[[News], None]) -> None:
         host, port = watch.address
-        code = ""
-        sock = socket.socket(family(host), socket.SOCK_STREAM)
+        code, sock = "", None
         try:
+            sock = socket.socket(family(host), socket.SOCK_STREAM)
             stream, held = Stream(sock, self.buffers), bytearray()
 
             def each(data: bytes) -> None:
@@ -124,8 +124,12 @@
         except (http.Garbled, ValueError, config.Faulty) as error:
             code = "garbled"
             self.log(f"garbled list: {error}")
+        except Exception as error:  # whatever it is: a watch that ends untold would never be renewed
+            code = "internal"
+            self.log(f"fault in the list: {type(error).__name__}: {error}")
         finally:
-            sock.close()
+            if sock:
+                sock.close()
             self.log.ended("discovery", f"{host}:{port}", code or watch.stopped_for, news=watch.heard)
         if watch is self.running:  # one that is being left has failed nobody
             tell(News(ListKind.FAILED, []))
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -194,7 +194,8 @@
         return True, "lame duck" if on else "serving"
 
     def settings(self, given: config.Config) -> None:
-        self.sweep = min(0.5, given.idle / 20_000_000)  # so that no connection is found closed for its age
+        # So that no connection is found closed for its age; and never so often that the node does nothing else.
+        self.sweep = max(HURRY, min(0.5, given.idle / 20_000_000))
         self.linger = given.linger / 1_000_000
         # What was taken under earlier settings keeps its time.
         self.longest = max(self.longest, *(profile.limit for profile in given.node["profiles"]))
@@ -209,7 +210,18 @@
         except Exception as error:  # whatever is wrong with the file
             self.log(f"configuration kept: {error if isinstance(error, config.Faulty) else repr(error)}")
             return
-        old, self.given = self.given, given
+        old = self.given
+        for key in ("zones", "kinds"):
+            before = getattr(old.names, key)
+            if getattr(given.names, key)[:len(before)] != before:
+                # Guards against servers known by a place in the lists that means another zone or kind now.
+                self.log(f"configuration kept: settings.{'azs' if key == 'zones' else key}: those before must keep "
+                         f"their places, or it needs a restart")
+                return
+        if given.node["origin_kind"] != old.node["origin_kind"]:
+            self.log("configuration kept: settings.family_info: needs a restart")
+            return
+        self.given = given
         self.log.rate = given.log_lines
         self.settings(given)
         self.upstream.configure(given.idle, given.connect_wait, bool(given.names.columns))
@@ -277,11 +289,12 @@
     def look(self, due: float) -> None:
         """How late the loop is: what waits in the sockets waits as long."""
         now = time.monotonic()
+        # First of all: guards against a fault below that would leave the reads paced for ever.
+        self.loop.call_later(LATE_EVERY, self.look, now + LATE_EVERY)
         late = max(0, int((now - due) * 1_000_000))
         self.clients.late = late > LATE_FROM
         self.clients.pace(self.door.ran(late, int((now - self.looked) * 1_000_000)))
         self.looked = now
-        self.loop.call_later(LATE_EVERY, self.look, now + LATE_EVERY)
 
     async def probe(self, errand: facade.Probe) -> None:
         reply = meta.Reply(Ended.UNKNOWN)
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -83,6 +83,7 @@
         self.cap, self.ages, self.forget_at = cap, Ages(), 0
         self.configure(idle, connect_wait, figures)
         self.address: dict[ServerId, tuple[str, int]] = {}
+        self.draining: set[ServerId] = set()
         self.free: dict[ServerId, list[Link]] = {}
         self.open = 0
 
@@ -95,6 +96,8 @@
         stay = {line.member.server: line.address for line in lines
                 if line.member.readiness is not Readiness.GONE}
         left = {line.member.server for line in lines} | (set(self.address) if whole else set())
+        self.draining -= left
+        self.draining |= {line.member.server for line in lines if line.member.readiness is Readiness.DRAINING}
         for server in left:
             if self.address.get(server) != stay.get(server):
                 self.address.pop(server, None)
@@ -106,6 +109,7 @@
         """Where the list alone does not bind: forget where those are reached that the decisions have forgotten."""
         for server in [one for one in self.address if one not in known]:
             del self.address[server]
+            self.draining.discard(server)
             self.give_back(server)
 
     async def exchange(self, server: ServerId, data: list[bytes], reader: Reader, until: Micros) -> meta.Reply:
@@ -129,6 +133,10 @@
                 if isinstance(made, Ended):
                     return meta.Reply(made)
                 link = made
+                if server in self.draining or self.address.get(server) != link.address:
+                    # Guards against a drain that came while it connected: nothing is written, so it did not run.
+                    code = "left-list"
+                    return meta.Reply(Ended.NOT_SENT)
             for part in data:
                 await link.stream.write(part)
             written, link.exchanges = True, link.exchanges + 1
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -239,5 +239,107 @@
         self.assertGreater(restarted, ahead)
 
 
+class Configuration(unittest.TestCase):
+    def test_edges_of_numbers(self):
+        """Guards against units that were mixed up, and a stop that never ends."""
+        base = {"settings": settings()}
+        for said, key in (
+                ({"settings": settings(classes=[{"name": "a", "aim_ns": 500, "deadline_ns": 900}])}, "deadline_ns"),
+                ({"settings": settings(classes=[{"name": "a"}])}, "deadline_ns"),
+                (base | {"serve": {"linger_ms": 1e15}}, "serve.linger_ms")):
+            with self.assertRaisesRegex(config.Faulty, key):
+                config.parse(said, {})
+
+    def test_nested_without_end(self):
+        with mock.patch("pathlib.Path.read_text", lambda _: "[" * 200_000):
+            with self.assertRaises(config.Faulty):
+                config.load("x", {})
+
+
+class Sockets(unittest.TestCase):
+    def play(self, scene, **changed) -> Town:
+        async def run() -> Town:
+            async with Town(**changed) as town:
+                await scene(town)
+            return town
+
+        return uvloop.run(asyncio.wait_for(run(), 20))
+
+    def test_a_watch_that_cannot_begin_is_told_as_failed(self):
+        """Guards against a node that is deaf to the list for good, as there was no descriptor in one moment."""
+        async def scene(town: Town) -> None:
+            real, tries = discovery.family, []
+
+            def family(host: str):
+                tries.append(host)
+                if len(tries) == 1:
+                    raise OSError(24, "too many open files")
+                return real(host)
+
+            town.asked.clear()
+            with mock.patch.object(discovery, "family", family):
+                town.news.put_nowait(b"[" * 100_000 + b"\n")  # it ends, and is asked for again
+                await asyncio.wait_for(town.asked.wait(), 2)
+            self.assertEqual(len(tries), 2)
+
+        self.play(scene)
+
+    def test_places_in_the_lists_do_not_move(self):
+        """Guards against a reload that turns a cache server into an origin, as its kind's place means another now."""
+        async def scene(town: Town) -> None:
+            town.said["settings"] = settings(kinds=["origin", "m1"], family_info={"mode": "aside", "origin_kind": 0})
+            town.service.reload()
+            await (await town.client()).ask(read("hit"))
+            town.said["settings"] = settings(kinds=["m1", "origin", "m2"])
+            town.service.reload()
+
+        town = self.play(scene)
+        self.assertIn("configuration kept: settings.kinds", town.logged.getvalue())
+        self.assertIn("configuration read", town.logged.getvalue())
+
+    def test_settings_of_next_to_nothing_leave_the_node_its_time(self):
+        """Guards against a sweep without a pause, where connections may stand idle for a microsecond."""
+        async def scene(town: Town) -> None:
+            self.assertGreaterEqual(town.service.sweep, 0.01)
+
+        may = {"max_attempts": 3, "conn_idle_ns": 1000, "connect_timeout_ns": 100 * MS * 1000}
+        self.play(scene, settings=settings(permissions=may))
+
+    def test_a_fault_in_the_pacing_does_not_end_it(self):
+        """Guards against reads that stay paced for good."""
+        async def scene(town: Town) -> None:
+            looks = []
+            with mock.patch.object(town.service.door, "ran", side_effect=ZeroDivisionError):
+                await asyncio.sleep(0.05)
+            town.service.door.ran = lambda late, passed: looks.append(late)
+            await asyncio.sleep(0.05)
+            self.assertGreater(len(looks), 2)
+
+        self.play(scene)
+
+    def test_a_drain_that_comes_while_a_connection_is_made(self):
+        """Guards against bytes written to a draining server long after the decision, as connecting took so long."""
+        async def scene(town: Town) -> None:
+            made = town.service.upstream.connect
+
+            async def slowly(server):
+                link = await made(server)
+                await asyncio.sleep(0.2)
+                return link
+
+            with mock.patch.object(town.service.upstream, "connect", slowly):
+                caller = await town.client()
+                caller.say(read("hit"))
+                await asyncio.sleep(0.1)
+                drained = [one | {"lifecycle": "draining"} for one in town.list if one["instanceId"] == "s1"]
+                town.news.put_nowait(json.dumps({"instances": drained}).encode() + b"\n")
+                await caller.hear()
+
+        may = {"max_attempts": 3, "connect_timeout_ns": 900 * MS * 1000}
+        lines = self.play(scene, settings=settings(permissions=may)).lines
+        self.assertFalse([line for line in lines if "cache gets" in line], lines)
+        self.assertIn("hears 'SERVER_ERROR busy", "\n".join(lines))
+
+
 if __name__ == "__main__":
     unittest.main()
