Start: signals wait, no standard descriptors, a log nobody reads, strangers in the folder

Seen in drills with the real program, before: - SIGHUP in its first quarter of a second ended the node (-1); SIGTERM in the moment between listening and its handler would have cut what stood in the queue. Now both wait until somebody takes them (__main__, lifecycle.run). - a log to a socket that nobody reads: the node stood still (Log made only pipes non-blocking); now a socket alike. - started without descriptors 0 to 2: the loop's or a client's connection got number 2. Now /dev/null stands there. - a folder that may be written and not read, or something else that answers at the socket file: exit 1 with a trace (Meeting, Service.join; alone() before ready was set). Now it serves alone and says why; what its own rename could not place is taken away. Ruled out: a full disk, a pipe without a reader, a folder gone, a strange file: each was held before.

--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -23,9 +23,16 @@
 
 from __future__ import annotations
 
+import signal
+import sys
+
+if __name__ == "__main__" and sys.argv[1:2] == ["serve"]:
+    # Before anything else is loaded: guards against a signal that ends the node while it starts, and against one that
+    # comes after the file was read and is lost. They wait until there is somebody to take them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+
 import os
 import socket
-import sys
 
 from docopt import docopt
 
@@ -33,6 +40,17 @@
 from saltmoor import config
 
 
+def keep_standard() -> None:
+    """Guards against a node that was started without standard descriptors: a client's connection would get the
+    number of the log's, and the log's lines."""
+    for number in 0, 1, 2:
+        try:
+            os.fstat(number)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)  # the lowest that is free: this one
+    sys.stderr = sys.stderr or open(2, "w", closefd=False)
+
+
 def serve(given: config.Config, path: str | None) -> int:
     import uvloop
 
@@ -75,6 +93,8 @@
         from saltmoor.lab.cli import main as lab
         return lab(argv[1:])
     said = docopt(__doc__, argv)
+    if said["serve"]:
+        keep_standard()
     if said["version"]:
         print(f"saltmoor {saltmoor.__version__}")
         return 0
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -99,15 +99,25 @@
                                   nudge=self.nudge, log=self.log, part=0.5 if found else 1.0)
         self.clients = Clients(self.door, self.upstream, buffers, self.log, clock, names=given.names,
                                profiles=given.node["profiles"], caps=given.caps, budget=self.budget)
-        self.longest = 0
+        self.longest, self.ready = 0, False
         self.settings(given)
-        self.listener = found and self.join(*found) or listener("listen", given.listen)
-        self.ready = False
+        self.listener = found and self.beside(*found) or listener("listen", given.listen)
         self.admin = given.admin and Admin(given.admin, self.buffers, self.log, {
             "/_ready": ("GET", self.say_ready),
             "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
             "/_lameduck/off": ("POST", lambda: self.say_lame(False))})
 
+    def beside(self, sibling: Sibling, said: Message, fds: list[int]) -> socket.socket | None:
+        """Guards against whatever answers at the socket file and is no process of this node: it serves alone then."""
+        try:
+            return self.join(sibling, said, fds)
+        except Exception as error:
+            self.log(f"sibling: not understood, serving alone: {type(error).__name__}: {error}")
+            sibling.gone = lambda: None
+            sibling.end()
+            self.alone()
+            return None
+
     def join(self, sibling: Sibling, said: Message, fds: list[int]) -> socket.socket | None:
         """Serve beside the process that was there before: its listener, where it is the right one."""
         shared = socket.socket(fileno=fds[0]) if fds else None
@@ -322,6 +332,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, lambda: (stop.set(), self.hurry.set()))
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))  # what came during the start comes now
         self.clients.listener = self.listener
         self.clients.listen()
         gc.collect()
@@ -383,7 +394,10 @@
     log, meeting, found = Log(given.log_lines), None, None
     folder = sibling.folder(given.shared) if given.listen[1] else None
     if folder:
-        meeting = Meeting(folder, given.listen, log, lambda other: service.met(other))
-        found = await meeting.find()
+        try:
+            meeting = Meeting(folder, given.listen, log, lambda other: service.met(other))
+            found = await meeting.find()
+        except OSError as error:  # it is never needed to serve
+            log(f"sibling: $TMPDIR cannot be used: {error}")
     service = Service(given, read, log, meeting, found)
     await service.run()
--- a/saltmoor/net/log.py
+++ b/saltmoor/net/log.py
@@ -16,7 +16,8 @@
     def __init__(self, lines_per_s: float = 50.0, burst: float = 200.0) -> None:
         self.rate, self.burst, self.left, self.since = lines_per_s, burst, burst, time.monotonic()
         self.dropped = 0
-        if stat.S_ISFIFO(os.fstat(2).st_mode):
+        mode = os.fstat(2).st_mode
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
             os.set_blocking(2, False)  # a reader that stalls must not stall the node
 
     def __call__(self, line: str) -> None:
--- a/saltmoor/net/sibling.py
+++ b/saltmoor/net/sibling.py
@@ -153,6 +153,8 @@
         except OSError as error:
             if sock:
                 sock.close()
+            with contextlib.suppress(OSError):
+                os.unlink(self.path(fresh))
             self.log(f"sibling: cannot be found by a successor: {error}")
             return
         sock.setblocking(False)
