A line of the list takes at most 2 MiB: read, it takes many times as much memory

Seen (read, then a test with one line of 3 MB): discovery.follow held a line of up to 8 MiB, which as nested empty lists becomes 180 MB of objects, in a node of 32 to 192 MB. Ruled out: many short lines, each is taken by itself. Now the watch ends as garbled at 2 MiB, room for about ten thousand servers, and is begun anew.

--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -18,7 +18,7 @@
 from saltmoor.net.buffers import Buffers, Stream, family
 from saltmoor.net.log import Log
 
-LONGEST = 8 << 20  # bytes of one line of news
+LONGEST = 2 << 20  # bytes of one line of news, ten thousand servers: read, it takes many times as much memory
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -284,6 +284,16 @@
 
         self.play(scene)
 
+    def test_a_list_without_end(self):
+        """Guards against a list whose one line takes more memory than the node has."""
+        async def scene(town: Town) -> None:
+            town.asked.clear()
+            town.news.put_nowait(b"[" + b"[]," * 1_000_000)
+            await asyncio.wait_for(town.asked.wait(), 4)
+            self.assertIn("garbled list", town.logged.getvalue())
+
+        self.play(scene)
+
     def test_places_in_the_lists_do_not_move(self):
         """Guards against a reload that turns a cache server into an origin, as its kind's place means another now."""
         async def scene(town: Town) -> None:
