Beside a process that hangs a successor takes half of the limits, not all of them

Seen in a drill (first process stopped by SIGSTOP, second started, first goes on): the second closed the pair after 2 s and took all limits, quotas and budgets, and so did the first when it went on. Ruled out: the first one's own share, it never heard of the second. Lines: Meeting.find. Now the pair stays; when the first goes on the two are a pair as ever, and as they accept from two queues, the first empties its own before it ends (Sibling.shares, Clients.settle_down); a listener that is offered late is closed. Drill: 20 clients that waited at the process that hung are all answered.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -559,7 +559,7 @@
         listener, self.listener = self.listener, None
         asyncio.get_running_loop().remove_reader(listener)
         try:
-            while not self.heir:  # who takes this one's place accepts from the same queue
+            while not (self.heir and self.heir.shares):  # who takes this one's place accepts from the same queue
                 self.welcome(*listener.accept())
         except OSError:
             pass
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -101,7 +101,9 @@
                                profiles=given.node["profiles"], caps=given.caps, budget=self.budget)
         self.longest, self.ready = 0, False
         self.settings(given)
-        self.listener = found and self.beside(*found) or listener("listen", given.listen)
+        shared = self.beside(*found) if found else None
+        self.shares = shared is not None  # with the process that was there before
+        self.listener = shared or listener("listen", given.listen)
         self.admin = given.admin and Admin(given.admin, self.buffers, self.log, {
             "/_ready": ("GET", self.say_ready),
             "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
@@ -174,6 +176,8 @@
             self.hurry.set()
         elif "left" in said:  # it ends: what it does not hold any more is there for this one
             self.cap(2, int(said["left"]) or 1)
+        for fd in fds:  # a queue that is offered late, by one that hung: guards against holding it and never accepting
+            os.close(fd)
 
     def alone(self) -> None:
         """The other process has gone, one way or another."""
@@ -342,7 +346,7 @@
         self.look(time.monotonic())
         self.ready = True
         if self.sibling:
-            self.sibling.say({"ready": os.getpid()})
+            self.sibling.say({"ready": os.getpid(), "shares": self.shares})
         if self.meeting:
             self.meeting.publish()
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
--- a/saltmoor/net/sibling.py
+++ b/saltmoor/net/sibling.py
@@ -34,6 +34,7 @@
         self.told: Callable[[Message, list[int]], None] = lambda message, fds: None
         self.gone: Callable[[], None] = lambda: None
         self.ready = False  # it has said that it takes clients
+        self.shares = True  # it accepts from the same queue
         self.alive = True
         pair.setblocking(False)
         # Guards against a hand-over that stops at a full buffer: hundreds of connections go in one moment.
@@ -69,7 +70,8 @@
                 return
             try:
                 message = json.loads(data)
-                self.ready = self.ready or "ready" in message
+                if "ready" in message:
+                    self.ready, self.shares = True, bool(message.get("shares", True))
                 self.told(message, list(fds))
             except Exception as error:  # another version of the program may say what this one does not know
                 self.log(f"sibling: not understood: {type(error).__name__}: {error}")
@@ -116,7 +118,10 @@
             return None
 
     async def find(self) -> tuple[Sibling, Message, list[int]] | None:
-        """The process that serves already, and its first message; None where none is there or it hangs."""
+        """The process that serves already, and its first message, which is empty where it hangs; None: nobody is there.
+
+        Guards against two that each take the whole limits: one that hangs still holds what it holds, and may go on.
+        """
         if (mine := self.ask()) is None:
             return None
         sibling, first = Sibling(mine, self.log), asyncio.get_running_loop().create_future()
@@ -131,10 +136,8 @@
             async with asyncio.timeout(WITHIN):
                 return await first
         except TimeoutError:
-            self.log("sibling: the process that serves does not answer; serving beside it")
-            sibling.gone = lambda: None
-            sibling.end()
-            return None
+            self.log("sibling: the process that serves does not answer; serving beside it, with half of the limits")
+            return sibling, {}, []
 
     def publish(self) -> None:
         """From now on this process is the one that is found."""
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -348,6 +348,35 @@
 
         self.kept(self.play(scene), committed=100)
 
+    def test_a_predecessor_that_hangs_and_goes_on(self):
+        """Both should stay one node: half of the limits each, until the old one is gone; what waits there is served."""
+        async def scene(town: Drill) -> None:
+            old = await town.launch()
+            old.send_signal(signal.SIGSTOP)
+            log = Path(town.folder.name, "log")
+            with log.open("wb") as sink:
+                fresh = await town.launch(stderr=sink, ready=False)
+            for _ in range(100):  # it waits for the old one for a while
+                await asyncio.sleep(0.05)
+                if "serving at" in log.read_text():
+                    break
+            self.assertIn("with half of the limits", log.read_text())
+            waiting = [asyncio.create_task(town.one("hit")) for _ in range(20)]  # half of them at the one that hangs
+            await asyncio.sleep(0.1)
+            old.send_signal(signal.SIGCONT)
+            await asyncio.gather(*waiting)
+            traffic = asyncio.create_task(town.traffic(1.0))
+            await asyncio.sleep(0.3)
+            self.assertEqual(await town.stop(old), 0)
+            await traffic
+            self.assertRegex(log.read_text(), "sibling: gone; caps [0-9]+ connections")
+            held = len(os.listdir(f"/proc/{fresh.pid}/fd"))
+            await town.traffic(0.5)
+            self.assertLess(len(os.listdir(f"/proc/{fresh.pid}/fd")), held + 20)
+            self.assertEqual(await town.stop(fresh), 0)
+
+        self.kept(self.play(scene), committed=150)
+
     def test_a_queue_counter_that_wraps(self):
         """It should take no notice of the figure, and go on sending there."""
         async def scene(town: Drill) -> None:
