A reload settles the fleet anew; each number of the configuration is tried at its edges

Seen (read, then a test): a reload with a longer cold_ns left the weights of servers at what they were in that moment, 0.75 in the test, until the next list, as the time until which the fleet warms was not set (facade.configure called reweigh). Now settle_list, which sets that, and what counts as a large zone. Ruled out: the cold budget, which reads the settings each time.

--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -123,7 +123,7 @@
         """New settings: what is under way keeps its own, and what was learnt stays."""
         now, self.columns = self.clock(), columns
         self.node.configure(now, **settings)
-        self.node.reweigh(now)
+        self.node.settle_list(now)  # what counts as cold, and as a large zone, may have changed
         self.gate.configure(now, **self._limits())
         self._settle(now)
 
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -1,21 +1,24 @@
-"""Edges of figures and settings, odd but legal order, counts over all layers: what failed before its mend, or held."""
+"""Edges of figures and settings, odd but legal order, counts over all layers: what failed before, or held."""
 
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import time
 import unittest
+from collections.abc import Iterator
 from unittest import mock
 
 import uvloop
 
 from saltmoor import config, facade, model
+from saltmoor.agenda import TICK
 from saltmoor.choice import Node
 from saltmoor.limits.admission import Admission
 from saltmoor.model import Ended, ListKind, Member, Permits, Readiness
 from saltmoor.net import discovery, lifecycle
-from tests.helper import MS, READ, Script, Town, read, settings
+from tests.helper import MS, READ, Script, Town, read, settings, write
 
 FUTURE = 3_600_000  # milliseconds
 
@@ -239,7 +242,71 @@
         self.assertGreater(restarted, ahead)
 
 
+def numbers(said: object, path: tuple = ()) -> Iterator[tuple]:
+    """The path of each number in a configuration."""
+    if isinstance(said, (dict, list)):
+        for key, value in said.items() if isinstance(said, dict) else enumerate(said):
+            yield from numbers(value, path + (key,))
+    elif isinstance(said, (int, float)) and not isinstance(said, bool):
+        yield path
+
+
 class Configuration(unittest.TestCase):
+    def test_a_reload_that_says_longer_cold(self):
+        """Guards against servers whose weight is never set again, as the fleet was held to be warm."""
+        script = Script(servers=0, cold=model.ColdStart(0.5, 1000 * MS, 4.0))
+        script.list(ListKind.FULL, 1, 2, started=1)
+        script.wait(5_000)
+        node = script.node
+        known = [Member(i, 0, 0, 0, Readiness.READY, 1.0, 1 * MS) for i in (1, 2)]
+        door = facade.Facade(node, known, columns=["queue"], clock=lambda: script.now * MS,
+                             nudge=lambda: None, log=print)
+        door.configure({"profiles": node.profiles, "quotas": [], "permits": node.permits, "prices": node.prices,
+                        "cold": model.ColdStart(0.5, 10_000 * MS, 4.0), "listing": node.listing, "place": node.place,
+                        "origin_kind": None, "columns": ["queue"], "tick": MS}, ["queue"])
+        for _ in range(40):
+            script.now += 250
+            node.woken(script.now * MS, TICK)
+        self.assertEqual([one.weight for one in node.caches], [1.0, 1.0])
+
+    def test_each_number_at_its_edges(self):
+        """Each is refused with its key, or a node with it answers, ends in time and says nothing of a fault."""
+        rules = {"ask_within_ns": 9 * 10**9, "cold_from": 0.25, "cold_ns": 10**10, "overload_factor": 4.0,
+                 "fall_ns": 10**9, "free_resends": 5, "resend_ratio": 0.1, "budget_window_ns": 10**9}
+        whole = {"settings": settings(
+            rules=rules, locality=0, fleet_size=4, tick_ns=10**6,
+            prices={"cross_zone": 0.1, "waste": 0.1, "probe": 0.01, "origin": 0.01}),
+            "limits": {"memory_mb": 192, "sockets": 1024},
+            "serve": {"linger_ms": 50, "unfinished_ms": 2400, "log_lines_per_s": 50}}
+        whole["settings"]["classes"][0] |= {"worth": 2.0, "late_worth": 0.1}
+        whole["settings"]["permissions"] |= {"retry_after": True, "max_retry_after_ns": 10**9}
+
+        async def played(said: dict) -> str:
+            try:
+                async with Town(**said) as town:
+                    caller = await town.client()
+                    for text in (read("hit", "1"), read("miss", "2"), write("w", tag="3")):
+                        caller.writer.write(text.encode())
+                        got = await asyncio.wait_for(caller.reader.readline(), 3)
+                        if got.startswith(b"VA"):
+                            await caller.reader.readline()
+                return "".join(line for line in town.logged.getvalue().splitlines() if "fault" in line)
+            except config.Faulty as error:
+                self.assertIn(str(path[-1]), str(error))
+            return ""
+
+        paths = [path for path in numbers(whole) if path[-1] != "origin_kind"]  # that is a place in a list
+        for path in paths:
+            for value in 0, 1, 1e18:
+                said = copy.deepcopy(whole)
+                place = said
+                for step in path[:-1]:
+                    place = place[step]
+                place[path[-1]] = value
+                with self.subTest(path=path, value=value):
+                    self.assertEqual(uvloop.run(asyncio.wait_for(played(said), 8)), "")
+        self.assertGreater(len(paths), 30)
+
     def test_edges_of_numbers(self):
         """Guards against units that were mixed up, and a stop that never ends."""
         base = {"settings": settings()}
