A transaction that comes past its limit is left to the decisions first

Read again: the last guard of a limit could act in the tick before the decisions' own due time, where a transaction is taken with no time left, and log a fault that was none.

--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -174,7 +174,7 @@
         tx.id = self.count
         self.txs[tx.id] = tx
         now = self.clock()
-        heappush(self.limits, (tx.limit, tx.id))
+        heappush(self.limits, (max(tx.limit, now + 2), tx.id))  # not before the module could
         came = model.Arrival(tx.id, tx.profile, tx.tenant, tx.key, tx.limit, write=tx.write, again=tx.again)
         self._settle(now, None if self._tell(self.node.arrived, now, came) else {tx.id: Abandon()})
 
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -336,7 +336,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, lambda: (stop.set(), self.hurry.set()))
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))  # what came during the start comes now
+        # What came during the start comes now.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
         self.clients.listener = self.listener
         self.clients.listen()
         gc.collect()
