A fault in any one step of the decisions costs that transaction, not the node's timers

Seen by a search in which any one step raises once, before or after its work: a transaction that was abandoned for a fault stayed with the decisions, which went on sending for it; facade._settle then raised KeyError, and the effects behind it, timers among them, were lost for good. A fault in the first list ended the start. Ruled out: a second answer, or a hop for what is over that reached a server.

--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -116,14 +116,14 @@
         self.gate = Admission(**self._limits(), seed=node.seed[0] << 8 | node.seed[1], now=clock())
         if part < 1:  # before anything is drawn from it
             self.share(part)
-        node.listed(clock(), ListKind.REMEMBERED, list(known))
+        self._tell(node.listed, clock(), ListKind.REMEMBERED, list(known))
         self._settle(clock())
 
     def configure(self, settings: dict[str, Any], columns: list[str]) -> None:
         """New settings: what is under way keeps its own, and what was learnt stays."""
         now, self.columns = self.clock(), columns
         self.node.configure(now, **settings)
-        self.node.settle_list(now)  # what counts as cold, and as a large zone, may have changed
+        self._tell(self.node.settle_list, now)  # what counts as cold, and as a large zone, may have changed
         self.gate.configure(now, **self._limits())
         self._settle(now)
 
@@ -138,7 +138,7 @@
 
     def remembered(self, members: list[model.Member]) -> None:
         """A newer list than the one it started with, from a process of the same node."""
-        self.node.listed(self.clock(), ListKind.REMEMBERED, members)
+        self._tell(self.node.listed, self.clock(), ListKind.REMEMBERED, members)
         self._settle(self.clock())
 
     def members(self) -> list[model.Member]:
@@ -176,7 +176,10 @@
         now = self.clock()
         heappush(self.limits, (max(tx.limit, now + 2), tx.id))  # not before the module could
         came = model.Arrival(tx.id, tx.profile, tx.tenant, tx.key, tx.limit, write=tx.write, again=tx.again)
-        self._settle(now, None if self._tell(self.node.arrived, now, came) else {tx.id: Abandon()})
+        if self._tell(self.node.arrived, now, came):
+            self._settle(now)
+        else:
+            self._give_up(now, tx)
 
     async def pick(self, tx: Tx) -> Step:
         """The next step of this transaction; waits until there is one. After a final one there is none."""
@@ -218,7 +221,7 @@
                 closed = tx.over or how is Ended.COMMITTED
                 end = model.HopEnd(tx.id, what.hop, what.server, how, now - what.since, closed, note, figures)
                 if not self._tell(self.node.hop_ended, now, end) and not closed:
-                    finals[tx.id] = Abandon()  # nobody knows how far it was taken: answered now, not at its limit
+                    self._give_up(now, tx)
             case Probe():
                 self._tell(self.node.probed, now, what.server, how, now - what.since, figures)
             case Watch():
@@ -245,6 +248,14 @@
             self.log(f"fault in the decisions: {call.__name__}: {type(error).__name__}: {error}")
             return False
 
+    def _give_up(self, now: Micros, tx: Tx, final: Final | None = None) -> None:
+        """Nobody knows how far a fault let it be taken: it is answered now, and the decisions hear that it is over.
+
+        Guards against hops that they go on sending for what has its answer.
+        """
+        self._tell(self.node.out_of_hands, now, tx.id)
+        self._settle(now, {tx.id: final or Abandon()})
+
     def _answer_all(self, now: Micros) -> None:
         """Guards against a transaction that a fault left half-moved: it waits for its hard limit at the latest."""
         while self.limits and self.limits[0][0] <= now:
@@ -252,8 +263,7 @@
             if tx is None:
                 continue
             self.log(f"fault: not answered by its hard limit: hops={tx.hops}")
-            self._tell(self.node.out_of_hands, now, tx.id)
-            self._settle(now, {tx.id: Abandon() if tx.hops else RollBack(self.gate.hint())})
+            self._give_up(now, tx, None if tx.hops else RollBack(self.gate.hint()))
 
     def _settle(self, now: Micros, finals: dict[model.TxId, Final] | None = None) -> None:
         """Hand what the module decided to whoever waits for it."""
@@ -266,7 +276,10 @@
         for effect in effects:
             match effect:
                 case model.Send(tx_id, server, until):
-                    tx, known = self.txs[tx_id], self.node.servers[server]
+                    tx, known = self.txs.get(tx_id), self.node.servers[server]
+                    if tx is None:  # guards the effects behind it, timers among them
+                        self.log(f"fault: a hop for what is over, to {known.name}: not sent")
+                        continue
                     self._hand(tx, Send(tx, tx.hops, server, known.kind == self.node.origin_kind, until, now))
                     tx.hops += 1
                 case model.RollBack(tx_id, stay_away):
--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -51,7 +51,7 @@
     processes: int = 1  # of each node; a second one starts at any moment
     settings: dict[str, Any] = field(default_factory=dict)
     later: dict[str, Any] = field(default_factory=dict)  # new settings, which may come at any moment
-    warm: int = 0  # transactions served before the search begins
+    faulty: bool = False  # something breaks on purpose: what it was about may wait for its limit, and be remembered
 
 
 def settings(changed: dict[str, Any]) -> dict[str, Any]:
@@ -186,12 +186,6 @@
         self.number = self.due = 0
         for _ in range(plan.nodes):
             self.start(1.0)
-        for i in range(plan.warm):
-            self.come(READ, 1_000 + i, False, 0)
-            while self.probes:
-                self.probe_ends(0, 0.0)
-            self.now += 10 * MS
-            self.hop_ends(0, Ended.COMMITTED)
 
     def start(self, part: float) -> None:
         node = Node(len(self.doors) + 1, self.now, **self.given)
@@ -280,6 +274,14 @@
             self.run(door)
         self.check()
 
+    def outlive(self) -> None:
+        """Time goes on past every limit: all is answered by then, and the periodic work still comes."""
+        end = self.now + LIMIT + 600 * MS
+        while self.now < end:
+            self.apply(("due",))
+        if any(door.again > self.now + 300 * MS for door in self.doors):
+            raise Broken("the periodic work comes no more")
+
     def come(self, profile: int, key: int, write: bool, process: int) -> None:
         self.number += 1
         door = self.doors[process]
@@ -335,6 +337,9 @@
                     self.ledger.answered(self.now, number, type(step).__name__, self.due)
 
     def check(self) -> None:
+        if self.plan.faulty:
+            self.ledger.still(self.now, True)
+            return
         if faults := [line for line in self.logged if "fault" in line]:
             raise Broken(f"no exception: {faults[0]}")
         waits = [probe for probe, _ in self.probes if probe.since + PROBE_WAIT + SLACK >= self.now]
@@ -379,6 +384,8 @@
                 stack += [path + [event] for event in reversed(others)]
                 path = path + [first]
                 world.apply(first)
+            if plan.faulty:
+                world.outlive()
         except Broken as broken:
             return tried, path, str(broken)
         except Exception as error:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from saltmoor import choice, facade, model
 from saltmoor.model import Ended, ListKind, Readiness
-from tests.explorer import MS, ONCE, ORIGIN, PUT, READ, START, Plan, explore, member
+from tests.explorer import MS, ONCE, ORIGIN, PUT, READ, START, Plan, World, explore, member
 
 FEW = [Ended.COMMITTED, Ended.RESET]
 ALL = [Ended.COMMITTED, Ended.ERROR, Ended.FULL, Ended.RESET, Ended.NO_CONNECTION, Ended.TIMED_OUT, Ended.UNKNOWN,
@@ -46,6 +48,7 @@
 }
 
 
+TRIED = 13043  # orders in which a step raises
 # How many orders there are of each: with one less, something may not come any more that could.
 ORDERS = {
     "every end at one server": 28472, "writes of all profiles": 9021, "two zones": 6713, "the list changes": 9905,
@@ -177,5 +180,57 @@
             self.found("the list changes", "nothing is kept", 4)
 
 
+class Broken(unittest.TestCase):
+    """Any one step of the decisions raises, before or after its work: the rules hold all the same."""
+
+    STEPS = "judge", "connected", "settle_list", "periodic", "wake_askers", "overdue", "refill", "lose", "candidates"
+
+    def test_any_step_may_raise_once(self):
+        tried = 0
+        for name, depth in (("the list changes", 4), ("the origin", 4), ("two processes, a budget", 4)):
+            plan = replace(PLANS[name], faulty=True)
+            for nth in range(1, 11):
+                for after in False, True:
+                    with self.subTest(plan=name, nth=nth, after=after):
+                        more, path, why = self.searched(plan, depth, nth, after)
+                        tried += more
+                        self.assertIsNone(path, f"{why}: {path}")
+        print(f"a step raises: {tried} orders")
+        self.assertEqual(tried, TRIED)
+
+    def searched(self, plan: Plan, depth: int, nth: int, after: bool) -> tuple[int, list | None, str]:
+        counts = [0]
+
+        def broken(step):
+            def run(*given):
+                counts[0] += 1
+                this = counts[0] == nth
+                if this and not after:
+                    raise KeyError("planted")
+                found = step(*given)
+                if this:
+                    raise KeyError("planted")
+                return found
+
+            run.__name__ = step.__name__
+            return run
+
+        start = World.__init__
+
+        def fresh(world, plan):
+            counts[0] = -1000  # nothing breaks before it has begun
+            start(world, plan)
+            counts[0] = 0
+
+        with contextlib.ExitStack() as stack:
+            for table in choice.TABLE, choice.ANYWHERE:
+                stack.enter_context(mock.patch.dict(table, {
+                    row: (state, broken(effect)) for row, (state, effect) in table.items()}))
+            for name in self.STEPS:
+                stack.enter_context(mock.patch.object(choice.Node, name, broken(getattr(choice.Node, name))))
+            stack.enter_context(mock.patch.object(World, "__init__", fresh))
+            return searched(plan, depth)
+
+
 if __name__ == "__main__":
     unittest.main()
