Read again: signals wait under the installed command too; one name for the longest sleep

Seen on reading the change: the block of signals asked for __name__ and so missed the installed command, which imports the file; the facade had a second name for the decisions' period; the drills an unused import and a list for one thing.

--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -26,7 +26,7 @@
 import signal
 import sys
 
-if __name__ == "__main__" and sys.argv[1:2] == ["serve"]:
+if sys.argv[1:2] == ["serve"]:  # as a module or by its installed command, which imports this file
     # Before anything else is loaded: guards against a signal that ends the node while it starts, and against one that
     # comes after the file was read and is lost. They wait until there is somebody to take them.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -15,15 +15,13 @@
 from typing import Any
 
 from saltmoor import model
+from saltmoor.agenda import PERIOD
 from saltmoor.choice import Node
 from saltmoor.limits import shares
 from saltmoor.limits.admission import Admission
 from saltmoor.model import Ended, ListKind, Micros
 
 
-LONGEST_SLEEP = 250_000  # until the next tick, where nothing is due
-
-
 @dataclass(slots=True, eq=False)
 class Tx:
     """A transaction as its protocol took it; places in the settings' lists, None where not known."""
@@ -236,7 +234,7 @@
         self._settle(now)
         self._answer_all(now)
         errands, self.errands = self.errands, []
-        self.again = min([now + LONGEST_SLEEP, *(times[0][0] for times in (self.due, self.limits) if times)])
+        self.again = min([now + PERIOD, *(times[0][0] for times in (self.due, self.limits) if times)])
         return errands, self.again
 
     def _tell(self, call: Callable[..., None], *what: Any) -> bool:
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -22,7 +22,6 @@
 
 import uvloop
 
-from tests.helper import settings
 from tests.test_operations import Twins
 
 LIMIT = 0.9  # seconds that a client waits in all
@@ -230,7 +229,7 @@
                 with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as stranger:
                     stranger.bind(str(path))
                     stranger.setblocking(False)
-                    asking, pairs = [], []
+                    pairs = []
 
                     def answer() -> None:
                         _, fds, _, _ = socket.recv_fds(stranger, 4096, 8)
@@ -238,10 +237,10 @@
                         pairs[-1].send(said)
 
                     asyncio.get_running_loop().add_reader(stranger, answer)
-                    asking.append(await town.launch())
+                    node = await town.launch()
                     await town.one("hit")
                     asyncio.get_running_loop().remove_reader(stranger)
-                    self.assertEqual(await town.stop(asking[0]), 0, said)
+                    self.assertEqual(await town.stop(node), 0, said)
                     for pair in pairs:
                         pair.close()
 
