Room at the origin by rounds of its answers: ten nodes together keep it busy, not full

Cause: each node began with eight hops at the origin and doubled, and a mean over thirty answers told it too late that they slowed; ten nodes held 200 there (48 fit in a goal's time), then all shrank to two each and a fifth of it was used. Change: saltmoor/recovery/room.py. A round counts only what was sent since the last change, its mean sets the room by the wanted time over the one it took; the first room is a part of eight by the stated number of nodes; under one place it is a rate. The lab holds its nodes' ports to the end: two nodes had shared one, and the ledger blamed the living.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -16,6 +16,7 @@
 from saltmoor import model
 from saltmoor.agenda import PERIOD, Agenda, salt, spot
 from saltmoor.model import Ended, Group, Hop, In, Micros, Readiness, Repeat, Server, State, Tx
+from saltmoor.recovery.room import Room
 
 HELD_COLUMNS = ("held", "queue")  # the load figures that mean a queue, best first
 CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
@@ -60,26 +61,6 @@
     return cold.share + (1 - cold.share) * age / cold.warm_after
 
 
-class Room:
-    """How many hops this node keeps out at the origin: up while answers are quick, down when they slow."""
-
-    def __init__(self) -> None:
-        self.limit, self.answers, self.slowed = 8.0, 0, False
-        self.usual = self.base = 0.0  # time of its answers: lately, and when it was least busy
-        self.waiting: list[tuple[float, int, Tx]] = []
-
-    def learn(self, elapsed: Micros, ok: bool, goal: Micros, out: int) -> None:
-        if ok:
-            self.answers += 1
-            self.usual += (elapsed - self.usual) * max(0.03, 1 / self.answers)
-            # The best stretch, not the quickest answer: some origins' times vary widely without any queue.
-            self.base = self.usual if self.answers < 30 else min(self.usual, self.base * 1.0005)
-        if not ok or self.usual > max(1.5 * self.base, goal / 2):
-            self.slowed, self.limit = True, max(2.0, self.limit - 0.3)
-        elif 2 * out > self.limit:  # doubles a round until it slows for the first time, then two more a round
-            self.limit += 2 / self.limit if self.slowed else 1
-
-
 class Allowance:
     """Rule 5, where it is stated: hops beyond each transaction's first, counted in a window that slides."""
 
@@ -123,7 +104,8 @@
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.capacity = self.full_size = 1.0  # of all cache servers: as they are, and were they warm
         self.zoned = False  # whether a key's preferred server is one of the own zone
-        self.room, self.patience, self.allowance = Room(), Patience(), Allowance()
+        self.room, self.queued = Room(self.place.nodes), []  # at the origin; who waits for it
+        self.patience, self.allowance = Patience(), Allowance()
         self.fetching, self.stored = 1.0, {}  # share taken of reads of unknown keys; those that hit lately
         self.refused, self.squeezed = 0.0, False  # share of connections that living servers refuse; many do
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
@@ -423,17 +405,20 @@
                 return self.join(tx, now)
             self.fetches.setdefault(tx.key, [])
             tx.leads = True
-        if self.crowded():
+        if self.crowded(now):
             self.order += 1
             turn = (-tx.profile.revenue * tx.favour, self.order, tx)
             # Guards against waits that end in nothing: no room in time means an answer now.
-            if now + self.fetch * (1 + (bisect(self.room.waiting, turn) + 1) / self.room.limit) > tx.goal:
+            if now + self.fetch * (1 + (bisect(self.queued, turn) + 1) / self.room.limit) > tx.goal:
                 if not tx.write:
                     self.missing[tx.key] = now + int(self.fetch)
                 return In.NOBODY
-            insort(self.room.waiting, turn)
+            insort(self.queued, turn)
+            if self.room.limit < 1:
+                self.at(self.room.next(now), self.refill)
             return self.wait(tx, now)
         tx.choice = min(self.origins, key=lambda origin: len(origin.out))
+        self.room.taken(now, sum(len(origin.out) for origin in self.origins))
         return self.send(tx, now)
 
     def join(self, tx: Tx, now: Micros) -> In | None:
@@ -473,7 +458,7 @@
         if tx.leads:
             tx.leads = False
             # Guards against joiners that go and miss once more, when there is no room for their fetch either.
-            failed = tx.hops[-1].ended is not Ended.COMMITTED and self.crowded()
+            failed = tx.hops[-1].ended is not Ended.COMMITTED and self.crowded(now)
             for other in self.fetches.pop(tx.key, []):
                 self.feed(now, other, In.NOBODY if failed else In.FETCHED)
         return None
@@ -511,7 +496,7 @@
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
         if came.write and self.origin_kind is not None:
             self.feed(now, tx, In.ORIGIN)
-        elif self.missing.get(key, now) > now and self.crowded() or self.spare_origin(tx):
+        elif self.missing.get(key, now) > now and self.crowded(now) or self.spare_origin(tx):
             self.feed(now, tx, In.NOBODY)  # just missed, and no room for its fetch: spare the cache server
         else:
             self.feed(now, tx, In.SHARED if key in self.fetches and not came.write else In.READ)
@@ -558,7 +543,7 @@
         hop.open, hop.ended = False, ended
         if server.kind == self.origin_kind:
             if ended not in (Ended.CANCELLED, Ended.MALFORMED):
-                self.room.learn(end.elapsed, ended is Ended.COMMITTED, self.goal, len(server.out))
+                self.room.learn(now, end.elapsed, ended is Ended.COMMITTED, self.goal)
                 self.fetch, server.newest = self.room.usual, max(server.newest, hop.sent)
             self.refill(now)
         else:
@@ -659,13 +644,13 @@
             for hop in list(server.out):
                 self.feed(now, hop.tx, In.AGAIN)
 
-    def crowded(self) -> bool:
-        return sum(len(origin.out) for origin in self.origins) >= self.room.limit
+    def crowded(self, now: Micros) -> bool:
+        return not self.room.free(now, sum(len(origin.out) for origin in self.origins))
 
     def refill(self, now: Micros) -> None:
         """Room at the origin: the waiting transaction of most revenue that can still make its goal."""
-        while self.room.waiting and not self.crowded():
-            tx = self.room.waiting.pop(0)[2]
+        while self.queued and not self.crowded(now):
+            tx = self.queued.pop(0)[2]
             if tx.state is State.WAITING:
                 self.feed(now, tx, In.NOBODY if now + self.fetch > tx.goal else In.ROOM)
 
--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -15,6 +15,7 @@
     bad     t server node text                              a command that no client sends so
     life    t server what                                   up, down, fell
     node    t node what code                                ready, killed, termed, hup, exited
+    shared  t node count                                    so many sockets listen at its port
     sample  t figures                                       of all servers, four times a second
     mark    t what                                          a fault begins or ends
     late    microseconds                                    how late the process ran what was due
--- a/saltmoor/lab/experiment.py
+++ b/saltmoor/lab/experiment.py
@@ -169,6 +169,7 @@
         if late > most:
             what = "the stand-ins were late" if path.stem == "stage" else "the load fell behind its arrivals"
             void.append(f"{what}: {path.stem} by {late:.1f} ms, one step in a hundred")
+        void += [f"node {row[2]} shares its address with {row[3] - 1} more" for row in own if row[0] == "shared"]
         written += own
     books = {path.stem for path in place.glob("*.book")}
     for name in ["stage", *(f"load{i}" for i in range(scenario.load.workers))]:
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -79,7 +79,7 @@
         self.samples: list[tuple[int, dict]] = []
         self.bad: list[tuple[int, str, int, str]] = []
         self.unanswered: list[str] = []
-        for row in sorted((row for row in rows if row[0] not in ("late", "rude")), key=lambda row: row[1]):
+        for row in sorted((row for row in rows if row[0] not in ("late", "rude", "shared")), key=lambda row: row[1]):
             getattr(self, "_" + row[0])(*row[1:])
         for ident, asked in self.asked.items():
             asked.gots = self.gots.get(ident, [])
--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -77,6 +77,12 @@
                   "stop_sending_within_ns": int(scenario.discovery.grace_ms * 1e6)}}
 
 
+def listening(port: int) -> int:
+    """How many sockets listen at that port of this machine."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(row[3] == "0A" and int(row[1].rpartition(":")[2], 16) == port for row in rows)
+
+
 class Node:
     """One node's process, and the next one after it."""
 
@@ -84,8 +90,12 @@
                  seed: int) -> None:
         self.number, self.scenario, self.build, self.run, self.book = number, scenario, build, run, book
         self.seed, self.starts, self.process, self.wanted = seed, 0, None, True
-        with socket.create_server((HOST, 0)) as sock:
-            self.port = sock.getsockname()[1]
+        # Guards against two nodes at one port, each of which would start there: bound to the end of the run, and
+        # never listening, it takes no connection from the node but keeps the port from everybody else.
+        self.held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self.held.bind((HOST, 0))
+        self.port = self.held.getsockname()[1]
         self.file = run / f"node{number}.json"
         self.cpu_s, self.cpu_most, self.memory_mb, self.descriptors = 0.0, 0.0, 0.0, 0
         self.before: tuple[float, float] | None = None  # CPU seconds, and when; `window`: a second ago
@@ -118,6 +128,8 @@
                     sock.sendall(b"mn\r\n")
                     if sock.recv(16).startswith(b"MN"):
                         self.book.note("node", clock(), self.number, "ready", 0)
+                        if (count := listening(self.port)) > 1:
+                            self.book.note("shared", clock(), self.number, count)
                         return True
             except OSError:
                 time.sleep(0.02)
@@ -184,6 +196,7 @@
 
     def end(self) -> None:
         self.wanted = False
+        self.held.close()
         if self.process and self.process.poll() is None:
             self.process.terminate()
             try:
--- /dev/null
+++ b/saltmoor/recovery/room.py
@@ -0,0 +1,71 @@
+"""Owns how many hops this node keeps out at the origin, so that all nodes together keep it busy and no more.
+
+Nodes do not talk. Each reads the sum off the origin's own answers: as long as they are slower than they need to be
+every node shrinks by the same share, and where they are quick every node that has use for it grows by the same
+share, so the sum settles where answers take the wanted time, however many nodes there are. It must never choose a
+server or a transaction, nor read a clock. docs/recovery-design.md weighs the ways.
+"""
+
+from __future__ import annotations
+
+from saltmoor.model import Micros
+
+FIRST = 8.0  # hops that the whole fleet has out at first: any origin does that much
+LEAST = 0.05  # under one hop the room is a rate: one hop now and then
+STEEP = 0.5  # a round halves the room at most
+RISE = 1.2  # and lets it grow by a fifth at most, once it was slow; doubled before
+SHARE = 0.02  # hops a round on top: who has little gains on who has much
+HITS = 30  # answers before the best stretch is trusted
+
+
+class Room:
+    """`nodes`: how many share the origin, as far as it is told; 0: not told."""
+
+    def __init__(self, nodes: int = 0) -> None:
+        self.limit = max(1.0, FIRST / nodes) if nodes else 2.0
+        self.answers, self.slowed = 0, False
+        self.usual = self.base = 0.0  # time of its answers: lately, and when it was least busy
+        self.changed: Micros = 0  # answers to what was sent before tell nothing of the room as it is
+        self.count, self.sum, self.most = 0, 0.0, 0  # of this round: answers, their times, hops out at once
+        self.extra: Micros = 0  # when the last hop went out that only a part of a place was there for
+
+    def free(self, now: Micros, out: int) -> bool:
+        """Whether one more hop may go out beside so many."""
+        return out < int(self.limit) or out == int(self.limit) and now >= self.next(now)
+
+    def next(self, now: Micros) -> Micros:
+        """When the part of a place that the whole ones leave over is there again."""
+        part = self.limit - int(self.limit)
+        return self.extra + int(min(10.0, 1 / part if part > 0.1 else 10.0) * (self.usual or 10_000))
+
+    def taken(self, now: Micros, out: int) -> None:
+        """A hop goes out beside so many."""
+        self.most = max(self.most, out + 1)
+        if out >= int(self.limit):
+            self.extra = now
+
+    def learn(self, now: Micros, elapsed: Micros, ok: bool, goal: Micros) -> None:
+        """How a hop to the origin ended; `ok`: with its answer."""
+        if ok:
+            self.answers += 1
+            self.usual += (elapsed - self.usual) * max(0.1, 1 / self.answers)
+            # The best stretch, not the quickest answer: some origins' times vary widely without any queue.
+            self.base = self.usual if self.answers < HITS else min(self.usual, self.base * 1.0005)
+        if now - elapsed < self.changed:
+            return
+        # Guards against an origin that fails at once: no answer counts as a late one, however soon it came.
+        wanted = max(1.5 * self.base, goal / 2)
+        self.count, self.sum = self.count + 1, self.sum + (elapsed if ok else max(elapsed, 2 * wanted))
+        if self.count >= max(4, self.limit):
+            self.turn(now, wanted / (self.sum / self.count))
+
+    def turn(self, now: Micros, ease: float) -> None:
+        """The end of a round: `ease` is the wanted time over the one that answers took."""
+        before = self.limit
+        if ease < 1:
+            self.slowed, self.limit = True, max(LEAST, self.limit * max(STEEP, ease) + SHARE)
+        elif 2 * self.most > self.limit:  # no more than it has use for
+            self.limit = self.limit * (min(ease, RISE) if self.slowed else 2) + SHARE
+        if self.limit != before:
+            self.changed = now
+        self.count, self.sum, self.most = 0, 0.0, 0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,8 +1,8 @@
 """The module alone: each test prints a short trace of decisions and compares it with the one kept."""
 
 from saltmoor import model
-from saltmoor.choice import Room
 from saltmoor.model import Ended, ListKind, Readiness, Repeat
+from saltmoor.recovery.room import Room
 from tests.helper import JOURNALLED, MS, ONCE, Script, TraceCase
 
 
@@ -194,7 +194,9 @@
         script, room = Script(), Room()
         for number in range(1, 161):
             took = (30, 90, 400, 100)[number % 4] if number <= 80 else (300, 500)[number % 2]
-            room.learn(took * MS, True, 500 * MS, int(room.limit))
+            for out in range(int(room.limit)):
+                room.taken(number * 100 * MS, out)
+            room.learn(number * 100 * MS, took * MS, True, 500 * MS)
             if number % 16 == 0:
                 script.note(f"answer {number} took {took} ms: usual {room.usual / MS:.0f}, room {room.limit:.1f}")
         self.check("room", script)
