Coming back has a phase; other nodes' fetches are waited for; the lab measures and bounds it

Change: a round goes by its middle answer and by the share that failed, and half a hop is added an answer until it first slows. recovery/phase.py: steady, lost, filling, a line each; while it lasts who is refused stays away about as long as it has taken, and a read that missed while another's fetch is out asks for the copy once more. Allowance and Patience moved to hops.py.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -8,25 +8,26 @@
 from __future__ import annotations
 
 from bisect import bisect, insort
-from collections import deque
 from collections.abc import Iterator
 from itertools import islice
 from math import log
 
 from saltmoor import model
 from saltmoor.agenda import PERIOD, Agenda, salt, spot
+from saltmoor.hops import Allowance, Patience
 from saltmoor.model import Ended, Group, Hop, In, Micros, Readiness, Repeat, Server, State, Tx
+from saltmoor.recovery.phase import Phase, Recovery
 from saltmoor.recovery.room import Room
 
 HELD_COLUMNS = ("held", "queue")  # the load figures that mean a queue, best first
 CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
 SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
-LATE_ANSWERS = 0.005  # of the answers that come: after them an answer counts as lost
 LOOK = 0.06  # of the transactions does the other thing, asks or does not, so that the better one is known
 LARGE = 12, 8  # cache servers of the own zone: from then on it prefers its own; under that no more
 ZONED = 2.5  # times its price a crossing counts there, as the own zone's servers are warm too
 WRAPPED = 1_000_000  # no queue is that long: its counter has wrapped
 UNLISTED = 60_000_000  # how long a server is kept, where lists may be wrong, without being listed or heard
+FETCHED, OTHERS = 2, 3  # a cache server's note: it had no copy; nor that, and another fetch of the key is out
 LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
 
 
@@ -61,37 +62,6 @@
     return cold.share + (1 - cold.share) * age / cold.warm_after
 
 
-class Allowance:
-    """Rule 5, where it is stated: hops beyond each transaction's first, counted in a window that slides."""
-
-    def __init__(self) -> None:
-        self.taken: deque[Micros] = deque()
-        self.further: deque[Micros] = deque()
-
-    def left(self, now: Micros, budget: model.HopBudget, part: float) -> float:
-        edge = now - budget.window
-        while self.taken and self.taken[0] <= edge:
-            self.taken.popleft()
-        while self.further and self.further[0] < edge:
-            self.further.popleft()
-        return budget.free * part + budget.share * len(self.taken) - len(self.further)
-
-
-class Patience:
-    """How often its expected delay a hop is given before its answer counts as lost.
-
-    Guards against slow work taken for lost answers: where times vary widely, or a miss is fetched on the way,
-    what was sent later is often answered first. Of the answers that come at all few may come after that.
-    """
-
-    def __init__(self) -> None:
-        self.times = 1.5
-
-    def learn(self, hop: Hop, elapsed: Micros) -> None:
-        step = 0.1 if elapsed > hop.patience else -0.1 * LATE_ANSWERS / (1 - LATE_ANSWERS)
-        self.times = min(12.0, max(1.5, self.times * (1 + step)))
-
-
 class Node(Agenda):
 
     def __init__(self, seed: int, now: Micros, **settings) -> None:
@@ -105,7 +75,7 @@
         self.capacity = self.full_size = 1.0  # of all cache servers: as they are, and were they warm
         self.zoned = False  # whether a key's preferred server is one of the own zone
         self.room, self.queued = Room(self.place.nodes), []  # at the origin; who waits for it
-        self.patience, self.allowance = Patience(), Allowance()
+        self.recovery, self.patience, self.allowance = Recovery(now), Patience(), Allowance()
         self.fetching, self.stored = 1.0, {}  # share taken of reads of unknown keys; those that hit lately
         self.refused, self.squeezed = 0.0, False  # share of connections that living servers refuse; many do
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
@@ -421,6 +391,19 @@
         self.room.taken(now, sum(len(origin.out) for origin in self.origins))
         return self.send(tx, now)
 
+    def turn_comes_later(self, tx: Tx, note: int, now: Micros) -> bool:
+        """Guards against a fetch by each node of what all miss: where the cache server tells that another is
+        out, the copy is asked for once more after the time that takes, as far as hops and the goal allow.
+        """
+        return (note == OTHERS and self.recovery.phase is not Phase.STEADY and tx.shared_key and len(tx.hops) + 2 <= self.permits.hops
+                and 0 < self.fetch < (tx.goal - now) / 2 and (tx.leads or tx.key not in self.fetches))
+
+    def await_other(self, tx: Tx, now: Micros) -> In | None:
+        self.fetches.setdefault(tx.key, [])
+        tx.leads = True
+        self.at(now + int(self.fetch), self.feed, tx, In.FETCHED)
+        return self.wait(tx, now)
+
     def join(self, tx: Tx, now: Micros) -> In | None:
         self.fetches[tx.key].append(tx)
         return self.wait(tx, now)
@@ -465,7 +448,7 @@
 
     def give_up(self, tx: Tx, now: Micros) -> In | None:
         """The final answer at once; harmless to try again only where rule 2 says so."""
-        hint = min(self.permits.longest_hint, int(self.usual))
+        hint = min(self.permits.longest_hint, self.recovery.stay_away(now, int(self.usual), self.chance))
         self.effects.append(model.RollBack(tx.id, hint) if may_roll_back(tx) else model.Abandon(tx.id))
         return self.finish(tx, now)
 
@@ -544,9 +527,13 @@
         if server.kind == self.origin_kind:
             if ended not in (Ended.CANCELLED, Ended.MALFORMED):
                 self.room.learn(now, end.elapsed, ended is Ended.COMMITTED, self.goal)
+                if ended is Ended.COMMITTED:
+                    self.recovery.answered()
                 self.fetch, server.newest = self.room.usual, max(server.newest, hop.sent)
             self.refill(now)
         else:
+            if not hop.tx.write and ended in (Ended.COMMITTED, Ended.MISS):
+                self.recovery.read(ended is Ended.MISS or end.note == FETCHED)
             self.judge(server, hop, ended, end.elapsed, end.note, now)
             self.connected(server, ended, now)
         tx = hop.tx
@@ -554,7 +541,7 @@
             self.spare = min(20.0, self.spare + 0.15)
             self.feed(now, tx, In.ENDED)
         elif ended is Ended.MISS and not tx.write:
-            self.feed(now, tx, In.ORIGIN)
+            self.feed(now, tx, In.SHARED if self.turn_comes_later(tx, end.note, now) else In.ORIGIN)
         elif ended is Ended.MALFORMED or now >= tx.limit - 1:
             self.feed(now, tx, In.LIMIT)
         else:
@@ -652,7 +639,11 @@
         while self.queued and not self.crowded(now):
             tx = self.queued.pop(0)[2]
             if tx.state is State.WAITING:
-                self.feed(now, tx, In.NOBODY if now + self.fetch > tx.goal else In.ROOM)
+                # While copies fill another node may have fetched it since: the copy is asked for first.
+                again = (tx.hops and now - tx.hops[-1].sent > 2 * self.fetch
+                         and self.turn_comes_later(tx, OTHERS, now))
+                late = now + self.fetch > tx.goal
+                self.feed(now, tx, In.NOBODY if late else In.FETCHED if again else In.ROOM)
 
     def probed(self, now: Micros, server_id: model.ServerId, ended: Ended, elapsed: Micros,
                load: tuple[float, ...]) -> None:
@@ -697,6 +688,10 @@
             self.feed(now, tx, In.ENDED)
 
     def periodic(self, now: Micros) -> None:
+        if line := self.recovery.step(now):
+            self.effects.append(model.Log(line))
+            if self.recovery.phase is Phase.STEADY:  # guards against turning away as while copies were lost
+                self.strict = max(self.strict, 1.0)
         if self.budget:
             self.allowance.left(now, self.budget, self.part)  # what has left the window is not kept
         if len(self.stored) > 5_000 or now % 5_000_000 < PERIOD:
@@ -732,6 +727,7 @@
     (S.POLLING, I.OVER): (S.POLLING, Node.poll),
     (S.POLLING, I.BEST): (S.OUT, Node.send),
     (S.OUT, I.ORIGIN): (S.FETCHING, Node.to_origin),
+    (S.OUT, I.SHARED): (S.WAITING, Node.await_other),
     (S.OUT, I.AGAIN): (S.CHECKING, Node.again),
     (S.FETCHING, I.AGAIN): (S.FETCHING, Node.to_origin),
     (S.WAITING, I.LATE): (S.DONE, Node.unless_out),
--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -12,6 +12,7 @@
     told    t server id what crc                            value, receipt, miss, busy, failed, spoilt
     ran     t place id mark key                             an effect
     listed  t node server state                             a line of the list, written to a node
+    true    t server state                                  a line of the list changes, whoever hears of it when
     bad     t server node text                              a command that no client sends so
     life    t server what                                   up, down, fell
     node    t node what code                                ready, killed, termed, hup, exited
--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -4,6 +4,7 @@
   saltmoor lab list
   saltmoor lab run SCENARIO [--seed=N] [--nodes=N] [--json=FILE] [--keep=DIR] [--capture=FILE]
                    [--replay=FILE] [--build=BUILD]
+  saltmoor lab bound SCENARIO [--json=FILE]
   saltmoor lab compare A B [--scenario=S] [--rounds=N] [--seed=N] [--json=FILE]
   saltmoor lab report FILE... --html=FILE
   saltmoor lab capacity [--rate=N]...
@@ -110,6 +111,22 @@
     return 0 if result.held else 1
 
 
+def bound(said: dict) -> int:
+    """How soon full service could be back at best, by the scenario's own figures."""
+    from saltmoor.lab import comeback
+    scenario = plan.load(said["SCENARIO"])
+    full, good, seconds = comeback.bound(scenario)
+    first = int(min((fault.at_s for fault in comeback.faults(scenario)), default=0.0))
+    print(f"{scenario.name}: at best full service {'never in this run' if full is None else f'{full:.2f} s'} after the "
+          f"last fault, {good:.1%} in time over the first {comeback.SPAN:.0f} s of it")
+    print("  in time, second by second from the first fault:",
+          " ".join(f"{share:.2f}" for share in seconds[first:first + int(comeback.SPAN)]))
+    if said["--json"]:
+        Path(said["--json"]).write_bytes(msgspec.json.encode(
+            {"scenario": scenario.name, "full_service_s": full, "in_time_8s": good, "in_time": seconds}))
+    return 0
+
+
 def compare(said: dict) -> int:
     """Two builds on the same seeds, in turn, with the spread between runs."""
     from saltmoor.lab import experiment, nodes
@@ -144,6 +161,8 @@
     try:
         if said["list"]:
             return listed()
+        if said["bound"]:
+            return bound(said)
         if said["compare"]:
             return compare(said)
         if said["report"]:
--- a/saltmoor/lab/clients.py
+++ b/saltmoor/lab/clients.py
@@ -139,6 +139,7 @@
                  part: int, parts: int, tag: str) -> None:
         self.scenario, self.nodes, self.book, self.driver = scenario, nodes, book, driver
         self.part, self.parts, self.tag, self.made, self.lines = part, parts, tag, 0, 0
+        self.coming = 0  # tries that begin later
         self.free: list[list[Line]] = [[] for _ in nodes]
         self.dead = [0] * len(nodes)  # until then a node is not tried
         self.all: set[Line] = set()
@@ -163,7 +164,7 @@
 
     @property
     def finished(self) -> bool:
-        return self.next >= len(self.rows) and not self.tries
+        return self.next >= len(self.rows) and not self.tries and not self.coming
 
     def command(self, asked: Try) -> bytes:
         tx, profile = asked.tx, self.scenario.profile[asked.tx.profile]
@@ -251,7 +252,12 @@
         wait = load.backoff_ms * 1000 * 2 ** (tx.tries - 1) * (0.5 + tx.chance())
         if hint and tx.chance() < load.honour:
             wait = max(wait, hint)
-        self.driver.line.at(self.driver.clock() + wait, self._try, tx)
+        self.coming += 1
+        self.driver.line.at(self.driver.clock() + wait, self._try_again, tx)
+
+    def _try_again(self, tx: Tx) -> None:
+        self.coming -= 1
+        self._try(tx)
 
     def _over(self, asked: Try) -> None:
         """The client's wait is over: it closes the connection, which is how it goes away."""
--- a/saltmoor/lab/experiment.py
+++ b/saltmoor/lab/experiment.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from saltmoor.lab import arrivals, figures, scenario as plan
+from saltmoor.lab import arrivals, comeback, figures, scenario as plan
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.nodes import Build, Keeper, Node
@@ -185,6 +185,11 @@
         void.append("nothing was asked")
     series = figures.series(ledger, rows, begin)
     made |= figures.goodput(series)
+    txs = figures.transactions(ledger, rows, begin)
+    goals = [ledger.profiles[tx.profile].goal_ms * 1000 for tx in txs]
+    made |= comeback.figures(ledger, written, [figures.served(tx) for tx in txs], goals, rows, begin)
+    if any(fault.on == "server" and fault.kind == "crash" for fault in scenario.fault):
+        made["bound_s"], made["bound_in_time_8s"], _ = comeback.bound(scenario)
     return Result(scenario.name, seed, build.name, {} if void else made, [] if void else bounds(scenario, made),
                   void, [str(one) for one in breaches[:50]], {} if void else series, lab)
 
--- a/saltmoor/lab/origin.py
+++ b/saltmoor/lab/origin.py
@@ -21,7 +21,7 @@
         self.versions: dict[bytes, int] = {}
         self.fetches: Counter[bytes] = Counter()
         self.fetching: Counter[bytes] = Counter()
-        self.writes = 0
+        self.writes = self.held_most = self.twins = 0  # twins: fetches of one key that were out at once
         self.offered: deque[tuple[int, float]] = deque()
         self.offered_sum = 0.0
         self.joined: dict[tuple[str, bytes], list[Callable]] = {}  # through: reads of one key at one server
@@ -61,6 +61,13 @@
         elif not write:
             self.fetches[key] += 1
             self.fetching[key] += 1
+            self.twins = max(self.twins, self.fetching[key])
+        self.held_most = max(self.held_most, self.station.held)
+
+    def most(self) -> int:
+        """What it held at most since it was last asked this."""
+        most, self.held_most = max(self.held_most, self.station.held), 0
+        return most
 
     def effect(self, ident: str, key: bytes, pairs: dict[bytes, bytes]) -> bytes:
         """A write happens, unless it is a journalled one that is still remembered."""
--- a/saltmoor/lab/registry.py
+++ b/saltmoor/lab/registry.py
@@ -20,6 +20,7 @@
         self.stage, self.rng, self.spec = stage, Random(f"{stage.seed} discovery"), stage.scenario.discovery
         self.entries: dict[str, dict] = {}
         self.generation, self.down, self.later = 1, False, 1.0
+        self.free = 0  # when the calls that came so far will be answered, where it takes one at a time
         self.views: list[dict[str, dict]] = [{} for _ in range(stage.nodes)]  # what each node could know
         self.logs: list[list[tuple[int, dict]]] = [[] for _ in range(stage.nodes)]
         self.floor = [1] * stage.nodes  # from an older version on a node gets the whole list
@@ -46,6 +47,7 @@
     def change(self, server, state: str, late: int = 0) -> None:
         """A server's line changes; every node hears of it, each in its time and `late` more."""
         entry = self.entry(server, state)
+        self.stage.book.note("true", self.stage.line.now, server.name, state)
         if state == "removed":
             self.entries.pop(server.name, None)
         else:
@@ -75,6 +77,16 @@
         plain = {name: value for name, value in entry.items() if name != "ports"}
         return plain | {"hostPort": f"127.0.0.1:{entry['ports'][node]}"}
 
+    def turn(self) -> int:
+        """How long a call that comes now waits for its answer; -1: too many wait."""
+        took, now = int(self.spec.call_ms * 1000), self.stage.line.now
+        if not took:
+            return 0
+        if self.free - now > took * self.spec.queue:
+            return -1
+        self.free = max(now, self.free) + took
+        return self.free - now
+
     def outage(self, on: bool) -> None:
         self.down = on
         for watches in self.watches if on else ():
@@ -111,15 +123,28 @@
         self.url += url
 
     def on_message_complete(self) -> None:
-        registry, node = self.registry, self.node
+        registry = self.registry
         asked = parse_qs(urlsplit(self.url.decode("latin-1")).query)
         index = int(asked.get("index", ["0"])[0])
+        self.url = b""
+        if wait := registry.turn():
+            if wait < 0:
+                self.wire.send(b"HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n")
+                self.wire.close()
+            else:
+                self.line.at(self.line.now + wait, self._answer, index, "stream" in asked)
+            return
+        self._answer(index, "stream" in asked)
+
+    def _answer(self, index: int, stream: bool) -> None:
+        registry, node = self.registry, self.node
+        if self.wire.over or registry.down:
+            return
         reset = index < registry.floor[node]
         news = list(registry.views[node].values())
         if not reset:
             news = [entry for version, entry in registry.logs[node] if version > index]
-        self.url = b""
-        if "stream" not in asked:
+        if not stream:
             self.wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
             return
         self.wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
--- a/saltmoor/recovery/room.py
+++ b/saltmoor/recovery/room.py
@@ -10,12 +10,14 @@
 
 from saltmoor.model import Micros
 
-FIRST = 8.0  # hops that the whole fleet has out at first: any origin does that much
+FIRST = 16.0  # hops that the whole fleet has out at first: any origin does that much
 LEAST = 0.05  # under one hop the room is a rate: one hop now and then
 STEEP = 0.5  # a round halves the room at most
-RISE = 1.2  # and lets it grow by a fifth at most, once it was slow; doubled before
+RISE = 1.2  # and lets it grow by a fifth at most, once it was slow
+FASTER = 0.5  # before that each answer adds so much
 SHARE = 0.02  # hops a round on top: who has little gains on who has much
-HITS = 30  # answers before the best stretch is trusted
+ROUND = 6  # answers at least in a round, once it was slow
+BEST = 8  # rounds before the best stretch is trusted
 
 
 class Room:
@@ -23,10 +25,12 @@
 
     def __init__(self, nodes: int = 0) -> None:
         self.limit = max(1.0, FIRST / nodes) if nodes else 2.0
-        self.answers, self.slowed = 0, False
-        self.usual = self.base = 0.0  # time of its answers: lately, and when it was least busy
+        self.answers, self.slowed = 0, False  # slowed: it was slow once; until then each round doubles
+        self.usual = 0.0  # time of its answers lately, their mean
+        self.rounds, self.middle, self.base = 0, 0.0, 0.0  # their middle one: lately, and when it was least busy
         self.changed: Micros = 0  # answers to what was sent before tell nothing of the room as it is
-        self.count, self.sum, self.most = 0, 0.0, 0  # of this round: answers, their times, hops out at once
+        self.times: list[Micros] = []  # of this round: its answers, what failed, hops out at once
+        self.failed = self.most = 0
         self.extra: Micros = 0  # when the last hop went out that only a part of a place was there for
 
     def free(self, now: Micros, out: int) -> bool:
@@ -49,23 +53,32 @@
         if ok:
             self.answers += 1
             self.usual += (elapsed - self.usual) * max(0.1, 1 / self.answers)
-            # The best stretch, not the quickest answer: some origins' times vary widely without any queue.
-            self.base = self.usual if self.answers < HITS else min(self.usual, self.base * 1.0005)
         if now - elapsed < self.changed:
             return
-        # Guards against an origin that fails at once: no answer counts as a late one, however soon it came.
-        wanted = max(1.5 * self.base, goal / 2)
-        self.count, self.sum = self.count + 1, self.sum + (elapsed if ok else max(elapsed, 2 * wanted))
-        if self.count >= max(4, self.limit):
-            self.turn(now, wanted / (self.sum / self.count))
+        if ok:
+            self.times.append(elapsed)
+            if not self.slowed and 2 * self.most > self.limit:
+                self.limit += FASTER
+        else:
+            self.failed += 1
+        if (count := len(self.times) + self.failed) >= max(ROUND, self.limit):
+            self.turn(now, goal, self.failed / count)
 
-    def turn(self, now: Micros, ease: float) -> None:
-        """The end of a round: `ease` is the wanted time over the one that answers took."""
-        before = self.limit
+    def turn(self, now: Micros, goal: Micros, failed: float) -> None:
+        """The end of a round, in which that share failed."""
+        before, ease = self.limit, 1.0
+        if self.times:
+            # The middle one, not the mean: some origins' times vary widely without any queue.
+            middle = sorted(self.times)[len(self.times) // 2]
+            self.rounds += 1
+            self.middle += (middle - self.middle) * max(0.2, 1 / self.rounds)
+            self.base = self.middle if self.rounds < BEST else min(self.middle, self.base * 1.01)
+            ease = max(1.5 * self.base, goal / 4) / middle
+        ease = min(ease, RISE) * (1 - failed)
         if ease < 1:
             self.slowed, self.limit = True, max(LEAST, self.limit * max(STEEP, ease) + SHARE)
-        elif 2 * self.most > self.limit:  # no more than it has use for
-            self.limit = self.limit * (min(ease, RISE) if self.slowed else 2) + SHARE
+        elif self.slowed and 2 * self.most > self.limit:  # no more than it has use for
+            self.limit = self.limit * ease + SHARE
         if self.limit != before:
             self.changed = now
-        self.count, self.sum, self.most = 0, 0.0, 0
+        self.times, self.failed, self.most = [], 0, 0
