--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -1,9 +1,10 @@
 """saltmoor, a router for fleets of cache servers.
 
 Usage:
-  saltmoor serve [--config=FILE]
-  saltmoor check-config [--config=FILE]
+  saltmoor serve [--config=FILE] [--operators=FILE]
+  saltmoor check-config [--config=FILE] [--operators=FILE]
   saltmoor ping [--timeout=SECONDS] ADDRESS
+  saltmoor snapshot (show | verify) FILE
   saltmoor version
   saltmoor lab ...
   saltmoor (-h | --help)
@@ -13,11 +14,13 @@
                 it read its configuration again
   check-config  read the configuration, name what is faulty, print what a node would make of it
   ping          ask the node at HOST:PORT whether it serves
+  snapshot      show what a node would remember, or only whether the file is whole
   version       print the version
   lab           stand-in servers, load and experiments; see saltmoor lab --help
 
 Options:
   --config=FILE      the configuration, JSON; otherwise ROUTER_CONFIG names it
+  --operators=FILE   what operators switch on beside it, TOML; otherwise ROUTER_OPERATORS names it
   --timeout=SECONDS  how long to wait for an answer [default: 2]
 """
 
@@ -51,12 +54,12 @@
     sys.stderr = sys.stderr or open(2, "w", closefd=False)
 
 
-def serve(given: config.Config, path: str | None) -> int:
+def serve(given: config.Config, path: str | None, ours: str | None) -> int:
     import uvloop
 
     from saltmoor.net.lifecycle import serve as run
     try:
-        uvloop.run(run(given, lambda: config.load(path, os.environ)))
+        uvloop.run(run(given, lambda: config.load(path, os.environ, ours)))
     except OSError as error:
         print(f"saltmoor: cannot serve: {error}", file=sys.stderr)
         return 1
@@ -74,6 +77,30 @@
     return 0
 
 
+def snapshot(path: str, show: bool) -> int:
+    import json
+    from pathlib import Path
+
+    from saltmoor.state import file, kinds
+    try:
+        data = file.read(Path(path), 64 << 20)
+        if data is None:
+            raise file.Unfit("there is none")
+        found = file.decode(data)
+    except file.Unfit as error:
+        print(f"saltmoor: {path}: {error}", file=sys.stderr)
+        return 1
+    age = file.age(found["clock"], file.clocks())
+    said = "of unknown age" if age is None else f"{age / 1e6:.1f} s old"
+    print(f"{path}: of node {found['node']}, {said}, {len(data)} bytes, {len(found['kinds']['servers'])} servers")
+    for name, kind in kinds.KINDS.items() if show else ():
+        until = f"until {kind.until / 1e6:g} s" if kind.until else "at any age"
+        print(f"  {name:10} {'counts' if kinds.counts(name, age) else 'too old':8} {until:14} {kind.errs}")
+    if show:
+        print(json.dumps(found["kinds"], indent=1))
+    return 0
+
+
 def ping(address: str, wait: str) -> int:
     try:
         target = config.address("ADDRESS", address)
@@ -98,14 +125,16 @@
     if said["version"]:
         print(f"saltmoor {saltmoor.__version__}")
         return 0
+    if said["snapshot"]:
+        return snapshot(said["FILE"], said["show"])
     if said["ping"]:
         return ping(said["ADDRESS"], said["--timeout"])
     try:
-        given = config.load(said["--config"], os.environ)
+        given = config.load(said["--config"], os.environ, said["--operators"])
     except config.Faulty as error:
         print(f"saltmoor: {error}", file=sys.stderr)
         return 2
-    return serve(given, said["--config"]) if said["serve"] else check(given)
+    return serve(given, said["--config"], said["--operators"]) if said["serve"] else check(given)
 
 
 if __name__ == "__main__":
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -8,8 +8,10 @@
 
 import json
 import os
+import re
+import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -186,6 +188,15 @@
     address: tuple[str, int]
 
 
+@dataclass(slots=True, frozen=True)
+class Keeping:
+    """Where a node keeps its snapshot, how often in microseconds, and how many bytes at most."""
+
+    folder: str
+    every: int
+    most: int
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
@@ -205,6 +216,7 @@
     generation: int
     limits: tuple[float, int, int] = (192, 1024, 0)  # what the caps were made of
     shared: str | None = None  # a private folder that a second process of this node has too
+    keeping: Keeping | None = None  # none: nothing is remembered over a restart
 
     def caps_for(self, processes: int, taken: int = 0) -> Caps:
         return Caps.within(*self.limits, processes, taken)
@@ -276,8 +288,38 @@
         limits=(memory_mb, sockets, CALLS if admin else 0), shared=env.get("TMPDIR"))
 
 
-def load(path: str | None, env: Mapping[str, str]) -> Config:
-    """The configuration that the path or else the environment names."""
+class Operators(Section):
+    """A table of the operators' file: there an unknown key is a fault, as nobody else writes into it."""
+
+    def only(self, *names: str) -> None:
+        for name in self.said:
+            if name not in names:
+                raise Faulty(f"{self.path}{name}: is no setting; there are {', '.join(names)}")
+
+
+def operators(path: str | None) -> Keeping | None:
+    """What the operators' file switches on; nothing without one. `Faulty` names its key."""
+    if not path:
+        return None
+    try:
+        said = tomllib.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise Faulty(f"{path}: cannot be read as TOML ({error})") from None
+    top = Operators(said)
+    top.only("state")
+    if "state" not in said:
+        return None
+    state = Operators(said["state"], "state.")
+    state.only("folder", "every_ms", "most_kb")
+    folder = state.text("folder")
+    if not folder.startswith("/"):
+        raise state.fault("folder", "the whole path of a folder")
+    return Keeping(folder, int(state.number("every_ms", 1000, least=100, most=3_600_000) * 1000),
+                   int(state.number("most_kb", 1024, least=16, most=16_384) * 1024))
+
+
+def load(path: str | None, env: Mapping[str, str], ours: str | None = None) -> Config:
+    """The configuration that the path or else the environment names; `ours`: the operators' file, where there is one."""
     path = path or env.get("ROUTER_CONFIG")
     if not path:
         raise Faulty("ROUTER_CONFIG: is not set, and no file was named")
@@ -285,4 +327,7 @@
         said = json.loads(Path(path).read_text())
     except (OSError, ValueError, RecursionError) as error:
         raise Faulty(f"{path}: cannot be read as JSON ({error})") from None
-    return parse(said, env)
+    given, keeping = parse(said, env), operators(ours or env.get("ROUTER_OPERATORS"))
+    if keeping and not re.fullmatch(r"[A-Za-z0-9_.-]{1,100}", given.name):
+        raise Faulty(f"name: must be letters, digits, '.', '_' or '-' to name a snapshot, is {given.name!r}")
+    return replace(given, keeping=keeping)
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -139,6 +139,18 @@
         self._tell(self.node.listed, self.clock(), ListKind.REMEMBERED, members)
         self._settle(self.clock())
 
+    def noted(self) -> dict[str, Any]:
+        """What is worth remembering over a restart; the list apart, which is its owner's."""
+        from saltmoor.state import kinds  # only where it is switched on
+        return kinds.take(self.node, self.gate, self.clock())
+
+    def recall(self, content: dict[str, Any], age: Micros | None) -> str:
+        """Remember what an earlier process of this node noted; what of it counts, for the log."""
+        from saltmoor.state import kinds
+        told = kinds.give(self.node, self.gate, content, self.clock(), age)
+        self._settle(self.clock())
+        return " ".join(f"{kind}={count}" for kind, count in told.items()) or "nothing"
+
     def members(self) -> list[model.Member]:
         """The cache servers and origins that are to be used, as last heard."""
         return [model.Member(one.id, one.zone, one.kind, one.cell, model.Readiness.READY, one.size, one.started)
--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
+from zlib import crc32
 
 from saltmoor.lab import scenario as plan
 from saltmoor.lab.book import Book, clock
@@ -57,7 +58,7 @@
                      "worth": one.revenue} for one in scenario.profile],
         "tenants": [{"name": one.name, "quota_per_s": one.quota_per_s or scenario.load.rate * 2}
                     for one in scenario.tenant],
-        "azs": fleet.sites, "kinds": [*kinds, "origin"], "fleet_size": may.count,
+        "azs": fleet.sites, "kinds": [*kinds, "origin"], "fleet_size": may.told or may.count,
         "locality": node % len(fleet.sites), "membership_mode": "subscribe",
         "family_info": {"mode": fleet.mode, "origin_kind": len(kinds)},
         "report": {"how": "on_probe", "columns": fleet.report},
@@ -77,6 +78,17 @@
     return sum(row[3] == "0A" and int(row[1].rpartition(":")[2], 16) == port for row in rows)
 
 
+def aged(data: bytes, by: int) -> bytes:
+    """A snapshot as it would be, had it been written so many microseconds sooner."""
+    head, _, body = data.partition(b"\n")
+    said = json.loads(body)
+    said["clock"]["wall"] -= by
+    said["clock"]["up"] -= by
+    body = json.dumps(said).encode()
+    words = head.split()
+    return b" ".join([*words[:2], b"%d" % len(body), b"%d" % crc32(body)]) + b"\n" + body
+
+
 class Node:
     """One node's process, and the next one after it."""
 
@@ -91,6 +103,8 @@
         self.held.bind((HOST, 0))
         self.port = self.held.getsockname()[1]
         self.file = run / f"node{number}.json"
+        self.state = run / f"state{number}"
+        self.snapshot = self.state / f"n{number}.snapshot"
         self.cpu_s, self.cpu_most, self.memory_mb, self.descriptors = 0.0, 0.0, 0.0, 0
         self.before: tuple[float, float] | None = None  # CPU seconds, and when; `window`: a second ago
         self.window = (0.0, 0.0)
@@ -107,9 +121,15 @@
     def start(self) -> None:
         self.starts += 1
         self.before = None
+        words = [sys.executable, "-B", "-m", "saltmoor", "serve", f"--config={self.file}"]
+        if self.scenario.nodes.state:
+            self.state.mkdir(mode=0o700, exist_ok=True)
+            ours = self.run / f"node{self.number}.toml"
+            ours.write_text(f'[state]\nfolder = "{self.state}"\nevery_ms = 500\n')
+            words.append(f"--operators={ours}")
         log = (self.run / f"node{self.number}.log").open("ab")
         self.process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "saltmoor", "serve", f"--config={self.file}"], cwd=self.build.folder,
+            words, cwd=self.build.folder,
             env=os.environ | {"PYTHONPATH": str(self.build.folder)}, stdout=log, stderr=log,
             stdin=subprocess.DEVNULL)
         log.close()
@@ -196,6 +216,29 @@
         else:
             self.book.note("node", clock(), self.number, "crashed", 0)
 
+    def spoil(self, kind: str, fault: plan.Fault, other: Path) -> None:
+        """Something happens to its saved state; `other`: another node's."""
+        self.book.note("node", clock(), self.number, f"state-{kind}", 0)
+        if kind == "blocked":
+            self.snapshot.with_name(self.snapshot.name + ".new").mkdir(exist_ok=True)
+            return
+        if not self.snapshot.exists():
+            return
+        data = bytearray(self.snapshot.read_bytes())
+        match kind:
+            case "lost":
+                self.snapshot.unlink()
+                return
+            case "old":
+                data = aged(bytes(data), int(fault.ms * 1000))
+            case "cut":
+                del data[len(data) // 2:]
+            case "flipped":
+                data[len(data) // 2] ^= 0x10
+            case "foreign":
+                data = other.read_bytes()
+        self.snapshot.write_bytes(data)
+
     def reload(self) -> None:
         """Its configuration is written anew, and it is told so."""
         said = json.loads(self.file.read_text())
@@ -225,7 +268,7 @@
     def __init__(self, nodes: list[Node], faults: list[plan.Fault], begin: int, known) -> None:
         super().__init__(daemon=True)
         self.nodes, self.begin, self.known, self.over = nodes, begin, known, threading.Event()
-        self.due = sorted((fault for fault in faults if fault.on == "node"), key=lambda fault: fault.at_s)
+        self.due = sorted((fault for fault in faults if fault.on in ("node", "state")), key=lambda fault: fault.at_s)
         self.threads: list[threading.Thread] = []
 
     def run(self) -> None:
@@ -241,6 +284,9 @@
                     node.look()
 
     def strike(self, node: Node, fault: plan.Fault, after: float) -> None:
+        if fault.on == "state":
+            node.spoil(fault.kind, fault, self.nodes[node.number - 1].snapshot)
+            return
         if fault.kind == "hup":
             node.reload()
             return
--- a/saltmoor/lab/scenario.py
+++ b/saltmoor/lab/scenario.py
@@ -39,6 +39,8 @@
     probes: bool = True
     hint_ms: NotNegative = 1000.0  # the longest stay-away hint; 0: clients take none
     linger_ms: NotNegative = 500.0
+    state: bool = False  # whether each keeps snapshots, in a folder of its own
+    told: int = 0  # how many nodes each is told that there are; 0: as many as there are
 
 
 class Kind(Part, kw_only=True):
@@ -172,23 +174,24 @@
 ON_DISCOVERY = ("outage", "late", "gap")
 ON_LINKS = ("delay", "loss", "silence")
 ON_NODES = ("kill", "term", "hup", "pause")
+ON_STATE = ("lost", "old", "cut", "flipped", "foreign", "blocked")
 ON_CLIENTS = ("rude",)
 PLACES = {"server": ON_SERVERS, "origin": ON_BOTH, "discovery": ON_DISCOVERY, "link": ON_LINKS,
-          "node": ON_NODES, "clients": ON_CLIENTS}
+          "node": ON_NODES, "state": ON_STATE, "clients": ON_CLIENTS}
 
 
 class Fault(Part, kw_only=True):
     """One thing that goes wrong. Which members it strikes: those numbered in `which`, else `part` of them."""
 
     kind: str
-    on: Literal["server", "origin", "discovery", "link", "node", "clients"] = "server"
+    on: Literal["server", "origin", "discovery", "link", "node", "state", "clients"] = "server"
     at_s: NotNegative
     for_s: NotNegative = 0.0  # how long it lasts; a crashed process is back then. 0: to the end
     which: list[int] = []
     part: Share = 0.0
     share: Share = 1.0  # of the answers, for faults of answers
     times: Positive = 4.0  # how much slower
-    ms: NotNegative = 0.0  # length of a pause, a delay, or a drain
+    ms: NotNegative = 0.0  # length of a pause, a delay, or a drain; so much older, for saved state
     every_s: Positive = 1.0  # between pauses, or batches of a deploy
     batch: Count = 1
     new_id: bool = False  # a process that returns does so under a new id
@@ -249,7 +252,10 @@
             raise Faulty(f"fault[{i}].at_s: lies past length_s")
         if fault.on == "link" and any(site not in scenario.fleet.sites for site in fault.sites):
             raise Faulty(f"fault[{i}].sites: names a site that fleet.sites lacks")
-        most = {"server": scenario.fleet.servers, "node": scenario.nodes.count}.get(fault.on, 1)
+        if fault.on == "state" and not scenario.nodes.state:
+            raise Faulty(f"fault[{i}].on: nodes.state is off, so there is none")
+        most = {"server": scenario.fleet.servers, "node": scenario.nodes.count,
+                "state": scenario.nodes.count}.get(fault.on, 1)
         if any(not 0 <= one < most for one in fault.which):
             raise Faulty(f"fault[{i}].which: numbers from 0 to {most - 1}")
     for name, bound in scenario.bounds.items():
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Callable, Container
 from dataclasses import replace
+from typing import Any
 
 from saltmoor import config, facade
 from saltmoor.choice import Node
@@ -78,7 +79,8 @@
     """One running node."""
 
     def __init__(self, given: config.Config, read: Callable[[], config.Config], log: Log | None = None,
-                 meeting: Meeting | None = None, found: tuple[Sibling, Message, list[int]] | None = None) -> None:
+                 meeting: Meeting | None = None, found: tuple[Sibling, Message, list[int]] | None = None,
+                 keeper: Any = None, kept: dict[str, Any] | None = None) -> None:
         self.given, self.read = given, read
         self.log = log or Log(given.log_lines)
         self.meeting, self.sibling = meeting, None
@@ -101,6 +103,9 @@
                                profiles=given.node["profiles"], caps=given.caps, budget=self.budget)
         self.longest, self.ready = 0, False
         self.settings(given)
+        self.keeper = keeper
+        if kept:
+            self.recall(kept)
         shared = self.beside(*found) if found else None
         self.shares = shared is not None  # with the process that was there before
         self.listener = shared or listener("listen", given.listen)
@@ -109,6 +114,44 @@
             "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
             "/_lameduck/off": ("POST", lambda: self.say_lame(False))})
 
+    def recall(self, kept: dict[str, Any]) -> None:
+        """Guards against whatever else a snapshot holds: what cannot be used costs the snapshot, never the start."""
+        try:
+            kinds, age = kept["kinds"], kept["age"]
+            listed = kinds.get("list")
+            if listed and listed["source"] == self.source() and listed["generation"] > self.given.generation:
+                self.relist(listed["generation"], listed["lines"])
+            said = self.door.recall(kinds, age)
+            self.log(f"snapshot: remembered, {'of unknown age' if age is None else f'age_ms={age // 1000}'}: {said}")
+        except Exception as error:
+            self.log(f"snapshot: not used: {type(error).__name__}: {error}")
+
+    def source(self) -> str:
+        return "%s:%d" % self.given.discovery if self.given.discovery else ""
+
+    def relist(self, generation: int, told: list[dict[str, Any]]) -> None:
+        """A newer list than the one it was started with: whole, as another process of this node had it."""
+        lines = [config.line(config.Section(one), self.given.names) for one in told]
+        lines = self.starts.own(lines, whole=False)
+        self.upstream.listed(lines, whole=True)
+        self.door.remembered([line.member for line in lines])
+        if self.discovery:
+            self.discovery.generation = int(generation)
+
+    def lines(self) -> list[dict[str, Any]]:
+        """The list as it is followed, in discovery's form."""
+        names, addresses = self.given.names, self.upstream.address
+        return [{"instanceId": one.server, "hostPort": "%s:%d" % addresses[one.server],
+                 "zone": names.zones[one.zone] if one.zone >= 0 else "", "cell": one.cell,
+                 "machineType": names.kinds[one.kind] if one.kind >= 0 else "", "lifecycle": "up",
+                 "weight": one.size, "startedAtMs": self.starts.told(one.server, one.started) // 1000}
+                for one in self.door.members() if one.server in addresses]
+
+    def noted(self) -> dict[str, Any]:
+        generation = self.discovery.generation if self.discovery else self.given.generation
+        listed = {"generation": generation, "source": self.source(), "lines": self.lines()}
+        return self.door.noted() | {"list": listed}
+
     def beside(self, sibling: Sibling, said: Message, fds: list[int]) -> socket.socket | None:
         """Guards against whatever answers at the socket file and is no process of this node: it serves alone then."""
         try:
@@ -127,13 +170,10 @@
             shared.close()
             shared = None
         if int(said.get("generation", 0)) >= self.given.generation and said.get("list"):
-            lines = [config.line(config.Section(one), self.given.names) for one in said["list"]]
-            lines = self.starts.own(lines, whole=False)
-            self.upstream.listed(lines, whole=True)
-            self.door.remembered([line.member for line in lines])
-            if self.discovery:
-                self.discovery.generation = int(said["generation"])
+            self.relist(said["generation"], said["list"])
         self.pair_with(sibling)
+        if said.get("state"):
+            self.recall({"kinds": said["state"], "age": 0})
         self.clients.empty(bool(said.get("lame")))
         return shared
 
@@ -154,16 +194,17 @@
             sibling.end()
             return
         self.pair_with(sibling)
-        names, addresses = self.given.names, self.upstream.address
-        lines = [{"instanceId": one.server, "hostPort": "%s:%d" % addresses[one.server],
-                  "zone": names.zones[one.zone] if one.zone >= 0 else "", "cell": one.cell,
-                  "machineType": names.kinds[one.kind] if one.kind >= 0 else "", "lifecycle": "up",
-                  "weight": one.size, "startedAtMs": self.starts.told(one.server, one.started) // 1000}
-                 for one in self.door.members() if one.server in addresses]
+        lines = self.lines()
         said = {"lame": bool(self.clients.lame),
                 "generation": self.discovery.generation if self.discovery else self.given.generation}
         shared = self.listener.fileno()
-        sibling.say(said | {"list": lines}, shared) or sibling.say(said, shared)
+        try:
+            learnt = {"state": self.door.noted()}
+        except Exception as error:  # it is never needed
+            self.log(f"sibling: nothing learnt is handed on: {type(error).__name__}: {error}")
+            learnt = {}
+        # What is too long for one message is left out: first what was learnt, then the list.
+        any(sibling.say(said | more, shared) for more in (learnt | {"list": lines}, {"list": lines}, {}))
         self.log(f"sibling: a second process starts; caps {self.clients.caps.connections} connections each")
 
     def told(self, said: Message, fds: list[int]) -> None:
@@ -350,6 +391,8 @@
             self.sibling.say({"ready": os.getpid(), "shares": self.shares})
         if self.meeting:
             self.meeting.publish()
+        if self.keeper:
+            self.keeper.begin(self.noted)
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
             self.upstream.sweep()
@@ -379,6 +422,8 @@
             self.clients.release()
         self.hand_on()
         self.log(f"stopped: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
+        if self.keeper:
+            self.keeper.end()
         if self.discovery:
             self.discovery.stop("stopping")
         if self.admin:
@@ -404,5 +449,10 @@
             found = await meeting.find()
         except OSError as error:  # it is never needed to serve
             log(f"sibling: $TMPDIR cannot be used: {error}")
-    service = Service(given, read, log, meeting, found)
+    keeper = kept = None
+    if given.keeping:
+        from saltmoor.net.keeper import Keeper
+        keeper = Keeper(given.keeping, given.name, log)
+        kept = await keeper.load()
+    service = Service(given, read, log, meeting, found, keeper, kept)
     await service.run()
--- a/saltmoor/recovery/room.py
+++ b/saltmoor/recovery/room.py
@@ -17,20 +17,21 @@
 FASTER = 0.5  # before that each answer adds so much
 SHARE = 0.02  # hops a round on top: who has little gains on who has much
 ROUND = 6  # answers at least in a round, once it was slow
-BEST = 8  # rounds before the best stretch is trusted
+BEST = 2  # rounds before the best stretch is trusted
 
 
 class Room:
     """`nodes`: how many share the origin, as far as it is told; 0: not told."""
 
     def __init__(self, nodes: int = 0) -> None:
-        self.limit = max(1.0, FIRST / nodes) if nodes else 2.0
+        self.limit = max(LEAST, FIRST / nodes) if nodes else 1.0
         self.answers, self.slowed = 0, False  # slowed: it was slow once; until then each round doubles
         self.usual = 0.0  # time of its answers lately, their mean
         self.rounds, self.middle, self.base = 0, 0.0, 0.0  # their middle one: lately, and when it was least busy
         self.changed: Micros = 0  # answers to what was sent before tell nothing of the room as it is
         self.times: list[Micros] = []  # of this round: its answers, what failed, hops out at once
         self.failed = self.most = 0
+        self.length: float = ROUND  # answers in this round
         self.extra: Micros = 0  # when the last hop went out that only a part of a place was there for
 
     def free(self, now: Micros, out: int) -> bool:
@@ -58,10 +59,10 @@
         if ok:
             self.times.append(elapsed)
             if not self.slowed and 2 * self.most > self.limit:
-                self.limit += FASTER
+                self.limit += FASTER * min(1.0, self.limit)
         else:
             self.failed += 1
-        if (count := len(self.times) + self.failed) >= max(ROUND, self.limit):
+        if (count := len(self.times) + self.failed) >= self.length:
             self.turn(now, goal, self.failed / count)
 
     def turn(self, now: Micros, goal: Micros, failed: float) -> None:
@@ -81,4 +82,4 @@
             self.limit = self.limit * ease + SHARE
         if self.limit != before:
             self.changed = now
-        self.times, self.failed, self.most = [], 0, 0
+        self.times, self.failed, self.most, self.length = [], 0, 0, max(ROUND, self.limit)
