--- a/saltmoor/state/file.py
+++ b/saltmoor/state/file.py
@@ -51,7 +51,7 @@
 
 
 def encode(name: str, content: dict[str, Any]) -> bytes:
-    data = json.dumps({"node": name, **content}, separators=(",", ":")).encode()
+    data = json.dumps({**content, "node": name}, separators=(",", ":")).encode()
     return b"%b %d %d %d\n" % (MAGIC, FORMAT, len(data), crc32(data)) + data
 
 
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -3,8 +3,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import json
+import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -13,6 +16,7 @@
 from pathlib import Path
 
 import msgspec
+import uvloop
 
 from saltmoor import config, model
 from saltmoor.choice import Node
@@ -24,6 +28,7 @@
 from saltmoor.recovery.room import Room
 from saltmoor.state import file, kinds
 from tests.helper import MS, TraceCase, settings
+from tests.test_drills import Drill
 
 SECOND = 1000 * MS
 
@@ -280,6 +285,80 @@
         self.check("comeback-operators", notes)
 
 
+class Kept(Drill):
+    """Nodes as processes that keep snapshots."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.kept = tempfile.TemporaryDirectory()
+
+    async def started(self, name: str = "n1", folder: str | None = None) -> tuple[asyncio.subprocess.Process, list[str]]:
+        """A process of the node and what it logs of snapshots until it serves, and a moment longer."""
+        self.said["name"] = name
+        self.file.write_text(json.dumps(self.said | {"listen": "%s:%d" % self.address}))
+        ours = Path(self.folder.name) / "operators.toml"
+        ours.write_text(f'[state]\nfolder = "{folder or self.kept.name}"\nevery_ms = 100\n')
+        os.environ["ROUTER_OPERATORS"] = str(ours)
+        try:
+            node = await self.launch(stderr=asyncio.subprocess.PIPE)
+        finally:
+            del os.environ["ROUTER_OPERATORS"]
+        lines = []
+        try:
+            async with asyncio.timeout(0.6):
+                while line := await node.stderr.readline():
+                    if line.startswith(b"snapshot"):
+                        lines.append(line.decode().strip())
+        except TimeoutError:
+            pass
+        return node, lines
+
+    async def kill(self, node: asyncio.subprocess.Process) -> None:
+        node.send_signal(signal.SIGKILL)
+        await node.wait()
+
+
+class Processes(TraceCase):
+    def test_killed_and_started_again_on_what_it_kept(self):
+        """Whole, cut, of another node, in a folder that is not there or that another process has: it always serves."""
+        async def play(notes: Notes) -> None:
+            async with asyncio.timeout(60), Kept() as town:
+                path = Path(town.kept.name) / "n1.snapshot"
+
+                async def turn(what: str, **how) -> None:
+                    node, lines = await town.started(**how)
+                    ends = [await town.one(f"key{i}") for i in range(3)]
+                    for i in range(40):
+                        if path.exists():
+                            break
+                        await asyncio.sleep(0.05)
+                    await asyncio.sleep(0.25)
+                    await town.kill(node)
+                    shown = [line.split("age_ms=")[0].replace(town.kept.name, "FOLDER") + "..." * ("age_ms" in line)
+                             for line in lines]
+                    notes.note(f"{what}: {' | '.join(shown) or 'no line'}; {' '.join(ends)}")
+
+                await turn("first")
+                held = path.read_bytes()
+                await turn("killed and again")
+                path.write_bytes(held[:len(held) // 2])
+                await turn("cut")
+                path.write_bytes(held.replace(b'"node":"n1"', b'"node":"n2"'))
+                await turn("altered")
+                path.write_bytes(file.encode("n2", file.decode(held)))
+                await turn("another's")
+                path.with_name("n1.snapshot.new").mkdir()
+                await turn("cannot be written")
+                path.with_name("n1.snapshot.new").rmdir()
+                taken = file.lock(Path(town.kept.name), "n1")
+                await turn("two of one name")
+                os.close(taken)
+                await turn("no such folder", folder=town.kept.name + "/none")
+        notes = Notes()
+        uvloop.run(play(notes))
+        self.check("comeback-processes", notes)
+
+
 class Together(unittest.TestCase):
     def test_most_nodes_and_caches_at_one_instant(self):
         """Four of five real nodes and three of four caches die together: rules kept, no stampede, and it ends."""
