Room: hops that fail on a cut way leave a node two places at the origin

Where a zone is cut off each hop to the origin fails, and the share that failed took the room to a twentieth of a place; at one hop in ten usual times a round of six answers took seconds, so reads stayed refused long after the cut.

--- a/saltmoor/recovery/room.py
+++ b/saltmoor/recovery/room.py
@@ -11,7 +11,8 @@
 from saltmoor.model import Micros
 
 FIRST = 16.0  # hops that the whole fleet has out at first: any origin does that much
-LEAST = 0.05  # under one hop the room is a rate: one hop now and then
+LEAST = 0.25  # under one hop the room is a rate: one hop now and then
+FEW = 2.0  # hops that failures alone leave
 STEEP = 0.5  # a round halves the room at most
 RISE = 1.2  # and lets it grow by a fifth at most, once it was slow
 FASTER = 0.5  # before that each answer adds so much
@@ -75,9 +76,11 @@
             self.middle += (middle - self.middle) * max(0.2, 1 / self.rounds)
             self.base = self.middle if self.rounds < BEST else min(self.middle, self.base * 1.01)
             ease = max(1.5 * self.base, goal / 4) / middle
-        ease = min(ease, RISE) * (1 - failed)
+        slow, ease = ease < 1, min(ease, RISE) * (1 - failed)
         if ease < 1:
-            self.slowed, self.limit = True, max(LEAST, self.limit * max(STEEP, ease) + SHARE)
+            # Guards against a cut on the way that is taken for a full origin: what fails leaves a node its few.
+            least = LEAST if slow else min(self.limit, FEW)
+            self.slowed, self.limit = True, max(least, self.limit * max(STEEP, ease) + SHARE)
         elif self.slowed and 2 * self.most > self.limit:  # no more than it has use for
             self.limit = self.limit * ease + SHARE
         if self.limit != before:
