--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -395,7 +395,8 @@
         """Guards against a fetch by each node of what all miss: where the cache server tells that another is
         out, the copy is asked for once more after the time that takes, as far as hops and the goal allow.
         """
-        return (note == OTHERS and self.recovery.phase is not Phase.STEADY and tx.shared_key and len(tx.hops) + 2 <= self.permits.hops
+        return (note == OTHERS and self.recovery.phase is not Phase.STEADY
+                and tx.shared_key and len(tx.hops) + 2 <= self.permits.hops
                 and 0 < self.fetch < (tx.goal - now) / 2 and (tx.leads or tx.key not in self.fetches))
 
     def await_other(self, tx: Tx, now: Micros) -> In | None:
--- a/saltmoor/lab/stage.py
+++ b/saltmoor/lab/stage.py
@@ -218,7 +218,8 @@
         self.book.note("sample", self.line.now, {
             "servers": len(up), "held_most": max(held), "held_mean": sum(held) / len(held),
             "origin_held": self.origin.station.held, "origin_most": self.origin.most(),
-            "origin_busy": self.origin.station.busy, "twins_most": self.origin.twins, "fetches": sum(self.origin.fetches.values()),
+            "origin_busy": self.origin.station.busy, "twins_most": self.origin.twins,
+            "fetches": sum(self.origin.fetches.values()),
             "hits": sum(server.hits for server in self.caches),
             "misses": sum(server.misses for server in self.caches),
             "probes": sum(self.probes.values()), "connected": sum(server.connected for server in self.caches),
--- a/saltmoor/recovery/phase.py
+++ b/saltmoor/recovery/phase.py
@@ -47,8 +47,7 @@
 
 class Recovery:
     def __init__(self, now: Micros) -> None:
-        self.phase, self.since, self.begun = Phase.STEADY, now, now
-        self.stepped = now
+        self.phase, self.begun, self.stepped = Phase.STEADY, now, now
         self.reads = self.missed = self.fetched = 0  # of this step
         self.rate = self.share = 0.0  # answers a second, and the share of them that missed: lately
         self.usual, self.known = PRIOR, 0  # that share as it usually is; steps it was learnt in
@@ -84,7 +83,7 @@
         return ""
 
     def enter(self, after: Phase, sign: Sign, now: Micros) -> str:
-        before, self.phase, self.since = self.phase, after, now
+        before, self.phase = self.phase, after
         if before is Phase.STEADY:
             self.begun, self.worst, self.fetches = now, self.share, 0
         if sign is Sign.STUCK:
--- a/saltmoor/recovery/room.py
+++ b/saltmoor/recovery/room.py
@@ -26,7 +26,7 @@
 
     def __init__(self, nodes: int = 0) -> None:
         self.limit = max(LEAST, FIRST / nodes) if nodes else 1.0
-        self.answers, self.slowed = 0, False  # slowed: it was slow once; until then each round doubles
+        self.answers, self.slowed = 0, False  # slowed: it was slow once; until then each answer adds to it
         self.usual = 0.0  # time of its answers lately, their mean
         self.rounds, self.middle, self.base = 0, 0.0, 0.0  # their middle one: lately, and when it was least busy
         self.changed: Micros = 0  # answers to what was sent before tell nothing of the room as it is
--- a/saltmoor/state/kinds.py
+++ b/saltmoor/state/kinds.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from math import ceil
 from typing import Any
 
 from saltmoor.choice import Node
@@ -128,7 +127,7 @@
         told["delays"] += 1
     heard = None if age is None else age + max(0, int(said["heard"]))
     if age is not None and counts("health", age) and (said["bad"] > 0.1 or said["down"]):
-        server.bad = max(server.bad, float(said["bad"]) * fade("health", heard if said["bad"] else age))
+        server.bad = max(server.bad, float(said["bad"]) * fade("health", heard))
         server.wary = True
         told["health"] += 1
 
@@ -154,5 +153,5 @@
     servers = content["servers"]
     if len(servers) <= most:
         return content
-    kept = sorted(servers.items(), key=lambda one: (one[1]["ready"], one[1]["started"] is None))[:ceil(most)]
+    kept = sorted(servers.items(), key=lambda one: (one[1]["ready"], one[1]["started"] is None))[:most]
     return content | {"servers": dict(kept)}
