Lab: a try sent again says what is left of its wait; a write is no fetch

Answers that the load process itself read late counted against the node too. `copies filling` counted answers to writes.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -528,7 +528,7 @@
         if server.kind == self.origin_kind:
             if ended not in (Ended.CANCELLED, Ended.MALFORMED):
                 self.room.learn(now, end.elapsed, ended is Ended.COMMITTED, self.goal)
-                if ended is Ended.COMMITTED:
+                if ended is Ended.COMMITTED and not hop.tx.write:
                     self.recovery.answered()
                 self.fetch, server.newest = self.room.usual, max(server.newest, hop.sent)
             self.refill(now)
--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -19,6 +19,7 @@
     shared  t node count                                    so many sockets listen at its port
     sample  t figures                                       of all servers, four times a second
     mark    t what                                          a fault begins or ends
+    behind  t microseconds                              a load process stood still for so long up to then
     late    microseconds                                    how late the process ran what was due
 """
 
--- a/saltmoor/lab/clients.py
+++ b/saltmoor/lab/clients.py
@@ -93,6 +93,7 @@
         if asked is None or self.over:
             return
         self.asked += 1
+        asked.wait = max(1000, (asked.until - self.house.driver.clock()) // 1000 * 1000)  # what is left of it
         data = self.house.command(asked)
         try:
             sent = self.sock.send(data)
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -79,6 +79,7 @@
         self.samples: list[tuple[int, dict]] = []
         self.bad: list[tuple[int, str, int, str]] = []
         self.unanswered: list[str] = []
+        self.behind: list[tuple[int, int]] = []
         for row in sorted((row for row in rows if row[0] not in ("late", "rude", "shared", "true")), key=lambda row: row[1]):
             getattr(self, "_" + row[0])(*row[1:])
         for ident, asked in self.asked.items():
@@ -89,7 +90,7 @@
     def _ask(self, at, ident, tx, node, conn, verb, key, profile, mark, wait) -> None:
         if ident in self.asked:
             self.asked[ident].times += 1  # on a new connection, as the one before was closed unread
-            self.asked[ident].at = at
+            self.asked[ident].at, self.asked[ident].wait = at, wait
             self.asked[ident].sent.append(at)
         else:
             self.asked[ident] = Asked(ident, at, tx, node, profile, mark, wait, sent=[at])
@@ -139,6 +140,9 @@
     def _sample(self, at, figures) -> None:
         self.samples.append((at, figures))
 
+    def _behind(self, at, late) -> None:
+        self.behind.append((at, late))
+
     def _mark(self, at, what) -> None:
         self.marks.append((at, what))
 
@@ -180,6 +184,10 @@
                 return True
         return False
 
+    def read_late(self, at: int) -> int:
+        """How long before an answer was read its client stood still itself: that is the lab's delay, not the node's."""
+        return max((late for beat, late in self.behind if beat - late - SLACK <= at <= beat + SLACK), default=0)
+
     def asked_again(self, asked: Asked) -> int:
         """When the node that held it was killed, so that its client has asked another with the same id; else 0."""
         if len(asked.sent) < 2 or not asked.ended:
@@ -200,7 +208,7 @@
                 self.breach(1, asked.id, "an answer that is none to it")
             elif how == "served" and self.told[asked.id].isdisjoint({("value", crc), ("receipt", crc)}):
                 self.breach(1, asked.id, f"served with {length} bytes that no server made for it")
-            if at > limit and not self.paused(asked.node, asked.at, at):
+            if at > limit and at - self.read_late(at) > limit and not self.paused(asked.node, asked.at, at):
                 self.unanswered.append(asked.id)
         if asked.replies:
             return
--- a/saltmoor/lab/wire.py
+++ b/saltmoor/lab/wire.py
@@ -21,6 +21,9 @@
 AGAIN = 200_000  # a lost segment is sent again after so many microseconds, then after twice as many
 
 
+BEHIND = 10_000  # microseconds: a step that late is written down with its time
+
+
 class Driver:
     """Runs a timeline by the event loop; `late` gathers how late it ran what was due."""
 
@@ -29,6 +32,7 @@
         self.line.sooner = self._arm
         self.timer: asyncio.TimerHandle | None = None
         self.armed, self.running, self.late = 0, False, []
+        self.behind: list[tuple[int, int]] = []  # when it was far behind, and how far
         self._beat(self.clock())
 
     def catch_up(self) -> int:
@@ -59,6 +63,8 @@
         """Every 20 ms: how late is this process? A lab that is late itself measures nothing."""
         now = self.clock()
         self.late.append(now - due)
+        if now - due > BEHIND:
+            self.behind.append((now, now - due))
         self.loop.call_later(0.02, self._beat, now + 20_000)
 
 
--- a/saltmoor/lab/worker.py
+++ b/saltmoor/lab/worker.py
@@ -77,6 +77,8 @@
     await asyncio.sleep(0.1)  # a second answer to the last one would come now
     for late in clients.behind:
         book.note("late", late)
+    for at, late in driver.behind:
+        book.note("behind", at, late)
 
 
 async def rude(run: Path, plan: Plan, book: Book) -> None:
--- a/saltmoor/net/keeper.py
+++ b/saltmoor/net/keeper.py
@@ -117,7 +117,7 @@
             if self.idle.wait(END_WAIT / 2):
                 self.offer()
                 self.idle.wait(END_WAIT / 2)
-            if self.held is not None:
+            if self.held is not None and self.idle.is_set():  # else a write goes on, and the place stays its own
                 os.close(self.held)
                 self.held = None
 
