Peers: who is there, a shared table with one merge rule, catch-up, one fetch a key

Cause: nodes share nothing; each burns its own transactions to learn what another knows, a drain that one hears is news to the others seconds later, and one key is fetched by many.

Change: peers/ (frames, SWIM with suspicion, questions of operators), replica/ (items, digests by kind and range, changes, hybrid clock, exchange, turns to fetch, what each item means to a node), net/peers.py and net/sharing.py (datagrams for words, streams for bulk), a table peers in the operators' file, commands peers and replica, and in the lab one link for each pair and direction with loss, delay, doubling, reordering, altering, cuts. Off without the table: nothing of it is imported.

--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -5,6 +5,10 @@
   saltmoor check-config [--config=FILE] [--operators=FILE]
   saltmoor ping [--timeout=SECONDS] ADDRESS
   saltmoor snapshot (show | verify) FILE
+  saltmoor peers --cluster=NAME PEER
+  saltmoor replica show --cluster=NAME PEER
+  saltmoor replica diff --cluster=NAME PEER OTHER
+  saltmoor replica say --cluster=NAME PEER WORD VALUE
   saltmoor version
   saltmoor lab ...
   saltmoor (-h | --help)
@@ -15,12 +19,15 @@
   check-config  read the configuration, name what is faulty, print what a node would make of it
   ping          ask the node at HOST:PORT whether it serves
   snapshot      show what a node would remember, or only whether the file is whole
+  peers         show whom the node at that peer address holds to be there
+  replica       show what it shares with the others, where two differ, or give all a word (empty|NODE true)
   version       print the version
   lab           stand-in servers, load and experiments; see saltmoor lab --help
 
 Options:
   --config=FILE      the configuration, JSON; otherwise ROUTER_CONFIG names it
   --operators=FILE   what operators switch on beside it, TOML; otherwise ROUTER_OPERATORS names it
+  --cluster=NAME     what the operators' file calls the nodes' cluster
   --timeout=SECONDS  how long to wait for an answer [default: 2]
 """
 
@@ -114,6 +121,33 @@
     return 0 if answer.startswith(b"MN") else 1
 
 
+def among(said: dict) -> int:
+    import json
+
+    from saltmoor.peers import ask
+    cluster, peer, other = said["--cluster"], said["PEER"], said["OTHER"]
+    try:
+        if said["peers"]:
+            lines = ask.members(ask.ask(peer, cluster, "show", "members"))
+        elif said["say"]:
+            try:
+                value = json.loads(said["VALUE"])
+            except ValueError:
+                value = said["VALUE"]
+            answer = ask.ask(peer, cluster, "say", [said["WORD"], value])
+            if "fault" in answer:
+                raise ask.Unanswered(f"WORD: {answer['fault']}")
+            lines = [f"said with stamp {answer['stamp']}"]
+        else:
+            shown = [ask.ask(one, cluster, "show", "items") for one in (peer, other) if one]
+            lines = ask.diff(*shown, (peer, other)) if said["diff"] else ask.items(shown[0])
+    except ask.Unanswered as error:
+        print(f"saltmoor: {error}", file=sys.stderr)
+        return 1
+    print("\n".join(lines) or "they agree" if said["diff"] else "\n".join(lines))
+    return int(said["diff"] and bool(lines))
+
+
 def main(argv: list[str] | None = None) -> int:
     argv = sys.argv[1:] if argv is None else argv
     if argv[:1] == ["lab"]:  # a command line of its own, and libraries that a node does not need
@@ -127,6 +161,8 @@
         return 0
     if said["snapshot"]:
         return snapshot(said["FILE"], said["show"])
+    if said["peers"] or said["replica"]:
+        return among(said)
     if said["ping"]:
         return ping(said["ADDRESS"], said["--timeout"])
     try:
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -33,6 +33,11 @@
 RESERVED = 40  # descriptors for logs, the loop, the listener, discovery, and connections on their way out
 
 
+NAME = r"[A-Za-z0-9_.-]{1,64}"  # of a node among its peers, and of a cluster
+USES = "drains", "starts", "lists", "evidence", "words", "fetches"  # what peers are used for
+USUAL = USES[:5]
+
+
 class Faulty(Exception):
     """A configuration that cannot be used; the message names the key."""
 
@@ -217,6 +222,7 @@
     limits: tuple[float, int, int] = (192, 1024, 0)  # what the caps were made of
     shared: str | None = None  # a private folder that a second process of this node has too
     keeping: Keeping | None = None  # none: nothing is remembered over a restart
+    peers: Talking | None = None  # none: it talks to no other node
 
     def caps_for(self, processes: int, taken: int = 0) -> Caps:
         return Caps.within(*self.limits, processes, taken)
@@ -288,6 +294,26 @@
         limits=(memory_mb, sockets, CALLS if admin else 0), shared=env.get("TMPDIR"))
 
 
+@dataclass(slots=True, frozen=True)
+class Talking:
+    """How a node knows its peers; times in microseconds."""
+
+    cluster: str
+    name: str  # empty: the node's
+    listen: tuple[str, int]
+    address: str  # where the others reach it
+    site: str
+    source: str  # what its discovery is called; empty: by its address
+    seeds: tuple[str, ...]
+    via: dict[str, str]  # by name: where a member is reached, whatever it says itself
+    period: int
+    suspect: int
+    ahead: int
+    most: int  # bytes that are shared
+    rate: int  # bytes a second at most to those that catch up
+    use: frozenset[str]
+
+
 class Operators(Section):
     """A table of the operators' file: there an unknown key is a fault, as nobody else writes into it."""
 
@@ -297,19 +323,66 @@
                 raise Faulty(f"{self.path}{name}: is no setting; there are {', '.join(names)}")
 
 
-def operators(path: str | None) -> Keeping | None:
+def numeric(key: str, value: str) -> tuple[str, int]:
+    """An address that needs no look-up."""
+    import ipaddress  # only where there are peers
+    host, port = address(key, value)
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise Faulty(f"{key}: must be a numeric address and a port, is {value!r}") from None
+    return host, port
+
+
+def talking(peers: Operators) -> Talking:
+    peers.only("cluster", "name", "listen", "address", "site", "source", "seeds", "via", "period_ms", "suspect_ms",
+               "ahead_ms", "most_kb", "kb_per_s", "use")
+    for key in ("cluster", "name", "site"):
+        if (key == "cluster" or peers.text(key)) and not re.fullmatch(NAME, peers.text(key)):
+            raise peers.fault(key, "1 to 64 letters, digits, '.', '_' or '-'")
+    listen = numeric("peers.listen", peers.text("listen"))
+    reached = peers.text("address")
+    if listen[0] in ("0.0.0.0", "::") and not reached:
+        raise Faulty("peers.address: must say where others reach this node, as peers.listen names no one address")
+    if reached:
+        numeric("peers.address", reached)
+    use = peers.texts("use") if "use" in peers.said else list(USUAL)
+    for one in use:
+        if one not in USES:
+            raise Faulty(f"peers.use: {one!r} is none; there are {', '.join(USES)}")
+    via = peers.section("via").said
+    for name, value in via.items():
+        if not isinstance(value, str):
+            raise Faulty(f"peers.via.{name}: must be HOST:PORT, is {value!r}")
+        numeric(f"peers.via.{name}", value)
+    seeds = peers.texts("seeds")
+    for i, seed in enumerate(seeds):
+        numeric(f"peers.seeds[{i}]", seed)
+    return Talking(
+        peers.text("cluster"), peers.text("name"), listen, reached or "%s:%d" % listen, peers.text("site"),
+        peers.text("source"), tuple(seeds), dict(via),
+        int(peers.number("period_ms", 200, least=20, most=10_000) * 1000),
+        int(peers.number("suspect_ms", 1500, least=50, most=120_000) * 1000),
+        int(peers.number("ahead_ms", 1000, least=10, most=60_000) * 1000),
+        int(peers.number("most_kb", 4096, least=64, most=32_768) * 1024),
+        int(peers.number("kb_per_s", 4096, least=16, most=1_000_000) * 1024), frozenset(use))
+
+
+def operators(path: str | None) -> tuple[Keeping | None, Talking | None]:
     """What the operators' file switches on; nothing without one. `Faulty` names its key."""
     if not path:
-        return None
+        return None, None
     try:
         said = tomllib.loads(Path(path).read_text())
     except (OSError, ValueError) as error:
         raise Faulty(f"{path}: cannot be read as TOML ({error})") from None
     top = Operators(said)
-    top.only("state")
-    if "state" not in said:
-        return None
-    state = Operators(said["state"], "state.")
+    top.only("state", "peers")
+    peers = talking(Operators(said["peers"], "peers.")) if "peers" in said else None
+    return keeping(Operators(said["state"], "state.")) if "state" in said else None, peers
+
+
+def keeping(state: Operators) -> Keeping:
     state.only("folder", "every_ms", "most_kb")
     folder = state.text("folder")
     if not folder.startswith("/"):
@@ -327,7 +400,9 @@
         said = json.loads(Path(path).read_text())
     except (OSError, ValueError, RecursionError) as error:
         raise Faulty(f"{path}: cannot be read as JSON ({error})") from None
-    given, keeping = parse(said, env), operators(ours or env.get("ROUTER_OPERATORS"))
+    given, (keeping, peers) = parse(said, env), operators(ours or env.get("ROUTER_OPERATORS"))
+    if peers and not re.fullmatch(NAME, peers.name or given.name):
+        raise Faulty(f"name: must be 1 to 64 letters, digits, '.', '_' or '-' among peers, is {given.name!r}")
     if keeping and not re.fullmatch(r"[A-Za-z0-9_.-]{1,100}", given.name):
         raise Faulty(f"name: must be letters, digits, '.', '_' or '-' to name a snapshot, is {given.name!r}")
-    return replace(given, keeping=keeping)
+    return replace(given, keeping=keeping, peers=peers)
--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -17,6 +17,8 @@
     life    t server what                                   up, down, fell
     node    t node what code                                ready, killed, termed, hup, exited
     shared  t node count                                    so many sockets listen at its port
+    believes t node what                                what a node says of the others, asked four times a second
+    way     t node node count bytes                     what one told the other
     sample  t figures                                       of all servers, four times a second
     mark    t what                                          a fault begins or ends
     behind  t microseconds                              a load process stood still for so long up to then
--- a/saltmoor/lab/experiment.py
+++ b/saltmoor/lab/experiment.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from saltmoor.lab import arrivals, comeback, figures, scenario as plan
+from saltmoor.lab import arrivals, comeback, figures, scenario as plan, talk
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.nodes import Build, Keeper, Node
@@ -121,8 +121,12 @@
         loads = [crew.start("load", str(i)) for i in range(scenario.load.workers)]
         if any(fault.kind == "rude" for fault in scenario.fault):
             loads.append(crew.start("rude"))
+        links = crew.start("links") if scenario.nodes.peers else None
         for process in crew.members:
             crew.ready(process)
+        if links:
+            for node, via in zip(nodes, json.loads((place / "links.json").read_text())):
+                node.via = via
         told = json.loads((place / "stage.json").read_text())
 
         def known(number: int) -> dict[str, Any]:
@@ -145,8 +149,10 @@
             gone = (clock() - begin) / 1e6
             progress(f"{scenario.name}: {max(0.0, gone):.0f} of {scenario.length_s:.0f} s")
         keeper.stop()
-        crew.say(stage, "end")
-        stage.wait(20)
+        for process in (stage, links):
+            if process:
+                crew.say(process, "end")
+                process.wait(20)
     finally:
         if keeper and keeper.is_alive():
             keeper.stop()
@@ -188,6 +194,7 @@
     txs = figures.transactions(ledger, rows, begin)
     goals = [ledger.profiles[tx.profile].goal_ms * 1000 for tx in txs]
     made |= comeback.figures(ledger, written, [figures.served(tx) for tx in txs], goals, rows, begin)
+    made |= talk.figures(ledger, written, begin)
     if any(fault.on == "server" and fault.kind == "crash" for fault in scenario.fault):
         made["bound_s"], made["bound_in_time_8s"], _ = comeback.bound(scenario)
     return Result(scenario.name, seed, build.name, {} if void else made, [] if void else bounds(scenario, made),
--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -19,7 +19,7 @@
 from typing import Any
 from zlib import crc32
 
-from saltmoor.lab import scenario as plan
+from saltmoor.lab import links, scenario as plan
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.wire import HOST
 
@@ -101,6 +101,7 @@
         self.held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.held.bind((HOST, 0))
+        self.via: dict[str, str] = {}  # where it reaches the others, where they talk
         self.port = self.held.getsockname()[1]
         self.file = run / f"node{number}.json"
         self.state = run / f"state{number}"
@@ -122,11 +123,10 @@
         self.starts += 1
         self.before = None
         words = [sys.executable, "-B", "-m", "saltmoor", "serve", f"--config={self.file}"]
-        if self.scenario.nodes.state:
-            self.state.mkdir(mode=0o700, exist_ok=True)
-            ours = self.run / f"node{self.number}.toml"
-            ours.write_text(f'[state]\nfolder = "{self.state}"\nevery_ms = 500\n')
-            words.append(f"--operators={ours}")
+        if ours := self.operators():
+            file = self.run / f"node{self.number}.toml"
+            file.write_text(ours)
+            words.append(f"--operators={file}")
         log = (self.run / f"node{self.number}.log").open("ab")
         self.process = subprocess.Popen(
             words, cwd=self.build.folder,
@@ -134,6 +134,19 @@
             stdin=subprocess.DEVNULL)
         log.close()
 
+    def operators(self) -> str:
+        """What is switched on beside its configuration."""
+        text, limits = "", self.scenario.nodes
+        if limits.state:
+            self.state.mkdir(mode=0o700, exist_ok=True)
+            text += f'[state]\nfolder = "{self.state}"\nevery_ms = 500\n'
+        if limits.peers:
+            sites = self.scenario.fleet.sites
+            text += links.operators({
+                "listen": f"{links.HOST}:{self.port}", "seeds": list(self.via.values())[:3],
+                "site": sites[self.number % len(sites)], "via": self.via, "use": limits.use})
+        return text
+
     def ready(self) -> bool:
         """Wait until it serves."""
         end = time.monotonic() + READY_WITHIN
--- a/saltmoor/lab/scenario.py
+++ b/saltmoor/lab/scenario.py
@@ -40,6 +40,9 @@
     hint_ms: NotNegative = 1000.0  # the longest stay-away hint; 0: clients take none
     linger_ms: NotNegative = 500.0
     state: bool = False  # whether each keeps snapshots, in a folder of its own
+    peers: bool = False  # whether they talk to each other, over links that faults strike
+    use: list[Literal["drains", "starts", "evidence", "words", "fetches"]] = msgspec.field(
+        default_factory=lambda: ["drains", "starts", "evidence", "words"])  # what they use it for
     told: int = 0  # how many nodes each is told that there are; 0: as many as there are
 
 
@@ -175,16 +178,17 @@
 ON_LINKS = ("delay", "loss", "silence")
 ON_NODES = ("kill", "term", "hup", "pause")
 ON_STATE = ("lost", "old", "cut", "flipped", "foreign", "blocked")
+ON_PEERS = ("cut", "loss", "delay", "double", "reorder", "corrupt", "slow")
 ON_CLIENTS = ("rude",)
 PLACES = {"server": ON_SERVERS, "origin": ON_BOTH, "discovery": ON_DISCOVERY, "link": ON_LINKS,
-          "node": ON_NODES, "state": ON_STATE, "clients": ON_CLIENTS}
+          "node": ON_NODES, "state": ON_STATE, "peers": ON_PEERS, "clients": ON_CLIENTS}
 
 
 class Fault(Part, kw_only=True):
     """One thing that goes wrong. Which members it strikes: those numbered in `which`, else `part` of them."""
 
     kind: str
-    on: Literal["server", "origin", "discovery", "link", "node", "state", "clients"] = "server"
+    on: Literal["server", "origin", "discovery", "link", "node", "state", "peers", "clients"] = "server"
     at_s: NotNegative
     for_s: NotNegative = 0.0  # how long it lasts; a crashed process is back then. 0: to the end
     which: list[int] = []
@@ -200,6 +204,9 @@
     rate: Positive = 20.0  # rude connections a second
     spread_s: NotNegative = 0.0  # a fault on nodes strikes them evenly over so long, not at one instant
     sites: list[Name] = []  # a link fault: between these two sites
+    from_nodes: list[int] = []  # a fault between nodes: on what these say; none: all
+    to_nodes: list[int] = []  # to these
+    both: bool = False  # and the other way
 
 
 class Bound(Part, kw_only=True):
@@ -254,6 +261,11 @@
             raise Faulty(f"fault[{i}].sites: names a site that fleet.sites lacks")
         if fault.on == "state" and not scenario.nodes.state:
             raise Faulty(f"fault[{i}].on: nodes.state is off, so there is none")
+        if fault.on == "peers" and not scenario.nodes.peers:
+            raise Faulty(f"fault[{i}].on: nodes.peers is off, so they say nothing")
+        for key in ("from_nodes", "to_nodes"):
+            if any(not 0 <= one < scenario.nodes.count for one in getattr(fault, key)):
+                raise Faulty(f"fault[{i}].{key}: numbers from 0 to {scenario.nodes.count - 1}")
         most = {"server": scenario.fleet.servers, "node": scenario.nodes.count,
                 "state": scenario.nodes.count}.get(fault.on, 1)
         if any(not 0 <= one < most for one in fault.which):
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from hashlib import blake2b
 from itertools import chain, islice
+from typing import Any
 from zlib import crc32
 
 import saltmoor
@@ -304,6 +305,7 @@
         self.heir: Sibling | None = None  # the process that takes this one's place, once it takes clients
         self.drawn = 0
         self.lame: Micros = 0  # since when the node is emptied; 0: it takes clients
+        self.sharing: Any = None  # with other nodes, where they are asked whose turn a fetch is
 
     def configure(self, names: config.Names, profiles: list[Profile], caps: config.Caps) -> None:
         self.profiles, self.caps = profiles, caps
@@ -551,6 +553,14 @@
             self.log(f"refused by {step.server}: {reply.body!r}")
         if reply.flow and step.tx.over:
             reply.flow.drop()  # another hop's answer was there before
+        if self.sharing and step.origin:
+            self.sharing.ended(step)
+        if self.sharing and self.sharing.asks(step, reply):
+            self.spawn(self.sharing.turn(step, reply, lambda known: self.hop_over(step, known)))
+        else:
+            self.hop_over(step, reply)
+
+    def hop_over(self, step: facade.Send, reply: meta.Reply) -> None:
         self.door.report(step, reply.ended, answer=reply.flow or reply.body, note=reply.note, load=reply.load)
 
     def settle_down(self) -> None:
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -103,6 +103,12 @@
                                profiles=given.node["profiles"], caps=given.caps, budget=self.budget)
         self.longest, self.ready = 0, False
         self.settings(given)
+        self.sharing = None
+        if given.peers:
+            from saltmoor.net.sharing import Sharing  # only where it is switched on
+            self.sharing = Sharing(self, given.peers)
+            if "fetches" in given.peers.use:
+                self.clients.sharing = self.sharing
         self.keeper = keeper
         if kept:
             self.recall(kept)
@@ -291,7 +297,7 @@
             self.discovery = None
         elif given.discovery:
             self.discovery = self.make_discovery()
-        for key in ("listen", "admin"):
+        for key in ("listen", "admin", "peers"):
             if getattr(given, key) != getattr(old, key):
                 self.log(f"configuration: {'admin_addr' if key == 'admin' else key} needs a restart")
         self.log(f"configuration read: discovery={'%s:%d' % given.discovery if given.discovery else 'none'}")
@@ -363,6 +369,8 @@
             return
 
         def tell(news: News) -> None:
+            if self.sharing and news.lines:
+                news = replace(news, lines=self.sharing.news(news.lines))
             news = replace(news, lines=self.starts.own(news.lines, news.kind is ListKind.FULL))
             soft = self.given.node["listing"].soft  # then what is called gone may serve on, and is reached as before
             lines = [line for line in news.lines if not soft or line.member.readiness is not Readiness.GONE]
@@ -393,6 +401,8 @@
             self.meeting.publish()
         if self.keeper:
             self.keeper.begin(self.noted)
+        if self.sharing:
+            self.sharing.begin()
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
             self.upstream.sweep()
@@ -411,6 +421,8 @@
             self.meeting.close()
         if self.sibling and self.sibling.ready:
             self.clients.heir = self.sibling
+            if self.sharing:  # the process that takes its place is the same member from now on
+                self.sharing.end(left=False)
         else:
             await asyncio.sleep(self.linger)
         self.ready = False
@@ -424,6 +436,8 @@
         self.log(f"stopped: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.keeper:
             self.keeper.end()
+        if self.sharing and not self.clients.heir:
+            self.sharing.end(left=True)
         if self.discovery:
             self.discovery.stop("stopping")
         if self.admin:
--- /dev/null
+++ b/saltmoor/net/peers.py
@@ -0,0 +1,564 @@
+"""Owns the sockets between nodes: datagrams for small words, streams for bulk, on one address that operators name.
+
+Whatever comes is checked, counted and dropped where it is strange; nothing that comes can end the node, hold its loop,
+or be waited for by a transaction. It must never decide who is alive, what a copy is, or what a node does with it:
+`peers/` and `replica/` do, and the owner's `took`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+import saltmoor
+from saltmoor.config import Talking
+from saltmoor.model import Micros
+from saltmoor.net.buffers import family
+from saltmoor.net.log import Log
+from saltmoor.peers import frames
+from saltmoor.peers.frames import Speaker, Strange
+from saltmoor.peers.members import Ask, Members, News, Out, Ping
+from saltmoor.replica.exchange import Exchange, Pull
+from saltmoor.replica.items import Item, Stamps, Store
+from saltmoor.replica.turns import Turns, keeper
+
+AT_A_TIME = 32  # datagrams read before the loop goes on
+CHUNK = 64  # items in one frame of a stream, and merged before the loop goes on
+SMALL = 900  # bytes of an item that goes round in a datagram; a larger one is pulled
+DIRECT = 12  # members: up to so many hear what is new from who has it, beyond that it goes round
+FAN = 4  # members who are told at once where there are more
+TOLD = 3  # times that a node says what is new
+STREAMS = 4  # calls at once that this node answers
+CALL_WAIT = 5.0  # seconds for a whole call
+PULL_MOST = 64 << 20  # bytes that one pull may bring, whatever the peer thinks
+OPEN_AGAIN = 2.0  # seconds until a port that was taken is tried again
+PERMIT_WAIT = 0.02  # seconds that a miss may wait for the keeper's word
+ASKED_MOST = 2_000  # of them at once
+
+
+class PullWord(msgspec.Struct, array_like=True):
+    epoch: int
+    seq: int
+    ranges: list[tuple[str, int]] = []
+
+
+class EndWord(msgspec.Struct, array_like=True):
+    epoch: int
+    seq: int
+    digests: dict[str, list[int]]
+
+
+class SayWord(msgspec.Struct, array_like=True):
+    name: str
+    value: Any
+
+
+class TurnWord(msgspec.Struct, array_like=True):
+    number: int
+    key: int
+    lease: int = 0
+    go: bool = True
+
+
+class Bulk:
+    """Frames on a stream: a length in four bytes, then the frame."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.sock, self.loop, self.held, self.count = sock, asyncio.get_running_loop(), bytearray(), 0
+
+    async def read(self) -> bytes | None:
+        """One frame, None at the end; `Strange` for one that is too long."""
+        while True:
+            if len(self.held) >= 4:
+                length = int.from_bytes(self.held[:4], "big")
+                if not frames.HEAD <= length <= frames.BULK:
+                    raise Strange("length")
+                if len(self.held) >= 4 + length:
+                    frame = bytes(self.held[4:4 + length])
+                    del self.held[:4 + length]
+                    return frame
+            data = await self.loop.sock_recv(self.sock, 65_536)
+            if not data:
+                return None
+            self.count += len(data)
+            if self.count > PULL_MOST:
+                raise Strange("too much")
+            self.held += data
+
+    async def write(self, frame: bytes) -> int:
+        await self.loop.sock_sendall(self.sock, len(frame).to_bytes(4, "big") + frame)
+        return len(frame) + 4
+
+
+class Peers:
+    """One node among its peers. `took` hears of each item that is new here and came from another."""
+
+    def __init__(self, given: Talking, name: str, log: Log, clock: Callable[[], Micros]) -> None:
+        self.given, self.log, self.clock = given, log, clock
+        self.name = given.name or name
+        self.loop = asyncio.get_running_loop()
+        now, wall = clock(), time.time_ns() // 1000
+        self.run = int.from_bytes(os.urandom(6), "big")
+        # Larger than the life of the process before, unless the wall was set back: then it is contradicted.
+        self.me = News(self.name, 0, wall // 1000, self.run, given.address, given.site, saltmoor.__version__)
+        self.members = Members(self.me, given.period, given.suspect, list(given.seeds), self.run, now)
+        self.store = Store(epoch=self.run, most_bytes=given.most, hear=self.fresh)
+        self.stamps = Stamps(given.ahead)
+        self.exchange = Exchange(self.name, now, self.run)
+        self.turns = Turns(wall // 1000)
+        self.took: Callable[[Item], None] = lambda item: None
+        self.step: Callable[[Micros], None] = lambda now: None  # the owner's, once a tick
+        self.dropped: dict[str, int] = {}
+        self.sent = self.came = self.sent_bytes = self.came_bytes = 0
+        self.given_bytes = 0
+        self.spoken: deque[list] = deque()  # items to go round: [item, times left]
+        self.flushing, self.merging = False, False  # merging: what is put now came from another
+        self.asked: dict[int, asyncio.Future] = {}
+        self.holds: dict[int, tuple[str, int]] = {}  # keys this node may fetch: whose permit, which number
+        self.waits = 0
+        self.socks: list[socket.socket] = []
+        self.udp: socket.socket | None = None
+        self.tasks: set[asyncio.Task] = set()
+        self.streams = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.ended, self.opened, self.expired, self.refusal = False, True, now, ""
+        self.slowest = 0.0  # seconds: the longest that one callback of this part took
+
+    # Life.
+
+    def begin(self) -> None:
+        self.open()
+        self.again()
+
+    def open(self) -> None:
+        """Guards against a port that is taken: the node serves alone, and tries again."""
+        host, port = self.given.listen
+        socks = []
+        try:
+            for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+                sock = socket.socket(family(host), kind)
+                socks.append(sock)
+                if kind is socket.SOCK_STREAM:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                sock.setblocking(False)
+                sock.bind((host, port))
+            socks[1].listen(16)
+        except OSError as error:
+            for sock in socks:
+                sock.close()
+            if self.opened:
+                self.opened = False
+                self.log(f"peers: peers.listen {host}:{port}: {error.strerror or error}; alone until it is free")
+            self.loop.call_later(OPEN_AGAIN, lambda: self.ended or self.open())
+            return
+        self.opened, self.socks, self.udp = True, socks, socks[0]
+        self.loop.add_reader(socks[0], self.read)
+        self.loop.add_reader(socks[1], self.accept)
+        self.log(f"peers: {self.name} of {self.given.cluster} at {host}:{port}, life={self.members.me.life}")
+
+    def again(self) -> None:
+        self.timer = self.loop.call_later(self.given.period / 4_000_000, self.tick)
+
+    def tick(self) -> None:
+        self.again()
+        begun = time.perf_counter()
+        now = self.clock()
+        try:
+            self.send_all(self.members.tick(now))
+            if now - self.expired > 1_000_000:
+                self.expired = now
+                self.store.expire(now)
+            for pull in self.exchange.next(now, self.members.there() if self.udp else []):
+                self.spawn(self.pull(pull))
+            self.flush()
+            self.step(now)
+            self.say()
+        except Exception as error:  # the next tick must come whatever happened in this one
+            self.log(f"fault among peers: {type(error).__name__}: {error}")
+        self.slowest = max(self.slowest, time.perf_counter() - begun)
+
+    def say(self) -> None:
+        for line in self.members.lines:
+            self.log(line)
+        self.members.lines.clear()
+        self.members.changed.clear()
+        if self.exchange.line:
+            self.log(f"{self.exchange.line} items={self.store.count()}")
+            self.exchange.line = ""
+        for kind, key, kept, other in self.store.conflicts:
+            self.log(f"replica: copies of {kind} {key} differ: kept {kept[:60]!r}, not {other[:60]!r}")
+        self.store.conflicts.clear()
+
+    def spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def end(self, left: bool = True) -> None:
+        """`left`: the others are told; not where a successor goes on as the same member."""
+        self.ended = True
+        if self.timer:
+            self.timer.cancel()
+        if left and self.udp:
+            self.send_all(self.members.leave())
+        for sock in self.socks:
+            self.loop.remove_reader(sock)
+            sock.close()
+        self.socks, self.udp = [], None
+        for task in self.tasks:
+            task.cancel()
+
+    # Datagrams.
+
+    def speaker(self) -> Speaker:
+        return Speaker(self.name, self.members.me.life, self.run, time.time_ns() // 1000)
+
+    def encode(self, word: str, said: Any) -> bytes:
+        return frames.encode(self.given.cluster, self.speaker(), word, said)
+
+    def where(self, name: str) -> tuple[str, int] | None:
+        """Where a member is reached: as the operator says, or as it says itself."""
+        one = self.members.others.get(name)
+        text = self.given.via.get(name) or (one.address if one else "")
+        host, _, port = text.rpartition(":")
+        return (host.strip("[]"), int(port)) if host and port.isdigit() and int(port) < 65_536 else None
+
+    def send_all(self, outs: Iterable[Out]) -> None:
+        for out in outs:
+            if isinstance(out.content, Ping):
+                out.content.root, out.content.epoch, out.content.seq = (
+                    self.store.root, self.store.epoch, self.store.seq)
+            place = self.where(out.to) if out.to else self.split(out.address)
+            self.send(place, out.word, out.content)
+
+    @staticmethod
+    def split(text: str) -> tuple[str, int]:
+        host, _, port = text.rpartition(":")
+        return host.strip("[]"), int(port)
+
+    def send(self, place: tuple[str, int] | None, word: str, said: Any) -> None:
+        if not self.udp or not place:
+            return
+        data = self.encode(word, said)
+        if len(data) > frames.DATAGRAM:
+            self.drop("own too long")
+            return
+        try:
+            self.udp.sendto(data, place)
+        except (OSError, ValueError, OverflowError):  # as good as lost on its way
+            self.drop("not sent")
+            return
+        self.sent, self.sent_bytes = self.sent + 1, self.sent_bytes + len(data)
+
+    def drop(self, why: str) -> None:
+        self.dropped[why] = self.dropped.get(why, 0) + 1
+
+    def read(self) -> None:
+        begun = time.perf_counter()
+        for _ in range(AT_A_TIME):
+            try:
+                data = self.udp.recv(65_536)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:  # an earlier word of ours that reached nobody
+                continue
+            self.came, self.came_bytes = self.came + 1, self.came_bytes + len(data)
+            try:
+                self.hear(data)
+            except Strange as error:
+                self.drop(str(error))
+            except Exception as error:  # a fault of ours, or more than was thought of: it costs this word
+                self.drop("fault")
+                self.log(f"fault in a peer's word: {type(error).__name__}: {error}")
+        self.slowest = max(self.slowest, time.perf_counter() - begun)
+
+    def hear(self, data: bytes) -> None:
+        if len(data) > frames.DATAGRAM:
+            raise Strange("length")
+        frame = frames.decode(data, self.given.cluster)
+        now, speaker, word = self.clock(), frame.speaker, frame.word
+        if word in ("ping", "ack", "ask"):
+            said = frames.content(frame, Ask if word == "ask" else Ping)
+            if word == "ping" and said.to and said.to != self.name:
+                raise Strange("not for this one")
+            outs = self.members.heard(now, time.time_ns() // 1000, speaker, word, said)
+            self.send_all(outs)
+            if word != "ask" and speaker.name in self.members.others and said.epoch:
+                self.exchange.saw(now, speaker.name, said.root == self.store.root)
+            return
+        if speaker.name == self.name or speaker.name not in self.members.others:
+            raise Strange("not known")
+        if word == "items":
+            for item in frames.content(frame, list[Item])[:CHUNK]:
+                self.merge(now, item)
+        elif word == "turn?":
+            said = frames.content(frame, TurnWord)
+            go, number = self.turns.ask(now, said.key, speaker.name, max(0, min(said.lease, 2_000_000)))
+            self.send(self.where(speaker.name), "turn!", TurnWord(said.number, said.key, number, go))
+        elif word == "turn!":
+            said = frames.content(frame, TurnWord)
+            future = self.asked.pop(said.number, None)
+            if future and not future.done():
+                future.set_result((said.go, said.lease))
+        elif word == "turned":
+            said = frames.content(frame, TurnWord)
+            self.turns.done(said.key, said.number)
+        elif word == "void":
+            self.turns.void(frames.content(frame, TurnWord).key)
+        else:
+            raise Strange("word")
+
+    # What is shared.
+
+    def merge(self, now: Micros, item: Item) -> None:
+        if item.kind == "word" and not self.stamps.take(self.wall(), item.version):
+            self.store.refuse("clock")
+            return
+        self.merging = True
+        try:
+            self.store.put(now, item)
+        finally:
+            self.merging = False
+
+    def wall(self) -> Micros:
+        return self.members.middle_clock(time.time_ns() // 1000)
+
+    def fresh(self, item: Item) -> None:
+        """An item is new in the table: it goes round, and its owner hears of it where another has said it."""
+        if len(item.body) + len(item.key) <= SMALL and not (self.merging and self.exchange.open):
+            self.spoken.append([item, 1 if self.merging else TOLD])
+            while len(self.spoken) > 5_000:
+                self.spoken.popleft()
+            if not self.flushing:
+                self.flushing = True
+                self.loop.call_soon(self.flush)
+        if self.merging:
+            try:
+                self.took(item)
+            except Exception as error:  # what cannot be used is carried all the same
+                self.log(f"fault in a shared item: {item.kind} {item.key}: {type(error).__name__}: {error}")
+
+    def flush(self) -> None:
+        """Say what is new: to all where they are few, else to some, who say it on."""
+        self.flushing = False
+        if not self.spoken or not self.udp:
+            return
+        there, packets, packet, size = self.members.there(), [], [], 0
+        again: list[list] = []
+        now = self.clock()
+        for _ in range(min(len(self.spoken), 64)):
+            kept = self.spoken.popleft()
+            kept[1] -= 1
+            item = kept[0]
+            if kept[1] > 0:
+                again.append(kept)
+            held = self.store.get(item.kind, item.key)
+            if held is None or held.version != item.version:  # a newer one is on its way already
+                continue
+            item = self.store.item(now, item.kind, item.key)
+            length = len(item.body) + len(item.key) + len(item.kind) + 40
+            if packet and size + length > frames.DATAGRAM - 200:
+                packets.append(packet)
+                packet, size = [], 0
+            packet.append(item)
+            size += length
+        if packet:
+            packets.append(packet)
+        for packet in packets:
+            names = there if len(there) <= DIRECT else self.members.some(there, FAN)
+            for name in names:
+                self.send(self.where(name), "items", packet)
+        self.spoken.extend(again)  # at the next tick
+
+    # Streams.
+
+    def accept(self) -> None:
+        for _ in range(4):
+            try:
+                sock, _ = self.socks[1].accept()
+            except (OSError, IndexError):
+                return
+            if self.streams >= STREAMS:
+                self.drop("busy")
+                sock.close()
+                continue
+            self.streams += 1
+            self.spawn(self.answer(sock))
+
+    async def answer(self, sock: socket.socket) -> None:
+        try:
+            bulk = Bulk(sock)
+            async with asyncio.timeout(CALL_WAIT):
+                data = await bulk.read()
+                if data is None:
+                    return
+                frame = frames.decode(data, self.given.cluster)
+                if frame.word == "pull":
+                    await self.give(bulk, frames.content(frame, PullWord))
+                elif frame.word == "show":
+                    await bulk.write(self.encode("shown", self.shown(frames.content(frame, str))))
+                elif frame.word == "say":
+                    await bulk.write(self.encode("said", self.said(frames.content(frame, SayWord))))
+                else:
+                    raise Strange("word")
+        except Strange as error:
+            self.drop(str(error))
+        except (OSError, TimeoutError):
+            self.drop("call")
+        except Exception as error:
+            self.drop("fault")
+            self.log(f"fault in a peer's call: {type(error).__name__}: {error}")
+        finally:
+            self.streams -= 1
+            sock.close()
+
+    async def give(self, bulk: Bulk, said: PullWord) -> None:
+        """What a peer lacks, at a bounded rate: who returns must not hold up who serves."""
+        now, seq = self.clock(), self.store.seq
+        wanted = (self.store.ranges(now, said.ranges[:512]) if said.ranges
+                  else self.store.since(now, said.seq if said.epoch == self.store.epoch else 0))
+        chunk, size = [], 0
+        for item in wanted:
+            chunk.append(item)
+            size += len(item.body) + len(item.key) + 40
+            if len(chunk) >= CHUNK or size > 60_000:
+                await self.send_chunk(bulk, chunk)
+                chunk, size = [], 0
+        if chunk:
+            await self.send_chunk(bulk, chunk)
+        await bulk.write(self.encode("end", EndWord(self.store.epoch, seq, self.store.digests)))
+
+    async def send_chunk(self, bulk: Bulk, chunk: list[Item]) -> None:
+        count = await bulk.write(self.encode("items", chunk))
+        self.given_bytes += count
+        await asyncio.sleep(count / self.given.rate)
+
+    async def call(self, place: tuple[str, int], word: str, said: Any) -> Bulk:
+        sock = socket.socket(family(place[0]), socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            await self.loop.sock_connect(sock, place)
+            bulk = Bulk(sock)
+            await bulk.write(self.encode(word, said))
+            return bulk
+        except BaseException:
+            sock.close()
+            raise
+
+    async def pull(self, pull: Pull) -> None:
+        place, bulk = self.where(pull.name), None
+        try:
+            if not place:
+                raise Strange("not known")
+            async with asyncio.timeout(CALL_WAIT):
+                bulk = await self.call(place, "pull", PullWord(pull.epoch, pull.seq, pull.ranges))
+                while (data := await bulk.read()) is not None:
+                    frame = frames.decode(data, self.given.cluster)
+                    if frame.word == "items":
+                        now = self.clock()
+                        for item in frames.content(frame, list[Item])[:4 * CHUNK]:
+                            self.merge(now, item)
+                        await asyncio.sleep(0)
+                    elif frame.word == "end":
+                        end = frames.content(frame, EndWord)
+                        self.exchange.done(self.clock(), pull.name, end.epoch, end.seq,
+                                           self.store.compare(end.digests))
+                        return
+                raise Strange("cut off")
+        except (OSError, TimeoutError, Strange) as error:
+            self.drop(str(error) if isinstance(error, Strange) else "pull")
+            self.exchange.failed(self.clock(), pull.name)
+        except Exception as error:
+            self.log(f"fault in a pull: {type(error).__name__}: {error}")
+            self.exchange.failed(self.clock(), pull.name)
+        finally:
+            if bulk:
+                bulk.sock.close()
+
+    # Whose turn it is to fetch.
+
+    async def permit(self, key: int, lease: Micros) -> bool:
+        """Whether this node is to fetch that key; without a word in time it is."""
+        now = self.clock()
+        names = [self.name, *self.members.there()]
+        if len(names) == 1 or not self.udp:
+            return True
+        who = keeper(key, names)
+        if who == self.name:
+            go, number = self.turns.ask(now, key, who, lease)
+        else:
+            if len(self.asked) >= ASKED_MOST:
+                return True
+            self.waits += 1
+            ask = self.waits
+            future = self.asked[ask] = self.loop.create_future()
+            self.send(self.where(who), "turn?", TurnWord(ask, key, lease))
+            try:
+                async with asyncio.timeout(PERMIT_WAIT):
+                    go, number = await future
+            except TimeoutError:
+                return True
+            finally:
+                self.asked.pop(ask, None)
+        if go:
+            self.holds[key] = who, number
+            while len(self.holds) > ASKED_MOST:
+                self.holds.pop(next(iter(self.holds)))
+        return go
+
+    def fetched(self, key: int) -> None:
+        """This node's fetch of the key has ended, one way or the other."""
+        if held := self.holds.pop(key, None):
+            who, number = held
+            if who == self.name:
+                self.turns.done(key, number)
+            else:
+                self.send(self.where(who), "turned", TurnWord(number, key))
+
+    def written(self, key: int) -> None:
+        """This node has had the key written: what others are fetching of it may be the value before."""
+        names = [self.name, *self.members.there()]
+        who = keeper(key, names)
+        if who == self.name:
+            self.turns.void(key)
+        else:
+            self.send(self.where(who), "void", TurnWord(0, key))
+
+    # For operators.
+
+    def said(self, say: SayWord) -> dict[str, Any]:
+        """An operator's word, from now on every node's."""
+        if not 0 < len(say.name) <= 200 or "|" not in say.name:
+            return {"fault": "must be WHAT|NAME"}
+        stamp = self.stamps.make(self.wall())
+        item = Item.made("word", say.name, stamp, say.value)
+        taken = self.store.put(self.clock(), item)
+        if taken:
+            self.took(item)
+        return {"taken": taken, "stamp": stamp}
+
+    def shown(self, what: str) -> dict[str, Any]:
+        now = self.clock()
+        if what == "items":
+            return {"items": [[kind, key, kept.version, kept.body[:2000], (now - kept.written) // 1000]
+                              for kind, table in self.store.kinds.items() for key, kept in list(table.items())[:2000]]}
+        one = self.members
+        return {
+            "name": self.name, "cluster": self.given.cluster, "life": one.me.life, "site": one.me.site,
+            "build": one.me.build, "late": one.late, "clashes": len(one.clashes),
+            "members": [[m.name, m.state.name.lower(), m.life, m.address, m.site, m.build, (now - m.since) // 1000,
+                         m.offset // 1000] for m in one.others.values()],
+            "root": self.store.root, "digests": self.store.digests, "items": self.store.count(),
+            "bytes": self.store.bytes, "refused": self.store.refused, "dropped": self.dropped,
+            "phase": self.exchange.phase.name.lower(), "took_ms": self.exchange.took // 1000,
+            "pulls": self.exchange.pulls, "repairs": self.exchange.repairs,
+            "sent": self.sent, "came": self.came, "sent_bytes": self.sent_bytes, "came_bytes": self.came_bytes,
+            "given_bytes": self.given_bytes, "slowest_us": int(self.slowest * 1e6)}
--- /dev/null
+++ b/saltmoor/net/sharing.py
@@ -0,0 +1,195 @@
+"""Owns the seam between a running node and what its peers share: news out, news in, nothing that it could not do without.
+
+Whatever fails here costs what was shared, never a transaction. It must never lift a drain, warm a server, or change
+what discovery has told; `replica/uses.py` says what each item means.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from saltmoor import config
+from saltmoor.model import Ended, Micros, Readiness
+from saltmoor.net import meta
+from saltmoor.net.peers import Peers
+from saltmoor.recovery.phase import Phase
+from saltmoor.replica.items import Item
+from saltmoor.replica.uses import Uses
+
+if TYPE_CHECKING:
+    from saltmoor import facade
+    from saltmoor.net.lifecycle import Service
+
+STEP: Micros = 250_000
+OTHERS = 3  # the cache server's note with the same meaning: another fetch of the key is out
+LEASE: Micros = 100_000  # least time that a permit to fetch stands
+
+
+class Sharing:
+    def __init__(self, service: Service, given: config.Talking) -> None:
+        self.service, self.given = service, given
+        clock = service.door.clock
+        self.peers = peers = Peers(given, service.given.name, service.log, clock)
+        peers.took, peers.step = self.took, self.step
+        self.uses = Uses(peers.name, given.site, given.source or service.source(), given.use, peers.store,
+                         count=peers.me.life << 20)
+        self.stepped, self.kept = 0, 0
+        generation = service.given.generation
+        self.uses.listed.generation = generation
+        for line in service.given.known:
+            self.uses.listed.up[line.member.server] = generation
+            self.uses.listed.starts[line.member.server] = line.member.started // 1000
+
+    def begin(self) -> None:
+        self.peers.begin()
+
+    def end(self, left: bool) -> None:
+        self.peers.end(left)
+
+    def guarded(self, what: Callable[..., Any], *given: Any) -> Any:
+        try:
+            return what(*given)
+        except Exception as error:
+            self.service.log(f"fault in sharing: {what.__name__}: {type(error).__name__}: {error}")
+            return None
+
+    # Out.
+
+    def news(self, lines: list[config.Line]) -> list[config.Line]:
+        """What discovery has just told, as this node is to take it; the others hear of it."""
+        return self.guarded(self.heed, lines) or lines
+
+    def heed(self, lines: list[config.Line]) -> list[config.Line]:
+        discovery, uses = self.service.discovery, self.uses
+        generation = discovery.generation if discovery else uses.listed.generation
+        uses.news(self.peers.clock(), generation, lines)
+        heeded = []
+        for line in lines:
+            one = line.member
+            if one.readiness is Readiness.READY and uses.drains(str(one.server), one.started):
+                one = replace(one, readiness=Readiness.DRAINING)  # older news than what another has heard
+            if (start := uses.start_of(str(one.server)) * 1000) > one.started + 999:
+                one = replace(one, started=start)
+            heeded.append(line if one is line.member else replace(line, member=one))
+        return heeded
+
+    def step(self, now: Micros) -> None:
+        if now - self.stepped < STEP:
+            return
+        self.stepped = now
+        node, discovery = self.service.door.node, self.service.discovery
+        self.uses.look(now, node)
+        self.uses.doubt(now, node, len(self.peers.members.sites()))
+        if discovery and discovery.generation > self.kept and "lists" in self.given.use:
+            self.kept = discovery.generation
+            self.uses.keep_list(now, self.kept, self.service.lines())
+
+    # In.
+
+    def took(self, item: Item) -> None:
+        match item.kind:
+            case "drain" if "drains" in self.given.use:
+                self.drained(item)
+            case "start" if "starts" in self.given.use:
+                self.started(item)
+            case "list" if "lists" in self.given.use and item.key == self.uses.source:
+                self.listed()
+            case "word" if "words" in self.given.use:
+                self.word(item)
+
+    def change(self, server: str, **how: Any) -> None:
+        """One server of the list as it stands, otherwise."""
+        door = self.service.door
+        door.remembered([replace(one, **how) if str(one.server) == server else one for one in door.members()])
+
+    def known(self, name: str) -> Any:
+        server = self.service.door.node.servers.get(name)
+        return server if server and server.ready else None
+
+    def drained(self, item: Item) -> None:
+        """Rule 3 gets sooner: it is told by a peer, so it is told."""
+        name, started = self.uses.server_of(item) or ("", 0)
+        server = self.known(name)
+        if server and self.service.starts.told(server.id, server.started) // 1000 == started and self.uses.drains(
+                name, started * 1000):
+            self.change(name, readiness=Readiness.DRAINING)
+            self.uses.note("drains")
+
+    def started(self, item: Item) -> None:
+        """A later start than this node has heard of: the server is cold."""
+        name, started = self.uses.server_of(item) or ("", 0)
+        server = self.known(name)
+        if not server or started <= self.service.starts.told(server.id, server.started) // 1000:
+            return
+        member = next(one for one in self.service.door.members() if one.server == server.id)
+        place = self.service.upstream.address.get(server.id, ("", 0))
+        line = config.Line(replace(member, started=started * 1000), place)
+        own = self.service.starts.own([line], whole=False)[0].member.started
+        self.change(name, started=own)
+        self.uses.note("starts")
+
+    def listed(self) -> None:
+        """Another has a newer list: its servers are known from now on; what takes nothing new here stays so."""
+        newer = self.uses.newer_list()
+        if newer is None:
+            return
+        generation, told = newer
+        service = self.service
+        servers = service.door.node.servers
+        lines = []
+        for one in told:
+            line = config.line(config.Section(one), service.given.names)
+            held = servers.get(line.member.server)
+            if held and not held.ready:
+                line = replace(line, member=replace(line.member, readiness=Readiness.DRAINING))
+            lines.append(line)
+        service.upstream.listed(lines)
+        lines = service.starts.own(lines, whole=False)
+        service.door.remembered([
+            replace(line.member, started=max(line.member.started, servers[line.member.server].started))
+            if line.member.server in servers else line.member for line in lines])
+        self.uses.listed.generation = generation
+        self.uses.note("lists")
+        service.log(f"replica: list of generation {generation} taken from a peer: servers={len(lines)}")
+
+    def word(self, item: Item) -> None:
+        what, _, name = item.key.partition("|")
+        if what == "empty" and name == self.peers.name:
+            value = msgspec.msgpack.decode(item.body)
+            yes, state = self.service.say_lame(bool(value))
+            self.uses.note("words")
+            self.service.log(f"replica: word {item.key}={value!r}: {state}")
+
+    # Fetches.
+
+    def asks(self, step: facade.Send, reply: meta.Reply) -> bool:
+        """Whether this miss is one to ask the key's keeper about."""
+        return (reply.ended is Ended.MISS and not step.tx.write and not step.origin and step.tx.key is not None
+                and reply.note != OTHERS and self.service.door.node.recovery.phase is not Phase.STEADY)
+
+    async def turn(self, step: facade.Send, reply: meta.Reply, done: Callable[[meta.Reply], None]) -> None:
+        """Tell of the miss once it is known whether another is fetching; the wait is none of the server's time."""
+        begun, go = self.peers.clock(), True
+        try:
+            lease = max(LEASE, int(4 * self.service.door.node.fetch))
+            go = await self.peers.permit(step.tx.key, lease)
+        except Exception as error:
+            self.service.log(f"fault in sharing: turn: {type(error).__name__}: {error}")
+        finally:
+            step.since += self.peers.clock() - begun
+            if not go:
+                self.uses.note("fetches")
+            done(reply if go else replace(reply, note=OTHERS))
+
+    def ended(self, step: facade.Send) -> None:
+        """A hop to the origin has ended."""
+        if step.tx.key is None:
+            return
+        if step.tx.write:
+            self.guarded(self.peers.written, step.tx.key)
+        else:
+            self.guarded(self.peers.fetched, step.tx.key)
--- /dev/null
+++ b/saltmoor/replica/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes share: items with one rule for copies that differ, and how each comes to have them. No I/O."""
