--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -73,9 +73,10 @@
 
 
 def listening(port: int) -> int:
-    """How many sockets listen at that port of this machine."""
+    """How many sockets listen at that port of the lab's address."""
     rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
-    return sum(row[3] == "0A" and int(row[1].rpartition(":")[2], 16) == port for row in rows)
+    own = socket.inet_aton(HOST)[::-1].hex().upper()
+    return sum(row[3] == "0A" and row[1] in (f"{own}:{port:04X}", f"00000000:{port:04X}") for row in rows)
 
 
 def aged(data: bytes, by: int) -> bytes:
