--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -542,12 +542,20 @@
             self.spare = min(20.0, self.spare + 0.15)
             self.feed(now, tx, In.ENDED)
         elif ended is Ended.MISS and not tx.write:
-            self.feed(now, tx, In.SHARED if self.turn_comes_later(tx, end.note, now) else In.ORIGIN)
+            self.feed(now, tx, self.missed(tx, end, now))
         elif ended is Ended.MALFORMED or now >= tx.limit - 1:
             self.feed(now, tx, In.LIMIT)
         else:
             self.feed(now, tx, In.AGAIN)
 
+    def missed(self, tx: Tx, end: model.HopEnd, now: Micros) -> In:
+        """No copy there: it is fetched, unless another node fetches it, or tells where it has had it stored."""
+        if ((there := self.servers.get(end.copy)) and there not in tx.tried and self.usable(there, now)
+                and len(tx.hops) + 2 <= self.permits.hops and self.expected(there, now) < tx.goal - now):
+            tx.choice = there
+            return In.BEST
+        return In.SHARED if self.turn_comes_later(tx, end.note, now) else In.ORIGIN
+
     def connected(self, server: Server, ended: Ended, now: Micros) -> None:
         """Guards against servers that hold too few connections for all nodes: who keeps one that stands idle
         keeps the next node out, so while many are refused by servers that live each is given back at once.
@@ -729,6 +737,7 @@
     (S.POLLING, I.BEST): (S.OUT, Node.send),
     (S.OUT, I.ORIGIN): (S.FETCHING, Node.to_origin),
     (S.OUT, I.SHARED): (S.WAITING, Node.await_other),
+    (S.OUT, I.BEST): (S.OUT, Node.send),
     (S.OUT, I.AGAIN): (S.CHECKING, Node.again),
     (S.FETCHING, I.AGAIN): (S.FETCHING, Node.to_origin),
     (S.WAITING, I.LATE): (S.DONE, Node.unless_out),
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -211,7 +211,8 @@
         self._settle(self.clock(), {tx.id: Abandon()})
 
     def report(self, what: Send | Errand, how: Ended | ListKind, *, answer: bytes = b"", note: int = 0,
-               load: dict[str, float] | None = None, members: Iterable[model.Member] = ()) -> None:
+               load: dict[str, float] | None = None, members: Iterable[model.Member] = (),
+               copy: model.ServerId | None = None) -> None:
         """How a hop, a probe or a list call ended; a watch reports each piece of news it brings."""
         if not isinstance(what, Watch):
             if what.told:  # each has one end, whoever tells it
@@ -229,7 +230,8 @@
                 if how is Ended.COMMITTED and not tx.over:
                     finals[tx.id] = Commit(answer)
                 closed = tx.over or how is Ended.COMMITTED
-                end = model.HopEnd(tx.id, what.hop, what.server, how, now - what.since, closed, note, figures)
+                end = model.HopEnd(tx.id, what.hop, what.server, how, now - what.since, closed, note, figures,
+                                   copy)
                 if not self._tell(self.node.hop_ended, now, end) and not closed:
                     self._give_up(now, tx)
             case Probe():
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -161,6 +161,7 @@
     closed: bool
     note: int = 0  # 1: the copy was there, 2: it was fetched
     load: tuple[float, ...] = ()
+    copy: ServerId | None = None  # where another node has just had one stored, as it says
 
 
 @dataclass(slots=True, frozen=True)
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -554,14 +554,15 @@
         if reply.flow and step.tx.over:
             reply.flow.drop()  # another hop's answer was there before
         if self.sharing and step.origin:
-            self.sharing.ended(step)
+            self.sharing.ended(step, reply)
         if self.sharing and self.sharing.asks(step, reply):
-            self.spawn(self.sharing.turn(step, reply, lambda known: self.hop_over(step, known)))
+            self.spawn(self.sharing.turn(step, reply, lambda known, copy: self.hop_over(step, known, copy)))
         else:
             self.hop_over(step, reply)
 
-    def hop_over(self, step: facade.Send, reply: meta.Reply) -> None:
-        self.door.report(step, reply.ended, answer=reply.flow or reply.body, note=reply.note, load=reply.load)
+    def hop_over(self, step: facade.Send, reply: meta.Reply, copy: str | None = None) -> None:
+        self.door.report(step, reply.ended, answer=reply.flow or reply.body, note=reply.note, load=reply.load,
+                         copy=copy)
 
     def settle_down(self) -> None:
         """Stop: take what the machine has accepted already, then end each connection between transactions."""
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -13,6 +13,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -27,7 +28,7 @@
 from saltmoor.peers.members import Ask, Members, News, Out, Ping
 from saltmoor.replica.exchange import Exchange, Pull
 from saltmoor.replica.items import Item, Stamps, Store
-from saltmoor.replica.turns import Turns, keeper
+from saltmoor.replica.turns import How, Turns, Word, keeper
 
 AT_A_TIME = 32  # datagrams read before the loop goes on
 CHUNK = 64  # items in one frame of a stream, and merged before the loop goes on
@@ -61,10 +62,21 @@
 
 
 class TurnWord(msgspec.Struct, array_like=True):
+    """A question by its number, its answer, or the end of a fetch by its permit's."""
+
     number: int
     key: int
     lease: int = 0
-    go: bool = True
+    how: int = 0
+    permit: int = 0
+    server: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Asked:
+    answer: asyncio.Future
+    patience: Micros
+    limit: asyncio.Timeout | None = None
 
 
 class Bulk:
@@ -121,7 +133,7 @@
         self.given_bytes = 0
         self.spoken: deque[list] = deque()  # items to go round: [item, times left]
         self.flushing, self.merging = False, False  # merging: what is put now came from another
-        self.asked: dict[int, asyncio.Future] = {}
+        self.asked: dict[int, Asked] = {}
         self.holds: dict[int, tuple[str, int]] = {}  # keys this node may fetch: whose permit, which number
         self.waits = 0
         self.socks: list[socket.socket] = []
@@ -179,6 +191,7 @@
             for pull in self.exchange.next(now, self.members.there() if self.udp else []):
                 self.spawn(self.pull(pull))
             self.flush()
+            self.tell_all(self.turns.sweep(now))
             self.step(now)
             self.say()
         except Exception as error:  # the next tick must come whatever happened in this one
@@ -301,18 +314,17 @@
                 self.merge(now, item)
         elif word == "turn?":
             said = frames.content(frame, TurnWord)
-            go, number = self.turns.ask(now, said.key, speaker.name, max(0, min(said.lease, 2_000_000)))
-            self.send(self.where(speaker.name), "turn!", TurnWord(said.number, said.key, number, go))
+            lease = max(0, min(said.lease, 2_000_000))
+            self.tell_all([self.turns.ask(now, said.key, speaker.name, said.number, lease, said.server)])
         elif word == "turn!":
             said = frames.content(frame, TurnWord)
-            future = self.asked.pop(said.number, None)
-            if future and not future.done():
-                future.set_result((said.go, said.lease))
+            self.answered(Word(self.name, said.number, How(said.how) if said.how in (0, 1, 2) else How.GO, said.permit,
+                               said.server))
         elif word == "turned":
             said = frames.content(frame, TurnWord)
-            self.turns.done(said.key, said.number)
+            self.tell_all(self.turns.done(now, said.key, said.number, said.server))
         elif word == "void":
-            self.turns.void(frames.content(frame, TurnWord).key)
+            self.tell_all(self.turns.void(now, frames.content(frame, TurnWord).key))
         else:
             raise Strange("word")
 
@@ -485,50 +497,69 @@
 
     # Whose turn it is to fetch.
 
-    async def permit(self, key: int, lease: Micros) -> bool:
-        """Whether this node is to fetch that key; without a word in time it is."""
-        now = self.clock()
-        names = [self.name, *self.members.there()]
-        if len(names) == 1 or not self.udp:
-            return True
-        who = keeper(key, names)
-        if who == self.name:
-            go, number = self.turns.ask(now, key, who, lease)
-        else:
-            if len(self.asked) >= ASKED_MOST:
-                return True
-            self.waits += 1
-            ask = self.waits
-            future = self.asked[ask] = self.loop.create_future()
-            self.send(self.where(who), "turn?", TurnWord(ask, key, lease))
-            try:
-                async with asyncio.timeout(PERMIT_WAIT):
-                    go, number = await future
-            except TimeoutError:
-                return True
-            finally:
-                self.asked.pop(ask, None)
-        if go:
-            self.holds[key] = who, number
+    def tell_all(self, words: Iterable[Word]) -> None:
+        for one in words:
+            if one.to == self.name:
+                self.answered(one)
+            else:
+                self.send(self.where(one.to), "turn!",
+                          TurnWord(one.ask, 0, 0, int(one.how), one.permit, one.server))
+
+    def answered(self, word: Word) -> None:
+        """A keeper's answer to a question of this node."""
+        asked = self.asked.get(word.ask)
+        if asked is None:
+            return
+        if word.how is How.WAIT:
+            if asked.limit:
+                asked.limit.reschedule(self.loop.time() + asked.patience / 1_000_000)
+        elif not asked.answer.done():
+            asked.answer.set_result(word)
+
+    def keeper(self, key: int) -> str:
+        return keeper(key, [self.name, *self.members.there()])
+
+    async def permit(self, key: int, lease: Micros, patience: Micros, missed: str) -> Word | None:
+        """Whether this node is to fetch that key, or where a copy is; None: no word in time."""
+        who = self.keeper(key)
+        if len(self.asked) >= ASKED_MOST or not self.udp or not self.members.others:
+            return None
+        self.waits += 1
+        ask = self.waits
+        asked = self.asked[ask] = Asked(self.loop.create_future(), patience)
+        try:
+            async with asyncio.timeout(PERMIT_WAIT) as asked.limit:
+                if who == self.name:
+                    self.tell_all([self.turns.ask(self.clock(), key, who, ask, lease, missed)])
+                else:
+                    self.send(self.where(who), "turn?", TurnWord(ask, key, lease, server=missed))
+                word = await asked.answer
+        except TimeoutError:
+            return None
+        finally:
+            del self.asked[ask]
+        if word.how is How.GO and word.permit:
+            self.holds[key] = who, word.permit
             while len(self.holds) > ASKED_MOST:
                 self.holds.pop(next(iter(self.holds)))
-        return go
-
-    def fetched(self, key: int) -> None:
-        """This node's fetch of the key has ended, one way or the other."""
-        if held := self.holds.pop(key, None):
-            who, number = held
-            if who == self.name:
-                self.turns.done(key, number)
-            else:
-                self.send(self.where(who), "turned", TurnWord(number, key))
+        return word
+
+    def fetched(self, key: int, server: str) -> None:
+        """This node's fetch of the key has ended; `server` has the copy now, empty: it failed."""
+        who, number = self.holds.pop(key, ("", 0))
+        if not who and not server:
+            return
+        who = who or self.keeper(key)
+        if who == self.name:
+            self.tell_all(self.turns.done(self.clock(), key, number, server))
+        else:
+            self.send(self.where(who), "turned", TurnWord(number, key, server=server))
 
     def written(self, key: int) -> None:
         """This node has had the key written: what others are fetching of it may be the value before."""
-        names = [self.name, *self.members.there()]
-        who = keeper(key, names)
+        who = self.keeper(key)
         if who == self.name:
-            self.turns.void(key)
+            self.tell_all(self.turns.void(self.clock(), key))
         else:
             self.send(self.where(who), "void", TurnWord(0, key))
 
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -16,8 +16,8 @@
 from saltmoor.model import Ended, Micros, Readiness
 from saltmoor.net import meta
 from saltmoor.net.peers import Peers
-from saltmoor.recovery.phase import Phase
 from saltmoor.replica.items import Item
+from saltmoor.replica.turns import How
 from saltmoor.replica.uses import Uses
 
 if TYPE_CHECKING:
@@ -169,27 +169,35 @@
     def asks(self, step: facade.Send, reply: meta.Reply) -> bool:
         """Whether this miss is one to ask the key's keeper about."""
         return (reply.ended is Ended.MISS and not step.tx.write and not step.origin and step.tx.key is not None
-                and reply.note != OTHERS and self.service.door.node.recovery.phase is not Phase.STEADY)
+                and reply.note != OTHERS)
 
-    async def turn(self, step: facade.Send, reply: meta.Reply, done: Callable[[meta.Reply], None]) -> None:
+    async def turn(self, step: facade.Send, reply: meta.Reply,
+                   done: Callable[[meta.Reply, str | None], None]) -> None:
         """Tell of the miss once it is known whether another is fetching; the wait is none of the server's time."""
-        begun, go = self.peers.clock(), True
+        begun, word, copy, node = self.peers.clock(), None, None, self.service.door.node
         try:
-            lease = max(LEASE, int(4 * self.service.door.node.fetch))
-            go = await self.peers.permit(step.tx.key, lease)
+            tx = node.txs.get(step.tx.id)
+            # No longer than half of what its client can bear, and than a few fetches take.
+            left = max(0, tx.goal - begun) // 2 if tx else 0
+            lease = max(LEASE, int(4 * node.fetch))
+            word = await self.peers.permit(step.tx.key, lease, min(left, 2 * lease), str(step.server))
         except Exception as error:
             self.service.log(f"fault in sharing: turn: {type(error).__name__}: {error}")
         finally:
             step.since += self.peers.clock() - begun
-            if not go:
+            if word and word.how is How.THERE:
+                copy = word.server
                 self.uses.note("fetches")
-            done(reply if go else replace(reply, note=OTHERS))
+            done(reply, copy)
 
-    def ended(self, step: facade.Send) -> None:
+    def ended(self, step: facade.Send, reply: meta.Reply) -> None:
         """A hop to the origin has ended."""
         if step.tx.key is None:
             return
         if step.tx.write:
             self.guarded(self.peers.written, step.tx.key)
         else:
-            self.guarded(self.peers.fetched, step.tx.key)
+            tx = self.service.door.node.txs.get(step.tx.id)
+            missed = [hop.server.id for hop in tx.hops if hop.ended is Ended.MISS] if tx else []
+            there = str(missed[-1]) if missed and reply.ended is Ended.COMMITTED else ""
+            self.guarded(self.peers.fetched, step.tx.key, there)
