--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -34,7 +34,7 @@
 
 
 NAME = r"[A-Za-z0-9_.-]{1,64}"  # of a node among its peers, and of a cluster
-USES = "drains", "starts", "lists", "evidence", "words", "fetches"  # what peers are used for
+USES = "drains", "starts", "lists", "evidence", "words", "fetches", "shares"  # what peers are used for
 USUAL = USES[:5]
 
 
--- a/saltmoor/lab/scenario.py
+++ b/saltmoor/lab/scenario.py
@@ -41,7 +41,7 @@
     linger_ms: NotNegative = 500.0
     state: bool = False  # whether each keeps snapshots, in a folder of its own
     peers: bool = False  # whether they talk to each other, over links that faults strike
-    use: list[Literal["drains", "starts", "evidence", "words", "fetches"]] = msgspec.field(
+    use: list[Literal["drains", "starts", "evidence", "words", "fetches", "shares"]] = msgspec.field(
         default_factory=lambda: ["drains", "starts", "evidence", "words"])  # what they use it for
     told: int = 0  # how many nodes each is told that there are; 0: as many as there are
 
--- a/saltmoor/lab/talk.py
+++ b/saltmoor/lab/talk.py
@@ -19,7 +19,7 @@
         if row[0] == "believes":
             believed[row[2]].append(((row[1] - begin) / 1e6, row[3]))
     if not believed:
-        return {}
+        return drains(ledger, rows, begin)
     scenario = ledger.scenario
     for told in believed.values():
         told.sort(key=lambda one: one[0])
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -28,6 +28,7 @@
 from saltmoor.peers.members import Ask, Members, News, Out, Ping
 from saltmoor.replica.exchange import Exchange, Pull
 from saltmoor.replica.items import Item, Stamps, Store
+from saltmoor.replica.lent import Part
 from saltmoor.replica.turns import How, Turns, Word, keeper
 
 AT_A_TIME = 32  # datagrams read before the loop goes on
@@ -72,6 +73,12 @@
     server: str = ""
 
 
+class LendWord(msgspec.Struct, array_like=True):
+    sum: str
+    number: int
+    amount: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class Asked:
     answer: asyncio.Future
@@ -127,6 +134,8 @@
         self.exchange = Exchange(self.name, now, self.run)
         self.turns = Turns(wall // 1000)
         self.took: Callable[[Item], None] = lambda item: None
+        self.parts: dict[str, Part] = {}  # of sums over the fleet, by their names
+        self.loans = wall // 1000 << 20  # numbers of this node's questions for more
         self.step: Callable[[Micros], None] = lambda now: None  # the owner's, once a tick
         self.dropped: dict[str, int] = {}
         self.sent = self.came = self.sent_bytes = self.came_bytes = 0
@@ -325,9 +334,36 @@
             self.tell_all(self.turns.done(now, said.key, said.number, said.server))
         elif word == "void":
             self.tell_all(self.turns.void(now, frames.content(frame, TurnWord).key))
+        elif word in ("lend?", "lend!", "lent"):
+            self.lending(now, speaker.name, word, frames.content(frame, LendWord))
         else:
             raise Strange("word")
 
+    def lending(self, now: Micros, who: str, word: str, said: LendWord) -> None:
+        part = self.parts.get(said.sum)
+        if part is None:
+            return
+        if word == "lend?":
+            if amount := part.give(now, who, said.number, said.amount):
+                self.send(self.where(who), "lend!", LendWord(said.sum, said.number, amount))
+        elif word == "lend!":
+            part.take(now, who, said.number, said.amount)
+        else:
+            part.taken_back(who, said.number)
+
+    def borrow(self, name: str, amount: int) -> None:
+        """Ask one of the others for so much of that sum."""
+        now, there = self.clock(), self.members.there()
+        whom = self.members.some(there, 1)
+        if whom:
+            self.loans += 1
+            if self.parts[name].ask(now, whom[0], self.loans):
+                self.send(self.where(whom[0]), "lend?", LendWord(name, self.loans, amount))
+
+    def bring_back(self, name: str) -> None:
+        for lender, number in self.parts[name].give_back(self.clock()):
+            self.send(self.where(lender), "lent", LendWord(name, number))
+
     # What is shared.
 
     def merge(self, now: Micros, item: Item) -> None:
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -16,6 +16,7 @@
 from saltmoor.model import Ended, Micros, Readiness
 from saltmoor.net import meta
 from saltmoor.net.peers import Peers
+from saltmoor.replica import lent
 from saltmoor.replica.items import Item
 from saltmoor.replica.turns import How
 from saltmoor.replica.uses import Uses
@@ -38,6 +39,8 @@
         self.uses = Uses(peers.name, given.site, given.source or service.source(), given.use, peers.store,
                          count=peers.me.life << 20)
         self.stepped, self.kept = 0, 0
+        self.quotas: list | None = None  # the node's, as its settings made them
+        self.whole: list[float] = []  # what all nodes together may take of each tenant, a second
         generation = service.given.generation
         self.uses.listed.generation = generation
         for line in service.given.known:
@@ -84,10 +87,28 @@
         node, discovery = self.service.door.node, self.service.discovery
         self.uses.look(now, node)
         self.uses.doubt(now, node, len(self.peers.members.sites()))
+        if "shares" in self.given.use and node.place.nodes > 1:
+            self.share(now, node)
         if discovery and discovery.generation > self.kept and "lists" in self.given.use:
             self.kept = discovery.generation
             self.uses.keep_list(now, self.kept, self.service.lines())
 
+    def share(self, now: Micros, node: Any) -> None:
+        """A tenant's part of what it may take goes where its transactions come; together it stays the whole."""
+        names = self.service.given.names.tenants
+        if node.quotas is not self.quotas:  # new settings
+            self.quotas = node.quotas
+            self.whole = [bucket[0] * node.place.nodes for bucket in node.quotas]
+        for name, whole, bucket in zip(names, self.whole, node.quotas):
+            part = self.peers.parts.get(name)
+            if part is None or part.nodes != node.place.nodes:
+                part = self.peers.parts[name] = lent.Part(node.place.nodes, now)
+            bucket[0] = whole * part.own(now) / lent.WHOLE
+            if bucket[1] < 1:
+                self.peers.borrow(name, part.base // 4)
+            elif bucket[1] > 1.9 * bucket[0] and part.got:
+                self.peers.bring_back(name)
+
     # In.
 
     def took(self, item: Item) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,9 +19,10 @@
 from saltmoor.peers import frames
 from saltmoor.peers.frames import Speaker, Strange
 from saltmoor.peers.members import Ask, Members, News, Ping, State
+from saltmoor.replica import lent
 from saltmoor.replica.exchange import Exchange, Phase
 from saltmoor.replica.items import KINDS, SECOND, Item, Stamps, Store
-from saltmoor.replica.turns import Turns, keeper
+from saltmoor.replica.turns import How, Turns, Word, keeper
 from saltmoor.replica.uses import Seen, Uses
 from tests.helper import MS, TraceCase
 
@@ -355,40 +356,48 @@
 class Permits(unittest.TestCase):
     def test_one_at_a_time_numbered_and_short(self):
         turns = Turns(1)
-        go, first = turns.ask(NOW, 7, "a", 100 * MS)
-        self.assertEqual((go, turns.ask(NOW, 7, "b", 100 * MS)), (True, (False, first)))
-        self.assertTrue(turns.ask(NOW, 8, "b", 100 * MS)[0])
-        go, second = turns.ask(NOW + 101 * MS, 7, "b", 100 * MS)  # its holder died
-        self.assertTrue(go and second > first)
-        turns.done(7, first)  # the old holder wakes up late
-        self.assertFalse(turns.ask(NOW + 102 * MS, 7, "c", 100 * MS)[0])
-        turns.done(7, second)
-        self.assertTrue(turns.ask(NOW + 103 * MS, 7, "c", 100 * MS)[0])
-        turns.void(7)
-        self.assertTrue(turns.ask(NOW + 104 * MS, 7, "d", 100 * MS)[0])
-        self.assertGreater(Turns(2).ask(NOW, 7, "a", 1)[1], second)  # a later keeper's numbers are larger
+        first = turns.ask(NOW, 7, "a", 1, 100 * MS).permit
+        self.assertEqual(turns.ask(NOW, 7, "b", 2, 100 * MS), Word("b", 2, How.WAIT, first))
+        self.assertIs(turns.ask(NOW, 8, "b", 3, 100 * MS).how, How.GO)
+        self.assertEqual(turns.sweep(NOW + 99 * MS), [])
+        gone = turns.sweep(NOW + 101 * MS)  # its holder died: who waits goes
+        self.assertEqual([(word.to, word.ask, word.how) for word in gone], [("b", 2, How.GO)])
+        self.assertGreater(gone[0].permit, first)
+        self.assertEqual(turns.done(NOW + 102 * MS, 7, first, ""), [])  # the old holder wakes up late
+        self.assertIs(turns.ask(NOW + 102 * MS, 7, "c", 4, 100 * MS).how, How.WAIT)
+        self.assertEqual(turns.done(NOW + 103 * MS, 7, gone[0].permit, "s1"), [Word("c", 4, How.THERE, 0, "s1")])
+        self.assertEqual(turns.ask(NOW + 104 * MS, 7, "d", 5, 100 * MS), Word("d", 5, How.THERE, 0, "s1"))
+        self.assertIs(turns.ask(NOW + 104 * MS, 7, "d", 6, 100 * MS, missed="s1").how, How.GO)  # it is not there
+        turns.ask(NOW + 105 * MS, 7, "e", 7, 100 * MS)
+        self.assertEqual([word.to for word in turns.void(NOW + 106 * MS, 7)], ["e"])  # it was written
+        self.assertGreater(Turns(2).ask(NOW, 7, "a", 1, 1).permit, turns.number)  # a later keeper's numbers
 
     def test_all_orders_of_a_few_events_leave_one_holder(self):
-        events = [("ask", "a"), ("ask", "b"), ("done", 0), ("done", 1), ("void", 0), ("wait", 60)]
+        """However asks, ends, writes and time come: one valid permit at most, numbers that rise, nobody who waits twice."""
+        events = [("ask", "a"), ("ask", "b"), ("done", 0), ("failed", 0), ("done", 1), ("void", 0), ("wait", 60)]
         for path in itertools.product(events, repeat=5):
-            turns, now, numbers, valid = Turns(1), NOW, [], {}
+            turns, now, numbers, valid, asks = Turns(1), NOW, [], {}, 0
             for what, how in path:
+                words = []
                 if what == "ask":
-                    go, number = turns.ask(now, 7, how, 100 * MS)
-                    if go:
-                        others = [who for who, (n, until) in valid.items() if until > now and who != how]
-                        self.assertFalse(others, path)
-                        self.assertTrue(not numbers or number > max(numbers), path)
-                        numbers.append(number)
-                        valid = {how: (number, now + 100 * MS)}
-                elif what == "done" and how < len(numbers):
-                    turns.done(7, numbers[how])
-                    valid = {who: kept for who, kept in valid.items() if kept[0] != numbers[how]}
+                    asks += 1
+                    words = [turns.ask(now, 7, how, asks, 100 * MS)]
+                elif what in ("done", "failed") and how < len(numbers):
+                    words = turns.done(now, 7, numbers[how], "s1" if what == "done" else "")
+                    valid = {} if what == "done" else {who: kept for who, kept in valid.items() if kept[0] != numbers[how]}
                 elif what == "void":
-                    turns.void(7)
                     valid = {}
+                    words = turns.void(now, 7)
                 elif what == "wait":
                     now += how * MS
+                    words = turns.sweep(now)
+                for word in words:
+                    if word.how is How.GO:
+                        others = [who for who, (n, until) in valid.items() if until > now and who != word.to]
+                        self.assertFalse(others, path)
+                        self.assertTrue(not numbers or word.permit > max(numbers), path)
+                        numbers.append(word.permit)
+                        valid = {word.to: (word.permit, now + 100 * MS)}
 
     def test_keepers_move_little_when_one_leaves(self):
         names = [f"n{i}" for i in range(10)]
@@ -396,6 +405,77 @@
         self.assertEqual(moved, sum(keeper(key, names) == "n9" for key in range(1000)))
 
 
+class Sums(unittest.TestCase):
+    """Three nodes' parts of one sum over all orders of a few events: together never more than the whole."""
+
+    EVENTS = ("ask", "ask other", "deliver", "double", "late", "lose", "back", "wait", "long", "restart", "restart lender")
+
+    def play(self, path: tuple[str, ...]) -> None:
+        now = NOW
+        parts = {name: lent.Part(3, now - lent.LONGER) for name in "abc"}
+        wire: list[tuple] = []
+        number = 0
+
+        def deliver(word: tuple) -> None:
+            kind, source, to, which, amount = word
+            if kind == "ask":
+                if given := parts[to].give(now, source, which, amount):
+                    wire.append(("gave", to, source, which, given))
+            elif kind == "gave":
+                parts[to].take(now, source, which, amount)
+            else:
+                parts[to].taken_back(source, which)
+
+        for event in path:
+            match event:
+                case "ask" | "ask other":
+                    number += 1
+                    lender = "b" if event == "ask" else "c"
+                    if parts["a"].ask(now, lender, number):
+                        wire.append(("ask", "a", lender, number, 200_000))
+                case "deliver" if wire:
+                    deliver(wire.pop(0))
+                case "late" if wire:
+                    deliver(wire.pop())
+                case "double" if wire:
+                    deliver(wire[0])
+                case "lose" if wire:
+                    del wire[0]
+                case "back":
+                    wire += [("back", "a", lender, which, 0) for lender, which in parts["a"].give_back(now)]
+                case "wait":
+                    now += lent.LEASE // 2
+                case "long":
+                    now += lent.LEASE + 1
+                case "restart":
+                    parts["a"] = lent.Part(3, now)
+                case "restart lender":
+                    parts["b"] = lent.Part(3, now)
+                case _:
+                    return
+            used = sum(part.own(now) for part in parts.values())
+            assert used <= lent.WHOLE, f"{used} of {lent.WHOLE} in use"
+            assert all(part.own(now) >= part.base // 2 for part in parts.values())
+
+    def test_never_more_than_the_whole(self):
+        for path in itertools.product(self.EVENTS, repeat=5):
+            if path[0].startswith("ask"):
+                with self.subTest(path=path):
+                    self.play(path)
+
+    def test_a_borrower_gets_more_and_the_lender_has_it_back(self):
+        one, other = lent.Part(10, 0), lent.Part(10, 0)
+        now = NOW
+        self.assertTrue(one.ask(now, "b", 1))
+        self.assertEqual(other.give(now, "a", 1, 500_000), 50_000)
+        self.assertEqual(other.give(now, "a", 1, 500_000), 50_000)
+        self.assertTrue(one.take(now, "b", 1, 50_000))
+        self.assertFalse(one.take(now, "b", 1, 50_000))
+        self.assertEqual((one.own(now), other.own(now)), (150_000, 50_000))
+        self.assertEqual((one.own(now + lent.LEASE), other.own(now + lent.LEASE)), (100_000, 50_000))
+        self.assertEqual(other.own(now + lent.LONGER), 100_000)
+
+
 class Fuzz(unittest.TestCase):
     def test_only_strange_whatever_comes(self):
         """Each byte altered, each cut, another cluster, another format, random bytes: told by one error, never another."""
