--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -142,8 +142,11 @@
         for _ in range(steps):
             event = self.rng.random()
             name = self.rng.choice(self.names)
-            if event < 0.45 and self.wire:
-                self.deliver(self.rng.randrange(len(self.wire)) if event < 0.1 else 0)
+            if event < 0.1 and self.wire:
+                self.deliver(self.rng.randrange(len(self.wire)))
+            elif event < 0.45 and self.wire:
+                for _ in range(min(len(self.wire), len(self.names))):
+                    self.deliver(0)
             elif event < 0.50 and self.wire:
                 del self.wire[self.rng.randrange(len(self.wire))]
             elif event < 0.53 and self.wire:
