--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -6,6 +6,7 @@
   saltmoor ping [--timeout=SECONDS] ADDRESS
   saltmoor snapshot (show | verify) FILE
   saltmoor peers --cluster=NAME PEER
+  saltmoor duties --cluster=NAME PEER
   saltmoor replica show --cluster=NAME PEER
   saltmoor replica diff --cluster=NAME PEER OTHER
   saltmoor replica say --cluster=NAME PEER WORD VALUE
@@ -20,6 +21,7 @@
   ping          ask the node at HOST:PORT whether it serves
   snapshot      show what a node would remember, or only whether the file is whole
   peers         show whom the node at that peer address holds to be there
+  duties        show what that node does for all, by which number and until when
   replica       show what it shares with the others, where two differ, or give all a word (empty|NODE true)
   version       print the version
   lab           stand-in servers, load and experiments; see saltmoor lab --help
@@ -129,6 +131,8 @@
     try:
         if said["peers"]:
             lines = ask.members(ask.ask(peer, cluster, "show", "members"))
+        elif said["duties"]:
+            lines = ask.duties(ask.ask(peer, cluster, "show", "duties"))
         elif said["say"]:
             try:
                 value = json.loads(said["VALUE"])
@@ -161,7 +165,7 @@
         return 0
     if said["snapshot"]:
         return snapshot(said["FILE"], said["show"])
-    if said["peers"] or said["replica"]:
+    if said["peers"] or said["replica"] or said["duties"]:
         return among(said)
     if said["ping"]:
         return ping(said["ADDRESS"], said["--timeout"])
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -36,6 +36,7 @@
 NAME = r"[A-Za-z0-9_.-]{1,64}"  # of a node among its peers, and of a cluster
 USES = "drains", "starts", "lists", "evidence", "words", "fetches", "shares"  # what peers are used for
 USUAL = USES[:5]
+DUTIES = ("snapshot",)  # what one node may do for all
 
 
 class Faulty(Exception):
@@ -223,6 +224,7 @@
     shared: str | None = None  # a private folder that a second process of this node has too
     keeping: Keeping | None = None  # none: nothing is remembered over a restart
     peers: Talking | None = None  # none: it talks to no other node
+    duties: Dutiful | None = None  # none: it does nothing for others
 
     def caps_for(self, processes: int, taken: int = 0) -> Caps:
         return Caps.within(*self.limits, processes, taken)
@@ -314,6 +316,20 @@
     use: frozenset[str]
 
 
+@dataclass(slots=True, frozen=True)
+class Dutiful:
+    """Which duties a node may own, and by whose votes; times in microseconds."""
+
+    cluster: str
+    voters: tuple[str, ...]
+    before: tuple[str, ...]
+    lease: int
+    flight: int
+    folder: str
+    every: int
+    use: tuple[str, ...]
+
+
 class Operators(Section):
     """A table of the operators' file: there an unknown key is a fault, as nobody else writes into it."""
 
@@ -368,18 +384,48 @@
         int(peers.number("kb_per_s", 4096, least=16, most=1_000_000) * 1024), frozenset(use))
 
 
-def operators(path: str | None) -> tuple[Keeping | None, Talking | None]:
+def dutiful(duties: Operators, peers: Talking | None) -> Dutiful:
+    if peers is None:
+        raise Faulty("duties: needs a table peers")
+    duties.only("voters", "voters_before", "lease_ms", "flight_ms", "folder", "every_ms", "use")
+    lists = []
+    for key in ("voters", "voters_before"):
+        names = duties.texts(key)
+        for i, name in enumerate(names):
+            if not re.fullmatch(NAME, name):
+                raise Faulty(f"duties.{key}[{i}]: must be a node's name, is {name!r}")
+        if len(set(names)) < len(names):
+            raise Faulty(f"duties.{key}: names one twice")
+        if len(names) in ((0, 2) if key == "voters" else (2,)) or len(names) > 100:
+            raise Faulty(f"duties.{key}: must name 3 to 100 nodes, or one alone, names {len(names)}")
+        lists.append(tuple(names))
+    lease = duties.number("lease_ms", 3000, least=500, most=600_000)
+    flight = duties.number("flight_ms", min(300.0, lease / 5), least=1)
+    if flight * 4 > lease:
+        raise duties.fault("flight_ms", f"at most a quarter of duties.lease_ms, {lease / 4:g}")
+    use, folder = duties.texts("use"), duties.text("folder")
+    for one in use:
+        if one not in DUTIES:
+            raise Faulty(f"duties.use: {one!r} is none; there are {', '.join(DUTIES)}")
+    if "snapshot" in use and not folder.startswith("/"):
+        raise duties.fault("folder", "the whole path of a folder, for the duty snapshot")
+    return Dutiful(peers.cluster, *lists, int(lease * 1000), int(flight * 1000), folder,
+                   int(duties.number("every_ms", 2000, least=100, most=3_600_000) * 1000), tuple(use))
+
+
+def operators(path: str | None) -> tuple[Keeping | None, Talking | None, Dutiful | None]:
     """What the operators' file switches on; nothing without one. `Faulty` names its key."""
     if not path:
-        return None, None
+        return None, None, None
     try:
         said = tomllib.loads(Path(path).read_text())
     except (OSError, ValueError) as error:
         raise Faulty(f"{path}: cannot be read as TOML ({error})") from None
     top = Operators(said)
-    top.only("state", "peers")
+    top.only("state", "peers", "duties")
     peers = talking(Operators(said["peers"], "peers.")) if "peers" in said else None
-    return keeping(Operators(said["state"], "state.")) if "state" in said else None, peers
+    duties = dutiful(Operators(said["duties"], "duties."), peers) if "duties" in said else None
+    return keeping(Operators(said["state"], "state.")) if "state" in said else None, peers, duties
 
 
 def keeping(state: Operators) -> Keeping:
@@ -392,7 +438,7 @@
 
 
 def load(path: str | None, env: Mapping[str, str], ours: str | None = None) -> Config:
-    """The configuration that the path or else the environment names; `ours`: the operators' file, where there is one."""
+    """The configuration that the path or else the environment names; `ours`: the operators' file."""
     path = path or env.get("ROUTER_CONFIG")
     if not path:
         raise Faulty("ROUTER_CONFIG: is not set, and no file was named")
@@ -400,9 +446,9 @@
         said = json.loads(Path(path).read_text())
     except (OSError, ValueError, RecursionError) as error:
         raise Faulty(f"{path}: cannot be read as JSON ({error})") from None
-    given, (keeping, peers) = parse(said, env), operators(ours or env.get("ROUTER_OPERATORS"))
+    given, (keeping, peers, duties) = parse(said, env), operators(ours or env.get("ROUTER_OPERATORS"))
     if peers and not re.fullmatch(NAME, peers.name or given.name):
         raise Faulty(f"name: must be 1 to 64 letters, digits, '.', '_' or '-' among peers, is {given.name!r}")
     if keeping and not re.fullmatch(r"[A-Za-z0-9_.-]{1,100}", given.name):
         raise Faulty(f"name: must be letters, digits, '.', '_' or '-' to name a snapshot, is {given.name!r}")
-    return replace(given, keeping=keeping, peers=peers)
+    return replace(given, keeping=keeping, peers=peers, duties=duties)
--- /dev/null
+++ b/saltmoor/net/duties.py
@@ -0,0 +1,228 @@
+"""Owns what a node does for all where it holds the lease: asks for leases over its peers' words, acts, and stops.
+
+Each act is checked right before and again behind it, and carries its number. Service never depends on a duty: without
+an owner every node does as it does alone. It must never decide who owns a duty: `duties/lease.py` does.
+"""
+
+from __future__ import annotations
+
+import re
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from saltmoor.config import Dutiful
+from saltmoor.duties.lease import Ask, Claim, Fences, Vote, Voter
+from saltmoor.model import Micros
+from saltmoor.net.peers import Peers
+from saltmoor.peers import frames
+from saltmoor.replica.items import Item
+from saltmoor.state import file
+
+NAME = re.compile(r"^(?P<cluster>[A-Za-z0-9_.-]{1,64})\.(?P<number>\d{20})\.replica$")
+LARGEST = 64 << 20  # bytes of a kept table
+KEEP = 2  # files of lower numbers that stay, for whoever wants to see them
+
+
+class Kept(msgspec.Struct):
+    """A file with the replicated table."""
+
+    cluster: str
+    number: int
+    writer: str
+    clock: dict[str, Any]
+    items: list[Item]
+
+
+def path_of(folder: str, cluster: str, number: int) -> Path:
+    return Path(folder) / f"{cluster}.{number:020d}.replica"
+
+
+def numbered(folder: str, cluster: str) -> list[tuple[int, Path]]:
+    """The files of that cluster, the largest number first."""
+    found = []
+    for path in Path(folder).iterdir():
+        match = NAME.match(path.name)
+        if match and match["cluster"] == cluster:
+            found.append((int(match["number"]), path))
+    return sorted(found, reverse=True)
+
+
+def write(folder: str, kept: Kept, still: Callable[[], bool]) -> str:
+    """Put it under its number; why not, where it was not. Raises OSError.
+
+    Guards against an owner that was stopped between its check and this, however long: its file has its own number,
+    never replaces one of a larger, and only what is lower than its own goes.
+    """
+    there = numbered(folder, kept.cluster)
+    if there and there[0][0] > kept.number:
+        return f"a larger number is there: {there[0][0]}"
+    if not still():
+        return "the lease has gone meanwhile"
+    data = msgspec.msgpack.encode(kept)
+    head = frames.MAGIC + len(data).to_bytes(8, "big") + frames.crc32(data).to_bytes(4, "big")
+    file.write(path_of(folder, kept.cluster, kept.number), head + data)
+    if not still():
+        return "written, but the lease has gone meanwhile"
+    for number, path in numbered(folder, kept.cluster)[KEEP:]:
+        if number < kept.number:
+            path.unlink(missing_ok=True)
+    return ""
+
+
+def read(path: Path) -> Kept:
+    """`Unfit` where it is none, cut off, or altered."""
+    data = file.read(path, LARGEST)
+    if data is None or data[:3] != frames.MAGIC or len(data) < 15:
+        raise file.Unfit("no table")
+    body = data[15:]
+    if len(body) != int.from_bytes(data[3:11], "big"):
+        raise file.Unfit(f"{len(body)} bytes of {int.from_bytes(data[3:11], 'big')}")
+    if frames.crc32(body) != int.from_bytes(data[11:15], "big"):
+        raise file.Unfit("its checksum differs")
+    try:
+        return msgspec.msgpack.decode(body, type=Kept)
+    except (msgspec.DecodeError, RecursionError):
+        raise file.Unfit("not what a node writes") from None
+
+
+class Duties:
+    def __init__(self, peers: Peers, given: Dutiful, log: Callable[[str], None]) -> None:
+        self.peers, self.given, self.log, self.clock = peers, given, log, peers.clock
+        now = self.clock()
+        everyone = sorted({*given.voters, *given.before})
+        self.voter = Voter(now, given.lease) if peers.name in everyone else None
+        # Only voters are candidates: each has a place of its own, so no two numbers are the same.
+        self.claims = {duty: Claim(duty, peers.name, everyone.index(peers.name), list(given.voters),
+                                   list(given.before), given.lease, given.flight, next=now)
+                       for duty in given.use} if self.voter else {}
+        self.fences = Fences()
+        self.differ: set[str] = set()  # members with another list of voters
+        self.kept_at, self.writing, self.mode = now, False, ""
+        self.wrote = 0
+        peers.handlers |= {"duty?": (Ask, self.asked), "duty!": (Vote, self.voted)}
+        peers.shows["duties"] = self.shown
+        if "snapshot" in given.use:
+            self.load()
+
+    # Leases.
+
+    def chance(self) -> float:
+        return self.peers.members.chance()
+
+    def send(self, words: list[tuple[str, Any]]) -> None:
+        """To voters; to this node's own vote at once."""
+        for name, ask in words:
+            if name == self.peers.name:
+                if vote := self.voter.hear(self.clock(), name, ask):
+                    self.voted(name, vote)
+            else:
+                self.peers.send(self.peers.where(name), "duty?", ask)
+
+    def asked(self, who: str, ask: Ask) -> None:
+        mine = next(iter(self.claims.values()), None)
+        if self.voter is None or mine is None or ask.duty not in self.claims:
+            raise frames.Strange("duty")
+        if ask.voters != mine.mark:
+            if who not in self.differ and len(self.differ) < 1000:
+                self.differ.add(who)
+                self.log(f"duties: {who} counts by another list of voters; its claims are not heard")
+            raise frames.Strange("voters")
+        if vote := self.voter.hear(self.clock(), who, ask):
+            self.peers.send(self.peers.where(who), "duty!", vote)
+
+    def voted(self, who: str, vote: Vote) -> None:
+        if claim := self.claims.get(vote.duty):
+            self.send(claim.hear(self.clock(), who, vote, self.chance()))
+
+    def tick(self, now: Micros) -> None:
+        for claim in self.claims.values():
+            self.send(claim.tick(now, self.peers.wall(), self.chance()))
+            for line in claim.lines:
+                self.log(line)
+            claim.lines.clear()
+        if "snapshot" in self.claims and now - self.kept_at >= self.given.every:
+            self.kept_at = now
+            self.keep(self.claims["snapshot"])
+
+    def end(self) -> None:
+        """Give all back: the next owner need not wait."""
+        for claim in self.claims.values():
+            self.send(claim.leave(self.clock(), 0.5))
+
+    # The replicated table in the operators' folder.
+
+    def keep(self, claim: Claim) -> None:
+        now, number, takes = self.clock(), claim.may_act(self.clock()), claim.takes
+        if not number or self.writing:
+            return
+        store = self.peers.store
+        items = list(store.since(now, 0))
+        kept = Kept(self.given.cluster, number, self.peers.name, file.clocks(), items)
+        self.writing = True
+        threading.Thread(target=self.work, args=(kept, claim, takes), daemon=True).start()
+
+    def work(self, kept: Kept, claim: Claim, takes: int) -> None:
+        """The thread's. A clock and a few numbers are all it reads of the claim."""
+        def still() -> bool:
+            return claim.takes == takes and claim.may_act(self.clock()) >= kept.number
+
+        try:
+            why = write(self.given.folder, kept, still)
+        except OSError as error:
+            why = error.strerror or str(error)
+        except Exception as error:
+            why = f"{type(error).__name__}: {error}"
+        try:
+            self.peers.loop.call_soon_threadsafe(self.written, why)
+        except RuntimeError:
+            pass
+
+    def written(self, why: str) -> None:
+        self.writing = False
+        self.wrote += not why
+        if why != self.mode:
+            self.mode = why
+            self.log(f"duty snapshot: {'not written: ' + why if why else 'written'}")
+
+    def load(self) -> None:
+        """What the fleet knew, where all that knew it have gone: the newest whole table, each item as old as it is."""
+        begun = time.monotonic()
+        try:
+            for _, path in numbered(self.given.folder, self.given.cluster):
+                try:
+                    kept = read(path)
+                except file.Unfit as error:
+                    self.log(f"duty snapshot: {path.name}: {error}; passed over")
+                    continue
+                for claim in self.claims.values():  # numbers rise beyond every one that was kept
+                    claim.largest = max(claim.largest, kept.number)
+                gone = file.age(kept.clock, file.clocks())
+                if gone is None:
+                    self.log(f"duty snapshot: {path.name}: of unknown age; only words are taken")
+                now, taken = self.clock(), 0
+                for item in kept.items:
+                    if gone is None and item.kind != "word":
+                        continue
+                    item.age += gone or 0
+                    taken += self.peers.store.put(now, item)
+                    if item.kind == "word":
+                        self.peers.stamps.take(self.peers.wall(), item.version)
+                self.log(f"duty snapshot: {path.name}: items={taken} age_ms={(gone or 0) // 1000} "
+                         f"took_ms={int((time.monotonic() - begun) * 1000)}")
+                return
+        except Exception as error:  # whatever it is, the node starts without
+            self.log(f"duty snapshot: not read: {type(error).__name__}: {error}")
+
+    def shown(self) -> dict[str, Any]:
+        now = self.clock()
+        return {"voters": list(self.given.voters), "before": list(self.given.before), "duties": {
+            duty: {"state": one.state.name.lower(), "owner": one.owns(now), "number": one.fence,
+                   "left_ms": max(0, one.until - now) // 1000,
+                   "held_ms": (now - one.since) // 1000 if one.owns(now) else 0,
+                   "holder": one.holder[0], "takes": one.takes, "wrote": self.wrote}
+            for duty, one in self.claims.items()}}
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -134,6 +134,8 @@
         self.exchange = Exchange(self.name, now, self.run)
         self.turns = Turns(wall // 1000)
         self.took: Callable[[Item], None] = lambda item: None
+        self.handlers: dict[str, tuple[type, Callable[[str, Any], None]]] = {}  # words of parts built on this one
+        self.shows: dict[str, Callable[[], dict[str, Any]]] = {}  # what they show operators
         self.parts: dict[str, Part] = {}  # of sums over the fleet, by their names
         self.loans = wall // 1000 << 20  # numbers of this node's questions for more
         self.step: Callable[[Micros], None] = lambda now: None  # the owner's, once a tick
@@ -156,6 +158,8 @@
     # Life.
 
     def begin(self) -> None:
+        for form in (Ping, Ask, list[Item], TurnWord, LendWord, PullWord, EndWord, SayWord, str):
+            frames.reader(form)
         self.open()
         self.again()
 
@@ -334,6 +338,9 @@
             self.tell_all(self.turns.done(now, said.key, said.number, said.server))
         elif word == "void":
             self.tell_all(self.turns.void(now, frames.content(frame, TurnWord).key))
+        elif word in self.handlers:
+            form, heed = self.handlers[word]
+            heed(speaker.name, frames.content(frame, form))
         elif word in ("lend?", "lend!", "lent"):
             self.lending(now, speaker.name, word, frames.content(frame, LendWord))
         else:
@@ -614,6 +621,8 @@
 
     def shown(self, what: str) -> dict[str, Any]:
         now = self.clock()
+        if what in self.shows:
+            return self.shows[what]()
         if what == "items":
             return {"items": [[kind, key, kept.version, kept.body[:2000], (now - kept.written) // 1000]
                               for kind, table in self.store.kinds.items() for key, kept in list(table.items())[:2000]]}
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -1,4 +1,4 @@
-"""Owns the seam between a running node and what its peers share: news out, news in, nothing that it could not do without.
+"""Owns the seam between a running node and what its peers share: news out, news in, nothing that it needs to serve.
 
 Whatever fails here costs what was shared, never a transaction. It must never lift a drain, warm a server, or change
 what discovery has told; `replica/uses.py` says what each item means.
@@ -38,6 +38,10 @@
         peers.took, peers.step = self.took, self.step
         self.uses = Uses(peers.name, given.site, given.source or service.source(), given.use, peers.store,
                          count=peers.me.life << 20)
+        self.duties = None
+        if service.given.duties:
+            from saltmoor.net.duties import Duties  # only where it is switched on
+            self.duties = Duties(peers, service.given.duties, service.log)
         self.stepped, self.kept = 0, 0
         self.quotas: list | None = None  # the node's, as its settings made them
         self.whole: list[float] = []  # what all nodes together may take of each tenant, a second
@@ -51,6 +55,8 @@
         self.peers.begin()
 
     def end(self, left: bool) -> None:
+        if self.duties and not self.peers.ended:
+            self.guarded(self.duties.end)
         self.peers.end(left)
 
     def guarded(self, what: Callable[..., Any], *given: Any) -> Any:
@@ -81,6 +87,8 @@
         return heeded
 
     def step(self, now: Micros) -> None:
+        if self.duties:
+            self.guarded(self.duties.tick, now)
         if now - self.stepped < STEP:
             return
         self.stepped = now
--- a/saltmoor/peers/ask.py
+++ b/saltmoor/peers/ask.py
@@ -51,6 +51,16 @@
     return lines
 
 
+def duties(shown: dict[str, Any]) -> list[str]:
+    if "duties" not in shown:
+        return ["no duties"]
+    before = f"; before: {', '.join(shown['before'])}" if shown["before"] else ""
+    lines = [f"voters: {', '.join(shown['voters'])}{before}"]
+    return lines + [f"  {duty:10} " + (f"owner number={one['number']} left_ms={one['left_ms']} held_ms={one['held_ms']}"
+                                        if one["owner"] else f"{one['state']} holder={one['holder'] or 'not known'}")
+                    for duty, one in shown["duties"].items()]
+
+
 def items(shown: dict[str, Any]) -> list[str]:
     lines = []
     for kind, key, version, body, age in sorted(shown["items"], key=lambda one: one[:2]):
--- a/saltmoor/peers/frames.py
+++ b/saltmoor/peers/frames.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from functools import cache
 from typing import Any
 from zlib import crc32
 
@@ -44,6 +45,12 @@
     content: msgspec.Raw
 
 
+@cache
+def reader(form: Any) -> msgspec.msgpack.Decoder:
+    """Made once for each form: that takes longer than many words."""
+    return msgspec.msgpack.Decoder(form)
+
+
 CODER, READER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
 
 
@@ -75,6 +82,6 @@
 def content(frame: Frame, form: type) -> Any:
     """What the word says, in the form that the word has."""
     try:
-        return msgspec.msgpack.decode(frame.content, type=form)
+        return reader(form).decode(frame.content)
     except (msgspec.DecodeError, RecursionError, OverflowError):
         raise Strange(f"content of {frame.word[:16]!r}") from None
--- a/saltmoor/replica/uses.py
+++ b/saltmoor/replica/uses.py
@@ -2,7 +2,7 @@
 
 What a peer says makes a node stricter or better informed, never laxer: a drain that is told stops new hops, a later
 start makes a server colder, evidence has it asked before it is sent to, a newer list names servers where discovery
-has told less. No word lifts a drain, warms a server, or makes anything count as not run. No I/O; the clock is passed in.
+has told less. No word lifts a drain, warms a server, or makes anything count as not run. No I/O; the clock is given.
 """
 
 from __future__ import annotations
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,9 +4,10 @@
 from __future__ import annotations
 
 import itertools
+import tempfile
 import unittest
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from pathlib import Path
 from random import Random
 
 import msgspec
@@ -517,6 +518,31 @@
         self.assertEqual(one.me.state, State.ALIVE)
 
 
+class Files(TraceCase):
+    def test_the_operators_file_names_its_faulty_key(self):
+        notes = Notes()
+        good = "cluster = 'c'\nlisten = '127.0.0.1:7'\n"
+        peers = ["", "cluster = 'a b'", "cluster = 'c'", "cluster = 'c'\nlisten = 'here:7'",
+                 "cluster = 'c'\nlisten = '0.0.0.0:7'", good + "seeds = ['x:1']", good + "seeds = 'x'",
+                 good + "period_ms = 1", good + "use = ['drain']", good + "colour = 1", good + "site = 7",
+                 good + "[peers.via]\nn1 = 'there'", good + "[peers.via]\nn1 = 7", good + "seeds = ['127.0.0.1:7']"]
+        duties = ["", "voters = []", "voters = ['a', 'b']", "voters = ['a', 'a', 'b']", "voters = ['a', 'b', 'c d']",
+                  "voters = ['a', 'b', 'c']\nlease_ms = 100", "voters = ['a', 'b', 'c']\nlease_ms = 1000\nflight_ms = 400",
+                  "voters = ['a', 'b', 'c']\nuse = ['probe']", "voters = ['a', 'b', 'c']\nuse = ['snapshot']",
+                  "voters = ['a', 'b', 'c']\nvoters_before = ['a', 'b']", "voters = ['a']"]
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "operators.toml"
+            for table in ["[peers]\n" + text for text in peers] + [
+                    f"[peers]\n{good}[duties]\n{text}" for text in duties] + ["[duties]\nvoters = ['a']"]:
+                path.write_text(table)
+                try:
+                    said = "taken" if config.operators(str(path)) else ""
+                except config.Faulty as error:
+                    said = str(error).replace(str(path), "FILE")
+                notes.note(f"{table.replace(good, '').split(chr(10), 1)[-1]!r}: {said}")
+        self.check("peers-operators", notes)
+
+
 class Meanings(unittest.TestCase):
     """What shared items do to a node: stricter or better informed, never laxer."""
 
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -8,6 +8,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 import tempfile
 import time
 import unittest
@@ -18,6 +20,7 @@
 
 from saltmoor import config
 from saltmoor.lab import experiment, scenario as plan
+from saltmoor.net import duties
 from saltmoor.net.peers import Peers
 from saltmoor.peers import ask, frames
 from saltmoor.peers.frames import Speaker
@@ -286,5 +289,129 @@
         self.assertGreater(figures["peers_items"], 0)
 
 
+class Owned:
+    """Three nodes as processes with a duty, and the history of who held it and what was written for it."""
+
+    LEASE = 600
+
+    def __init__(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.root = Path(self.folder.name)
+        (self.root / "kept").mkdir(mode=0o700)
+        self.places = {f"n{i}": f"{HOST}:{free()}" for i in range(3)}
+        self.nodes: dict[str, subprocess.Popen] = {}
+        self.largest, self.writers, self.history = 0, [], []
+
+    def start(self, name: str) -> None:
+        settings = {"classes": [{"name": "read", "aim_ns": 10**8, "deadline_ns": 10**9, "repeat": "idempotent"}]}
+        (self.root / f"{name}.json").write_text(json.dumps({"name": name, "listen": "127.0.0.1:0", "settings": settings}))
+        (self.root / f"{name}.toml").write_text(
+            f'[peers]\ncluster = "{CLUSTER}"\nlisten = "{self.places[name]}"\nseeds = {json.dumps(list(self.places.values()))}\n'
+            f'[duties]\nvoters = {json.dumps(list(self.places))}\nlease_ms = {self.LEASE}\nflight_ms = 60\n'
+            f'use = ["snapshot"]\nfolder = "{self.root}/kept"\nevery_ms = 100\n')
+        with (self.root / f"{name}.log").open("ab") as log:
+            self.nodes[name] = subprocess.Popen(
+                [sys.executable, "-m", "saltmoor", "serve", f"--config={self.root}/{name}.json",
+                 f"--operators={self.root}/{name}.toml"], stderr=log, env=os.environ | {"TMPDIR": "/nonexistent"})
+
+    def look(self) -> str | None:
+        """Who holds it now, by those who answer; two of them, or a number that falls, fails."""
+        owners = []
+        for name, place in self.places.items():
+            if self.nodes[name].poll() is not None or name in self.stopped:
+                continue
+            try:
+                one = ask.ask(place, CLUSTER, "show", "duties", wait=0.5)["duties"]["snapshot"]
+            except (ask.Unanswered, KeyError):
+                continue
+            if one["owner"]:
+                owners.append((one["number"], name))
+        assert len(owners) < 2, f"two owners: {owners}"
+        files = duties.numbered(str(self.root / "kept"), CLUSTER)
+        if files:
+            assert files[0][0] >= self.largest, "a smaller number took the place of a larger one"
+            self.largest = files[0][0]
+            writer = duties.read(files[0][1]).writer
+            if not self.writers or self.writers[-1] != writer:
+                self.writers.append(writer)
+        return owners[0][1] if owners else None
+
+    stopped: set[str] = set()
+
+    def until(self, wanted, seconds: float = 8.0) -> tuple[str, float]:
+        begun = time.monotonic()
+        while time.monotonic() - begun < seconds:
+            owner = self.look()
+            if owner and wanted(owner):
+                return owner, time.monotonic() - begun
+            time.sleep(0.02)
+        raise AssertionError(f"no such owner within {seconds} s")
+
+    def end(self) -> None:
+        for name, node in self.nodes.items():
+            if node.poll() is None:
+                node.send_signal(signal.SIGCONT)
+                node.kill()
+            node.wait()
+        self.folder.cleanup()
+
+
+class Owners(unittest.TestCase):
+    def test_paused_killed_and_ended_there_is_one_owner_and_its_table_stays(self):
+        """The owner stands still for longer than its lease and goes on, dies, ends; then all die, and words are kept."""
+        town = Owned()
+        self.addCleanup(town.end)
+        town.stopped = set()
+        for name in town.places:
+            town.start(name)
+        owner, _ = town.until(lambda name: True)
+        ask.ask(town.places[owner], CLUSTER, "say", ["note|fleet", "kept over all"])
+        for pause in (1.0, 1.7, 3.0):  # leases
+            time.sleep(0.3)
+            owner, _ = town.until(lambda name: True)
+            town.nodes[owner].send_signal(signal.SIGSTOP)
+            town.stopped = {owner}
+            later = None
+            if pause > 1.5:
+                later, gap = town.until(lambda name: name != owner)
+                self.assertLess(gap, 3 * town.LEASE / 1000)
+            else:
+                time.sleep(pause * town.LEASE / 1000)
+            town.nodes[owner].send_signal(signal.SIGCONT)
+            town.stopped = set()
+            for _ in range(10):  # the old one wakes up, with an act under way or not
+                town.look()
+                time.sleep(0.03)
+        owner, _ = town.until(lambda name: True)
+        town.nodes[owner].kill()
+        town.nodes[owner].wait()
+        dead = owner
+        owner, gap = town.until(lambda name: name != dead)
+        self.assertLess(gap, 3)
+        town.start(dead)
+        time.sleep(1.2)
+        town.nodes[owner].terminate()
+        _, gap = town.until(lambda name: name != owner)
+        self.assertLess(gap, 1.5)  # given back, and the next one tried within a part of the lease
+        town.nodes[owner].wait()
+        town.start(owner)
+        time.sleep(0.6)
+        for node in town.nodes.values():
+            node.kill()
+            node.wait()
+        before = town.largest
+        for name in town.places:
+            town.start(name)
+        owner, _ = town.until(lambda name: True)
+        time.sleep(0.4)
+        town.look()
+        self.assertGreater(town.largest, before)
+        shown = ask.ask(town.places[owner], CLUSTER, "show", "items")["items"]
+        self.assertIn(["word", "note|fleet"], [one[:2] for one in shown])
+        self.assertGreaterEqual(len(town.writers), 3)
+        logs = "".join(path.read_text() for path in town.root.glob("*.log"))
+        self.assertNotIn("fault", logs)
+
+
 if __name__ == "__main__":
     unittest.main()
