--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -81,7 +81,7 @@
 def show(result) -> None:
     print(f"{result.scenario}, seed {result.seed}, {result.build}")
     for name, value in result.figures.items():
-        print(f"  {name:24} {value:>12}")
+        print(f"  {name:24} {'none' if value is None else value:>12}")
     for line in result.breaches[:20]:
         print(f"  breach: {line}")
     for bound in result.bounds:
--- a/saltmoor/lab/talk.py
+++ b/saltmoor/lab/talk.py
@@ -64,9 +64,11 @@
     cuts = [fault for fault in ledger.scenario.fault if fault.on == "peers" and fault.kind == "cut"]
     count = 0
     for node, told in believed.items():
-        before: set[int] = set()
+        before, life = set(), 0
         for at, one in told:
             there = set(one["there"])
+            if one["life"] > life + 1000:  # a new process of it, which knows nobody yet
+                before, life = set(), one["life"]
             for lost in before - there:
                 struck = any(fault.at_s <= at <= fault.at_s + (fault.for_s or 1e9) + 3 for fault in cuts)
                 ran = all(not begin + (at - 15) * 1e6 <= when <= begin + at * 1e6
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -40,6 +40,7 @@
 STREAMS = 4  # calls at once that this node answers
 CALL_WAIT = 5.0  # seconds for a whole call
 PULL_MOST = 64 << 20  # bytes that one pull may bring, whatever the peer thinks
+SHORT: Micros = 10_000_000  # kinds that are kept no longer are looked through at each tick
 OPEN_AGAIN = 2.0  # seconds until a port that was taken is tried again
 PERMIT_WAIT = 0.02  # seconds that a miss may wait for the keeper's word
 ASKED_MOST = 2_000  # of them at once
@@ -198,6 +199,8 @@
         now = self.clock()
         try:
             self.send_all(self.members.tick(now))
+            # What is kept for short times goes at once, or copies would differ for as long as this is put off.
+            self.store.expire(now, SHORT)
             if now - self.expired > 1_000_000:
                 self.expired = now
                 self.store.expire(now)
--- a/saltmoor/replica/items.py
+++ b/saltmoor/replica/items.py
@@ -174,11 +174,11 @@
         self.bytes -= len(kept.body) + len(key)
         self.mark(kind, key, kept.check)
 
-    def expire(self, now: Micros) -> int:
-        """Forget what is over its age; how much."""
+    def expire(self, now: Micros, within: Micros = 1 << 62) -> int:
+        """Forget what is over its age, of kinds that are kept no longer than `within`; how much."""
         gone = 0
         for name, table in self.kinds.items():
-            if until := KINDS.get(name, UNKNOWN).until:
+            if 0 < (until := KINDS.get(name, UNKNOWN).until) <= within:
                 over = [key for key, kept in table.items() if now - kept.written >= until]
                 for key in over:
                     self.drop(name, key)
