Peers: no look-ups of addresses, memory counted whole; duties: tables read off the loop

Cause: a member's address that is a name would have been looked up by sendto; an item's own overhead was not in the bound; a hung disk would have held the start; who hears that a lease was given back still waited until it would have run out.

Change: addresses are numeric or none; 300 bytes an item on top; the kept table is read by a thread and merged in pieces; a release lets the others try at once; default lease 2 s.

--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -380,7 +380,7 @@
         int(peers.number("period_ms", 200, least=20, most=10_000) * 1000),
         int(peers.number("suspect_ms", 1500, least=50, most=120_000) * 1000),
         int(peers.number("ahead_ms", 1000, least=10, most=60_000) * 1000),
-        int(peers.number("most_kb", 4096, least=64, most=32_768) * 1024),
+        int(peers.number("most_kb", 8192, least=64, most=32_768) * 1024),
         int(peers.number("kb_per_s", 4096, least=16, most=1_000_000) * 1024), frozenset(use))
 
 
@@ -399,7 +399,7 @@
         if len(names) in ((0, 2) if key == "voters" else (2,)) or len(names) > 100:
             raise Faulty(f"duties.{key}: must name 3 to 100 nodes, or one alone, names {len(names)}")
         lists.append(tuple(names))
-    lease = duties.number("lease_ms", 3000, least=500, most=600_000)
+    lease = duties.number("lease_ms", 2000, least=500, most=600_000)
     flight = duties.number("flight_ms", min(300.0, lease / 5), least=1)
     if flight * 4 > lease:
         raise duties.fault("flight_ms", f"at most a quarter of duties.lease_ms, {lease / 4:g}")
--- a/saltmoor/duties/lease.py
+++ b/saltmoor/duties/lease.py
@@ -258,6 +258,11 @@
                 self.wait(now, chance)
         return []
 
+    def freed(self, now: Micros, chance: float) -> None:
+        """Its owner has given it back: nobody need wait until it would have run out."""
+        if self.state is S.IDLE:
+            self.holder, self.next = ("", 0), now + int(chance * self.lease / 16)
+
     def leave(self, now: Micros, chance: float) -> list[tuple[str, Ask]]:
         """Give it back: the next one need not wait until it runs out."""
         number, held = self.fence, self.state in HOLDING
--- a/saltmoor/net/duties.py
+++ b/saltmoor/net/duties.py
@@ -8,7 +8,6 @@
 
 import re
 import threading
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -25,6 +24,7 @@
 
 NAME = re.compile(r"^(?P<cluster>[A-Za-z0-9_.-]{1,64})\.(?P<number>\d{20})\.replica$")
 LARGEST = 64 << 20  # bytes of a kept table
+LOAD_WAIT: Micros = 2_000_000
 KEEP = 2  # files of lower numbers that stay, for whoever wants to see them
 
 
@@ -106,8 +106,9 @@
         self.wrote = 0
         peers.handlers |= {"duty?": (Ask, self.asked), "duty!": (Vote, self.voted)}
         peers.shows["duties"] = self.shown
-        if "snapshot" in given.use:
-            self.load()
+        self.loading, self.started = "snapshot" in given.use and bool(self.claims), now
+        if self.loading:
+            threading.Thread(target=self.load, daemon=True).start()
 
     # Leases.
 
@@ -132,6 +133,8 @@
                 self.differ.add(who)
                 self.log(f"duties: {who} counts by another list of voters; its claims are not heard")
             raise frames.Strange("voters")
+        if ask.step == "release":
+            self.claims[ask.duty].freed(self.clock(), self.chance())
         if vote := self.voter.hear(self.clock(), who, ask):
             self.peers.send(self.peers.where(who), "duty!", vote)
 
@@ -140,6 +143,9 @@
             self.send(claim.hear(self.clock(), who, vote, self.chance()))
 
     def tick(self, now: Micros) -> None:
+        # Guards against a disk that takes its time: the numbers in kept files are waited for, but not for ever.
+        if self.loading and now - self.started < LOAD_WAIT:
+            return
         for claim in self.claims.values():
             self.send(claim.tick(now, self.peers.wall(), self.chance()))
             for line in claim.lines:
@@ -190,33 +196,46 @@
             self.log(f"duty snapshot: {'not written: ' + why if why else 'written'}")
 
     def load(self) -> None:
-        """What the fleet knew, where all that knew it have gone: the newest whole table, each item as old as it is."""
-        begun = time.monotonic()
+        """A thread's: the newest whole table that is kept."""
+        lines, kept = [], None
         try:
             for _, path in numbered(self.given.folder, self.given.cluster):
                 try:
                     kept = read(path)
+                    break
                 except file.Unfit as error:
-                    self.log(f"duty snapshot: {path.name}: {error}; passed over")
-                    continue
-                for claim in self.claims.values():  # numbers rise beyond every one that was kept
-                    claim.largest = max(claim.largest, kept.number)
-                gone = file.age(kept.clock, file.clocks())
-                if gone is None:
-                    self.log(f"duty snapshot: {path.name}: of unknown age; only words are taken")
-                now, taken = self.clock(), 0
-                for item in kept.items:
-                    if gone is None and item.kind != "word":
-                        continue
-                    item.age += gone or 0
-                    taken += self.peers.store.put(now, item)
-                    if item.kind == "word":
-                        self.peers.stamps.take(self.peers.wall(), item.version)
-                self.log(f"duty snapshot: {path.name}: items={taken} age_ms={(gone or 0) // 1000} "
-                         f"took_ms={int((time.monotonic() - begun) * 1000)}")
-                return
+                    lines.append(f"duty snapshot: {path.name}: {error}; passed over")
         except Exception as error:  # whatever it is, the node starts without
-            self.log(f"duty snapshot: not read: {type(error).__name__}: {error}")
+            lines.append(f"duty snapshot: not read: {type(error).__name__}: {error}")
+        try:
+            self.peers.loop.call_soon_threadsafe(self.loaded, kept, lines)
+        except RuntimeError:
+            pass
+
+    def loaded(self, kept: Kept | None, lines: list[str]) -> None:
+        """What the fleet knew, where all that knew it have gone: each item as old as it is by now."""
+        self.loading = False
+        for line in lines:
+            self.log(line)
+        if kept is None:
+            return
+        for claim in self.claims.values():  # numbers rise beyond every one that was kept
+            claim.largest = max(claim.largest, kept.number)
+        gone = file.age(kept.clock, file.clocks())
+        items = [item for item in kept.items if gone is not None or item.kind == "word"]
+        for item in items:
+            item.age += gone or 0
+        self.log(f"duty snapshot: number={kept.number} of {kept.writer}: items={len(items)} "
+                 f"{'of unknown age' if gone is None else f'age_ms={gone // 1000}'}")
+        self.take(items)
+
+    def take(self, items: list[Item]) -> None:
+        """Some at a time, so that the loop goes on."""
+        now = self.clock()
+        for item in items[:64]:
+            self.peers.merge(now, item)
+        if items[64:]:
+            self.peers.loop.call_soon(self.take, items[64:])
 
     def shown(self) -> dict[str, Any]:
         now = self.clock()
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -14,11 +14,13 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 import msgspec
 
 import saltmoor
+from saltmoor import config
 from saltmoor.config import Talking
 from saltmoor.model import Micros
 from saltmoor.net.buffers import family
@@ -118,6 +120,15 @@
         return len(frame) + 4
 
 
+@lru_cache(maxsize=4096)
+def place(text: str) -> tuple[str, int] | None:
+    """Guards against a member whose address is a name: nothing here is looked up."""
+    try:
+        return config.numeric("address", text)
+    except config.Faulty:
+        return None
+
+
 class Peers:
     """One node among its peers. `took` hears of each item that is new here and came from another."""
 
@@ -256,32 +267,24 @@
     def where(self, name: str) -> tuple[str, int] | None:
         """Where a member is reached: as the operator says, or as it says itself."""
         one = self.members.others.get(name)
-        text = self.given.via.get(name) or (one.address if one else "")
-        host, _, port = text.rpartition(":")
-        return (host.strip("[]"), int(port)) if host and port.isdigit() and int(port) < 65_536 else None
+        return place(self.given.via.get(name) or (one.address if one else ""))
 
     def send_all(self, outs: Iterable[Out]) -> None:
         for out in outs:
             if isinstance(out.content, Ping):
                 out.content.root, out.content.epoch, out.content.seq = (
                     self.store.root, self.store.epoch, self.store.seq)
-            place = self.where(out.to) if out.to else self.split(out.address)
-            self.send(place, out.word, out.content)
-
-    @staticmethod
-    def split(text: str) -> tuple[str, int]:
-        host, _, port = text.rpartition(":")
-        return host.strip("[]"), int(port)
+            self.send(self.where(out.to) if out.to else place(out.address), out.word, out.content)
 
-    def send(self, place: tuple[str, int] | None, word: str, said: Any) -> None:
-        if not self.udp or not place:
+    def send(self, where: tuple[str, int] | None, word: str, said: Any) -> None:
+        if not self.udp or not where:
             return
         data = self.encode(word, said)
         if len(data) > frames.DATAGRAM:
             self.drop("own too long")
             return
         try:
-            self.udp.sendto(data, place)
+            self.udp.sendto(data, where)
         except (OSError, ValueError, OverflowError):  # as good as lost on its way
             self.drop("not sent")
             return
@@ -499,11 +502,11 @@
         self.given_bytes += count
         await asyncio.sleep(count / self.given.rate)
 
-    async def call(self, place: tuple[str, int], word: str, said: Any) -> Bulk:
-        sock = socket.socket(family(place[0]), socket.SOCK_STREAM)
+    async def call(self, where: tuple[str, int], word: str, said: Any) -> Bulk:
+        sock = socket.socket(family(where[0]), socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
-            await self.loop.sock_connect(sock, place)
+            await self.loop.sock_connect(sock, where)
             bulk = Bulk(sock)
             await bulk.write(self.encode(word, said))
             return bulk
@@ -512,12 +515,12 @@
             raise
 
     async def pull(self, pull: Pull) -> None:
-        place, bulk = self.where(pull.name), None
+        where, bulk = self.where(pull.name), None
         try:
-            if not place:
+            if not where:
                 raise Strange("not known")
             async with asyncio.timeout(CALL_WAIT):
-                bulk = await self.call(place, "pull", PullWord(pull.epoch, pull.seq, pull.ranges))
+                bulk = await self.call(where, "pull", PullWord(pull.epoch, pull.seq, pull.ranges))
                 while (data := await bulk.read()) is not None:
                     frame = frames.decode(data, self.given.cluster)
                     if frame.word == "items":
--- a/saltmoor/replica/items.py
+++ b/saltmoor/replica/items.py
@@ -18,6 +18,7 @@
 
 RANGES = 16  # of each kind's keys, compared by digest
 LONGEST_KEY, LONGEST_KIND, LONGEST_BODY = 400, 16, 512 << 10
+BESIDE = 300  # bytes that an item takes beside its key and body
 KINDS_MOST = 32  # kinds that are carried, known or not
 
 
@@ -100,6 +101,10 @@
     said: set[tuple[str, str, int]] = field(default_factory=set)
     hear: Callable[[Item], None] = lambda item: None  # told of each item that is new here
 
+    @staticmethod
+    def size(key: str, body: bytes) -> int:
+        return len(key) + len(body) + BESIDE
+
     def count(self) -> int:
         return sum(len(kept) for kept in self.kinds.values())
 
@@ -143,7 +148,8 @@
             if table[oldest].written >= now - item.age:
                 return self.refuse("full")
             self.drop(item.kind, oldest)
-        if self.bytes + len(item.body) - (len(before.body) if before else 0) > self.most_bytes:
+        more = len(item.body) - len(before.body) if before else self.size(item.key, item.body)
+        if self.bytes + more > self.most_bytes:
             return self.refuse("bytes")
         if before is not None:
             self.drop(item.kind, item.key)
@@ -151,7 +157,7 @@
         mark = int.from_bytes(item.check, "big")
         table[item.key] = Kept(item.version, item.body, now - item.age, mark, self.seq)
         self.order[self.seq] = item.kind, item.key
-        self.bytes += len(item.body) + len(item.key)
+        self.bytes += self.size(item.key, item.body)
         self.mark(item.kind, item.key, mark)
         self.hear(item)
         return True
@@ -171,7 +177,7 @@
     def drop(self, kind: str, key: str) -> None:
         kept = self.kinds[kind].pop(key)
         self.order.pop(kept.seq, None)
-        self.bytes -= len(kept.body) + len(key)
+        self.bytes -= self.size(key, kept.body)
         self.mark(kind, key, kept.check)
 
     def expire(self, now: Micros, within: Micros = 1 << 62) -> int:
