--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -193,9 +193,18 @@
                 assert now >= before, f"{name} goes back on {other.name}: {before} to {now}"
                 self.worst[which] = now
 
+    def found(self) -> bool:
+        return all(one.there() == sorted(set(self.nodes) - {name}) and all(
+            other.run == self.nodes[other.name].me.run for other in one.others.values())
+            for name, one in self.nodes.items())
+
     def settle(self) -> None:
-        """A calm network from here on."""
+        """A calm network from here on, until all have found each other and stay so for a while."""
+        well = 0
         for _ in range(60):
+            well = well + 1 if self.found() else 0
+            if well > 5:
+                return
             self.tick(100 * MS)
             while self.wire:
                 self.deliver(0)
