--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -549,7 +549,7 @@
             self.feed(now, tx, In.AGAIN)
 
     def missed(self, tx: Tx, end: model.HopEnd, now: Micros) -> In:
-        """No copy there: it is fetched, unless another node fetches it, or tells where it has had it stored."""
+        """No copy there: it is fetched, unless another node fetches it, or tells where it has it stored."""
         if ((there := self.servers.get(end.copy)) and there not in tx.tried and self.usable(there, now)
                 and len(tx.hops) + 2 <= self.permits.hops and self.expected(there, now) < tx.goal - now):
             tx.choice = there
--- a/saltmoor/duties/lease.py
+++ b/saltmoor/duties/lease.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import Any
+from zlib import crc32
 
 import msgspec
 
@@ -164,7 +164,6 @@
 
     @property
     def mark(self) -> int:
-        from zlib import crc32
         return crc32("|".join([*sorted(self.voters), "", *sorted(self.before)]).encode())
 
     def owns(self, now: Micros) -> bool:
--- a/saltmoor/net/duties.py
+++ b/saltmoor/net/duties.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from saltmoor.config import Dutiful
-from saltmoor.duties.lease import Ask, Claim, Fences, Vote, Voter
+from saltmoor.duties.lease import Ask, Claim, Vote, Voter
 from saltmoor.model import Micros
 from saltmoor.net.peers import Peers
 from saltmoor.peers import frames
@@ -100,7 +100,6 @@
         self.claims = {duty: Claim(duty, peers.name, everyone.index(peers.name), list(given.voters),
                                    list(given.before), given.lease, given.flight, next=now)
                        for duty in given.use} if self.voter else {}
-        self.fences = Fences()
         self.differ: set[str] = set()  # members with another list of voters
         self.kept_at, self.writing, self.mode = now, False, ""
         self.wrote = 0
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -297,7 +297,7 @@
             self.discovery = None
         elif given.discovery:
             self.discovery = self.make_discovery()
-        for key in ("listen", "admin", "peers"):
+        for key in ("listen", "admin", "peers", "duties"):
             if getattr(given, key) != getattr(old, key):
                 self.log(f"configuration: {'admin_addr' if key == 'admin' else key} needs a restart")
         self.log(f"configuration read: discovery={'%s:%d' % given.discovery if given.discovery else 'none'}")
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -164,7 +164,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.streams = 0
         self.timer: asyncio.TimerHandle | None = None
-        self.ended, self.opened, self.expired, self.refusal = False, True, now, ""
+        self.ended, self.opened, self.expired = False, True, now
         self.slowest = 0.0  # seconds of CPU: the most that one callback of this part took
 
     # Life.
@@ -229,7 +229,6 @@
         for line in self.members.lines:
             self.log(line)
         self.members.lines.clear()
-        self.members.changed.clear()
         if self.exchange.line:
             self.log(f"{self.exchange.line} items={self.store.count()}")
             self.exchange.line = ""
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from saltmoor import config
+from saltmoor.choice import OTHERS
 from saltmoor.model import Ended, Micros, Readiness
 from saltmoor.net import meta
 from saltmoor.net.peers import Peers
@@ -26,7 +27,6 @@
     from saltmoor.net.lifecycle import Service
 
 STEP: Micros = 250_000
-OTHERS = 3  # the cache server's note with the same meaning: another fetch of the key is out
 LEASE: Micros = 100_000  # least time that a permit to fetch stands
 
 
--- a/saltmoor/peers/frames.py
+++ b/saltmoor/peers/frames.py
@@ -18,9 +18,6 @@
 DATAGRAM = 1400  # bytes of a frame in one datagram, so that none is cut on its way
 BULK = 1 << 20  # bytes of a frame on a stream
 HEAD = len(MAGIC) + 4
-NAME = r"^[A-Za-z0-9_.-]{1,64}$"
-
-Name = msgspec.Meta(max_length=64, pattern=NAME)
 
 
 class Strange(Exception):
--- a/saltmoor/peers/members.py
+++ b/saltmoor/peers/members.py
@@ -41,7 +41,6 @@
     LEFT = "left"
     SILENT = "silent"  # it answered neither this node nor its helpers
     EXPIRED = "expired"  # suspected for long enough
-    DIRECT = "direct"  # it spoke itself
 
 
 S = State
@@ -145,7 +144,6 @@
     out: dict[int, Pinged] = field(default_factory=dict)
     passed: dict[int, tuple[str, int, Micros]] = field(default_factory=dict)  # pings for others: whose, which, until
     lines: list[str] = field(default_factory=list)  # for the log: one a change
-    changed: list[str] = field(default_factory=list)  # members whose state changed since the owner looked
     number: int = 0
     counter: int = 0
     next_round: Micros = 0
@@ -349,7 +347,6 @@
 
     def enter(self, one: Member, state: State, now: Micros, why: str) -> None:
         stood, one.state, one.since = now - one.since, state, now
-        self.changed.append(one.name)
         self.tell(self.told(one))
         if state is not State.SUSPECT:
             self.lines.append(f"peers: {one.name} {state.name.lower()}: {why} life={one.life} "
--- a/saltmoor/replica/exchange.py
+++ b/saltmoor/replica/exchange.py
@@ -123,9 +123,3 @@
     def level(self, now: Micros, why: str) -> None:
         self.phase, self.took = Phase.LEVEL, now - self.begun
         self.line = f"replica: caught up {why} took_ms={self.took // 1000} pulls={self.pulls}"
-
-    def start_over(self, now: Micros) -> None:
-        """Gone for longer than deletions are remembered: the whole is taken anew."""
-        self.phase, self.begun = Phase.CATCHING, now
-        self.whole.clear()
-        self.peers.clear()
--- a/saltmoor/replica/items.py
+++ b/saltmoor/replica/items.py
@@ -225,11 +225,6 @@
             found += [(kind, i) for i in range(min(RANGES, len(other))) if own[i] != other[i]]
         return found
 
-    def clear(self, kinds: Iterable[str]) -> None:
-        for name in kinds:
-            for key in list(self.kinds.get(name, {})):
-                self.drop(name, key)
-
 
 class Stamps:
     """A hybrid logical clock (Kulkarni et al. 2014): microseconds of the wall in the upper bits, a count below.
--- a/saltmoor/replica/turns.py
+++ b/saltmoor/replica/turns.py
@@ -85,12 +85,15 @@
     def done(self, now: Micros, key: int, number: int, server: str) -> list[Word]:
         """A fetch has ended; `server` has the copy, empty: it failed. A late word about an earlier permit changes
         no permit."""
-        if server and number >= 0:
+        permit = self.permits.get(key)
+        # What was begun under another permit may be the value before a write; without one nobody can tell.
+        if number and (permit is None or permit.number != number):
+            return []
+        if server:
             self.copies[key] = server, now
             self.copies.move_to_end(key)
             while len(self.copies) > MOST:
                 self.copies.popitem(last=False)
-        permit = self.permits.get(key)
         if permit is None or permit.number != number and not server:
             return []
         del self.permits[key]
