--- a/saltmoor/net/duties.py
+++ b/saltmoor/net/duties.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 import threading
 from collections.abc import Callable
@@ -152,7 +153,7 @@
             claim.lines.clear()
         if "snapshot" in self.claims and now - self.kept_at >= self.given.every:
             self.kept_at = now
-            self.keep(self.claims["snapshot"])
+            self.peers.spawn(self.keep(self.claims["snapshot"]))
 
     def end(self) -> None:
         """Give all back: the next owner need not wait."""
@@ -161,14 +162,20 @@
 
     # The replicated table in the operators' folder.
 
-    def keep(self, claim: Claim) -> None:
+    async def keep(self, claim: Claim) -> None:
         now, number, takes = self.clock(), claim.may_act(self.clock()), claim.takes
         if not number or self.writing:
             return
-        store = self.peers.store
-        items = list(store.since(now, 0))
-        kept = Kept(self.given.cluster, number, self.peers.name, file.clocks(), items)
-        self.writing = True
+        self.writing, items, clocks = True, [], file.clocks()  # ages count from here
+        try:
+            for item in self.peers.store.since(now, 0):
+                items.append(item)
+                if len(items) % 64 == 0:  # so that the loop goes on
+                    await asyncio.sleep(0)
+        except BaseException:
+            self.writing = False
+            raise
+        kept = Kept(self.given.cluster, number, self.peers.name, clocks, items)
         threading.Thread(target=self.work, args=(kept, claim, takes), daemon=True).start()
 
     def work(self, kept: Kept, claim: Claim, takes: int) -> None:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -113,6 +113,16 @@
         self.ends(tx, 0, server, Ended.COMMITTED)
 
 
+class Notes:
+    """Lines for a kept trace, where there is no script."""
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def note(self, line: str) -> None:
+        self.lines.append(line)
+
+
 class TraceCase(unittest.TestCase):
     maxDiff = None
 
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -28,20 +28,12 @@
 from saltmoor.recovery.phase import Phase, Recovery, Sign
 from saltmoor.recovery.room import Room
 from saltmoor.state import file, kinds
-from tests.helper import MS, TraceCase, settings
+from tests.helper import MS, Notes, TraceCase, settings
 from tests.test_drills import Drill
 
 SECOND = 1000 * MS
 
 
-class Notes:
-    def __init__(self) -> None:
-        self.lines: list[str] = []
-
-    def note(self, line: str) -> None:
-        self.lines.append(line)
-
-
 class Rooms(TraceCase):
     """So many nodes' rooms before one origin, with more to fetch than it can: what it holds, and how busy it is."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -25,7 +25,7 @@
 from saltmoor.replica.items import KINDS, SECOND, Item, Stamps, Store
 from saltmoor.replica.turns import How, Turns, Word, keeper
 from saltmoor.replica.uses import Seen, Uses
-from tests.helper import MS, TraceCase
+from tests.helper import MS, Notes, TraceCase
 
 NOW = 10_000 * SECOND
 
@@ -34,14 +34,6 @@
     st.integers(0, 3), st.sampled_from([b"", b"x", b"y"]), st.integers(0, 20 * SECOND)), max_size=12)
 
 
-class Notes:
-    def __init__(self) -> None:
-        self.lines: list[str] = []
-
-    def note(self, line: str) -> None:
-        self.lines.append(line)
-
-
 def held(store: Store) -> dict:
     return {(kind, key): (kept.version, kept.body) for kind, table in store.kinds.items() for key, kept in table.items()}
 
