Hops: the kernel's word on the last byte, a drain at the last moment, second copies

A time-out between the kernel's taking the last byte and the task's next turn was told as "no connection", so never run, and a non-idempotent transaction could be sent again. Lines at fault: Upstream.exchange set `written` only after the await. Ruled out: a write taken whole at once (uvloop returns without a turn), a stop (told as may have run). A free connection was used without a look at the drain; only a new one was looked at. What says no id (the origin's answers, SERVER_ERROR) may come twice, the second time milliseconds late. On the connection used last the next transaction took it for its own: a write got a read's value. Such a connection now stands free for 25 ms first. quiet() in take() sees only what has come by then.

--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import sys
+from collections.abc import Coroutine, Generator, Iterable
+from typing import Any
 
 from saltmoor.config import BUFFER as SIZE
 
@@ -27,6 +30,14 @@
     return sock
 
 
+def ended(streams: Iterable[Stream]) -> list[Stream]:
+    """Those whose other side has ended its sending or the connection, whatever of it is still unread."""
+    poll, by_number = select.poll(), {stream.sock.fileno(): stream for stream in streams}
+    for number in by_number:
+        poll.register(number, select.POLLRDHUP)
+    return [by_number[number] for number, _ in poll.poll(0)]
+
+
 class Buffers:
     """Lends buffers; keeps as many as were ever out at once, up to the cap."""
 
@@ -41,6 +52,43 @@
             self.free.append(buffer)
 
 
+class Step:
+    """One socket call as it goes on.
+
+    Guards against an end from outside, a time-out or a stop, that crosses the kernel's: the call may be over though
+    its task has not run since, and the task cannot tell.
+    """
+
+    __slots__ = ("call", "waits")
+
+    def __init__(self, call: Coroutine[Any, Any, Any]) -> None:
+        self.call, self.waits = call, None
+
+    def __await__(self) -> Generator[Any, Any, Any]:
+        steps = self.call.__await__()
+        try:
+            self.waits = steps.send(None)
+            while True:
+                try:
+                    got = yield self.waits
+                except BaseException as error:
+                    self.waits = steps.throw(error)
+                else:
+                    self.waits = steps.send(got)
+        except StopIteration as end:
+            return end.value
+
+    @property
+    def open(self) -> bool:
+        """The kernel has not done it yet."""
+        return self.waits is not None and not self.waits.done()
+
+    @property
+    def done(self) -> bool:
+        """The kernel has done it, whatever the task is told."""
+        return bool(self.waits and self.waits.done() and not self.waits.cancelled() and not self.waits.exception())
+
+
 class Stream:
     """One connected socket."""
 
@@ -48,19 +96,49 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.buffers, self.loop = sock, buffers, asyncio.get_running_loop()
+        self.reading: Step | None = None
+        self.sent = False  # the last byte of the last write, known also where that was cut short
 
-    async def read(self) -> bytes:
-        """What has come; empty at the end of the stream."""
+    async def read(self) -> bytes | None:
+        """What has come; empty at the end of the stream, None where `wake` ended the wait."""
         buffer = self.buffers.borrow()
-        count = await self.loop.sock_recv_into(self.sock, buffer)
+        self.reading = Step(self.loop.sock_recv_into(self.sock, buffer))
+        try:
+            count = await self.reading
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            return None
+        finally:
+            self.reading = None
         data = bytes(memoryview(buffer)[:count])
         # Not given back when the call was cut short: a late read might still fill it.
         self.buffers.give_back(buffer)
         return data
 
     async def write(self, data: bytes) -> None:
-        """Returns when the last byte was written; raises when it was not."""
-        await self.loop.sock_sendall(self.sock, data)
+        """Returns when the last byte was written; raises when it was not, or when it was cut short: see `sent`."""
+        self.sent, step = False, Step(self.loop.sock_sendall(self.sock, data))
+        try:
+            await step
+        except asyncio.CancelledError:
+            self.sent = step.done
+            raise
+        self.sent = True
+
+    @property
+    def waiting(self) -> bool:
+        """It is read from, and nothing has come."""
+        return self.reading is not None and self.reading.open
+
+    def wake(self) -> None:
+        """End a read under which nothing has come; no byte is lost by it."""
+        if self.waiting:
+            self.reading.waits.cancel()
+
+    def left(self) -> bool:
+        """The other side has ended its sending or the connection, whatever of it is still unread."""
+        return bool(ended([self]))
 
     def waited(self) -> int:
         """Microseconds since the last bytes came, as the kernel knows it: how long they stood unread."""
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -227,7 +227,7 @@
 class LineReply:
     """What readers of answers share: the bytes held, and whether any came beyond the answer."""
 
-    large, length, done, gathered = False, 0, False, 0
+    large, length, done, gathered, nameless = False, 0, False, 0, False
 
     def ended(self) -> bool:
         """The connection has ended: there is no answer whose end that could be."""
@@ -285,7 +285,7 @@
     def first(self, words: list[bytes]) -> None:
         kind = words[0] if words else b""
         if kind == b"SERVER_ERROR":
-            self.reply = Reply(server_error(words))
+            self.reply, self.nameless = Reply(server_error(words)), True
         elif kind in (b"CLIENT_ERROR", b"ERROR"):
             self.reply = Reply(Ended.MALFORMED, b" ".join(words))
         elif kind in (b"EN", b"HD" if self.command.write else b"VA"):
--- a/saltmoor/net/origin.py
+++ b/saltmoor/net/origin.py
@@ -15,6 +15,8 @@
 class OriginReply:
     """Reads the origin's answer to one transaction."""
 
+    nameless = True
+
     def __init__(self) -> None:
         self.response = http.Response(LONGEST_VALUE, held=LONGEST_HELD)
 
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -22,6 +22,8 @@
 
 
 STEP = 1 << 18  # bytes: how memory is asked for where a value's length is not known
+REST = 25_000  # how long a connection stands free first after an answer that does not say to what it is one:
+# guards against a second copy of it that comes some milliseconds late, and would be the next one's answer
 MEMORY = 10_000_000  # what was learnt of connections is worth half after so long
 
 
@@ -33,6 +35,7 @@
     large: bool  # its answer is to be passed on in pieces
     length: int
     done: bool  # of a large one: all of it was taken
+    nameless: bool  # its answer does not say to what it is one
     gathered: int  # bytes held of an answer whose length is not known
 
     def ended(self) -> bool: ...
@@ -48,6 +51,8 @@
     def __init__(self, server: ServerId, address: tuple[str, int], stream: Stream, since: Micros) -> None:
         self.server, self.address, self.stream, self.since, self.used = server, address, stream, since, since
         self.exchanges = 0
+        self.nameless = False  # its last answer did not say to what it was one
+        self.rests: Micros = 0  # until then it is not used, as more may come of the answer before
 
 
 class Ages:
@@ -85,6 +90,7 @@
         self.address: dict[ServerId, tuple[str, int]] = {}
         self.draining: set[ServerId] = set()
         self.free: dict[ServerId, list[Link]] = {}
+        self.unsent: set[asyncio.Task] = set()  # exchanges of which no server can have the last byte
         self.open = 0
 
     def configure(self, idle: Micros, connect_wait: Micros, figures: bool) -> None:
@@ -117,11 +123,13 @@
 
         Where the answer is a large value the reply holds its flow, which has the connection from then on.
         """
-        link, written, code, got, age, paid = None, False, "internal", b"", -1, 0
+        link, written, code, got, age, paid, left = None, False, "internal", b"", -1, 0, len(data)
+        task = asyncio.current_task()
+        self.unsent.add(task)
         # Guards against giving up a moment early, which looks like time for another hop: the loop's timers go
         # by whole milliseconds, so one more is added.
         timer = asyncio.get_running_loop().call_later(
-            max(0, until - self.clock()) / 1_000_000 + 0.001, asyncio.current_task().cancel)
+            max(0, until - self.clock()) / 1_000_000 + 0.001, task.cancel)
         try:
             link = self.take(server)
             if link:
@@ -133,13 +141,16 @@
                 if isinstance(made, Ended):
                     return meta.Reply(made)
                 link = made
-                if server in self.draining or self.address.get(server) != link.address:
-                    # Guards against a drain that came while it connected: nothing is written, so it did not run.
-                    code = "left-list"
-                    return meta.Reply(Ended.NOT_SENT)
+            if server in self.draining or self.address.get(server) != link.address:
+                # Guards against a drain that came since it was picked, on the way here or while it connected:
+                # nothing is written, so it did not run.
+                code = "left-list"
+                return meta.Reply(Ended.NOT_SENT)
             for part in data:
                 await link.stream.write(part)
+                left -= 1
             written, link.exchanges = True, link.exchanges + 1
+            self.unsent.discard(task)
             while True:
                 got = await link.stream.read()
                 if not got:
@@ -154,6 +165,7 @@
                     await self.budget.take(STEP)
                     paid += STEP
             reply = reader.reply
+            link.nameless = reader.nameless
             if reader.large:
                 reply.flow, link = self.flow(link, reader), None
                 return reply
@@ -169,6 +181,8 @@
                 code = "stopped"
                 raise
             code = "gave-up"
+            # Guards against a time-out between the kernel's taking the last byte and this task's hearing of it.
+            written = written or left == 1 and link is not None and link.stream.sent
             return meta.Reply(Ended.TIMED_OUT if written else Ended.NO_CONNECTION)
         except OSError:
             code = "reset"
@@ -179,6 +193,7 @@
             return meta.Reply(Ended.UNKNOWN)
         finally:
             timer.cancel()
+            self.unsent.discard(task)
             if paid:
                 self.budget.give_back(paid)
             if age >= 0 and (got or code in ("ended", "reset")):
@@ -194,6 +209,7 @@
             self.close(link, code)
         else:
             link.used = self.clock()
+            link.rests = link.used + REST * link.nameless
             self.free.setdefault(link.server, []).append(link)
 
     def flow(self, link: Link, reader: Reader) -> Flow:
@@ -205,8 +221,8 @@
     def take(self, server: ServerId) -> Link | None:
         """The free connection used last, if it is still good."""
         links = self.free.get(server, [])
-        while links:
-            link = links.pop()
+        for link in [link for link in reversed(links) if link.rests <= self.clock()]:
+            links.remove(link)
             if link.used > self.clock() - self.good and link.stream.quiet():
                 return link
             self.close(link, "stale")
