Clients that leave while they wait, and an end of the process that owes nothing

Seen by tests that force each crossing and fail on the program before (classes ClientLeft, End, Connections of tests/test_crossings.py).

While a connection waited for its turn, behind 64 open commands, for memory, behind quit or a spoilt command, nothing read its end, and what it had asked went on (up to its limit, 0.9 s in the tests). After Client.close its end could not be told from the node's own, as reading was shut down. Now who is not read from is looked at every 50 ms by poll (POLLRDHUP, which sees an end behind unread bytes), and close() shuts nothing down: it wakes the read. A hop that was still connecting was written when the connection came up, where cancelling is not allowed (lines at fault: Clients.conduct took only what Node.finish cancels): what is not written is stopped in every deployment now. Ruled out: who joined the fetch of one that left is served, and its place comes back (test).

Clients that ask without a pause were served up to the last moment and then cut with what was open; a limit of 60 s, or one that was longer before a reload, kept what hung past the moment at which the platform ends the process (the longest limit stated, 3 s at most, and 0.7 s); a want of descriptors closed the listener on those in its queue. Now reading ends 0.1 s after the connections are told to end, no limit reaches past the process's end, what is open then gets its final answer, and the queue is emptied as room comes.

--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -210,6 +210,15 @@
         self._tell(self.node.out_of_hands, self.clock(), tx.id)
         self._settle(self.clock(), {tx.id: Abandon()})
 
+    def end_all(self) -> None:
+        """The process ends: what is open gets its final answer now, as if its hard limit had come."""
+        now = self.clock()
+        for tx in [self.node.txs[number] for number in self.txs if number in self.node.txs]:
+            self._tell(self.node.feed, now, tx, model.In.LIMIT)
+        self._settle(now)
+        for tx in list(self.txs.values()):  # a fault kept it
+            self._give_up(now, tx)
+
     def report(self, what: Send | Errand, how: Ended | ListKind, *, answer: bytes = b"", note: int = 0,
                load: dict[str, float] | None = None, members: Iterable[model.Member] = (),
                copy: model.ServerId | None = None) -> None:
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from hashlib import blake2b
 from itertools import chain, islice
 from typing import Any
@@ -19,7 +20,7 @@
 from saltmoor import config, facade
 from saltmoor.model import Ended, Micros, Profile
 from saltmoor.net import http, meta, origin
-from saltmoor.net.buffers import Buffers, Stream
+from saltmoor.net.buffers import Buffers, Stream, ended
 from saltmoor.net.flow import STILL, Broken, Budget, Flow
 from saltmoor.net.log import Log
 from saltmoor.net.sibling import Sibling
@@ -32,6 +33,9 @@
 DRAIN = 400_000, 1_800_000  # of a drain: from when on connections end, and over how long they are spread
 STRAY = 300_000  # how long a connection that comes late in a drain stays without a word
 KEPT = 500_000  # how long a connection stays free at least, unless there is no room for another
+READS_ON = 100_000  # how long a process that stops reads on from those that have something open
+MISSED = 50_000  # how often clients that are not read from are looked at
+SHORT = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM  # there is no room for a connection just now
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
 
 
@@ -60,7 +64,8 @@
         self.house, self.stream, self.peer, self.since = house, stream, peer, house.clock()
         self.commands, self.slots = meta.Commands(), deque()
         self.used, self.began, self.count, self.code, self.waited = self.since, 0, 0, "", 0
-        self.ending = ""  # why it is to end once all that was read is answered
+        self.ending = ""  # why it is to end once nothing is open
+        self.last = False  # nothing more is read from it: it ends once all that was read is answered
         self.gathered = False
         self.leaves = 0  # while the node is emptied: from when on it ends as soon as nothing is open
         self.room = asyncio.Event()
@@ -88,15 +93,22 @@
         while True:
             if self.house.heir and self.house.closing and self.idle and not self.ending and self.give():
                 return "handed-on"
+            if self.last:
+                await self.deaf(self.flush())
+                await self.deaf(self.answered(0))
+                return self.ending
+            if self.ending and self.idle and self.stream.quiet():
+                return self.ending
             if self.house.paced and not self.ending:
-                await self.house.turn()
+                await self.deaf(self.house.turn())
             data = b"" if self.gathered else await self.stream.read()
+            if data is None:  # woken: what is above has changed
+                continue
             self.used = self.house.clock()
             if not data and not self.gathered:
-                if not self.ending:
-                    return "client-left" if self.slots else "client-closed"
-                await self.answered(0)
-                return self.ending
+                return "client-left" if self.slots else self.ending or "client-closed"
+            if (self.house.late or self.house.paced) and self.stream.left():
+                return "client-left"  # while its bytes stood in the socket
             self.gathered = False
             self.house.fresh.pop(self, None)
             self.commands.feed(data)
@@ -106,25 +118,33 @@
                 self.progress(len(data))
                 while (command := self.commands.next()) is not None:
                     if command.verb == b"quit":
-                        await self.answered(0)
+                        await self.deaf(self.answered(0))
                         return "client-quit"
                     self.take(command)
                     if self.slots and self.slots[0].answer is not None:
-                        await self.flush()
+                        await self.deaf(self.flush())
                     if len(self.slots) > PIPELINE:
-                        await self.answered(PIPELINE)
+                        await self.deaf(self.answered(PIPELINE))
                 if self.commands.wants:
-                    await self.gather()
+                    await self.deaf(self.gather())
                     self.gathered = True  # some of it may have come with its head
                     continue
             except meta.FramingLost as error:
                 self.slots.append(Slot(b"CLIENT_ERROR %b\r\n" % str(error).encode()))
-                await self.flush()
-                await self.answered(0)
+                await self.deaf(self.flush())
+                await self.deaf(self.answered(0))
                 await self.part()
                 return "framing-lost"
             self.track()
 
+    async def deaf(self, wait: Awaitable[None]) -> None:
+        """Wait for something else than what the client says; that it leaves is noticed all the same."""
+        self.house.deaf[self] = None
+        try:
+            await wait
+        finally:
+            self.house.deaf.pop(self, None)
+
     def track(self) -> None:
         """Since when a command is unfinished."""
         if not self.commands.partial:
@@ -149,11 +169,20 @@
         self.began = self.used = self.house.clock()
         self.house.begun[self] = None
 
-    async def cut(self) -> None:
-        """End a command that does not go on: its client is told so."""
-        self.slots.append(Slot(b"CLIENT_ERROR the command is not finished\r\n"))
-        await self.flush()
-        self.close("unfinished")
+    def cut(self) -> None:
+        """End a command that does not go on: its client is told so.
+
+        Guards against a command that is whole in this moment: it would be answered, and refused before.
+        """
+        if self.stream.waiting and self.stream.quiet():
+            self.slots.append(Slot(b"CLIENT_ERROR the command is not finished\r\n"))
+            self.finish("unfinished")
+
+    def finish(self, code: str) -> None:
+        """Read nothing more, answer what was read, end."""
+        self.close(code)
+        self.last = True
+        self.stream.wake()
 
     def forget(self) -> None:
         """What of a command has come is of no use; guards against its memory never given back."""
@@ -217,7 +246,7 @@
             self.writer = None
         if self.house.closing and self.idle:
             self.house.dismiss(self)
-        elif self.leaves and self.idle and self.leaves <= self.house.clock():
+        elif self.idle and (self.ending or self.leaves and self.leaves <= self.house.clock()):
             self.close("draining")
         if not self.house.listening:
             self.house.listen()  # this one may make room now
@@ -242,25 +271,21 @@
 
         Guards against bytes that are taken off the socket in this moment: then they are served here.
         """
-        # What the task waits for tells: once it is done, it holds bytes that are nowhere else any more.
-        waits_for = getattr(self.reader, "_fut_waiter", None)
-        if not self.ending and not self.code and waits_for and not waits_for.done():
+        # Once the read is over it holds bytes that are nowhere else any more.
+        if not self.ending and not self.code and self.stream.waiting:
             self.code = "handed-on" if self.give() else "cut-off"
             self.reader.cancel()
 
     def close(self, code: str) -> None:
         """End the connection from this side, between transactions.
 
-        Guards against losing what came in this moment: reading ends, but all that has come is still read,
-        and answered, before the connection is closed.
+        Guards against losing what came in this moment: all that has come is still read, and answered, before the
+        connection is closed. Its reading is not shut down: then the client's own end could not be told any more.
         """
         if not self.ending and not self.code:
             self.ending = code
             self.house.leaving += 1
-            try:
-                self.stream.sock.shutdown(socket.SHUT_RD)
-            except OSError:
-                self.reader.cancel()
+        self.stream.wake()
 
     def end(self) -> None:
         if self.writer and self.writer is not self.reader:
@@ -274,7 +299,7 @@
         self.stream.close()
         self.house.clients.discard(self)
         self.house.leaving -= bool(self.ending)
-        for kept in self.house.free, self.house.fresh:
+        for kept in self.house.free, self.house.fresh, self.house.deaf:
             kept.pop(self, None)
         self.house.listen()
         age = (self.house.clock() - self.since) // 1000
@@ -294,6 +319,10 @@
         self.leaving = 0  # that are on their way out
         self.free: dict[Client, None] = {}  # that have asked and have nothing open, the longest free first
         self.begun: dict[Client, None] = {}  # with a command that is unfinished
+        self.deaf: dict[Client, None] = {}  # that are not read from, as something else is waited for
+        self.missed_at: Micros = 0
+        self.reads_until: Micros = 0  # while the process stops: from then on nothing is read behind what is open
+        self.until: Micros = 0  # when the process ends: no answer may come later; 0: not yet
         self.budget = budget
         self.tasks: set[asyncio.Task] = set()
         self.open_ids: set[bytes] = set()
@@ -449,15 +478,24 @@
                 client.close("draining")
         for client in list(self.begun):
             if client.began and client.began < now - longest and not client.ending:
-                client.began = 0
-                del self.begun[client]
-                self.spawn(client.cut())
+                client.cut()
         for client in self.clients:
             answer = client.slots[0].answer if client.slots else None
             if isinstance(answer, Passing) and answer.flow.moved < now - STILL and not client.code:
                 client.code = "stalled"
                 client.reader.cancel()
 
+    def missed(self) -> None:
+        """Guards against work for clients that have left while nothing was read from them."""
+        now = self.clock()
+        if self.deaf and now >= self.missed_at:
+            self.missed_at = now + MISSED
+            by_stream = {client.stream: client for client in self.deaf}
+            for stream in ended(by_stream):
+                client = by_stream[stream]
+                client.code = client.code or "client-left"
+                client.reader.cancel()
+
     def drop_stalled(self) -> bool:
         """End the connection whose client has not read an answer for longest."""
         stalled = [one for one in self.clients
@@ -490,6 +528,11 @@
             return
         key = int.from_bytes(blake2b(command.key, digest_size=8).digest())  # the same at every node
         limit = self.clock() + max(1000, given - client.waited)
+        if self.until:  # guards against what is still being served when the process ends
+            if self.until <= self.clock():
+                slot.answer = meta.rolled_back(0)
+                return
+            limit = min(limit, self.until)
         slot.tx = facade.Tx(profile, tenant, key, limit, command.write, again=again)
         slot.id = command.id
         self.open_ids.add(command.id)
@@ -510,9 +553,13 @@
         try:
             while isinstance(step := await self.door.pick(tx), facade.Send):
                 hops[step.hop] = asyncio.create_task(self.hop(step, command))
+                self.upstream.unsent.add(hops[step.hop])
                 hops[step.hop].add_done_callback(lambda task, step=step: self.hop_done(step, task))
-            for number in step.stop:
-                hops[number].cancel()
+            for number, task in hops.items():
+                # Guards against sending on what nobody waits for any more: what is not written yet is no hop that
+                # would have to be cancelled, whatever the settings say of that.
+                if number in step.stop or task in self.upstream.unsent:
+                    task.cancel()
             match step:
                 case facade.Commit(Flow() as flow):
                     answer = Passing(meta.head(command, flow.length), flow)
@@ -541,6 +588,7 @@
         return await self.upstream.exchange(step.server, data, reader, step.until)
 
     def hop_done(self, step: facade.Send, task: asyncio.Task) -> None:
+        self.upstream.unsent.discard(task)
         # Guards against a hop that was stopped before its first moment and would never be reported.
         if task.cancelled():
             reply = meta.Reply(Ended.CANCELLED)
@@ -566,26 +614,51 @@
 
     def settle_down(self) -> None:
         """Stop: take what the machine has accepted already, then end each connection between transactions."""
-        self.closing = True
-        listener, self.listener = self.listener, None
-        asyncio.get_running_loop().remove_reader(listener)
-        try:
-            while not (self.heir and self.heir.shares):  # who takes this one's place accepts from the same queue
-                self.welcome(*listener.accept())
-        except OSError:
-            pass
-        listener.close()
+        self.closing, self.reads_until = True, self.clock() + READS_ON
+        asyncio.get_running_loop().remove_reader(self.listener)
+        self.listening = True  # nobody is to begin that again
         self.pace(None)
         self.release()
 
-    def release(self) -> None:
+    def take_rest(self) -> None:
+        """What the machine has accepted already, as far as there is room; then the listener goes.
+
+        Guards against closing it on connections that wait in its queue while descriptors are short: they would be
+        reset with what they have asked.
+        """
+        while not (self.heir and self.heir.shares):  # who takes this one's place accepts from the same queue
+            if not self.has_room():
+                return
+            try:
+                self.welcome(*self.listener.accept())
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self.log(f"accept: {error}")
+                if error.errno in SHORT and (self.upstream.evict() or self.evict() or self.clients):
+                    return
+                if error.errno != errno.ECONNABORTED:  # that is one whose other side gave up
+                    break
+        self.listener.close()
+        self.listener = None
+
+    def release(self, last: bool = False) -> None:
+        """End what may end by now; `last`: read nothing more from anybody.
+
+        Guards against clients that go on without a pause: after a moment what they asked is answered, and what they
+        say from then on they have to say to another.
+        """
+        if self.listener:
+            self.take_rest()
         for client in list(self.clients):
             if client.idle:
                 self.dismiss(client)
+            elif last or not self.heir and self.clock() >= self.reads_until and not client.commands.partial:
+                client.finish("stopping")
 
     def dismiss(self, client: Client) -> None:
         """The process stops, and nothing is open on this connection."""
-        if not self.heir:
+        if not self.heir or client.ending:
             client.close("stopping")
         elif asyncio.current_task() is not client.reader:  # that one hands on by itself
             client.hand_on()
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -31,6 +31,8 @@
 GRAIN = 2  # milliseconds
 HURRY = 0.05  # seconds between sweeps while the node is emptied
 LATE_EVERY = 0.005  # seconds: how often the loop's lateness is looked at, and reading is paced
+LONGEST_STOP = 3_000_000  # microseconds: who ends a node waits no longer than that and LAST_WRITES, whatever limits say
+LAST_WRITES = 100_000  # microseconds between the longest limit and the process's end, for the last answers
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
 OFFSET = time.time_ns() // 1000 - time.monotonic_ns() // 1000
@@ -101,7 +103,7 @@
                                   nudge=self.nudge, log=self.log, part=0.5 if found else 1.0)
         self.clients = Clients(self.door, self.upstream, buffers, self.log, clock, names=given.names,
                                profiles=given.node["profiles"], caps=given.caps, budget=self.budget)
-        self.longest, self.ready = 0, False
+        self.ready = False
         self.settings(given)
         self.sharing = None
         if given.peers:
@@ -258,8 +260,8 @@
         # So that no connection is found closed for its age; and never so often that the node does nothing else.
         self.sweep = max(HURRY, min(0.5, given.idle / 20_000_000))
         self.linger = given.linger / 1_000_000
-        # What was taken under earlier settings keeps its time.
-        self.longest = max(self.longest, *(profile.limit for profile in given.node["profiles"]))
+        # What was taken under earlier settings keeps its time, but for the process's end: whoever ends it knows no other.
+        self.longest = min(LONGEST_STOP, max(profile.limit for profile in given.node["profiles"]))
 
     def reload(self) -> None:
         """Read the configuration again and change over; what is faulty changes nothing.
@@ -356,6 +358,7 @@
         self.clients.late = late > LATE_FROM
         self.clients.pace(self.door.ran(late, int((now - self.looked) * 1_000_000)))
         self.looked = now
+        self.clients.missed()
 
     async def probe(self, errand: facade.Probe) -> None:
         reply = meta.Reply(Ended.UNKNOWN)
@@ -387,13 +390,13 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         # What came during the start comes now.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
-        self.clients.listener = self.listener
-        self.clients.listen()
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 20)  # what one transaction needs goes by itself when it is over
         self.nudge()
         self.look(time.monotonic())
+        self.clients.listener = self.listener
+        self.clients.listen()
         self.ready = True
         if self.sibling:
             self.sibling.say({"ready": os.getpid(), "shares": self.shares})
@@ -416,6 +419,9 @@
                     await self.hurry.wait()
             except TimeoutError:
                 pass
+        linger = 0 if self.sibling and self.sibling.ready else self.linger
+        end = clock() + int(linger * 1_000_000) + self.longest + LAST_WRITES
+        self.clients.until = end - LAST_WRITES // 2
         self.log(f"stopping: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.meeting:
             self.meeting.close()
@@ -423,16 +429,19 @@
             self.clients.heir = self.sibling
             if self.sharing:  # the process that takes its place is the same member from now on
                 self.sharing.end(left=False)
-        else:
-            await asyncio.sleep(self.linger)
+        await asyncio.sleep(linger)
         self.ready = False
         self.clients.settle_down()
-        end = clock() + self.longest + 100_000  # the last one's answer is on its way then
-        while self.clients.clients and clock() < end:
+        while self.clients.clients and clock() < self.clients.until:
             self.hand_on()
             await asyncio.sleep(0.02)
             self.clients.release()
         self.hand_on()
+        if self.clients.clients:
+            self.clients.release(last=True)
+            self.door.end_all()
+            while self.clients.clients and clock() < end:
+                await asyncio.sleep(0.005)
         self.log(f"stopped: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.keeper:
             self.keeper.end()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import re
+import signal
 import time
 import unittest
 from unittest import mock
@@ -19,7 +21,7 @@
 from saltmoor import config, model
 from saltmoor.model import Ended
 from saltmoor.net import lifecycle, meta
-from tests.helper import Caller, Town, read, settings, write
+from tests.helper import MS, Caller, Town, read, settings, write
 
 
 class Held(Town):
@@ -115,6 +117,104 @@
     os.write(one.writer.transport.get_extra_info("socket").fileno(), text.encode())
 
 
+class ClientLeft(Case):
+    """What a client asked is not sent on once it has left, wherever it waits."""
+
+    def test_behind_as_many_commands_as_may_be_open(self):
+        async def scene(town: Held) -> None:
+            one = await town.client()
+            one.say(*(read("held", f"a{i}") for i in range(150)))
+            await town.seen(65)
+            one.writer.close()
+            await asyncio.wait_for(town.gone(0), 0.3)
+            town.go.set()
+            await (await town.client()).ask(read("hit", "after"))
+            self.assertEqual(town.came[65:], ["after"])
+
+        self.play(scene, settings=may(max_attempts=1))
+
+    def test_behind_a_command_that_ends_the_connection(self):
+        for last in "quit\r\n", "ms k five O1 Pc=put\r\n":
+            async def scene(town: Held) -> None:
+                one = await town.client()
+                one.say(read("held", "a") + last)
+                await town.seen(1)
+                one.writer.close()
+                await asyncio.wait_for(town.gone(0), 0.8)  # its time is over after 0.9 s
+
+            self.play(scene)
+
+    def test_while_it_may_not_be_read_from(self):
+        async def scene(town: Held) -> None:
+            one, door = await town.client(), town.service.door
+            await one.ask("mn\r\n")
+            door.ran = lambda late, passed: 0.0  # nothing is read but what each had begun already
+            await asyncio.sleep(0.02)
+            await one.ask("mn\r\n")
+            one.say(read("hit", "a"))
+            one.writer.close()
+            await asyncio.sleep(0.03)
+            turns = [1.0]  # one read more, and the next one only later
+            door.ran = lambda late, passed: turns.pop() if turns else 0.0
+            await town.gone(0)
+            await asyncio.sleep(0.05)
+            self.assertEqual(town.came, [])
+
+        self.play(scene)
+
+    def test_while_its_hop_connects(self):
+        """Whatever the settings say of cancelling: nothing was written, so nothing has to be cancelled."""
+        for allowed in True, False:
+            async def scene(town: Held) -> None:
+                made, connects, go = town.service.upstream.connect, asyncio.Event(), asyncio.Event()
+
+                async def slowly(server):
+                    link = await made(server)
+                    connects.set()
+                    await go.wait()
+                    return link
+
+                with mock.patch.object(town.service.upstream, "connect", slowly):
+                    one = await town.client()
+                    one.say(read("hit", "a"))
+                    await connects.wait()
+                    one.writer.close()
+                    await town.gone(0)
+                    go.set()
+                    await asyncio.sleep(0.05)
+                await (await town.client()).ask(read("hit", "b"))
+                self.assertEqual(town.came, ["b"])
+
+            self.play(scene, settings=may(cancel=allowed, probes=False, connect_timeout_ns=900 * MS * 1000))
+
+    def test_after_the_node_has_begun_to_end_its_connection(self):
+        """The end that the client makes is told from the node's own."""
+        async def scene(town: Held) -> None:
+            one = await town.client()
+            one.say(read("held-a", "a"))
+            await town.seen(1)
+            next(iter(town.service.clients.clients)).close("draining")
+            one.writer.close()
+            await asyncio.wait_for(town.gone(0), 0.8)
+
+        self.play(scene)
+
+    def test_who_joined_its_fetch_is_served(self):
+        async def scene(town: Held) -> None:
+            one, two = await town.client(), await town.client()
+            one.say(read("miss-held", "a"))
+            await town.seen(2)
+            two.say(read("miss-held", "b"))
+            await asyncio.sleep(0.03)
+            one.writer.close()
+            await town.gone(1)
+            town.go.set()
+            self.assertRegex(await answer(two), "^VA .* Ob$")
+            self.assertEqual(town.service.door.node.fetches, {})
+
+        self.play(scene)
+
+
 class LastByte(Case):
     def test_a_time_out_that_crosses_the_kernel(self):
         """The kernel takes the last byte, then the time-out strikes before the task runs again: it may have run."""
@@ -169,6 +269,130 @@
         self.play(scene)
 
 
+class End(Case):
+    """After SIGTERM: all that was taken is answered, in time, and the process ends by itself."""
+
+    async def stop(self, town: Held) -> float:
+        began = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.sleep(0.02)
+        return began
+
+    def test_clients_that_go_on_without_a_pause(self):
+        async def scene(town: Held) -> None:
+            town.go.set()
+            one, count, answers = await town.client(), 0, []
+
+            async def ask() -> None:
+                nonlocal count
+                count += 1
+                one.writer.write(read("hit", f"a{count}").encode())
+
+            await ask()
+            await ask()
+            await self.stop(town)
+            with self.assertRaises(ConnectionError):
+                while got := await answer(one):
+                    answers.append(got.split("O")[1])
+                    await ask()
+                raise ConnectionResetError
+            await town.running
+            self.assertEqual(answers, [f"a{i + 1}" for i in range(len(answers))])
+            self.assertGreater(len(answers), 50)
+            self.assertEqual(set(town.came) - set(answers), set())  # what was read was answered
+            self.assertIn("stopped: clients=0 txs=0", town.logged.getvalue())
+
+        self.play(scene, serve={"linger_ms": 50}, settings=settings(classes=[
+            {"name": "read", "repeat": "idempotent", "aim_ns": 10**9, "deadline_ns": 2 * 10**9}], tenants=[]))
+
+    def left(self, rules_before: int, rules_after: int | None, within: float) -> None:
+        """A read that hangs is answered before the process ends, which it does in time."""
+        def limits(ms: int) -> dict:
+            return settings(classes=[{"name": name, "repeat": "idempotent", "aim_ns": ms * 10**6,
+                                      "deadline_ns": ms * 10**6} for name in ("read", "put")])
+
+        async def scene(town: Held) -> None:
+            one, half = await town.client(), await town.client()
+            one.say(f"mg held v Oa Pc=read,t=acme,d={rules_before}\r\n")
+            half.say("ms farm 5 Ob Pc=put,t=acme,k=5\r\nab")
+            await town.seen(1)
+            if rules_after:
+                town.said["settings"] = limits(rules_after)
+                os.kill(os.getpid(), signal.SIGHUP)
+                await asyncio.sleep(0.02)
+            began = await self.stop(town)
+            os.kill(os.getpid(), signal.SIGHUP)
+            os.kill(os.getpid(), signal.SIGTERM)
+            self.assertRegex(await answer(one), "^SERVER_ERROR")
+            self.assertEqual(await answer(one), "")
+            await town.running
+            self.assertLess(time.monotonic() - began, within)
+            self.assertIn("stopped: clients=0 txs=0", town.logged.getvalue())
+
+        self.play(scene, settings=limits(rules_before), serve={"linger_ms": 50})
+
+    def test_limits_beyond_the_time_in_which_it_is_ended(self):
+        self.left(60_000, None, 3.7)
+
+    def test_limits_that_were_longer_before_a_reload(self):
+        self.left(3_000, 200, 0.7)
+
+    def test_no_descriptor_left_for_what_waits_at_the_listener(self):
+        async def scene(town: Held) -> None:
+            first = await town.client()
+            await first.ask("mn\r\n")
+            clients = town.service.clients
+            asyncio.get_running_loop().remove_reader(town.service.listener)  # nothing is accepted for a moment
+            waiting = [await town.client() for _ in range(3)]
+            for i, one in enumerate(waiting):
+                one.say(read("hit", f"a{i}"))
+            await asyncio.sleep(0.03)
+
+            class Short:
+                """The listener, at which a descriptor is wanting once."""
+
+                def __init__(self, sock) -> None:
+                    self.sock, self.failed = sock, False
+
+                def __getattr__(self, name: str):
+                    return getattr(self.sock, name)
+
+                def accept(self):
+                    if not self.failed:
+                        self.failed = True
+                        raise OSError(errno.EMFILE, "too many open files")
+                    return self.sock.accept()
+
+            clients.listener = Short(clients.listener)
+            await self.stop(town)
+            for i, one in enumerate(waiting):
+                self.assertRegex(await answer(one), f"^VA .* Oa{i}$")
+            await town.running
+
+        self.play(scene, serve={"linger_ms": 0})
+
+    def test_a_half_command_that_is_whole_in_the_moment_in_which_it_is_cut(self):
+        async def scene(town: Held) -> None:
+            one, clients = await town.client(), town.service.clients
+            text = read("hit", "a")
+            one.say(text[:9])
+            while not clients.begun:
+                await asyncio.sleep(0.005)
+            at_once(one, text[9:])
+            clients.sweep(-10**9)  # it has taken too long, as nobody has looked at the socket yet
+            self.assertEqual(await answer(one), "VA 3 Oa")
+            one.say("mn\r\n")
+            self.assertEqual(await answer(one), "MN")
+            one.say(text[:9])
+            while not clients.begun:
+                await asyncio.sleep(0.005)
+            clients.sweep(-10**9)
+            self.assertIn("not finished", await answer(one))
+            self.assertEqual(await answer(one), "")
+
+        self.play(scene)
+
+
 class Connections(Case):
     def test_the_second_copy_of_an_answer_that_does_not_say_to_what_it_is_one(self):
         """It comes when the next command is on its way: it must not be taken for that one's."""
@@ -188,6 +412,18 @@
 
         self.play(scene, settings=may(max_attempts=2, probes=False))
 
+    def test_an_eviction_that_crosses_a_command(self):
+        async def scene(town: Held) -> None:
+            one, clients = await town.client(), town.service.clients
+            await one.ask("mn\r\n")
+            held = next(iter(clients.clients))
+            at_once(one, read("hit", "a"))
+            held.close("evicted")
+            self.assertEqual(await answer(one), "VA 3 Oa")
+            self.assertEqual(await answer(one), "")
+
+        self.play(scene)
+
 
 if __name__ == "__main__":
     unittest.main()
