The list: indented news, silent and trickling watches, pushed lists from the first moment

Each line was read as JSON by itself, so an indented list ended the watch each time (line at fault: json.loads in Discovery.follow). Any byte counted as a sign of life, so a stream that trickled and said nothing whole never failed. A silent watch was given up after half of the stated time to ask: 5 s where 10 s are stated, 30 s where a minute is; what it misses counts as told after 6 s. Now after 3 s, as an empty line comes every 2 s; a connection to discovery that has not come up after 1 s is begun anew. Where the list is pushed, what the agent has counts from the first moment of a process and of its return. The node backed off by up to 5 s and served by the list held before until the first news. Now it calls again within a quarter of the time for a drain, and takes clients once it has the first news, or that call has failed, or 1 s has gone by.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -161,7 +161,7 @@
     def watch(self, now: Micros) -> None:
         if not self.watching:
             self.asked_list = now
-            self.effects.append(model.WatchList(silence=max(2_500_000, self.listing.within // 2)))
+            self.effects.append(model.WatchList(silence=3_000_000))  # an empty line comes every 2 s
 
     def reweigh(self, now: Micros) -> None:
         self.capacity, self.full_size = 0.0, sum(server.size for server in self.caches) or 1.0
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -28,6 +28,7 @@
 LONGEST_VALUE = 4 << 20
 INTERPRETER_MB = 22  # what the program itself takes, and room for what the kernel counts to it
 LIST_WITHIN = 10_000_000  # how often the list is asked for where the settings do not say
+LEAST_WITHIN = 300_000
 LONGEST_LINGER = 60_000  # milliseconds: a node that is told to stop does stop
 CALLS = 8  # at the second address at once
 RESERVED = 40  # descriptors for logs, the loop, the listener, discovery, and connections on their way out
@@ -220,6 +221,7 @@
     log_lines: float
     known: list[Line]
     generation: int
+    pushed: bool = False  # what is told of the list counts from the first moment on
     limits: tuple[float, int, int] = (192, 1024, 0)  # what the caps were made of
     shared: str | None = None  # a private folder that a second process of this node has too
     keeping: Keeping | None = None  # none: nothing is remembered over a restart
@@ -276,7 +278,12 @@
     node = node_arguments(settings.said, "settings.")
     # On sockets the list comes to those who watch it, also where the settings call its changes unasked for:
     # guards against a node that never learns of a drain.
-    node["listing"] = model.Listing(True, node["listing"].within or LIST_WITHIN, node["listing"].soft)
+    listing = node["listing"]
+    within, pushed = listing.within or LIST_WITHIN, not listing.asked
+    if pushed:  # what the agent has counts as told, so that it is called again well within the time for a drain
+        grace = settings.section("rules").micros("stop_sending_within_ns")
+        within = min(within, max(LEAST_WITHIN, grace // 2))
+    node["listing"] = model.Listing(True, within, listing.soft)
     try:
         seed = int(top.text("seed") or os.urandom(8).hex(), 16) % (1 << 64)
     except ValueError:
@@ -292,7 +299,7 @@
         unfinished=int(serve.number("unfinished_ms", 2400, least=1) * 1000),
         log_lines=serve.number("log_lines_per_s", 50, least=1),
         known=[line(entry, names) for entry in known.sections("instances")],
-        generation=int(known.number("generation")),
+        generation=int(known.number("generation")), pushed=pushed,
         limits=(memory_mb, sockets, CALLS if admin else 0), shared=env.get("TMPDIR"))
 
 
--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import json
+import re
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from saltmoor import config
@@ -18,7 +19,57 @@
 from saltmoor.net.buffers import Buffers, Stream, family
 from saltmoor.net.log import Log
 
-LONGEST = 2 << 20  # bytes of one line of news, ten thousand servers: read, it takes many times as much memory
+LONGEST = 2 << 20  # bytes of one piece of news, ten thousand servers: read, it takes many times as much memory
+AGENT = 1.0  # seconds: where the list is pushed its agent is near, and answers a call at once
+TURN = 2.0  # seconds more than it may be silent later: elsewhere a call has to wait for its turn first
+DEEPEST = 32  # brackets of news inside of each other; a list needs three
+CONNECT = 1.0  # seconds: a connection that has not come up by then is begun anew
+DECODER = json.JSONDecoder()
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+class Pieces:
+    """What a watch brings, taken apart: JSON values, and None for an empty line between two.
+
+    Guards against a list that comes over several lines, several in one, or without an end of line: a value ends where
+    its brackets do. No text of JSON holds an end of line, so whole lines are counted, each once.
+    """
+
+    def __init__(self) -> None:
+        self.rest, self.held, self.depth = bytearray(), bytearray(), 0
+        self.began = False  # a value has, and is not whole
+
+    def feed(self, data: bytes) -> Iterator[object]:
+        """What is whole by now; `Garbled` or ValueError where it is no JSON, or too long."""
+        self.rest += data
+        end = self.rest.rfind(b"\n") + 1
+        if self.rest.endswith(b"}"):  # it may be whole without an end of line
+            end = len(self.rest)
+        lines, tail = bytes(self.rest[:end]), bytes(self.rest[end:])
+        for line in lines.splitlines(keepends=True):
+            bare = TEXT.sub(b"", line)
+            if b'"' in bare:  # a text is not whole
+                if line.endswith(b"\n"):
+                    raise http.Garbled("a text without end")
+                tail = line
+                break
+            if not self.held and not line.strip():
+                yield None
+                continue
+            self.depth += sum(map(bare.count, b"{[")) - sum(map(bare.count, b"}]"))
+            self.held += line
+            if self.depth > DEEPEST:
+                raise http.Garbled("nested too deeply")
+            if self.depth <= 0:
+                said, self.held, self.depth = self.held.decode().strip(), bytearray(), 0
+                while said:
+                    value, at = DECODER.raw_decode(said)
+                    yield value
+                    said = said[at:].lstrip()
+        self.rest = bytearray(tail)
+        self.began = bool(self.held or self.rest)
+        if len(self.held) + len(self.rest) > LONGEST:
+            raise http.Garbled("news too long")
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,9 +94,9 @@
 
 class Discovery:
     def __init__(self, address: tuple[str, int], buffers: Buffers, log: Log, *, names: config.Names,
-                 generation: int) -> None:
+                 generation: int, pushed: bool = False) -> None:
         self.address, self.buffers, self.log = address, buffers, log
-        self.names, self.generation = names, generation
+        self.names, self.generation, self.pushed = names, generation, pushed
         self.asked: tuple[Micros, Callable[[News], None]] | None = None  # how the list is to be followed
         self.running: Watch | None = None
         self.leaving: Watch | None = None  # at the address before, until the new one brings news
@@ -64,12 +115,12 @@
         self.asked, self.running = (silence, tell), Watch(self.address)
         self.running.task = asyncio.create_task(self.follow(self.running, silence / 1_000_000, tell))
 
-    def move(self, address: tuple[str, int], names: config.Names) -> None:
+    def move(self, address: tuple[str, int], names: config.Names, pushed: bool = False) -> None:
         """Follow the list at another address: what was asked for goes over to it at once.
 
         Guards against a gap in the news while the new address answers: the old watch goes on until then.
         """
-        self.names = names
+        self.names, self.pushed = names, pushed
         if address != self.address:
             self.address = address
             if self.leaving:
@@ -89,34 +140,34 @@
         code, sock = "", None
         try:
             sock = socket.socket(family(host), socket.SOCK_STREAM)
-            stream, held = Stream(sock, self.buffers), bytearray()
+            stream, pieces = Stream(sock, self.buffers), Pieces()
 
             def each(data: bytes) -> None:
-                held.extend(data)
-                while (end := held.find(b"\n")) >= 0:
-                    line = bytes(held[:end]).strip()
-                    del held[:end + 1]
+                for said in pieces.feed(data):
                     watch.heard += 1
                     if watch is self.running and self.leaving:
                         self.leaving.stop("moved")
                         self.leaving = None
-                    if line or watch.heard == 1:
-                        tell(self.news(json.loads(line or b"{}")))
-                if len(held) > LONGEST:
-                    raise http.Garbled("line too long")
+                    if said is not None or watch.heard == 1:
+                        tell(self.news({} if said is None else said))
 
             response = http.Response(65_536, each)
             path = f"/v1/servers?stream=1&index={self.generation}"
-            async with asyncio.timeout(silence):
+            async with asyncio.timeout(min(silence, CONNECT)):
                 await stream.loop.sock_connect(sock, (host, port))
                 accept = {"Accept": "application/json"}
                 await stream.write(http.request("GET", path, f"{host}:{port}", accept))
-            while True:
-                async with asyncio.timeout(silence):
+            # Guards against losing one's turn by calling anew, and against a stream that goes on and never says
+            # anything whole: only that counts as heard, and a list that has begun has as long again.
+            async with asyncio.timeout(AGENT if self.pushed else silence + TURN) as patience:
+                while True:
+                    heard, began = watch.heard, pieces.began
                     data = await stream.read()
-                if not data or response.feed(data):
-                    code = "ended" if response.status in (0, 200) else f"status-{response.status}"
-                    break
+                    if not data or response.feed(data):
+                        code = "ended" if response.status in (0, 200) else f"status-{response.status}"
+                        break
+                    if watch.heard > heard or pieces.began > began:
+                        patience.reschedule(asyncio.get_running_loop().time() + silence)
         except TimeoutError:
             code = "silent"
         except OSError:
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import os
 import signal
@@ -32,6 +33,7 @@
 HURRY = 0.05  # seconds between sweeps while the node is emptied
 LATE_EVERY = 0.005  # seconds: how often the loop's lateness is looked at, and reading is paced
 LONGEST_STOP = 3_000_000  # microseconds: who ends a node waits no longer than that and LAST_WRITES, whatever limits say
+FIRST_NEWS = 1.0  # seconds: so long a start waits for the list where what it says counts from the first moment
 LAST_WRITES = 100_000  # microseconds between the longest limit and the process's end, for the last answers
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
@@ -89,6 +91,7 @@
         self.loop = asyncio.get_running_loop()
         self.timer: asyncio.TimerHandle | None = None
         self.nudged, self.looked = False, time.monotonic()
+        self.heard = asyncio.Event()  # of the list, or that it cannot be had
         self.hurry = asyncio.Event()  # the next sweep is to come at once
         self.buffers = buffers = Buffers(keep=given.caps.connections)
         self.budget = Budget(given.caps.gathered)
@@ -293,7 +296,7 @@
         if (given.node, given.names) != (old.node, old.names):
             self.door.configure(given.node, given.names.columns)
         if self.discovery and given.discovery:
-            self.discovery.move(given.discovery, given.names)
+            self.discovery.move(given.discovery, given.names, given.pushed)
         elif self.discovery:
             self.discovery.stop("replaced")
             self.discovery = None
@@ -307,7 +310,7 @@
     def make_discovery(self) -> Discovery | None:
         given = self.given
         return given.discovery and Discovery(given.discovery, self.buffers, self.log, names=given.names,
-                                             generation=given.generation)
+                                             generation=given.generation, pushed=given.pushed)
 
     def upstream_cap(self) -> int:
         """Connections to servers may take what clients leave."""
@@ -378,6 +381,7 @@
             soft = self.given.node["listing"].soft  # then what is called gone may serve on, and is reached as before
             lines = [line for line in news.lines if not soft or line.member.readiness is not Readiness.GONE]
             self.upstream.listed(lines, news.kind is ListKind.FULL and not soft)
+            self.heard.set()
             self.door.report(errand, news.kind, members=[line.member for line in news.lines])
 
         self.discovery.watch(silence, tell)
@@ -395,6 +399,10 @@
         gc.set_threshold(20_000, 20, 20)  # what one transaction needs goes by itself when it is over
         self.nudge()
         self.look(time.monotonic())
+        if self.given.pushed and self.discovery:
+            # Guards against sending by the list held before what the news, which count already, have drained.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.heard.wait(), FIRST_NEWS)
         self.clients.listener = self.listener
         self.clients.listen()
         self.ready = True
