Profiles and tenants may be named in any letters

Line at fault: meta.parse let only printable ASCII through. Now the values of c and t may hold bytes beyond ASCII; key, id and all else may not.

--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -20,6 +20,8 @@
 SWALLOW = LONGEST_VALUE + (1 << 20)  # a value too long for us, but short enough to read past
 UNPAID = 4096  # a value up to this length is gathered without asking for memory
 PRINTABLE = bytes(range(33, 127))
+BEYOND = bytes(range(128, 256))  # not ASCII
+NAMED = b"c", b"t"  # profile and tenant: names of the settings, in any letters
 NOTES = {(b"h1", False): 1, (b"h0", False): 2, (b"h0", True): 3}
 
 
@@ -82,7 +84,7 @@
     if verb not in (b"mg", b"ms"):
         return Command(verb, words=words)
     command = Command(verb, words[1] if len(words) > 1 else b"", words)
-    command.fault = "bad key or line" if line.translate(None, PRINTABLE + b" ") else understand(command)
+    command.fault = "bad key or line" if line.translate(None, PRINTABLE + b" " + BEYOND) else understand(command)
     return command
 
 
@@ -106,6 +108,11 @@
         return "O and P are needed"
     pairs = [pair.partition(b"=") for pair in command.listed.split(b",")]
     command.attrs = {name: value for name, _, value in pairs}
+    # Guards against refusing a whole deployment whose profiles or tenants are not named in ASCII: names may be so,
+    # nothing else.
+    named = sum(len(name) - len(name.translate(None, BEYOND)) for name in map(command.attrs.get, NAMED) if name)
+    if named < sum(len(word) - len(word.translate(None, BEYOND)) for word in command.words):
+        return "bad key or line"
     wait = command.attrs.get(b"d")
     if len(command.attrs) < len(pairs):
         return "a name twice"
