The end of a process: one more signal in its last moment does not end it

Seen: test_signals_while_it_ends (a signal every half millisecond from SIGTERM on) ended the process by SIGHUP, exit -1, on the program before, each time. /proc showed why: after `stopped` the loop's close gives each signal its first meaning back. Ruled out: blocking them in the main thread, and ignoring them after their handlers are removed (both still -1: the loop's library has four threads of its own, and the moment between is enough on a busy machine). Now each signal is ignored in place of its handler, and the process exits there; all is written by then, and nothing owed.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -37,6 +37,7 @@
 LAST_WRITES = 100_000  # microseconds between the longest limit and the process's end, for the last answers
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
+SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
 OFFSET = time.time_ns() // 1000 - time.monotonic_ns() // 1000
 
 
@@ -393,7 +394,7 @@
             self.loop.add_signal_handler(number, lambda: (stop.set(), self.hurry.set()))
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         # What came during the start comes now.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 20)  # what one transaction needs goes by itself when it is over
@@ -472,6 +473,7 @@
 
 
 async def serve(given: config.Config, read: Callable[[], config.Config]) -> None:
+    """Run a node until it is told to stop, and end the process with 0. OSError: an address cannot be had."""
     log, meeting, found = Log(given.log_lines), None, None
     folder = sibling.folder(given.shared) if given.listen[1] else None
     if folder:
@@ -487,3 +489,8 @@
         kept = await keeper.load()
     service = Service(given, read, log, meeting, found, keeper, kept)
     await service.run()
+    # Guards against one more signal in the last moment, which would look like a crash: to close the loop gives each its
+    # first meaning back, and to block them would hold for this thread alone. Nothing is owed any more, all is written.
+    for number in SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+    os._exit(0)
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import re
@@ -170,6 +171,20 @@
 
         self.play(scene)
 
+    def test_signals_while_it_ends(self):
+        """It should end with 0 whatever else is signalled up to its very last moment."""
+        async def scene(town: Drill) -> None:
+            for number in signal.SIGHUP, signal.SIGTERM, signal.SIGINT:
+                node = await town.launch()
+                node.terminate()
+                while node.returncode is None:
+                    with contextlib.suppress(ProcessLookupError):
+                        node.send_signal(number)
+                    await asyncio.sleep(0.0005)
+                self.assertEqual(node.returncode, 0, f"{number.name} behind SIGTERM")
+
+        self.play(scene)
+
     async def in_charge(self, node: asyncio.subprocess.Process) -> bool:
         """Wait until it holds signals back, or has its handlers; whether that was before its libraries were there."""
         for _ in range(2000):
