--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -34,6 +34,7 @@
 STRAY = 300_000  # how long a connection that comes late in a drain stays without a word
 KEPT = 500_000  # how long a connection stays free at least, unless there is no room for another
 READS_ON = 100_000  # how long a process that stops reads on from those that have something open
+LEAVE = 40_000  # how long a client that has said more may take to see the end of a connection that is not read any more
 MISSED = 50_000  # how often clients that are not read from are looked at
 SHORT = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM  # there is no room for a connection just now
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
@@ -96,6 +97,8 @@
             if self.last:
                 await self.deaf(self.flush())
                 await self.deaf(self.answered(0))
+                if not self.stream.quiet():
+                    await self.take_leave()
                 return self.ending
             if self.ending and self.idle and self.stream.quiet():
                 return self.ending
@@ -198,6 +201,16 @@
         while left > 0 and (data := await self.stream.read()):
             left -= len(data)
 
+    async def take_leave(self) -> None:
+        """Say the end, and leave the client a moment to see it.
+
+        Guards against a reset, for what stands unread, that takes the last answer with it.
+        """
+        self.stream.sock.shutdown(socket.SHUT_WR)
+        until = self.house.clock() + LEAVE
+        while self.house.clock() < until and not self.stream.left():
+            await asyncio.sleep(LEAVE / 10_000_000)
+
     async def answered(self, left: int) -> None:
         """Wait until no more than so many commands are without an answer."""
         while len(self.slots) > left:
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -264,7 +264,7 @@
         # So that no connection is found closed for its age; and never so often that the node does nothing else.
         self.sweep = max(HURRY, min(0.5, given.idle / 20_000_000))
         self.linger = given.linger / 1_000_000
-        # What was taken under earlier settings keeps its time, but for the process's end: whoever ends it knows no other.
+        # What was taken under earlier settings keeps its time, but at the process's end: whoever ends it knows no other.
         self.longest = min(LONGEST_STOP, max(profile.limit for profile in given.node["profiles"]))
 
     def reload(self) -> None:
@@ -444,6 +444,7 @@
         while self.clients.clients and clock() < self.clients.until:
             self.hand_on()
             await asyncio.sleep(0.02)
+            self.clients.sweep(self.given.unfinished)
             self.clients.release()
         self.hand_on()
         if self.clients.clients:
