Crossings: half commands while the process ends, and the last answer behind which more was said

Both tests were seen to fail with their mend of taken out: the half command ended without its error line, and the client got a reset in place of the answer's connection end. They pass with it.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -456,6 +456,38 @@
 
         self.play(scene, settings=limits(rules_before), serve={"linger_ms": 50})
 
+    def test_a_half_command_that_does_not_go_on(self):
+        """It is owed its error line in time, also when the process has begun to end, and waits for another's answer."""
+        async def scene(town: Held) -> None:
+            one, half = await town.client(), await town.client()
+            one.say(read("held", "a"))
+            half.say("ms farm 5 Ob Pc=put,t=acme,k=5\r\nab")
+            await town.seen(1)
+            began = await self.stop(town)
+            self.assertIn("not finished", await answer(half))
+            self.assertLess(time.monotonic() - began, 0.6)  # the other one's answer is due after 0.9 s
+            self.assertRegex(await answer(one), "^SERVER_ERROR")
+            await town.running
+
+        self.play(scene, serve={"linger_ms": 50, "unfinished_ms": 200})
+
+    def test_a_last_answer_behind_which_more_was_said(self):
+        async def scene(town: Held) -> None:
+            one = await town.client()
+            one.say(read("held-a", "a"))
+            await town.seen(1)
+            await self.stop(town)
+            while not any(client.last for client in town.service.clients.clients):
+                await asyncio.sleep(0.005)
+            at_once(one, read("hit", "b"))  # is not read any more: it has to be asked of another node
+            town.go.set()
+            self.assertEqual([await answer(one), await answer(one)], ["VA 6 Oa", ""])  # no reset
+            one.writer.close()
+            await town.running
+            self.assertEqual(town.came, ["a"])
+
+        self.play(scene, serve={"linger_ms": 50})
+
     def test_a_value_that_is_being_passed_on(self):
         async def scene(town: Held) -> None:
             one = await town.client()
