Silent calls after refusals, and repeats written behind their window

Its logs: calls refused at the start (503, reset), the next taken and silent; given up after 5 s (first answers had 2 s more), then a back-off of 1.7 s, as the refusals before counted on. Lines at fault: TURN in discovery.py, and Node.listed, which backed off from silence as from a refusal. Now 3.2 s, and silence is followed by a call within 0.23 s. Its window is 0.4 s and a connection may take 0.4 s: may_send looks at the window when it decides, and the hop was written when the connection came up.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -104,10 +104,10 @@
         self.quotas = [[rate / nodes, min(rate / nodes, level), now] for rate, level in zip(quotas, levels)]
 
     def listed(self, now: Micros, kind: model.ListKind, members: list[model.Member]) -> None:
-        if kind is model.ListKind.FAILED:
-            # Guards against a storm of calls while the list is out of reach: back off, unevenly.
+        if (failed := kind is model.ListKind.FAILED) or kind is model.ListKind.SILENT:
+            # Guards against a storm of calls while the list is out of reach: back off, unevenly; silence is one.
             self.watching, self.list_tries = False, self.list_tries + 1
-            wait = min(self.listing.within // 3 or 1_000_000, 150_000 << min(self.list_tries, 5))
+            wait = min(self.listing.within // 3 or 1_000_000, 150_000 << min(self.list_tries, 5) * failed)
             self.at(now + int(wait * (0.5 + self.chance())), self.watch)
             self.say("list-out-of-reach", True, f"tries={self.list_tries}")
             return
@@ -333,7 +333,7 @@
         self.hops += server.kind != self.origin_kind
         if warmth(server, now, self.cold) < 1:
             server.allowed -= 1
-        self.effects.append(model.Send(tx.id, server.id, tx.limit))
+        self.effects.append(model.Send(tx.id, server.id, tx.limit, tx.written_by()))
         # A fetch is no work of a cache server: copies of slow ones pay there, also where times vary widely.
         wait = (3 * self.fetch if server.kind == self.origin_kind else
                 self.patience.times * self.expected(server, now))
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -48,6 +48,7 @@
     server: model.ServerId
     origin: bool
     until: Micros
+    by: Micros  # its last byte may not be written later
     since: Micros
     told: bool = False  # how it ended
 
@@ -296,12 +297,12 @@
             return
         for effect in effects:
             match effect:
-                case model.Send(tx_id, server, until):
+                case model.Send(tx_id, server, until, by):
                     tx, known = self.txs.get(tx_id), self.node.servers[server]
                     if tx is None:  # guards the effects behind it, timers among them
                         self.log(f"fault: a hop for what is over, to {known.name}: not sent")
                         continue
-                    self._hand(tx, Send(tx, tx.hops, server, known.kind == self.node.origin_kind, until, now))
+                    self._hand(tx, Send(tx, tx.hops, server, known.kind == self.node.origin_kind, until, by or until, now))
                     tx.hops += 1
                 case model.RollBack(tx_id, stay_away):
                     finals[tx_id] = RollBack(stay_away)
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -62,6 +62,7 @@
     FULL = "full"
     REMEMBERED = "remembered"
     FAILED = "failed"
+    SILENT = "silent"  # a call that was taken, or a watch, has said nothing for too long
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,6 +170,7 @@
     tx: TxId
     server: ServerId
     until: Micros
+    by: Micros = 0  # its last byte may not be written later; 0: as long as it may wait
 
 
 @dataclass(slots=True, frozen=True)
@@ -338,5 +340,12 @@
     def open_hops(self) -> list[Hop]:
         return [hop for hop in self.hops if hop.open]
 
+    def written_by(self) -> Micros:
+        """Until when the last byte of its last hop may be written: a repeat only inside of its window."""
+        ran = [hop for hop in self.hops[:-1] if hop.open or hop.ended.may_have_run]
+        if ran and self.profile.repeat is Repeat.JOURNALLED:
+            return min(self.limit, ran[0].sent + self.profile.window)
+        return self.limit
+
     def maybe_ran(self) -> list[Hop]:
         return [hop for hop in self.hops if hop.open or hop.ended.may_have_run]
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -598,7 +598,7 @@
         else:
             wait = max(1, (step.until - self.clock()) // 1000)
             data, reader = meta.hop_bytes(command, wait), meta.HopReply(command)
-        return await self.upstream.exchange(step.server, data, reader, step.until)
+        return await self.upstream.exchange(step.server, data, reader, step.until, step.by)
 
     def hop_done(self, step: facade.Send, task: asyncio.Task) -> None:
         self.upstream.unsent.discard(task)
--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -21,7 +21,7 @@
 
 LONGEST = 2 << 20  # bytes of one piece of news, ten thousand servers: read, it takes many times as much memory
 AGENT = 1.0  # seconds: where the list is pushed its agent is near, and answers a call at once
-TURN = 2.0  # seconds more than it may be silent later: elsewhere a call has to wait for its turn first
+TURN = 0.2  # seconds more than it may be silent later: elsewhere a call has to wait for its turn, and may be refused
 DEEPEST = 32  # brackets of news inside of each other; a list needs three
 CONNECT = 1.0  # seconds: a connection that has not come up by then is begun anew
 DECODER = json.JSONDecoder()
@@ -153,10 +153,12 @@
 
             response = http.Response(65_536, each)
             path = f"/v1/servers?stream=1&index={self.generation}"
+            code = "no-connection"
             async with asyncio.timeout(min(silence, CONNECT)):
                 await stream.loop.sock_connect(sock, (host, port))
                 accept = {"Accept": "application/json"}
                 await stream.write(http.request("GET", path, f"{host}:{port}", accept))
+            code = ""
             # Guards against losing one's turn by calling anew, and against a stream that goes on and never says
             # anything whole: only that counts as heard, and a list that has begun has as long again.
             async with asyncio.timeout(AGENT if self.pushed else silence + TURN) as patience:
@@ -169,7 +171,7 @@
                     if watch.heard > heard or pieces.began > began:
                         patience.reschedule(asyncio.get_running_loop().time() + silence)
         except TimeoutError:
-            code = "silent"
+            code = code or "silent"
         except OSError:
             code = "reset"
         except (http.Garbled, ValueError, config.Faulty) as error:
@@ -183,7 +185,7 @@
                 sock.close()
             self.log.ended("discovery", f"{host}:{port}", code or watch.stopped_for, news=watch.heard)
         if watch is self.running:  # one that is being left has failed nobody
-            tell(News(ListKind.FAILED, []))
+            tell(News(ListKind.SILENT if code == "silent" else ListKind.FAILED, []))
 
     def news(self, said: object) -> News:
         top, lines = config.Section(said, "list."), []
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -118,9 +118,12 @@
             self.draining.discard(server)
             self.give_back(server)
 
-    async def exchange(self, server: ServerId, data: list[bytes], reader: Reader, until: Micros) -> meta.Reply:
+    async def exchange(self, server: ServerId, data: list[bytes], reader: Reader, until: Micros,
+                       by: Micros = 0) -> meta.Reply:
         """Write it, read the answer; the reply's `ended` tells how far it came when there is none.
 
+        `by`: where its last byte is not written by then, it is not written at all, and was never sent.
+
         Where the answer is a large value the reply holds its flow, which has the connection from then on.
         """
         link, written, code, got, age, paid, left = None, False, "internal", b"", -1, 0, len(data)
@@ -130,6 +133,9 @@
         # by whole milliseconds, so one more is added.
         timer = asyncio.get_running_loop().call_later(
             max(0, until - self.clock()) / 1_000_000 + 0.001, task.cancel)
+        # Guards against a repeat that is decided inside of its window, and written behind it: connecting takes time.
+        late = by and by < until and asyncio.get_running_loop().call_later(
+            max(0, by - self.clock()) / 1_000_000, lambda: task in self.unsent and task.cancel())
         try:
             link = self.take(server)
             if link:
@@ -146,6 +152,8 @@
                 # nothing is written, so it did not run.
                 code = "left-list"
                 return meta.Reply(Ended.NOT_SENT)
+            if by and self.clock() >= by:
+                return meta.Reply(Ended.NOT_SENT)
             for part in data:
                 await link.stream.write(part)
                 left -= 1
@@ -177,12 +185,14 @@
                 paid = 0
             return reply
         except asyncio.CancelledError:
-            if self.clock() < until:
+            # Guards against a time-out between the kernel's taking the last byte and this task's hearing of it.
+            written = written or left == 1 and link is not None and link.stream.sent
+            if self.clock() < (until if written else by or until):
                 code = "stopped"
                 raise
             code = "gave-up"
-            # Guards against a time-out between the kernel's taking the last byte and this task's hearing of it.
-            written = written or left == 1 and link is not None and link.stream.sent
+            if not written and self.clock() < until:
+                return meta.Reply(Ended.NOT_SENT)  # its window is over: no word on the server
             return meta.Reply(Ended.TIMED_OUT if written else Ended.NO_CONNECTION)
         except OSError:
             code = "reset"
@@ -193,6 +203,8 @@
             return meta.Reply(Ended.UNKNOWN)
         finally:
             timer.cancel()
+            if late:
+                late.cancel()
             self.unsent.discard(task)
             if paid:
                 self.budget.give_back(paid)
