Lab: passing measures what one node's process passes on, by size of value

Need: the page on capacity has to say how many requests and bytes one process passes on; the lab had the in-time ceiling of a scenario with a queueing fleet, and no figure of bytes. Change: saltmoor lab passing starts one real node between stand-ins that answer at once and clients in a closed loop; a row has the node's own processor time a request, its memory, and is void where the node waited for a core for over a tenth of the time. Rows of a node that was not at its limit say so. Figures: none yet.

--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -8,6 +8,7 @@
   saltmoor lab compare A B [--scenario=S] [--rounds=N] [--seed=N] [--json=FILE]
   saltmoor lab report FILE... --html=FILE
   saltmoor lab capacity [--rate=N]...
+  saltmoor lab passing [--size=BYTES]... [--json=FILE]
   saltmoor lab toy
   saltmoor lab (-h | --help)
 
@@ -25,6 +26,7 @@
   --scenario=S    what is compared [default: steady]
   --rounds=N      how often each is played, in turn, each round with a seed of its own [default: 3]
   --html=FILE     the page that is written
+  --size=BYTES    of a value that one node passes on [default: 200 8000 64000 750000 4000000]
   --rate=N        transactions a second that one load process is to offer [default: 1000 2500 5000]
 
 The exit status is 0 if every bound held, 1 if one did not or the run was void, 2 for a faulty scenario.
@@ -171,6 +173,9 @@
         if said["capacity"]:
             from saltmoor.lab import capacity
             return capacity.main([number({"--rate": one}, "--rate", 1) for one in said["--rate"]])
+        if said["passing"]:
+            from saltmoor.lab import passing
+            return passing.main([number({"--size": one}, "--size", 1) for one in said["--size"]], path=said["--json"])
         if said["toy"]:
             from saltmoor.lab import toy
             return toy.main()
