One test command that runs modules beside each other and reads KNOWN-RED.txt

Change: python -m tests finds the tests as unittest's discovery does, runs each module in a process of its own, up to three at once, prints each one's output whole, names each test that failed and ends with "N passed, N failed" and 1 for any failure. Only what its own process called passed has passed: a module that cannot be imported, an empty one, a process that died, left early or ran over 400 s, a test that discovery found and that never ran, an expected failure, an unexpected success and a failure in set-up or tear-down are failures. KNOWN-RED.txt lists tests that fail for a known fault, as TEST, CAUSE, issue NUMBER; they are run and printed, and their failure alone does not fail the run. More than three lines, a line in another form, a test that does not exist, is named twice, passes, is skipped, or does not come to its end do.

--- /dev/null
+++ b/tests/runner.py
@@ -0,0 +1,302 @@
+"""Runs the test modules, each in a process of its own and a few of them beside each other, and says what came of them.
+
+It owns which tests count as passed: those alone whose own process said so, of all that unittest's discovery finds.
+What is not known to have passed has failed: a module that can't be imported, a process that died or ran out of time, a
+test that never ran. It must never skip a test, run one a second time, or forgive a failure that KNOWN-RED.txt doesn't
+name.
+
+KNOWN-RED.txt names tests that fail for a real fault which is known, one line each: `TEST, CAUSE, issue NUMBER`, TEST as
+discovery names it (tests.test_net.Net.test_a). They are run like all others and printed with their cause; their failure
+alone doesn't fail the run. A list that is not true does: more than three lines, a line in another form, a test that
+doesn't exist, is named twice, passes by now, or did not come to its end.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import faulthandler
+import importlib
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import NamedTuple, TextIO
+
+LIMIT = 400.0  # seconds that one module may take; all of CI has 480
+SPARE = 5.0  # seconds more until a process is ended that doesn't end itself at its limit
+MOST = 3  # lines of KNOWN-RED.txt
+KNOWN_RED = "KNOWN-RED.txt"
+LINE = re.compile(r"(?P<test>[A-Za-z_][\w.]*), (?P<cause>\S(?:.*\S)?), issue (?P<issue>[1-9]\d*)")
+# Seconds that modules take alone; those that take longest begin first. One that isn't here begins before all others.
+TAKES: dict[str, float] = {}
+
+
+class Red(NamedTuple):
+    """A line of KNOWN-RED.txt."""
+
+    test: str
+    cause: str
+    issue: int
+
+
+def known_red(text: str) -> tuple[list[Red], list[str]]:
+    """What the text of KNOWN-RED.txt lists, and what is wrong with it."""
+    lines = text.splitlines()
+    reds, wrong = [], [f"{KNOWN_RED}: {len(lines)} lines, {MOST} at most"] * (len(lines) > MOST)
+    for number, line in enumerate(lines, 1):
+        found = LINE.fullmatch(line)
+        if found is None:
+            wrong.append(f"{KNOWN_RED}:{number}: not `TEST, CAUSE, issue NUMBER`: {line!r}")
+        elif found["test"] in (red.test for red in reds):
+            wrong.append(f"{KNOWN_RED}:{number}: {found['test']} is named twice")
+        else:
+            reds.append(Red(found["test"], found["cause"], int(found["issue"])))
+    return reds, wrong
+
+
+# In a worker process.
+
+class Result(unittest.TextTestResult):
+    """How each test ended, by its name; a failure outside of any test stands under the name of what failed."""
+
+    def __init__(self, *args, **kept) -> None:
+        super().__init__(*args, **kept)
+        self.ends: dict[str, str] = {}
+
+    def end(self, test: unittest.TestCase, how: str) -> None:
+        name = getattr(test, "test_case", test).id()  # of a part of a test: the whole test
+        if self.ends.get(name) != "failed":
+            self.ends[name] = how
+
+    def startTest(self, test) -> None:
+        super().startTest(test)
+        if test.id() in self.ends:  # two of one name: neither can be told from the other
+            self.ends[test.id()] = "failed"
+
+    def addSuccess(self, test) -> None:
+        super().addSuccess(test)
+        self.end(test, "passed")
+
+    def addSkip(self, test, reason) -> None:
+        super().addSkip(test, reason)
+        self.end(test, "skipped")
+
+    def addError(self, test, err) -> None:
+        super().addError(test, err)
+        self.end(test, "failed")
+
+    def addFailure(self, test, err) -> None:
+        super().addFailure(test, err)
+        self.end(test, "failed")
+
+    def addSubTest(self, test, subtest, err) -> None:
+        super().addSubTest(test, subtest, err)
+        if err is not None:
+            self.end(test, "failed")
+
+    def addExpectedFailure(self, test, err) -> None:  # what is known to fail stands in KNOWN-RED.txt alone
+        super().addExpectedFailure(test, err)
+        self.end(test, "failed")
+
+    def addUnexpectedSuccess(self, test) -> None:
+        super().addUnexpectedSuccess(test)
+        self.end(test, "failed")
+
+
+def each(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    for one in suite:
+        if isinstance(one, unittest.TestSuite):
+            yield from each(one)
+        else:
+            yield one
+
+
+def found() -> dict[str, list[str]]:
+    """All tests by their module, as `python -m unittest discover -s tests -t .` finds them; a module that can't be
+    imported has one test of its own name, which fails."""
+    modules: dict[str, list[str]] = {f"tests.{path.stem}": [] for path in Path("tests").glob("test*.py")}
+    for test in each(unittest.TestLoader().discover("tests", top_level_dir=".")):
+        broken = type(test).__module__ == "unittest.loader"  # stands for a module that was not loaded
+        name = test.id().removeprefix("unittest.loader.").partition(".")[2] if broken else type(test).__module__
+        modules.setdefault(name, []).append(name if broken else test.id())
+    return modules
+
+
+def work(module: str, sink: str, limit: float) -> int:
+    """Run one module (none: look what there is), and write what came of it."""
+    faulthandler.dump_traceback_later(limit, exit=True)
+    sys.path.insert(0, os.getcwd())
+    if module:
+        suite = unittest.TestLoader().loadTestsFromModule(importlib.import_module(module))
+        said = unittest.TextTestRunner(stream=sys.stdout, resultclass=Result).run(suite).ends
+    else:
+        said = found()
+    sys.stdout.flush()
+    Path(sink).write_text(json.dumps(said))
+    return 0
+
+
+# In the process that is started.
+
+@dataclass
+class Worker:
+    """The process of one module."""
+
+    module: str
+    folder: Path
+    limit: float
+    began: float = field(default_factory=time.monotonic)
+
+    def __post_init__(self) -> None:
+        self.sink, self.log = self.folder / f"{self.module}.json", self.folder / f"{self.module}.log"
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-P", __file__, "--worker", self.module, "--sink", str(self.sink),
+                 f"--limit={self.limit}"], stdin=subprocess.DEVNULL, stdout=log, stderr=log, process_group=0)
+
+    def over(self) -> bool:
+        if self.process.poll() is None and self.took > self.limit + SPARE:
+            self.end()
+        return self.process.returncode is not None
+
+    @property
+    def took(self) -> float:
+        return time.monotonic() - self.began
+
+    def end(self) -> None:
+        """End it, with all that it has started."""
+        with contextlib.suppress(ProcessLookupError):
+            os.killpg(self.process.pid, signal.SIGKILL)
+        self.process.wait()
+
+    def said(self) -> tuple[dict, str]:
+        """What it wrote, and why there is nothing."""
+        code = self.process.returncode
+        if code == 0 and self.sink.exists():
+            return json.loads(self.sink.read_text()), ""
+        self.end()  # what a process that died has left behind
+        if self.took >= self.limit:
+            return {}, f"ran out of its {self.limit:g} s"
+        return {}, f"ended with {code} and no result"
+
+
+class Run:
+    """One run of the tests under the working folder."""
+
+    def __init__(self, workers: int, limit: float, only: list[str], out: TextIO) -> None:
+        self.workers, self.limit, self.only, self.out = workers, limit, only, out
+        self.ends: dict[str, str] = {}  # by test: passed, skipped, failed
+        self.why: dict[str, str] = {}  # by test that didn't end in a way of its own
+        self.running: list[Worker] = []
+
+    def say(self, line: str) -> None:
+        print(line, file=self.out, flush=True)
+
+    def run(self) -> int:
+        """Run them; 0 if all went well, else 1."""
+        with tempfile.TemporaryDirectory() as folder:
+            try:
+                return self.play(Path(folder))
+            finally:
+                for worker in self.running:
+                    worker.end()
+
+    def play(self, folder: Path) -> int:
+        began = time.monotonic()
+        modules, wrong = self.look(folder)
+        path = Path(KNOWN_RED)
+        reds, more = known_red(path.read_text() if path.exists() else "")
+        wrong += more
+        every = {test for tests in modules.values() for test in tests}
+        wrong += [f"{KNOWN_RED}: there is no test {red.test}" for red in reds if red.test not in every]
+        wrong += [f"there is no module {module}" for module in self.only if module not in modules]
+        if self.only:
+            modules = {module: tests for module, tests in modules.items() if module in self.only}
+        wrong += [f"no tests in {module}" for module, tests in modules.items() if not tests]
+        if not modules:
+            wrong.append("no tests were found")
+        waiting = sorted(modules, key=lambda module: (-TAKES.get(module, 1e9), module))
+        while waiting or self.running:
+            while waiting and len(self.running) < self.workers:
+                self.running.append(Worker(waiting.pop(0), folder, self.limit))
+            for worker in [worker for worker in self.running if worker.over()]:
+                self.running.remove(worker)
+                self.count(worker, modules[worker.module])
+            time.sleep(0.02)
+        self.say(f"{len(modules)} modules in {time.monotonic() - began:.0f} s, {self.workers} at once")
+        return self.judge([red for red in reds if red.test in self.ends], wrong)
+
+    def look(self, folder: Path) -> tuple[dict[str, list[str]], list[str]]:
+        """All tests by their module, and why none are known."""
+        worker = Worker("", folder, min(self.limit, 60.0))
+        self.running.append(worker)
+        while not worker.over():
+            time.sleep(0.02)
+        self.running.remove(worker)
+        modules, why = worker.said()
+        if why:
+            self.say(worker.log.read_text(errors="replace"))
+        return modules, [f"looking for tests {why}"] if why else []
+
+    def count(self, worker: Worker, tests: list[str]) -> None:
+        """Take what a module's process said, for just the tests that were found in it."""
+        said, why = worker.said()
+        self.say(f"\n== {worker.module}: {len(tests)} tests, {worker.took:.1f} s\n"
+                 f"{worker.log.read_text(errors='replace').rstrip()}")
+        for test in tests:
+            self.ends[test] = said.get(test, "failed")
+            if test not in said:
+                self.why[test] = f"its process {why}" if why else "was not run"
+        for other in said.keys() - set(tests):
+            self.ends[other], self.why[other] = "failed", "outside of the tests that were found"
+
+    def judge(self, reds: list[Red], wrong: list[str]) -> int:
+        """Print what failed, and the sum."""
+        failed = {test for test, how in self.ends.items() if how == "failed"}
+        passed = sum(how == "passed" for how in self.ends.values())
+        skipped = sum(how == "skipped" for how in self.ends.values())
+        self.say("")
+        for red in reds:
+            if red.test in failed and red.test not in self.why:
+                failed.remove(red.test)
+                self.say(f"KNOWN RED {red.test}: {red.cause} (issue {red.issue})")
+            elif red.test not in failed:
+                wrong.append(f"{KNOWN_RED}: {red.test} {self.ends[red.test]} by now")
+        for test in sorted(failed):
+            self.say(f"FAILED {test}" + (f": {self.why[test]}" if test in self.why else ""))
+        for line in wrong:
+            self.say(f"FAILED {line}")
+        count = len(failed) + len(wrong)
+        self.say(f"{passed} passed, {count} failed" + (f", {skipped} skipped" if skipped else ""))
+        return 1 if count else 0
+
+
+def main(words: list[str] | None = None) -> int:
+    """0 if all tests passed but for those that are known to fail, else 1; 2 for a wrong word."""
+    cores = len(os.sched_getaffinity(0))
+    parser = argparse.ArgumentParser(prog="python -m tests", description="Runs the tests; all, if no MODULE is named.")
+    parser.add_argument("only", nargs="*", metavar="MODULE", help="as tests.test_net")
+    parser.add_argument("--workers", type=int, default=max(1, min(3, cores // 2)), help="modules at once")
+    parser.add_argument("--limit", type=float, default=LIMIT, help="seconds that one module may take")
+    parser.add_argument("--worker", help=argparse.SUPPRESS)
+    parser.add_argument("--sink", help=argparse.SUPPRESS)
+    said = parser.parse_args(words)
+    if said.worker is not None:
+        return work(said.worker, said.sink, said.limit)
+    if said.workers < 1 or not said.limit > 0:
+        parser.error("--workers and --limit have to be above 0")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # ends the workers as well
+    return Run(said.workers, said.limit, said.only, sys.stdout).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
