Drills: the newcomer has read its whole file before half of one is written

Seen: test_a_configuration_that_is_half_written ended with FileNotFoundError for /proc/PID/status of the newcomer.

Cause: a race of the test. It started a process and wrote half a configuration 0.2 s later. On a late machine the newcomer reads the file only then, says which key is faulty and ends with 2, as the manual says of a start with a faulty file. Checked with the start put off by a shell's sleep: with 0.1 s the newcomer ended with status 2 and the same error; with nothing put off it passed. Ruled out: a fault of the node; a process that had read its whole file kept it each time.

Change: the half is written once the newcomer has read its file (the library of its loop is loaded right after). What the race hit by chance is now a step of the drill: a start on half a file ends with 2, and the other process serves on. A process that is gone is named with its status. Nothing is checked less.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -185,16 +185,31 @@
 
         self.play(scene)
 
+    async def seen(self, node: asyncio.subprocess.Process, what: str) -> str:
+        """What the system says of it; a process that has ended is named with its status."""
+        try:
+            return Path(f"/proc/{node.pid}/{what}").read_text()
+        except OSError:
+            self.fail(f"it ended with {await node.wait()}")
+
     async def in_charge(self, node: asyncio.subprocess.Process) -> bool:
         """Wait until it holds signals back, or has its handlers; whether that was before its libraries were there."""
         for _ in range(2000):
-            status = Path(f"/proc/{node.pid}/status").read_text()
+            status = await self.seen(node, "status")
             if any(int(line.split()[1], 16) >> (signal.SIGHUP - 1) & 1 for line in status.splitlines()
                    if line.startswith(("SigBlk", "SigCgt"))):
-                return "uvloop" not in Path(f"/proc/{node.pid}/maps").read_text()
+                return "uvloop" not in await self.seen(node, "maps")
             await asyncio.sleep(0.001)
         self.fail("it never took its signals")
 
+    async def has_read(self, node: asyncio.subprocess.Process) -> None:
+        """Wait until it has read its configuration: the library of its loop is loaded right after that."""
+        for _ in range(2000):
+            if "uvloop" in await self.seen(node, "maps"):
+                return
+            await asyncio.sleep(0.001)
+        self.fail("it never read its configuration")
+
     def test_a_log_that_nobody_reads(self):
         """It should serve on, whether the reader stalls (a pipe, a socket), the disk is full, or there is no log."""
         async def scene(town: Drill) -> None:
@@ -297,6 +312,7 @@
             town.file.write_text(whole)
             fresh = await town.launch(ready=False)
             traffic = asyncio.create_task(town.traffic(1.0))
+            await self.has_read(fresh)  # what it starts with is whole: half of it ends a start, as below
             for text in (whole[:99], whole):
                 await asyncio.sleep(0.2)
                 town.file.write_text(text)
@@ -306,6 +322,13 @@
             await traffic
             self.assertEqual(await town.stop(fresh), 0)
             traffic = asyncio.create_task(town.traffic(0.3))
+            town.file.write_text(whole[:99])
+            fresh = await town.launch(ready=False)  # a start that this file ends, as the manual says
+            self.assertEqual(await asyncio.wait_for(fresh.wait(), 10), 2)
+            self.assertIsNone(node.returncode)
+            await traffic
+            town.file.write_text(whole)
+            traffic = asyncio.create_task(town.traffic(0.3))
             await asyncio.sleep(0.1)
             node.terminate()
             node.send_signal(signal.SIGHUP)
