Tests: the ports of servers that go and come are kept from other processes

Cause: the towns picked a free port, let it go and used it later, or closed a server and opened it again at its port. With test modules beside each other, another process can be given that port in between, as a listener or for a connection.

Change: a socket that is bound and never listens holds each such port until the town is taken down; who connects meanwhile is refused as before. For UDP, which only tests/test_together.py uses, the port is free when it is picked.

Checked: connecting to a held port is refused, another plain bind fails, a server with SO_REUSEADDR opens, closes and opens again there.

--- a/tests/helper.py
+++ b/tests/helper.py
@@ -10,6 +10,7 @@
 import os
 import re
 import signal
+import socket
 import unittest
 from pathlib import Path
 
@@ -152,6 +153,19 @@
         "membership_mode": "subscribe", "rules": {"ask_within_ns": 9000 * MS * 1000}} | changed
 
 
+def reserve() -> socket.socket:
+    """A loopback port that a process of this test can listen at, and that nobody else is given while this is open.
+
+    Guards against another process, which runs beside this one, being given the port of a server that is down or not
+    up yet. Bound and never listening, it takes no connection: who connects meanwhile is refused.
+    """
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    for option in socket.SO_REUSEADDR, socket.SO_REUSEPORT:
+        held.setsockopt(socket.SOL_SOCKET, option, 1)
+    held.bind(("127.0.0.1", 0))
+    return held
+
+
 class Town:
     """A node on loopback sockets with one cache server, the origin and discovery, all scripted.
 
@@ -168,9 +182,10 @@
 
     async def stage(self) -> None:
         """Build everything but the node."""
-        self.servers = [await asyncio.start_server(each, "127.0.0.1", 0)
-                        for each in (self.cache, self.origin, self.discovery)]
-        cache, origin, discovery = (one.sockets[0].getsockname()[1] for one in self.servers)
+        self.held = [reserve() for _ in range(3)]  # so that each can be closed and come back
+        cache, origin, discovery = ports = [one.getsockname()[1] for one in self.held]
+        self.servers = [await asyncio.start_server(each, "127.0.0.1", port)
+                        for each, port in zip((self.cache, self.origin, self.discovery), ports)]
         self.list = [{"instanceId": "s1", "hostPort": f"127.0.0.1:{cache}", "zone": "a", "machineType": "m1",
                       "lifecycle": "up"},
                      {"instanceId": "o", "hostPort": f"127.0.0.1:{origin}", "machineType": "origin",
@@ -197,7 +212,7 @@
 
     async def strike(self) -> None:
         """Take down what `stage` built."""
-        for server in self.servers:
+        for server in *self.servers, *self.held:
             server.close()
         for _ in range(2):
             self.news.put_nowait(b"")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -15,7 +14,7 @@
 import uvloop
 
 from saltmoor.net import clients
-from tests.helper import TraceCase, Town, read, write
+from tests.helper import TraceCase, Town, read, reserve, write
 
 
 class Operated(Town):
@@ -147,9 +146,8 @@
     async def __aenter__(self) -> Twins:
         await self.stage()
         self.folder = tempfile.TemporaryDirectory()
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.address = free.getsockname()
+        self.held.append(reserve())
+        self.address = self.held[-1].getsockname()
         self.file = Path(self.folder.name, "config.json")
         self.file.write_text(json.dumps(self.said | {"listen": "%s:%d" % self.address}))
         self.nodes: list[asyncio.subprocess.Process] = []
@@ -166,9 +164,8 @@
 
     async def start(self) -> asyncio.subprocess.Process:
         """A process of the node, once it says that it is ready."""
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            address = free.getsockname()
+        self.held.append(reserve())
+        address = self.held[-1].getsockname()
         env = os.environ | {"TMPDIR": self.folder.name, "ROUTER_ADMIN_ADDR": "%s:%d" % address}
         node = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "saltmoor", "serve", f"--config={self.file}", env=env,
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -25,15 +25,24 @@
 from saltmoor.peers import ask, frames
 from saltmoor.peers.frames import Speaker
 from saltmoor.replica.items import Item
+from tests.helper import reserve
 from tests.test_drills import Drill
 
 CLUSTER, HOST = "together", "127.1.0.2"
 
 
+HELD: list[socket.socket] = []
+
+
 def free() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """A port for TCP that nobody else is given before this module has ended; for UDP it is free now."""
+    HELD.append(reserve())
+    return HELD[-1].getsockname()[1]
+
+
+def tearDownModule() -> None:
+    while HELD:
+        HELD.pop().close()
 
 
 def clock() -> int:
