A list that has begun and falls silent is given up 4.2 s after its call, not 6.2 s

Seen (read, then a test with shorter times): a call that waits 3.1 s for its turn, then brings half a list and falls silent, had 3 s more from there: given up 6.2 s after it was made, when what it misses counts as told 6 s after discovery had it. On an open watch the same: 3 s behind the last whole news, and 3 s more for half a line. Checked: the connection (1 s at most), a stream that trickles (what has begun is given more time once). At fault: Discovery.follow, which gave news that had begun the whole time for silence again. Change: 1 s more than the call, or the silence, has (BEGUN). All waits together: back-off 1.5 s, call 4.2 s, silence 0.23 s: 5.93 s, which the test Sum takes from the constants and the decisions at six settings for asking, asked and pushed. In the test, with 1.5 s for silence: given up 1.8 s after the call; before 2.5 s.

--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -24,6 +24,7 @@
 TURN = 0.2  # seconds more than it may be silent later: elsewhere a call has to wait for its turn, and may be refused
 DEEPEST = 32  # brackets of news inside of each other; a list needs three
 CONNECT = 1.0  # seconds: a connection that has not come up by then is begun anew
+BEGUN = 1.0  # seconds more for news that has begun: behind it the call after it has to bring what is told after 6 s
 DECODER = json.JSONDecoder()
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
@@ -137,7 +138,7 @@
 
     async def follow(self, watch: Watch, silence: float, tell: Callable[[News], None]) -> None:
         host, port = watch.address
-        code, sock = "", None
+        code, sock, began_at = "", None, asyncio.get_running_loop().time()
         try:
             sock = socket.socket(family(host), socket.SOCK_STREAM)
             stream, pieces = Stream(sock, self.buffers), Pieces()
@@ -160,16 +161,22 @@
                 await stream.write(http.request("GET", path, f"{host}:{port}", accept))
             code = ""
             # Guards against losing one's turn by calling anew, and against a stream that goes on and never says
-            # anything whole: only that counts as heard, and a list that has begun has as long again.
-            async with asyncio.timeout(AGENT if self.pushed else silence + TURN) as patience:
+            # anything whole: only that counts as heard, and a list that has begun has a little longer.
+            first = AGENT if self.pushed else silence + TURN
+            until, latest = stream.loop.time() + first, began_at + first + BEGUN
+            async with asyncio.timeout_at(until) as patience:
                 while True:
                     heard, began = watch.heard, pieces.began
                     data = await stream.read()
                     if not data or response.feed(data):
                         code = "ended" if response.status in (0, 200) else f"status-{response.status}"
                         break
-                    if watch.heard > heard or pieces.began > began:
-                        patience.reschedule(asyncio.get_running_loop().time() + silence)
+                    if watch.heard > heard:
+                        until = stream.loop.time() + silence
+                        latest = until + BEGUN
+                        patience.reschedule(until)
+                    if pieces.began > began:
+                        patience.reschedule(max(until, min(stream.loop.time() + silence, latest)))
         except TimeoutError:
             code = code or "silent"
         except OSError:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -49,6 +49,23 @@
     return wake - now
 
 
+class Sum(unittest.TestCase):
+    def test_all_waits_together(self):
+        """Back-off, connection, turn, a list that has begun, silence, and the call after it, whatever is asked how often."""
+        for mode in "subscribe", "automatic":
+            for within in ASKED:
+                for seed in range(20):
+                    node = Node(seed, 0, **given(within, mode, 30 * S).node)
+                    node.listed(0, ListKind.REMEMBERED, [])
+                    silence = next(one.silence for one in node.effects if isinstance(one, model.WatchList)) / S
+                    refused = max(waited(node, ListKind.FAILED, tries * S) for tries in range(12)) / S
+                    silent = max(waited(node, ListKind.SILENT, tries * S) for tries in range(12, 20)) / S
+                    first = discovery.AGENT if mode == "automatic" else silence + discovery.TURN
+                    call = max(discovery.CONNECT + first, first + discovery.BEGUN)
+                    self.assertLess(refused + call + silent, TOLD, f"asked within {within / S} s, {mode}")
+                    self.assertLess(silence + discovery.BEGUN + silent, TOLD - 1.5)  # left for the turn of the new call
+
+
 class Queue:
     """Discovery for many nodes on a scripted clock: down until `back`, then one call at a time, each `work` long.
 
@@ -251,6 +268,30 @@
 
         self.play(scene, down=True)
 
+    def test_a_list_that_has_begun_and_falls_silent(self):
+        """It is given up soon: the call after it has to bring what it misses."""
+        async def run() -> float:
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+                await asyncio.sleep(1.0)
+                writer.write(b'{"generation": 9,\n')
+                await reader.read()
+                writer.close()
+
+            server, over, told = await asyncio.start_server(serve, "127.0.0.1", 0), asyncio.Event(), []
+            watch = Discovery(server.sockets[0].getsockname(), lifecycle.Buffers(keep=4), Log(0), names=given().names,
+                              generation=3)
+            began = asyncio.get_running_loop().time()
+            watch.watch(3 * S // 2, lambda news: (told.append(news.kind), over.set()))
+            await asyncio.wait_for(over.wait(), 8)
+            server.close()
+            self.assertEqual(told, [ListKind.SILENT])
+            return asyncio.get_running_loop().time() - began
+
+        with mock.patch.object(discovery, "BEGUN", 0.1, create=True):
+            self.assertLess(uvloop.run(run()), 2.3)  # after 1.5 s of silence from then on it would be 2.5
+
 
 if __name__ == "__main__":
     unittest.main()
