SIGHUP: news at discovery's old address no longer hide that the new one refused

Seen (read, then two tests that time out without the change): a new configuration names another address, the call there is refused, and the watch at the old address brings news before the next try. The node then took itself for watching, and called the new address never again, also once the old one had closed its watch: nothing was told from then on. The second: the next try at the new address ended the old watch at once, so what the old one told before the new one had said anything was lost; it is meant to go on until then. Ruled out: the watch at the old address that ends (it fails nobody, and is not meant to), a move while the call before waits. At fault: Discovery.follow, where any watch's news counted as the new one's, and Discovery.watch, which stopped both. Change: behind news of a watch that is being left the failure of the one in its place is told again, so it is called again by the back-off; a new call replaces the call before it alone.

--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -109,7 +109,8 @@
         """
         if self.running and not self.running.task.done() and not self.running.heard:
             return
-        self.stop("replaced")
+        if self.running:  # the one that is being left goes on, until there is news from the address it is left for
+            self.running.stop("replaced")
         self.begin(silence, tell)
 
     def begin(self, silence: Micros, tell: Callable[[News], None]) -> None:
@@ -151,6 +152,9 @@
                         self.leaving = None
                     if said is not None or watch.heard == 1:
                         tell(self.news({} if said is None else said))
+                        if self.running and watch is not self.running and self.running.task.done():
+                            # Guards against a watch that is being left and passes for the one that has failed.
+                            tell(News(ListKind.FAILED, []))
 
             response = http.Response(65_536, each)
             path = f"/v1/servers?stream=1&index={self.generation}"
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -268,6 +268,34 @@
 
         self.play(scene, down=True)
 
+    def test_the_old_address_has_news_when_the_new_one_has_refused(self):
+        """Guards against a watch that is being left and passes for the new one: nobody would call that any more."""
+        async def scene(town: Scripted) -> None:
+            old = (await town.next())[0]
+            town.script = ["503"]
+            town.reload(discovery=await town.second_discovery())
+            self.assertEqual((await town.next())[1], "503")
+            town.tell(old)
+            port, act = await town.next(2.5)
+            self.assertNotEqual(port, old)
+            self.assertEqual(act, "follow")
+            town.tell(port, lifecycle="draining")
+            await town.told(1)
+
+        self.play(scene)
+
+    def test_the_old_address_is_heard_until_the_new_one_says_something(self):
+        async def scene(town: Scripted) -> None:
+            old = (await town.next())[0]
+            town.script = ["503", "mute"]
+            town.reload(discovery=await town.second_discovery())
+            for act in "503", "mute":
+                self.assertEqual((await town.next(2.5))[1], act)
+            town.tell(old, lifecycle="draining")
+            await town.told(1)
+
+        self.play(scene)
+
     def test_a_list_that_has_begun_and_falls_silent(self):
         """It is given up soon: the call after it has to bring what it misses."""
         async def run() -> float:
