SIGHUP: discovery that is named anew after none is called at once

Seen (a test that times out without the change): a new configuration without discovery, then one that names it again. The node took itself for watching still, and never called. Where it had started without discovery, the address was called when the list fell due: a third of the time for asking, 20 s where a minute is stated; what is told counts 4 s after SIGHUP. At fault: Service.reload, which made a Discovery and left it to the decisions to ask for the list again. Change: the last errand to follow the list is kept and run again there.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -104,6 +104,7 @@
         known = self.starts.own(given.known, whole=True)
         self.upstream.listed(known)
         self.discovery = self.make_discovery()
+        self.errand: facade.Watch | None = None  # the last one to follow the list, also where there is no discovery
         node = Node(given.seed, clock(), **given.node)
         self.door = facade.Facade(node, [line.member for line in known], columns=given.names.columns, clock=clock,
                                   nudge=self.nudge, log=self.log, part=0.5 if found else 1.0)
@@ -305,6 +306,8 @@
             self.discovery = None
         elif given.discovery:
             self.discovery = self.make_discovery()
+            if self.errand:  # guards against a list that is followed once it falls due again, or never
+                self.watch(self.errand, self.errand.silence)
         for key in ("listen", "admin", "peers", "duties"):
             if getattr(given, key) != getattr(old, key):
                 self.log(f"configuration: {'admin_addr' if key == 'admin' else key} needs a restart")
@@ -383,6 +386,7 @@
             self.door.report(errand, reply.ended, load=reply.load)
 
     def watch(self, errand: facade.Watch, silence: Micros) -> None:
+        self.errand = errand
         if not self.discovery:
             return
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -296,6 +296,18 @@
 
         self.play(scene)
 
+    def test_a_new_configuration_that_takes_discovery_away_and_names_it_again(self):
+        async def scene(town: Scripted) -> None:
+            await town.next()
+            address = town.said["discovery"]
+            town.reload(discovery=None)
+            await asyncio.sleep(0.05)
+            town.reload(discovery=address)
+            town.tell((await town.next(1))[0], lifecycle="draining")
+            await town.told(1)
+
+        self.play(scene, settings=settings(rules={"ask_within_ns": 60 * S * 1000}))
+
     def test_a_list_that_has_begun_and_falls_silent(self):
         """It is given up soon: the call after it has to bring what it misses."""
         async def run() -> float:
