Tests: a port is kept at the address that its module uses

Cause: tests/test_together.py listens at an address of its own, and its ports were held at 127.0.0.1 alone, which keeps nobody away.

Change: the holder is told the address.

--- a/tests/helper.py
+++ b/tests/helper.py
@@ -153,7 +153,7 @@
         "membership_mode": "subscribe", "rules": {"ask_within_ns": 9000 * MS * 1000}} | changed
 
 
-def reserve() -> socket.socket:
+def reserve(host: str = "127.0.0.1") -> socket.socket:
     """A loopback port that a process of this test can listen at, and that nobody else is given while this is open.
 
     Guards against another process, which runs beside this one, being given the port of a server that is down or not
@@ -162,7 +162,7 @@
     held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     for option in socket.SO_REUSEADDR, socket.SO_REUSEPORT:
         held.setsockopt(socket.SOL_SOCKET, option, 1)
-    held.bind(("127.0.0.1", 0))
+    held.bind((host, 0))
     return held
 
 
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -36,7 +36,7 @@
 
 def free() -> int:
     """A port for TCP that nobody else is given before this module has ended; for UDP it is free now."""
-    HELD.append(reserve())
+    HELD.append(reserve(HOST))
     return HELD[-1].getsockname()[1]
 
 
