Upstream: an attempt tells its server the time that is left when it is written

Seen: with a connection that takes 0.3 s to come up, a request with 0.9 s told its cache server d=899 (the new test in tests/test_standing.py, on the program before).

Cause: clients.hop wrote the command with the time left at that moment, and Upstream.exchange connected after that. Ruled out: probes and the origin's requests, which tell no time; the free connection, where nothing lies between.

Change: exchange takes the bytes from a callable right before the first one. The attempt keeps its own copy of the command, so that a value whose memory was given back meanwhile is written whole or not at all, as before. How many parts are left counts from there, so a connection's last write before is not taken for this one's.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -11,6 +11,7 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from hashlib import blake2b
 from itertools import chain, islice
 from typing import Any
@@ -606,8 +607,12 @@
             host, port = self.upstream.address.get(step.server, ("", 0))
             data, reader = origin.hop_bytes(command, f"{host}:{port}"), origin.OriginReply()
         else:
-            wait = max(1, (step.until - self.clock()) // 1000)
-            data, reader = meta.hop_bytes(command, wait), meta.HopReply(command)
+            kept = replace(command)  # its value stays until the attempt has ended
+
+            def data() -> list[bytes]:
+                return meta.hop_bytes(kept, max(1, (step.until - self.clock()) // 1000))
+
+            reader = meta.HopReply(command)
         return await self.upstream.exchange(step.server, data, reader, step.until, step.by)
 
     def hop_done(self, step: facade.Send, task: asyncio.Task) -> None:
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -118,15 +118,18 @@
             self.draining.discard(server)
             self.give_back(server)
 
-    async def exchange(self, server: ServerId, data: list[bytes], reader: Reader, until: Micros,
-                       by: Micros = 0) -> meta.Reply:
+    async def exchange(self, server: ServerId, data: list[bytes] | Callable[[], list[bytes]], reader: Reader,
+                       until: Micros, by: Micros = 0) -> meta.Reply:
         """Write it, read the answer; the reply's `ended` tells how far it came when there is none.
 
+        `data`: a callable is asked right before the first byte. Guards against telling a server of time that
+        connecting has used up.
+
         `by`: where its last byte is not written by then, it is not written at all, and was never sent.
 
         Where the answer is a large value the reply holds its flow, which has the connection from then on.
         """
-        link, written, code, got, age, paid, left = None, False, "internal", b"", -1, 0, len(data)
+        link, written, code, got, age, paid, left = None, False, "internal", b"", -1, 0, 0
         task = asyncio.current_task()
         self.unsent.add(task)
         # Guards against giving up a moment early, which looks like time for another hop: the loop's timers go
@@ -154,7 +157,9 @@
                 return meta.Reply(Ended.NOT_SENT)
             if by and self.clock() >= by:
                 return meta.Reply(Ended.NOT_SENT)
-            for part in data:
+            parts = data() if callable(data) else data
+            left = len(parts)
+            for part in parts:
                 await link.stream.write(part)
                 left -= 1
             written, link.exchanges = True, link.exchanges + 1
