Clients: what stands unread behind a quit takes no answer along

Seen: a client that says more behind quit had its answer's first line and then a reset, before the value was read (new test in tests/test_standing.py, failed on the program before).

Cause: Client.read closed at once after quit; a close over unread bytes resets the connection. Where a value is large, what the system still has to send goes with it. The other ends say theirs first (part, take_leave).

Change: where something stands unread the node says its end first, and the client has 40 ms to see it, as at a stop.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -123,6 +123,8 @@
                 while (command := self.commands.next()) is not None:
                     if command.verb == b"quit":
                         await self.deaf(self.answered(0))
+                        if not self.stream.quiet():
+                            await self.take_leave()
                         return "client-quit"
                     self.take(command)
                     if self.slots and self.slots[0].answer is not None:
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -147,6 +147,22 @@
 
         self.play(scene, settings=may(probes=False))
 
+    def test_a_close_over_unread_bytes_takes_no_answer_along(self):
+        """What was answered before the connection is closed comes whole, though more stands unread."""
+        async def scene(town: Held) -> None:
+            for i in range(20):
+                one = await town.client()
+                one.say(read("held-a", f"a{i}") + "quit\r\n")
+                await town.seen(2 * i + 1)
+                at_once(one, read("hit", f"b{i}"))
+                town.go.set()
+                self.assertEqual(await answer(one), f"VA 6 Oa{i}")
+                town.go.clear()
+                town.came.append("-")
+            self.assertFalse([tag for tag in town.came if tag[0] == "b"])
+
+        self.play(scene, settings=may(probes=False))
+
     def test_small_writes_are_never_held_back(self):
         async def scene(town: Held) -> None:
             one = await town.client()
