A client's end is looked for in the moment in which an attempt at its request begins

While the loop stands still (its process is stopped, or one step of it takes long) ends of clients stand in the kernel, and what a request waited for may be there first: a connection that has come up was written on in the same pass in which the loop went on, before any client was looked at. Clients that are not read from (more than 64 commands open) were looked at every 50 ms and by a timer alone; and of a connection that was accepted late, or read after a stop, only one buffer was read before what stood in it was begun.

Ruled out by the same tests, as they pass before: a probe, a retry, a fetch behind a miss, a second copy, the line for the origin, memory for a large write; there two passes of the loop lie between, in which ends are read.

clients.wanted, asked by upstream.exchange right before the first byte: whether the request is over or its client known to have left, and, only where the loop was late, has not come round for 10 ms, or the client is not read from, whether the kernel has its end. What it asked is over in the same call, so that nothing else of it is begun and what it held comes back. A read that fills its buffer asks as well. A connection on which nothing was written stays free, as it was.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -19,6 +19,7 @@
 
 import saltmoor
 from saltmoor import config, facade
+from saltmoor.config import BUFFER
 from saltmoor.model import Ended, Micros, Profile
 from saltmoor.net import http, meta, origin
 from saltmoor.net.buffers import Buffers, Stream, ended
@@ -37,6 +38,7 @@
 READS_ON = 100_000  # how long a process that stops reads on from those that have something open
 LEAVE = 40_000  # how long a client that has said more may take to see the end of a connection that is not read any more
 MISSED = 50_000  # how often clients that are not read from are looked at
+SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
 SHORT = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM  # there is no room for a connection just now
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
 
@@ -111,8 +113,8 @@
             self.used = self.house.clock()
             if not data and not self.gathered:
                 return "client-left" if self.slots else self.ending or "client-closed"
-            if (self.house.late or self.house.paced) and self.stream.left():
-                return "client-left"  # while its bytes stood in the socket
+            if (self.house.late or self.house.paced or len(data) == BUFFER) and self.stream.left():
+                return "client-left"  # while its bytes stood in the socket; there may be more than were read
             self.gathered = False
             self.house.fresh.pop(self, None)
             self.commands.feed(data)
@@ -214,6 +216,13 @@
         while self.house.clock() < until and not self.stream.left():
             await asyncio.sleep(LEAVE / 10_000_000)
 
+    def left(self) -> None:
+        """It has gone: what it asked goes on no further, from this moment on."""
+        self.code = self.code or "client-left"
+        self.reader.cancel()
+        for slot in self.slots:
+            self.house.done(slot)
+
     async def answered(self, left: int) -> None:
         """Wait until no more than so many commands are without an answer."""
         while len(self.slots) > left:
@@ -336,7 +345,7 @@
         self.free: dict[Client, None] = {}  # that have asked and have nothing open, the longest free first
         self.begun: dict[Client, None] = {}  # with a command that is unfinished
         self.deaf: dict[Client, None] = {}  # that are not read from, as something else is waited for
-        self.missed_at: Micros = 0
+        self.missed_at = self.looked_at = 0  # when they are looked at next; when the loop last came round
         self.reads_until: Micros = 0  # while the process stops: from then on nothing is read behind what is open
         self.until: Micros = 0  # when the process ends: no answer may come later; 0: not yet
         self.budget = budget
@@ -510,14 +519,24 @@
 
     def missed(self) -> None:
         """Guards against work for clients that have left while nothing was read from them."""
-        now = self.clock()
+        self.looked_at = now = self.clock()
         if self.deaf and now >= self.missed_at:
             self.missed_at = now + MISSED
             by_stream = {client.stream: client for client in self.deaf}
             for stream in ended(by_stream):
-                client = by_stream[stream]
-                client.code = client.code or "client-left"
-                client.reader.cancel()
+                by_stream[stream].left()
+
+    def wanted(self, client: Client, tx: facade.Tx) -> bool:
+        """Whether anybody still waits for this, in the moment in which an attempt at it begins.
+
+        Guards against attempts for clients that left while the loop stood still, or that are not read from: what
+        the request waited for may be there before their end is heard. Only then the kernel is asked.
+        """
+        if tx.over or client.code:
+            return False
+        if (self.late or client in self.deaf or self.clock() - self.looked_at > SEEN) and client.stream.left():
+            client.left()
+        return not client.code
 
     def drop_stalled(self) -> bool:
         """End the connection whose client has not read an answer for longest."""
@@ -578,7 +597,7 @@
         answer = meta.ABANDONED
         try:
             while isinstance(step := await self.door.pick(tx), facade.Send):
-                hops[step.hop] = asyncio.create_task(self.hop(step, command))
+                hops[step.hop] = asyncio.create_task(self.hop(step, command, client))
                 self.upstream.unsent.add(hops[step.hop])
                 hops[step.hop].add_done_callback(lambda task, step=step: self.hop_done(step, task))
             for number, task in hops.items():
@@ -604,7 +623,7 @@
             answer.flow.drop()
         await client.flush()
 
-    async def hop(self, step: facade.Send, command: meta.Command) -> meta.Reply:
+    async def hop(self, step: facade.Send, command: meta.Command, client: Client) -> meta.Reply:
         if step.origin:
             host, port = self.upstream.address.get(step.server, ("", 0))
             data, reader = origin.hop_bytes(command, f"{host}:{port}"), origin.OriginReply()
@@ -615,7 +634,8 @@
                 return meta.hop_bytes(kept, max(1, (step.until - self.clock()) // 1000))
 
             reader = meta.HopReply(command)
-        return await self.upstream.exchange(step.server, data, reader, step.until, step.by)
+        return await self.upstream.exchange(step.server, data, reader, step.until, step.by,
+                                            lambda: self.wanted(client, step.tx))
 
     def hop_done(self, step: facade.Send, task: asyncio.Task) -> None:
         self.upstream.unsent.discard(task)
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -119,13 +119,15 @@
             self.give_back(server)
 
     async def exchange(self, server: ServerId, data: list[bytes] | Callable[[], list[bytes]], reader: Reader,
-                       until: Micros, by: Micros = 0) -> meta.Reply:
+                       until: Micros, by: Micros = 0,
+                       wanted: Callable[[], bool] | None = None) -> meta.Reply:
         """Write it, read the answer; the reply's `ended` tells how far it came when there is none.
 
         `data`: a callable is asked right before the first byte. Guards against telling a server of time that
         connecting has used up.
 
         `by`: where its last byte is not written by then, it is not written at all, and was never sent.
+        `wanted`: asked right before its first byte is written; where nobody wants it any more it was never sent.
 
         Where the answer is a large value the reply holds its flow, which has the connection from then on.
         """
@@ -157,6 +159,10 @@
                 return meta.Reply(Ended.NOT_SENT)
             if by and self.clock() >= by:
                 return meta.Reply(Ended.NOT_SENT)
+            if wanted and not wanted():
+                self.free.setdefault(server, []).append(link)  # as it was: nothing was written on it
+                link = None
+                return meta.Reply(Ended.NOT_SENT)
             parts = data() if callable(data) else data
             left = len(parts)
             for part in parts:
