The origin is told the time that is left, as cache servers are

Cause, read: a first attempt and a retry at a cache server tell step.until less the clock, which is within what is left; a fetch behind a miss, which is most of the further attempts, went on with the names and values as the client had said them, d among them (origin.hop_bytes). Change: one function for the names and values that go on; both are made right before the first byte. The test fails before: the origin was told 5000 where 4400 were left.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -624,16 +624,14 @@
         await client.flush()
 
     async def hop(self, step: facade.Send, command: meta.Command, client: Client) -> meta.Reply:
-        if step.origin:
-            host, port = self.upstream.address.get(step.server, ("", 0))
-            data, reader = origin.hop_bytes(command, f"{host}:{port}"), origin.OriginReply()
-        else:
-            kept = replace(command)  # its value stays until the attempt has ended
+        kept = replace(command)  # its value stays until the attempt has ended
+        host, port = self.upstream.address.get(step.server, ("", 0))
 
-            def data() -> list[bytes]:
-                return meta.hop_bytes(kept, max(1, (step.until - self.clock()) // 1000))
+        def data() -> list[bytes]:
+            wait = max(1, (step.until - self.clock()) // 1000)
+            return origin.hop_bytes(kept, f"{host}:{port}", wait) if step.origin else meta.hop_bytes(kept, wait)
 
-            reader = meta.HopReply(command)
+        reader = origin.OriginReply() if step.origin else meta.HopReply(command)
         return await self.upstream.exchange(step.server, data, reader, step.until, step.by,
                                             lambda: self.wanted(client, step.tx))
 
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -344,10 +344,14 @@
         return False
 
 
+def listed(command: Command, wait_ms: int) -> bytes:
+    """Its names and values as they go on: as they came, but for how long the node will wait."""
+    return b",".join(b"d=%d" % wait_ms if pair[:2] == b"d=" else pair for pair in command.listed.split(b","))
+
+
 def hop_bytes(command: Command, wait_ms: int) -> list[bytes]:
-    """The command as it goes on to a cache server: as it came, but for how long the node will wait."""
-    pairs = [b"d=%d" % wait_ms if pair[:2] == b"d=" else pair for pair in command.listed.split(b",")]
-    words = [b"P" + b",".join(pairs) if word == b"P" + command.listed else word for word in command.words]
+    """The command as it goes on to a cache server."""
+    words = [b"P" + listed(command, wait_ms) if word == b"P" + command.listed else word for word in command.words]
     line = b" ".join(words) + b"\r\n"
     return value_parts(line, command.value, b"\r\n") if command.write else [line]
 
--- a/saltmoor/net/origin.py
+++ b/saltmoor/net/origin.py
@@ -69,8 +69,9 @@
         return meta.Reply(Ended.FULL if not_run else Ended.ERROR, load=load)
 
 
-def hop_bytes(command: meta.Command, host: str) -> list[bytes]:
-    headers = {"X-Request-ID": command.id.decode("latin-1"), "X-Attrs": command.listed.decode("latin-1")}
+def hop_bytes(command: meta.Command, host: str, wait_ms: int) -> list[bytes]:
+    """The command as it goes on to the origin; guards against fetches that it goes on with when nobody waits any more."""
+    headers = {"X-Request-ID": command.id.decode("latin-1"), "X-Attrs": meta.listed(command, wait_ms).decode("latin-1")}
     path = "/" + quote(command.key, safe="")
     if command.write:
         before = http.request("PUT", path, host, headers, len(command.value))
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -140,6 +140,33 @@
 
         self.play(scene, settings=patient(), serve=QUICK)
 
+    def test_what_a_fetch_tells_is_left_when_it_is_written(self):
+        """A miss that took its time: the origin is told what is left behind it, for reads and for writes."""
+        async def scene(town: Held) -> None:
+            connect, told = town.service.upstream.connect, []
+            write = Stream.write
+
+            async def slowly(server):
+                link = await connect(server)
+                await asyncio.sleep(0.3)
+                return link
+
+            def noted(stream: Stream, data: bytes):
+                told.extend(int(found[1]) for found in re.finditer(rb"X-Attrs: [^\r]*d=(\d+)", bytes(data)))
+                return write(stream, data)
+
+            with mock.patch.object(town.service.upstream, "connect", slowly), mock.patch.object(Stream, "write", noted):
+                one = await town.client()
+                one.say(ask("miss-a", "a"))
+                self.assertEqual((await answer(one))[:2], "VA")
+                one.say("ms put-a 5 Ob Pc=put,t=acme,d=5000,k=0123456789abcdef\r\nhello\r\n")
+                self.assertEqual((await answer(one))[:2], "HD")
+            self.assertEqual(len(told), 2)
+            self.assertLessEqual(told[0], 4400)  # behind two connections that came up late
+            self.assertLessEqual(told[1], 5000)
+
+        self.play(scene, settings=patient(), serve=QUICK)
+
 
 class Closing(Case):
     """Bytes that arrive in the very moment in which a connection is shut or closed."""
