A late call to discovery keeps its turn: given up, hundreds of nodes were never answered

Seen on a scripted clock: 300 nodes back after an outage at a discovery that works through calls one by one, also through those that were given up. With 18 ms a call (5.4 s in all) the last node had its news 8.3 s (1 s stated for asking) and 6.8 s (10 s stated) after the return; with 25 ms (7.5 s in all) some had none within 30 s: each gave up after 3.2 s, and what was worked on from then on was worked on in vain. A call each is all that the nodes need. Checked and ruled out: back-offs (none longer than 1.5 s), a longer wait for the first answer alone (what a silent call misses counts as told 6 s after it fell silent, so another one has to be made in time). At fault: Discovery.follow, which ended a call without an answer once it was told as silent. Change: such a call is told as silent and goes on beside the next one, for as long again (two open at most). The one that is answered first is followed, the other one ended. The class Turn forces the orders on loopback, two of its three tests fail before; the third holds the calls at two, each told once.

--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -1,7 +1,7 @@
 """Owns the watch on the list of cache servers: one connection, its news handed on as they come.
 
 It must never call again by itself, nor judge the list; a watch that ends or falls silent is told once, as
-failed.
+failed. A call that waits for its turn too long is told as silent, and goes on beside the next one for as long again.
 """
 
 from __future__ import annotations
@@ -86,6 +86,7 @@
     address: tuple[str, int]
     task: asyncio.Task | None = None
     heard: int = 0  # lines that it brought
+    late: bool = False  # told as silent before its first answer: it keeps its turn, and another call is made beside it
     stopped_for: str = "replaced"
 
     def stop(self, code: str) -> None:
@@ -100,15 +101,19 @@
         self.names, self.generation, self.pushed = names, generation, pushed
         self.asked: tuple[Micros, Callable[[News], None]] | None = None  # how the list is to be followed
         self.running: Watch | None = None
-        self.leaving: Watch | None = None  # at the address before, until the new one brings news
+        self.leaving: Watch | None = None  # at the address before or late, until the new one brings news
 
     def watch(self, silence: Micros, tell: Callable[[News], None]) -> None:
         """Start a watch in place of the one before; `tell` gets its news, the last of them that it failed.
 
-        Guards against losing one's turn: calls are answered in turn, so one still without an answer goes on.
+        Guards against losing one's turn: calls are answered in turn, so one still without an answer goes on; a late
+        one beside the new one, or all nodes that gave up would be answered in vain, and wait anew behind that for ever.
         """
         if self.running and not self.running.task.done() and not self.running.heard:
-            return
+            if not self.running.late:
+                return
+            if self.leaving is None or self.leaving.task.done():
+                self.leaving, self.running = self.running, None
         if self.running:  # the one that is being left goes on, until there is news from the address it is left for
             self.running.stop("replaced")
         self.begin(silence, tell)
@@ -139,7 +144,7 @@
 
     async def follow(self, watch: Watch, silence: float, tell: Callable[[News], None]) -> None:
         host, port = watch.address
-        code, sock, began_at = "", None, asyncio.get_running_loop().time()
+        code, sock, timer, began_at = "", None, None, asyncio.get_running_loop().time()
         try:
             sock = socket.socket(family(host), socket.SOCK_STREAM)
             stream, pieces = Stream(sock, self.buffers), Pieces()
@@ -147,8 +152,10 @@
             def each(data: bytes) -> None:
                 for said in pieces.feed(data):
                     watch.heard += 1
+                    if watch is self.leaving and watch.late and watch.address == self.address:  # its turn has come
+                        self.running, self.leaving = watch, self.running
                     if watch is self.running and self.leaving:
-                        self.leaving.stop("moved")
+                        self.leaving.stop("moved" if self.leaving.address != watch.address else "replaced")
                         self.leaving = None
                     if said is not None or watch.heard == 1:
                         tell(self.news({} if said is None else said))
@@ -156,6 +163,11 @@
                             # Guards against a watch that is being left and passes for the one that has failed.
                             tell(News(ListKind.FAILED, []))
 
+            def late() -> None:
+                if watch is self.running:
+                    watch.late = True
+                    tell(News(ListKind.SILENT, []))
+
             response = http.Response(65_536, each)
             path = f"/v1/servers?stream=1&index={self.generation}"
             code = "no-connection"
@@ -165,22 +177,27 @@
                 await stream.write(http.request("GET", path, f"{host}:{port}", accept))
             code = ""
             # Guards against losing one's turn by calling anew, and against a stream that goes on and never says
-            # anything whole: only that counts as heard, and a list that has begun has a little longer.
+            # anything whole: only that counts as heard, and a list that has begun has a little longer. A call that has
+            # said nothing at all is late by then, and ends after as long again.
             first = AGENT if self.pushed else silence + TURN
             until, latest = stream.loop.time() + first, began_at + first + BEGUN
-            async with asyncio.timeout_at(until) as patience:
+            timer = stream.loop.call_at(until, late)
+            async with asyncio.timeout_at(until + first) as patience:
                 while True:
                     heard, began = watch.heard, pieces.began
                     data = await stream.read()
                     if not data or response.feed(data):
                         code = "ended" if response.status in (0, 200) else f"status-{response.status}"
                         break
+                    now = stream.loop.time()
                     if watch.heard > heard:
-                        until = stream.loop.time() + silence
+                        until = now + silence
                         latest = until + BEGUN
                         patience.reschedule(until)
                     if pieces.began > began:
-                        patience.reschedule(max(until, min(stream.loop.time() + silence, latest)))
+                        patience.reschedule(now + BEGUN if now > latest else max(until, min(now + silence, latest)))
+                    if watch.heard or pieces.began:
+                        timer.cancel()
         except TimeoutError:
             code = code or "silent"
         except OSError:
@@ -194,6 +211,8 @@
         finally:
             if sock:
                 sock.close()
+            if timer:
+                timer.cancel()
             self.log.ended("discovery", f"{host}:{port}", code or watch.stopped_for, news=watch.heard)
         if watch is self.running:  # one that is being left has failed nobody
             tell(News(ListKind.SILENT if code == "silent" else ListKind.FAILED, []))
