Discovery: any order of ends, late calls and moves, drawn, ends with the list followed

Sixty drawn orders on loopback: calls that end in eight ways, late ones, moves to another address and back; once calls are answered again, the list has to be followed at the address named last.

--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 import heapq
 import json
+import random
 import socket
 import struct
 import unittest
@@ -434,5 +437,85 @@
         self.play(scene)
 
 
+class Mixed:
+    """Two discoveries whose calls end in drawn ways until it is calm, and a node between them that is drawn, too."""
+
+    ENDS = "503", "reset", "half", "mute", "slow", "follow", "stops", "empty"
+
+    def __init__(self, seed: int) -> None:
+        self.chance, self.calm, self.at, self.watching = random.Random(seed), False, 0, False
+        self.last: float = 0.0  # when news came
+
+    async def serve(self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        end = "follow" if self.calm else self.chance.choice(self.ENDS)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            if end == "503":
+                writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy")
+            elif end == "reset":
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            elif end in ("half", "mute"):
+                writer.write(b'HTTP/1.1 200 OK\r\n\r\n{"gener' * (end == "half"))
+                await reader.read()
+            else:
+                await asyncio.sleep(self.chance.random() * 0.12 * (end == "slow"))
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\n\n")
+                await asyncio.sleep(self.chance.random() * 0.05 * (end == "empty"))
+                for _ in range({"empty": 0, "stops": 2}.get(end, 1000)):
+                    writer.write(b'{"generation": %d}\n' % number)
+                    await asyncio.sleep(0.015)
+                    if reader.at_eof():
+                        break
+        writer.close()
+
+    def ask(self) -> None:
+        if not self.watching:
+            self.watch.watch(50 * MS, self.tell)
+
+    def tell(self, news: discovery.News) -> None:
+        self.watching = news.kind not in (ListKind.FAILED, ListKind.SILENT)
+        if self.watching:
+            self.last = asyncio.get_running_loop().time()
+        else:
+            asyncio.get_running_loop().call_later(self.chance.random() * 0.02, self.ask)
+
+    async def play(self) -> bool:
+        """Whether the list is followed at the address named last once calls are answered again."""
+        loop = asyncio.get_running_loop()
+        servers = [await asyncio.start_server(functools.partial(self.serve, number), "127.0.0.1", 0) for number in (8, 9)]
+        places = [server.sockets[0].getsockname() for server in servers]
+        self.watch = Discovery(places[0], lifecycle.Buffers(keep=4), Log(0), names=given().names, generation=3)
+        self.ask()
+        for _ in range(12):
+            await asyncio.sleep(self.chance.random() * 0.08)
+            if self.chance.random() < 0.3:
+                self.at = 1 - self.at
+                self.watch.move(places[self.at], given().names)
+        self.calm, until = True, loop.time() + 3
+        while loop.time() < until:
+            await asyncio.sleep(0.2)  # it is followed, and stays so
+            running = self.watch.running
+            if (self.watching and running and running.heard and not running.task.done() and not self.watch.leaving
+                    and loop.time() - self.last < 0.1 and self.watch.generation == 8 + self.at):
+                break
+        followed = loop.time() < until
+        self.watch.stop("stopping")
+        for server in servers:
+            server.close()
+        await asyncio.sleep(0.03)
+        return followed
+
+
+class Orders(unittest.TestCase):
+    def test_in_any_order_the_list_is_followed_in_the_end(self):
+        """Calls that end in eight ways, late ones and moves, in drawn orders."""
+        async def run() -> list[bool]:
+            return await asyncio.gather(*(Mixed(seed).play() for seed in range(60)))
+
+        with mock.patch.object(discovery, "TURN", 0.01), mock.patch.object(discovery, "BEGUN", 0.02):
+            followed = uvloop.run(asyncio.wait_for(run(), 20))
+        self.assertEqual([seed for seed, one in enumerate(followed) if not one], [])
+
+
 if __name__ == "__main__":
     unittest.main()
