--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -162,8 +162,11 @@
             loop = asyncio.get_running_loop()
             began = loop.time()
             go, log = asyncio.Event(), []
-            hangs = mock.patch.object(file, what, lambda *_: asyncio.run_coroutine_threadsafe(go.wait(), loop).result() and None)
-            with hangs:
+
+            def hang(*_) -> None:
+                asyncio.run_coroutine_threadsafe(go.wait(), loop).result()
+
+            with mock.patch.object(file, what, hang):
                 found = await keeper.Keeper(config.Keeping(folder, 1_000_000, 1 << 20), "n", log.append).load()
             took = loop.time() - began
             go.set()
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -482,7 +482,8 @@
     async def play(self) -> bool:
         """Whether the list is followed at the address named last once calls are answered again."""
         loop = asyncio.get_running_loop()
-        servers = [await asyncio.start_server(functools.partial(self.serve, number), "127.0.0.1", 0) for number in (8, 9)]
+        servers = [await asyncio.start_server(functools.partial(self.serve, number), "127.0.0.1", 0)
+                   for number in (8, 9)]
         places = [server.sockets[0].getsockname() for server in servers]
         self.watch = Discovery(places[0], lifecycle.Buffers(keep=4), Log(0), names=given().names, generation=3)
         self.ask()
