Test command: modules that start many processes run one at a time, four others at most beside

Cause: test_together, test_drills, test_comeback and test_lab judge many processes by the clock; beside each other they take each other's time.

Change: of those four one runs at a time, longest first; up to four modules at once on eight cores. New tests: a run that is ended ends its workers and what they started; which modules run beside each other.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -36,8 +36,14 @@
 MOST = 3  # lines of KNOWN-RED.txt
 KNOWN_RED = "KNOWN-RED.txt"
 LINE = re.compile(r"(?P<test>[A-Za-z_][\w.]*), (?P<cause>\S(?:.*\S)?), issue (?P<issue>[1-9]\d*)")
-# Seconds that modules take alone; those that take longest begin first. One that isn't here begins before all others.
-TAKES: dict[str, float] = {}
+# Seconds that modules took in one run on a busy machine: those that take longest begin first, for which their order
+# alone counts; one that isn't here counts as a minute.
+TAKES = {f"tests.test_{name}": seconds for name, seconds in {
+    "orders": 348, "together": 186, "drills": 133, "comeback": 126, "fleet": 123, "peers": 116, "lab": 72,
+    "known_red": 46, "crossings": 34, "operations": 25, "hardening": 25, "duties": 24, "net": 16, "flow": 10,
+    "choice": 5, "limits": 5, "standing": 4, "facade": 3, "adapter": 3}.items()}
+# They start many processes and judge them by the clock: one of them at a time.
+CROWDS = {f"tests.test_{name}" for name in ("together", "drills", "comeback", "lab")}
 
 
 class Red(NamedTuple):
@@ -224,10 +230,11 @@
         wrong += [f"no tests in {module}" for module, tests in modules.items() if not tests]
         if not modules:
             wrong.append("no tests were found")
-        waiting = sorted(modules, key=lambda module: (-TAKES.get(module, 1e9), module))
+        waiting = sorted(modules, key=lambda module: (-TAKES.get(module, 60), module))
         while waiting or self.running:
-            while waiting and len(self.running) < self.workers:
-                self.running.append(Worker(waiting.pop(0), folder, self.limit))
+            while len(self.running) < self.workers and (module := self.next(waiting)):
+                waiting.remove(module)
+                self.running.append(Worker(module, folder, self.limit))
             for worker in [worker for worker in self.running if worker.over()]:
                 self.running.remove(worker)
                 self.count(worker, modules[worker.module])
@@ -235,6 +242,11 @@
         self.say(f"{len(modules)} modules in {time.monotonic() - began:.0f} s, {self.workers} at once")
         return self.judge([red for red in reds if red.test in self.ends], wrong)
 
+    def next(self, waiting: list[str]) -> str | None:
+        """Which module may begin now."""
+        crowded = any(worker.module in CROWDS for worker in self.running)
+        return next((module for module in waiting if not crowded or module not in CROWDS), None)
+
     def look(self, folder: Path) -> tuple[dict[str, list[str]], list[str]]:
         """All tests by their module, and why none are known."""
         worker = Worker("", folder, min(self.limit, 60.0))
@@ -285,7 +297,7 @@
     cores = len(os.sched_getaffinity(0))
     parser = argparse.ArgumentParser(prog="python -m tests", description="Runs the tests; all, if no MODULE is named.")
     parser.add_argument("only", nargs="*", metavar="MODULE", help="as tests.test_net")
-    parser.add_argument("--workers", type=int, default=max(1, min(3, cores // 2)), help="modules at once")
+    parser.add_argument("--workers", type=int, default=max(1, min(4, cores // 2)), help="modules at once")
     parser.add_argument("--limit", type=float, default=LIMIT, help="seconds that one module may take")
     parser.add_argument("--worker", help=argparse.SUPPRESS)
     parser.add_argument("--sink", help=argparse.SUPPRESS)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
 
 from tests import runner
 
@@ -147,6 +150,45 @@
             f"FAILED tests.test_two.Parts.test_{name}" for name in ("error", "expected", "part", "unexpected")),
             "1 passed, 5 failed")
 
+    def test_a_run_that_is_ended_ends_what_it_started(self):
+        with tempfile.TemporaryDirectory() as folder:
+            top = Path(folder)
+            (top / "tests").mkdir()
+            (top / "tests/__init__.py").touch()
+            (top / "tests/test_long.py").write_text(
+                "import os, subprocess, time, unittest\nfrom pathlib import Path\nclass Long(unittest.TestCase):\n"
+                "    def test_long(self):\n        child = subprocess.Popen(['sleep', '60'])\n"
+                "        Path('new').write_text(f'{os.getpid()} {child.pid}')\n        os.rename('new', 'pids')\n"
+                "        time.sleep(60)\n")
+            run = subprocess.Popen([sys.executable, "-P", runner.__file__], cwd=top, stdout=subprocess.DEVNULL)
+            until = time.monotonic() + 30
+            while not (top / "pids").exists() and time.monotonic() < until:
+                time.sleep(0.01)
+            worker, child = map(int, (top / "pids").read_text().split())
+            run.terminate()
+            self.assertEqual(run.wait(10), 1)
+            with self.assertRaises(ProcessLookupError):
+                os.kill(worker, 0)
+            while self.alive(child) and time.monotonic() < until:  # init has to take it
+                time.sleep(0.01)
+            self.assertFalse(self.alive(child))
+
+    def alive(self, pid: int) -> bool:
+        try:
+            return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] not in "ZX"
+        except OSError:
+            return False
+
+    def test_which_modules_run_beside_each_other(self):
+        """Of those that start many processes, one at a time; the others beside it, those that take longest first."""
+        run = runner.Run(4, 1.0, [], sys.stdout)
+        self.assertLessEqual(runner.CROWDS, {f"tests.{path.stem}" for path in (HERE / "tests").glob("test_*.py")})
+        one, other = sorted(runner.CROWDS)[:2]
+        self.assertEqual(run.next([one, other, "tests.test_net"]), one)
+        run.running = [SimpleNamespace(module=one)]
+        self.assertEqual(run.next([other, "tests.test_net"]), "tests.test_net")
+        self.assertIsNone(run.next([other]))
+
     def test_the_one_test_command(self):
         """README and CI run this command, and nothing else beside it decides."""
         self.assertIn("python -m tests     # the one test command\n", (HERE / "README.md").read_text())
