Test command: test_orders is dealt out to three processes, a test for each of its plans

Change: a module that is not judged by the clock may be dealt out, test by test, to several processes; each process says which tests it ran, and the runner checks them against discovery as before.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -1,4 +1,5 @@
 """Runs the test modules, each in a process of its own and a few of them beside each other, and says what came of them.
+A module that takes long and isn't judged by the clock is dealt out to several processes, test by test.
 
 It owns which tests count as passed: those alone whose own process said so, of all that unittest's discovery finds.
 What is not known to have passed has failed: a module that can't be imported, a process that died or ran out of time, a
@@ -43,9 +44,25 @@
     "known_red": 46, "crossings": 34, "operations": 25, "hardening": 25, "duties": 24, "net": 16, "flow": 10,
     "choice": 5, "limits": 5, "standing": 4, "facade": 3, "adapter": 3}.items()}
 # They start many processes and judge them by the clock: one of them at a time.
+SPLIT = {"tests.test_orders": 3}  # into so many parts
 CROWDS = {f"tests.test_{name}" for name in ("together", "drills", "comeback", "lab")}
 
 
+class Unit(NamedTuple):
+    """What one process runs: every so-manieth test of a module."""
+
+    module: str
+    part: int = 0
+    parts: int = 1
+
+    def __str__(self) -> str:
+        return self.module + f" ({self.part + 1} of {self.parts})" * (self.parts > 1)
+
+    @property
+    def seconds(self) -> float:
+        return TAKES.get(self.module, 60) / self.parts
+
+
 class Red(NamedTuple):
     """A line of KNOWN-RED.txt."""
 
@@ -137,12 +154,14 @@
     return modules
 
 
-def work(module: str, sink: str, limit: float) -> int:
-    """Run one module (none: look what there is), and write what came of it."""
+def work(unit: Unit, sink: str, limit: float) -> int:
+    """Run one unit (without a module: look what there is), and write what came of it."""
     faulthandler.dump_traceback_later(limit, exit=True)
     sys.path.insert(0, os.getcwd())
-    if module:
-        suite = unittest.TestLoader().loadTestsFromModule(importlib.import_module(module))
+    if unit.module:
+        suite = unittest.TestLoader().loadTestsFromModule(importlib.import_module(unit.module))
+        if unit.parts > 1:
+            suite = unittest.TestSuite(list(each(suite))[unit.part::unit.parts])
         said = unittest.TextTestRunner(stream=sys.stdout, resultclass=Result).run(suite).ends
     else:
         said = found()
@@ -155,19 +174,19 @@
 
 @dataclass
 class Worker:
-    """The process of one module."""
+    """The process of one unit."""
 
-    module: str
+    unit: Unit
     folder: Path
     limit: float
     began: float = field(default_factory=time.monotonic)
 
     def __post_init__(self) -> None:
-        self.sink, self.log = self.folder / f"{self.module}.json", self.folder / f"{self.module}.log"
+        self.sink, self.log = self.folder / f"{self.unit}.json", self.folder / f"{self.unit}.log"
+        words = [sys.executable, "-P", __file__, "--worker", self.unit.module, "--sink", str(self.sink),
+                 f"--limit={self.limit}", f"--part={self.unit.part}", f"--parts={self.unit.parts}"]
         with self.log.open("wb") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-P", __file__, "--worker", self.module, "--sink", str(self.sink),
-                 f"--limit={self.limit}"], stdin=subprocess.DEVNULL, stdout=log, stderr=log, process_group=0)
+            self.process = subprocess.Popen(words, stdin=subprocess.DEVNULL, stdout=log, stderr=log, process_group=0)
 
     def over(self) -> bool:
         if self.process.poll() is None and self.took > self.limit + SPARE:
@@ -230,26 +249,28 @@
         wrong += [f"no tests in {module}" for module, tests in modules.items() if not tests]
         if not modules:
             wrong.append("no tests were found")
-        waiting = sorted(modules, key=lambda module: (-TAKES.get(module, 60), module))
+        parts = {module: SPLIT.get(module, 1) for module in modules}
+        waiting = [Unit(module, part, parts[module]) for module in modules for part in range(parts[module])]
+        waiting.sort(key=lambda unit: (-unit.seconds, unit))
         while waiting or self.running:
-            while len(self.running) < self.workers and (module := self.next(waiting)):
-                waiting.remove(module)
-                self.running.append(Worker(module, folder, self.limit))
+            while len(self.running) < self.workers and (unit := self.next(waiting)):
+                waiting.remove(unit)
+                self.running.append(Worker(unit, folder, self.limit))
             for worker in [worker for worker in self.running if worker.over()]:
                 self.running.remove(worker)
-                self.count(worker, modules[worker.module])
+                self.count(worker, modules[worker.unit.module][worker.unit.part::worker.unit.parts])
             time.sleep(0.02)
         self.say(f"{len(modules)} modules in {time.monotonic() - began:.0f} s, {self.workers} at once")
         return self.judge([red for red in reds if red.test in self.ends], wrong)
 
-    def next(self, waiting: list[str]) -> str | None:
-        """Which module may begin now."""
-        crowded = any(worker.module in CROWDS for worker in self.running)
-        return next((module for module in waiting if not crowded or module not in CROWDS), None)
+    def next(self, waiting: list[Unit]) -> Unit | None:
+        """What may begin now."""
+        crowded = any(worker.unit.module in CROWDS for worker in self.running)
+        return next((unit for unit in waiting if not crowded or unit.module not in CROWDS), None)
 
     def look(self, folder: Path) -> tuple[dict[str, list[str]], list[str]]:
         """All tests by their module, and why none are known."""
-        worker = Worker("", folder, min(self.limit, 60.0))
+        worker = Worker(Unit(""), folder, min(self.limit, 60.0))
         self.running.append(worker)
         while not worker.over():
             time.sleep(0.02)
@@ -262,7 +283,7 @@
     def count(self, worker: Worker, tests: list[str]) -> None:
         """Take what a module's process said, for just the tests that were found in it."""
         said, why = worker.said()
-        self.say(f"\n== {worker.module}: {len(tests)} tests, {worker.took:.1f} s\n"
+        self.say(f"\n== {worker.unit}: {len(tests)} tests, {worker.took:.1f} s\n"
                  f"{worker.log.read_text(errors='replace').rstrip()}")
         for test in tests:
             self.ends[test] = said.get(test, "failed")
@@ -300,10 +321,12 @@
     parser.add_argument("--workers", type=int, default=max(1, min(4, cores // 2)), help="modules at once")
     parser.add_argument("--limit", type=float, default=LIMIT, help="seconds that one module may take")
     parser.add_argument("--worker", help=argparse.SUPPRESS)
+    parser.add_argument("--part", type=int, default=0, help=argparse.SUPPRESS)
+    parser.add_argument("--parts", type=int, default=1, help=argparse.SUPPRESS)
     parser.add_argument("--sink", help=argparse.SUPPRESS)
     said = parser.parse_args(words)
     if said.worker is not None:
-        return work(said.worker, said.sink, said.limit)
+        return work(Unit(said.worker, said.part, said.parts), said.sink, said.limit)
     if said.workers < 1 or not said.limit > 0:
         parser.error("--workers and --limit have to be above 0")
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # ends the workers as well
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -179,14 +179,25 @@
         except OSError:
             return False
 
+    def test_a_module_that_is_dealt_out(self):
+        """Each of its tests is run once, and one that fails or dies is found in whichever part it is."""
+        many = "import os, unittest\nclass Many(unittest.TestCase): pass\nfor i in range(8):\n" \
+               "    setattr(Many, f'test_{i}', lambda self, i=i: [print, self.assertFalse, os._exit][%s](i))\n"
+        for fails, status, last in (("0", 0, "8 passed, 0 failed"), ("i == 4", 1, "7 passed, 1 failed"),
+                                    ("2 * (i == 7)", 1, "5 passed, 3 failed")):  # 1, 4 and 7 are in one process
+            code, lines = self.run_on(None, test_orders=many % fails)
+            self.assertEqual((code, sum(line.startswith("== ") for line in lines)), (status, 3), "\n".join(lines))
+            self.assertEqual(lines[-1], last, "\n".join(lines))
+
     def test_which_modules_run_beside_each_other(self):
         """Of those that start many processes, one at a time; the others beside it, those that take longest first."""
         run = runner.Run(4, 1.0, [], sys.stdout)
         self.assertLessEqual(runner.CROWDS, {f"tests.{path.stem}" for path in (HERE / "tests").glob("test_*.py")})
-        one, other = sorted(runner.CROWDS)[:2]
-        self.assertEqual(run.next([one, other, "tests.test_net"]), one)
-        run.running = [SimpleNamespace(module=one)]
-        self.assertEqual(run.next([other, "tests.test_net"]), "tests.test_net")
+        self.assertFalse(runner.CROWDS & runner.SPLIT.keys())
+        one, other, net = map(runner.Unit, [*sorted(runner.CROWDS)[:2], "tests.test_net"])
+        self.assertEqual(run.next([one, other, net]), one)
+        run.running = [SimpleNamespace(unit=one)]
+        self.assertEqual(run.next([other, net]), net)
         self.assertIsNone(run.next([other]))
 
     def test_the_one_test_command(self):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -64,13 +64,25 @@
 
 
 class Orders(unittest.TestCase):
-    def test_no_order_breaks_a_rule(self):
-        for name, plan in PLANS.items():
-            with self.subTest(name):
-                tried, path, why = searched(plan)
-                self.assertIsNone(path, f"{why}: {path}")
-                print(f"{name}: {tried} orders of {plan.depth} events")
-                self.assertEqual(tried, ORDERS[name])
+    """No order breaks a rule: a test for each plan, so that plans can be played beside each other."""
+
+    def test_each_plan_has_its_test(self):
+        self.assertEqual(list(PLANS), list(ORDERS))
+        self.assertEqual({f"test_{called(name)}" for name in PLANS} - set(dir(self)), set())
+
+    def play(self, name: str) -> None:
+        tried, path, why = searched(PLANS[name])
+        self.assertIsNone(path, f"{why}: {path}")
+        print(f"{name}: {tried} orders of {PLANS[name].depth} events")
+        self.assertEqual(tried, ORDERS[name])
+
+
+def called(plan: str) -> str:
+    return plan.replace(",", "").replace(" ", "_")
+
+
+for _plan in PLANS:
+    setattr(Orders, f"test_{called(_plan)}", lambda case, plan=_plan: case.play(plan))
 
 
 class Faults(unittest.TestCase):
