Who joined a fetch is served on when its leader's client leaves, also at a full origin

When the client of the request that fetches for others left, those were turned away wherever the origin had no room in that moment: Node.finish took every end but an answer for a fetch that had failed. The fetch that was left holds its place until its end is told, and one that waits in the line finds the origin full by definition, so it was the rule there (two requests refused in each of three forced orders, one of them without cancelling). Only what was given up counts as failed now (Tx.failed, set by give_up). The others ask for the copy again, miss, and one of them fetches.

With it, who has left is taken out of the line for the origin before a newcomer reckons how long it waits: behind 35 that had left, 7 of 10 that could have been served were turned away at once.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -377,6 +377,7 @@
             tx.leads = True
         if self.crowded(now):
             self.order += 1
+            self.queued = [turn for turn in self.queued if turn[2].state is State.WAITING]  # others have left
             turn = (-tx.profile.revenue * tx.favour, self.order, tx)
             # Guards against waits that end in nothing: no room in time means an answer now.
             if now + self.fetch * (1 + (bisect(self.queued, turn) + 1) / self.room.limit) > tx.goal:
@@ -440,17 +441,16 @@
         for hop in tx.open_hops() if self.permits.cancel else ():
             self.effects.append(model.Cancel(tx.id, hop.number))
         if tx.leads:
-            tx.leads = False
-            # Guards against joiners that go and miss once more, when there is no room for their fetch either.
-            failed = tx.hops[-1].ended is not Ended.COMMITTED and self.crowded(now)
+            # Guards against joiners that go and miss, with no room for a fetch either; not if it was left.
             for other in self.fetches.pop(tx.key, []):
-                self.feed(now, other, In.NOBODY if failed else In.FETCHED)
+                self.feed(now, other, In.NOBODY if tx.failed and self.crowded(now) else In.FETCHED)
         return None
 
     def give_up(self, tx: Tx, now: Micros) -> In | None:
         """The final answer at once; harmless to try again only where rule 2 says so."""
         hint = min(self.permits.longest_hint, self.recovery.stay_away(now, int(self.usual), self.chance))
         self.effects.append(model.RollBack(tx.id, hint) if may_roll_back(tx) else model.Abandon(tx.id))
+        tx.failed = True
         return self.finish(tx, now)
 
     def unless_out(self, tx: Tx, now: Micros) -> In | None:
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -336,6 +336,7 @@
     asked: bool | None = None  # whether it asked before its hop; None: it had no choice
     waits: int = 0  # probes that it waits for
     leads: bool = False  # others wait for its fetch
+    failed: bool = False  # it was given up, not left by its client
 
     def open_hops(self) -> list[Hop]:
         return [hop for hop in self.hops if hop.open]
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -22,9 +22,9 @@
 import uvloop
 
 from saltmoor.config import BUFFER
-from saltmoor.model import Ended
+from saltmoor.model import Ended, State
 from tests.helper import MS, Script, read, write
-from tests.test_crossings import Case, Held, may
+from tests.test_crossings import Case, Held, answer, may
 from tests.test_drills import Drill
 
 STILL = 0.12  # seconds: over the 0.1 s in which an attempt may still begin
@@ -239,6 +239,36 @@
 
         self.after(scene, settings=patient(probes=False))
 
+    def test_those_who_left_keep_nobody_from_the_line_for_the_origin(self):
+        """How long the line is decides who is turned away at once: who has left is in it no more."""
+        async def scene(town: Waiting) -> None:
+            node = town.service.door.node
+            node.room.free = lambda now, out: out < 1
+            with town.ends(origin=True):
+                first = await town.client()
+                first.say(ask("miss-first", "first"))
+                await town.waits(1)
+                node.fetch = 100_000  # one after the other: 4 s are enough for 39
+                socks = [town.caller(ask(f"miss-{i}", f"a{i}")) for i in range(35)]
+                while len(node.queued) < 35:
+                    await asyncio.sleep(0.002)
+                for sock in socks:
+                    sock.close()
+                await asyncio.wait_for(town.gone(1), 1)
+                others = [await town.client() for i in range(10)]
+                for i, one in enumerate(others):
+                    one.say(ask(f"miss-b{i}", f"b{i}"))
+                while sum(tag.startswith("b") for tag in town.came) < 10:  # all have missed
+                    await asyncio.sleep(0.002)
+                await asyncio.sleep(0.03)
+                self.assertEqual(sum(turn[2].state is State.WAITING for turn in node.queued), 10)
+                town.release.set()
+                for one in first, *others:
+                    self.assertRegex(await answer(one), "^VA")
+            self.assertEqual([tag for tag in town.came if tag.startswith("origin a")], [])
+
+        self.after(scene, settings=patient(probes=False))
+
     def test_pipelined(self):
         """As many as may be open, and more that stand in the socket."""
         async def scene(town: Waiting) -> None:
@@ -326,6 +356,54 @@
         self.after(scene, settings=patient())
 
 
+class Joined(Case):
+    """Who joined a fetch is served on when the client of the one that fetched leaves."""
+
+    def test_while_the_origin_is_full(self):
+        """The fetch that was left takes the only place until its end has come."""
+        for cancel in True, False:
+            async def scene(town: Held) -> None:
+                node = town.service.door.node
+                node.room.free = lambda now, out: out < 1
+                one, two, three = [await town.client() for _ in range(3)]
+                one.say(ask("miss-held", "a"))
+                await town.seen(2)
+                two.say(ask("miss-held", "b"))
+                three.say(ask("miss-held", "c"))
+                while sum(map(len, node.fetches.values())) < 2:
+                    await asyncio.sleep(0.002)
+                one.writer.close()
+                await town.gone(2)
+                town.go.set()
+                self.assertRegex(await answer(two), "^VA .* Ob$")
+                self.assertRegex(await answer(three), "^VA .* Oc$")
+                self.assertEqual((node.fetches, node.queued), ({}, []))
+
+            with self.subTest(cancel=cancel):
+                self.play(scene, settings=patient(probes=False, cancel=cancel), serve={"linger_ms": 0})
+
+    def test_while_it_waits_for_room(self):
+        async def scene(town: Held) -> None:
+            node = town.service.door.node
+            node.room.free = lambda now, out: out < 1
+            other, one, two = [await town.client() for _ in range(3)]
+            other.say(ask("miss-held-other", "x"))
+            await town.seen(2)
+            one.say(ask("miss", "a"))
+            while not node.queued:
+                await asyncio.sleep(0.002)
+            two.say(ask("miss", "b"))
+            while sum(map(len, node.fetches.values())) < 1:
+                await asyncio.sleep(0.002)
+            one.writer.close()
+            await town.gone(2)
+            town.go.set()
+            self.assertRegex(await answer(two), "^VA .* Ob$")
+            self.assertEqual((node.fetches, node.queued), ({}, []))
+
+        self.play(scene, settings=patient(probes=False))
+
+
 class Frozen(Drill):
     """The cache server notes what it gets, and answers nothing while `frozen` is set."""
 
