Connections to servers go before idle clients where these hold all descriptors

With 64 descriptors 24 are for connections, of which 6 are never taken by clients. Idle clients held the other 18, and connections to servers (Upstream.exchange, of attempts and probes alike) could only take the place of free ones of their own: the seventh request at once was told not sent, and refused, though nobody used what the clients held. It was so with clients that come again when they are shut, that send half a command, and that keep an answered connection. Newcomers, too, closed the free connections to servers one by one, also those that clients never take (Clients.has_room), so that each request had to connect anew.

Upstream.room asks for a descriptor: a free connection's, else that of an idle client, else that of the client that has been in the middle of its command for longest, 30 ms at least, which is told so. What is on its way out counts as free within the reserve; newcomers use half of that. It waits 40 ms at most, and not at all where nobody can go. Newcomers leave servers what clients never take.

tests/test_descriptors.py: a process with as many descriptors as stated, as many idle clients, discovery down; 14 requests at once, twice, each on a connection of its own. With 64, all three kinds fail before (3 of 3), and pass; 256 and 1024 with all kinds at once passed before.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -41,6 +41,7 @@
 SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
 SHORT = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM  # there is no room for a connection just now
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
+HALF = 30_000  # how long a client may be in the middle of a command while no server can be reached for want of room
 
 
 class Slot:
@@ -452,14 +453,26 @@
         client.leaves = first + spread if self.clock() < first else self.clock() + STRAY
 
     def has_room(self) -> bool:
-        """Whether one more may be taken; at the cap one that is of least use makes room."""
-        if len(self.clients) + self.upstream.open >= self.caps.connections and not self.upstream.evict():
-            self.evict()
+        """Whether one more may be taken; at the cap one that is of least use makes room.
+
+        Guards against crowds that come again as soon as they are shut: each would cost a connection to a server, and
+        all that are on their way out at once. What is never taken by clients is kept, and half of the reserve.
+        """
+        staying = len(self.clients) - self.leaving
+        if len(self.clients) + self.upstream.open >= self.caps.connections + EVICTIONS // 2 or (
+                len(self.clients) >= self.caps.clients + EVICTIONS // 2):
+            if not self.leaving:  # the caps have come down
+                self.evict()
             return False
-        if len(self.clients) < self.caps.clients:
-            return True
-        return len(self.clients) < self.caps.clients + EVICTIONS and (
-            len(self.clients) - self.leaving < self.caps.clients or self.evict())
+        if staying + self.upstream.open >= self.caps.connections and self.upstream.open > self.caps.upstreams:
+            return staying < self.caps.clients and self.upstream.evict() or self.evict()
+        if staying >= self.caps.clients or staying + self.upstream.open >= self.caps.connections:
+            return self.evict()
+        return True
+
+    def make_room(self) -> bool:
+        """For a connection to a server, which goes before clients that ask nothing: whether there may be room soon."""
+        return self.leaving < EVICTIONS and (self.evict() or self.cut_short()) or self.leaving > 0 or bool(self.begun)
 
     def evict(self) -> bool:
         """Close a connection for another: one that never asked and is silent longest, else the one free longest.
@@ -475,6 +488,15 @@
                 return True
         return False
 
+    def cut_short(self) -> bool:
+        """Guards against crowds of half commands: the longest unfinished ends, where no server can be reached else."""
+        for client in islice(self.begun, EVICTIONS):
+            if not client.ending and not client.slots and 0 < client.began < self.clock() - HALF:
+                client.cut()
+                if client.ending:
+                    return True
+        return False
+
     def rest(self, client: Client) -> None:
         """All that it asked is answered.
 
@@ -504,6 +526,7 @@
     def sweep(self, longest: Micros) -> None:
         """Guards against clients that stop in the middle of a command and keep their descriptor."""
         self.trim(KEPT)
+        self.listen()  # guards against waiting for the end of a client where only connections to servers have ended
         now = self.clock()
         for client in self.clients if self.lame else ():
             if client.leaves and client.leaves <= now and client.idle:
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -22,7 +22,7 @@
 from saltmoor.net import meta, sibling
 from saltmoor.net.admin import Admin
 from saltmoor.net.buffers import Buffers, listener
-from saltmoor.net.clients import Clients
+from saltmoor.net.clients import EVICTIONS, Clients
 from saltmoor.net.discovery import Discovery, News
 from saltmoor.net.flow import Budget
 from saltmoor.net.log import Log
@@ -98,7 +98,8 @@
         self.hurry = asyncio.Event()  # the next sweep is to come at once
         self.buffers = buffers = Buffers(keep=given.caps.connections)
         self.budget = Budget(given.caps.gathered)
-        self.upstream = Upstream(buffers, self.log, clock, budget=self.budget, cap=self.upstream_cap, idle=given.idle,
+        self.upstream = Upstream(buffers, self.log, clock, budget=self.budget, cap=self.upstream_cap,
+                                 make_room=lambda: self.clients.make_room(), idle=given.idle,
                                  connect_wait=given.connect_wait, figures=bool(given.names.columns))
         self.starts = Starts()
         known = self.starts.own(given.known, whole=True)
@@ -319,9 +320,9 @@
                                              generation=given.generation, pushed=given.pushed)
 
     def upstream_cap(self) -> int:
-        """Connections to servers may take what clients leave."""
-        caps = self.clients.caps
-        return max(caps.upstreams, caps.connections - len(self.clients.clients))
+        """Connections to servers may take what clients leave; the reserve has those that are on their way out."""
+        caps, taken = self.clients.caps, len(self.clients.clients)
+        return max(caps.upstreams, caps.connections - taken + min(self.clients.leaving, EVICTIONS))
 
     def nudge(self) -> None:
         if not self.nudged:
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -24,6 +24,7 @@
 STEP = 1 << 18  # bytes: how memory is asked for where a value's length is not known
 REST = 25_000  # how long a connection stands free first after an answer that does not say to what it is one:
 # guards against a second copy of it that comes some milliseconds late, and would be the next one's answer
+ROOM = 40_000  # how long clients that are on their way out may take to leave their descriptor
 MEMORY = 10_000_000  # what was learnt of connections is worth half after so long
 
 
@@ -83,9 +84,10 @@
 
 class Upstream:
     def __init__(self, buffers: Buffers, log: Log, clock: Callable[[], Micros], *, budget: Budget,
-                 cap: Callable[[], int], idle: Micros, connect_wait: Micros, figures: bool) -> None:
+                 cap: Callable[[], int], make_room: Callable[[], bool], idle: Micros, connect_wait: Micros,
+                 figures: bool) -> None:
         self.buffers, self.log, self.clock, self.budget = buffers, log, clock, budget
-        self.cap, self.ages, self.forget_at = cap, Ages(), 0
+        self.cap, self.make_room, self.ages, self.forget_at = cap, make_room, Ages(), 0
         self.configure(idle, connect_wait, figures)
         self.address: dict[ServerId, tuple[str, int]] = {}
         self.draining: set[ServerId] = set()
@@ -146,7 +148,7 @@
             if link:
                 age = self.clock() - link.used
             else:
-                if self.open >= self.cap() and not self.evict():
+                if not await self.room():
                     return meta.Reply(Ended.NOT_SENT)
                 made = await self.connect(server)
                 if isinstance(made, Ended):
@@ -251,6 +253,19 @@
             self.close(link, "stale")
         return None
 
+    async def room(self) -> bool:
+        """Whether one more connection may be opened: a free one makes room, else a client that asks nothing.
+
+        Guards against idle clients that hold every descriptor; what they leave is there some passes later at most.
+        """
+        until = self.clock() + ROOM
+        while self.open >= self.cap() and not self.evict():
+            if not self.make_room() or self.clock() >= until:
+                return False
+            if self.open >= self.cap():
+                await asyncio.sleep(ROOM / 20_000_000)
+        return True
+
     async def connect(self, server: ServerId) -> Link | Ended:
         if server not in self.address:
             return Ended.NO_CONNECTION
