A connection that comes up late goes on, and is free for the next attempt

Upstream.connect closed a connection that was not up within permissions.connect_timeout_ns, and also one whose attempt or probe was stopped while it connected. Where a third of the connections come up late (zone+brink) the next attempt paid for a new one, of which a third was late again.

Ruled out: waiting longer in the attempt. The stated time is when it ends as could not connect, so that it may go elsewhere; that stays. Closing stays for servers that drain, are gone or have moved.

Change, all in net/upstream.py. The attempt gives up as before, and never ran. The connection (Dial) goes on with nobody waiting: at most four to one server, each for 2 s from its start, counted in the cap, and the first to make room where a descriptor is needed, at once. Up, it goes to who waits for a connection to that server, else it stands free. News that its server drains, is gone or has moved closes it at once. Nothing is written on it until an attempt takes it. The log tells of it when it ends, not when its attempt gave up.

--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -26,6 +26,9 @@
 # guards against a second copy of it that comes some milliseconds late, and would be the next one's answer
 ROOM = 40_000  # how long clients that are on their way out may take to leave their descriptor
 MEMORY = 10_000_000  # what was learnt of connections is worth half after so long
+LATEST = 2_000_000  # a connection that is not up so long after it was begun is let go: the time-out for those
+# who wait for it is shorter, and what nobody waits for may not keep a descriptor for ever
+LATE_ONES = 4  # as many may be on their way to one server with nobody waiting: it bears only so many
 
 
 class Reader(Protocol):
@@ -56,6 +59,29 @@
         self.rests: Micros = 0  # until then it is not used, as more may come of the answer before
 
 
+class Dial:
+    """A connection on its way up; it holds a descriptor until it is up, has failed or is let go."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.over: asyncio.Future[str] = link.stream.loop.create_future()  # no code: it is up
+        sock = link.stream.sock
+        try:
+            sock.connect(link.address)
+        except BlockingIOError:
+            link.stream.loop.add_writer(sock, self.end)
+        except OSError:
+            self.over.set_result("refused")
+        else:
+            self.over.set_result("")
+
+    def end(self, code: str = "") -> None:
+        """The kernel is done with it; or it is let go, with that code."""
+        sock = self.link.stream.sock
+        self.link.stream.loop.remove_writer(sock)
+        self.over.set_result(code or ("refused" if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) else ""))
+
+
 class Ages:
     """How long a free connection stays good: less than the settings say where uses after such a time broke.
 
@@ -92,6 +118,8 @@
         self.address: dict[ServerId, tuple[str, int]] = {}
         self.draining: set[ServerId] = set()
         self.free: dict[ServerId, list[Link]] = {}
+        self.late: dict[ServerId, list[Dial]] = {}  # on their way, with nobody waiting any more
+        self.waiting: dict[ServerId, list[asyncio.Future]] = {}  # for a connection, if one should stand free first
         self.unsent: set[asyncio.Task] = set()  # exchanges of which no server can have the last byte
         self.open = 0
 
@@ -112,6 +140,8 @@
                 for link in self.free.pop(server, []):
                     self.close(link, "left-list")
         self.address |= stay
+        for dial in [one for some in self.late.values() for one in some if not self.good_for(one.link)]:
+            self.let_go(dial, "left-list")
 
     def keep(self, known: Container[ServerId]) -> None:
         """Where the list alone does not bind: forget where those are reached that the decisions have forgotten."""
@@ -119,6 +149,8 @@
             del self.address[server]
             self.draining.discard(server)
             self.give_back(server)
+            for dial in self.late.get(server, [])[:]:
+                self.let_go(dial, "given-back")
 
     async def exchange(self, server: ServerId, data: list[bytes] | Callable[[], list[bytes]], reader: Reader,
                        until: Micros, by: Micros = 0,
@@ -271,31 +303,79 @@
             return Ended.NO_CONNECTION
         host, port = self.address[server]
         try:
-            sock = socket.socket(family(host), socket.SOCK_STREAM)
+            stream = Stream(socket.socket(family(host), socket.SOCK_STREAM), self.buffers)
         except OSError as error:  # no descriptor: that says nothing of the server
             self.log(f"connect: {error}")
             return Ended.NOT_SENT
         self.open += 1
-        code = "gave-up"
+        loop = asyncio.get_running_loop()
+        dial = Dial(Link(server, (host, port), stream, self.clock()))
+        other, waiting, link = loop.create_future(), self.waiting.setdefault(server, []), None
+        waiting.append(other)
         try:
-            stream = Stream(sock, self.buffers)
-            async with asyncio.timeout(self.connect_wait / 1_000_000):
-                await stream.loop.sock_connect(sock, (host, port))
-            code = ""
-            return Link(server, (host, port), stream, self.clock())
-        except TimeoutError:
-            code = "no-connection"
-        except OSError:
-            code = "refused"
+            await asyncio.wait((dial.over, other), timeout=self.connect_wait / 1_000_000,
+                               return_when=asyncio.FIRST_COMPLETED)
+            link = other.result() if other.done() else dial.link if dial.over.done() else None
         finally:
-            if code:
-                sock.close()
-                self.open -= 1
-                self.log.ended("server", f"{server}", code)
-        return Ended.NO_CONNECTION
+            waiting.remove(other)
+            if not waiting:
+                self.waiting.pop(server, None)
+            if link is not dial.link:
+                self.goes_on(dial)
+            if link is None and other.done():  # stopped in the moment in which it was handed over
+                self.leave(other.result(), "")
+        if link is dial.link and (code := dial.over.result()):
+            self.close(link, code)
+            link = None
+        return link or Ended.NO_CONNECTION
+
+    def goes_on(self, dial: Dial) -> None:
+        """Nobody waits for it any more.
+
+        Guards against paying for it twice: who waited sends nothing on it, but the next one may.
+        """
+        ones = self.late.setdefault(dial.link.server, [])
+        ones.append(dial)
+        dial.over.add_done_callback(lambda over: self.came(dial))
+        if not dial.over.done() and (len(ones) > LATE_ONES or not self.good_for(dial.link)):
+            self.let_go(dial, "no-connection")
+
+    def came(self, dial: Dial) -> None:
+        """It is up though nobody waits for it, or has ended."""
+        link, ones = dial.link, self.late.get(dial.link.server, [])
+        if dial not in ones:
+            return  # it was let go
+        ones.remove(dial)
+        if not ones:
+            del self.late[link.server]
+        code = dial.over.result() or ("" if self.good_for(link) else "left-list")
+        if not code:
+            link.used = self.clock()
+        other = next((one for one in self.waiting.get(link.server, []) if not one.done()), None)
+        if other and not code:
+            other.set_result(link)
+        else:
+            self.leave(link, code)
+
+    def let_go(self, dial: Dial, code: str) -> None:
+        """Its descriptor is free at once."""
+        ones = self.late[dial.link.server]
+        ones.remove(dial)
+        if not ones:
+            del self.late[dial.link.server]
+        if not dial.over.done():
+            dial.end(code)
+        self.close(dial.link, code)
+
+    def good_for(self, link: Link) -> bool:
+        """Its server may still be sent to, and is where it was."""
+        return link.server not in self.draining and self.address.get(link.server) == link.address
 
     def evict(self) -> bool:
-        """Close the free connection that was used longest ago."""
+        """Close the one that is on its way longest with nobody waiting, else the free one used longest ago."""
+        if self.late:
+            self.let_go(min((ones[0] for ones in self.late.values()), key=lambda dial: dial.link.since), "evicted")
+            return True
         oldest = min((links for links in self.free.values() if links), default=None,
                      key=lambda links: links[0].used)
         if oldest is None:
@@ -318,6 +398,8 @@
         for links in self.free.values():
             while links and links[0].used <= now - self.good:
                 self.close(links.pop(0), "idle")
+        for dial in [one for some in self.late.values() for one in some if one.link.since <= now - LATEST]:
+            self.let_go(dial, "no-connection")
         while self.open > self.cap() and self.evict():
             pass  # the cap has come down
 
@@ -348,6 +430,8 @@
         self.log.ended("server", f"{link.server}", code, n=link.exchanges, ms=age)
 
     def close_all(self) -> None:
+        for dial in [one for some in self.late.values() for one in some]:
+            self.let_go(dial, "stopping")
         for links in self.free.values():
             while links:
                 self.close(links.pop(), "stopping")
