Connections that come up late are not taken for refused ones

Cause. choice.connected counts each attempt that could not connect to a server that lives; above a tenth it is squeezed, and every idle connection is given back at once, as servers seem to hold too few. Where a third of the connections are late that counts them as refused: each attempt then pays for a new connection, a third of which is late, so it stays squeezed.

Ruled out: another word for such an attempt's end. Servers that vanish would be found out late, as nothing else tells.

Change, in Upstream.give_back and learn: of the connections that were not up in time the share is kept that came up after all, lately; one that is refused, or not up after 2 s, counts against it, each server once until one comes up there. While the share is above a half nothing is given back. The decisions are as before, and where connections are refused so is this.

tests/test_late.py, GivenBack: three tests; all three fail where the share is not looked at.

--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -120,6 +120,8 @@
         self.free: dict[ServerId, list[Link]] = {}
         self.late: dict[ServerId, list[Dial]] = {}  # on their way, with nobody waiting any more
         self.waiting: dict[ServerId, list[asyncio.Future]] = {}  # for a connection, if one should stand free first
+        self.lateness = 0.0  # of connections that were not up in time, lately: the share that came up after all
+        self.never: set[ServerId] = set()  # where the last one of them did not; each counts once until one does
         self.unsent: set[asyncio.Task] = set()  # exchanges of which no server can have the last byte
         self.open = 0
 
@@ -137,6 +139,7 @@
         for server in left:
             if self.address.get(server) != stay.get(server):
                 self.address.pop(server, None)
+                self.never.discard(server)
                 for link in self.free.pop(server, []):
                     self.close(link, "left-list")
         self.address |= stay
@@ -148,7 +151,8 @@
         for server in [one for one in self.address if one not in known]:
             del self.address[server]
             self.draining.discard(server)
-            self.give_back(server)
+            self.never.discard(server)
+            self.forget(server)
             for dial in self.late.get(server, [])[:]:
                 self.let_go(dial, "given-back")
 
@@ -325,8 +329,11 @@
             if link is None and other.done():  # stopped in the moment in which it was handed over
                 self.leave(other.result(), "")
         if link is dial.link and (code := dial.over.result()):
+            self.learn(server, False)
             self.close(link, code)
             link = None
+        if link:
+            self.never.discard(server)
         return link or Ended.NO_CONNECTION
 
     def goes_on(self, dial: Dial) -> None:
@@ -349,8 +356,11 @@
         if not ones:
             del self.late[link.server]
         code = dial.over.result() or ("" if self.good_for(link) else "left-list")
+        now = self.clock()
         if not code:
-            link.used = self.clock()
+            link.used = now
+        if now >= link.since + self.connect_wait or dial.over.result():
+            self.learn(link.server, not dial.over.result())
         other = next((one for one in self.waiting.get(link.server, []) if not one.done()), None)
         if other and not code:
             other.set_result(link)
@@ -367,6 +377,16 @@
             dial.end(code)
         self.close(dial.link, code)
 
+    def learn(self, server: ServerId, came: bool) -> None:
+        """A connection that was not up in time came up after all, or did not."""
+        if came:
+            self.never.discard(server)
+        elif server in self.never:
+            return  # a dead one is no crowd
+        else:
+            self.never.add(server)
+        self.lateness += (came - self.lateness) * 0.1
+
     def good_for(self, link: Link) -> bool:
         """Its server may still be sent to, and is where it was."""
         return link.server not in self.draining and self.address.get(link.server) == link.address
@@ -384,7 +404,17 @@
         return True
 
     def give_back(self, server: ServerId) -> None:
-        """Close what stands free to this server, as others are refused there."""
+        """Close what stands free to this server, as others are refused there.
+
+        Guards against taking connections that come up late for refused ones: each that is closed then costs a new
+        one, of which as many are late again, and more are closed. So nothing is given back while most of those that
+        are not up in time come up after all: there is room for them.
+        """
+        if self.lateness > 0.5:
+            return
+        self.forget(server)
+
+    def forget(self, server: ServerId) -> None:
         for link in self.free.pop(server, []):
             self.close(link, "given-back")
 
@@ -399,6 +429,7 @@
             while links and links[0].used <= now - self.good:
                 self.close(links.pop(0), "idle")
         for dial in [one for some in self.late.values() for one in some if one.link.since <= now - LATEST]:
+            self.learn(dial.link.server, False)
             self.let_go(dial, "no-connection")
         while self.open > self.cap() and self.evict():
             pass  # the cap has come down
--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -310,6 +310,75 @@
         self.assertIn("code=refused", self.logged)
 
 
+class GivenBack(Case):
+    """Whether connections are given back, as the decisions ask for where many are refused by servers that live."""
+
+    async def late_ones(self, bench: Bench, count: int, lateness: int) -> None:
+        """Connections that nobody has waited for come up so long after they were begun."""
+        for number in range(count):
+            await bench.ask(f"a{number}")
+            bench.ahead += lateness
+            bench.late()[0].end()  # as the loop does
+            await asyncio.sleep(0)
+            bench.pool.forget("s1")
+
+    async def given_back(self, house: Held, bench: Bench) -> bool:
+        await bench.ask("z")
+        bench.late()[0].end()
+        await asyncio.sleep(0)
+        self.assertEqual(len(bench.pool.free["s1"]), 1)
+        bench.pool.give_back("s1")
+        kept = bench.pool.free.get("s1", [])
+        bench.pool.forget("s1")
+        self.assertEqual(bench.pool.open, 0)
+        return not kept
+
+    def test_most_come_up_after_all(self):
+        """There is room for them: closing what is free would only cost new ones that are late again."""
+        async def scene(house: Held, bench: Bench) -> None:
+            self.assertTrue(await self.given_back(house, bench))
+            await self.late_ones(bench, 8, 500 * MS)
+            self.assertFalse(await self.given_back(house, bench))
+
+        self.play(scene)
+
+    def test_most_are_refused_or_never_come_up(self):
+        async def scene(house: Held, bench: Bench) -> None:
+            await self.late_ones(bench, 8, 500 * MS)
+            shut = [Held() for _ in range(8)]
+            for one in shut:
+                one.close()
+            bench.list(house, *shut)
+            for number in range(2, 10):
+                self.assertEqual((await bench.ask("r", f"s{number}")).ended, Ended.NO_CONNECTION)
+            self.assertTrue(await self.given_back(house, bench))
+            await self.late_ones(bench, 8, 500 * MS)
+            self.assertFalse(await self.given_back(house, bench))
+            quiet = [Held() for _ in range(8)]
+            bench.list(house, *quiet)
+            await asyncio.gather(*(bench.ask("n", f"s{number}") for number in range(2, 10)))
+            bench.ahead += upstream.LATEST
+            bench.pool.sweep()
+            self.assertTrue(await self.given_back(house, bench))
+            for one in quiet:
+                one.close()
+
+        self.play(scene)
+
+    def test_a_dead_one_is_no_crowd(self):
+        """It counts once until a connection there comes up."""
+        async def scene(house: Held, bench: Bench) -> None:
+            await self.late_ones(bench, 12, 500 * MS)
+            dead = Held()
+            dead.close()
+            bench.list(house, dead)
+            for _ in range(20):
+                await bench.ask("r", "s2")
+            self.assertFalse(await self.given_back(house, bench))
+
+        self.play(scene)
+
+
 class Whole(unittest.TestCase):
     def test_a_node_whose_cache_server_comes_up_late(self):
         """From the client's side: what comes next is served there, over what was begun before."""
