--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -81,7 +81,7 @@
         self.ahead, self.cap = 0, cap
         self.pool = upstream.Upstream(
             Buffers(16), Log(), lambda: lifecycle.clock() + self.ahead, budget=Budget(1 << 20), cap=lambda: self.cap,
-            idle=30_000 * MS, connect_wait=WAIT, figures=True)
+            make_room=lambda: False, idle=30_000 * MS, connect_wait=WAIT, figures=True)
 
     def list(self, *houses: Held, state: Readiness = Readiness.READY) -> None:
         self.pool.listed([config.Line(model.Member(f"s{number}", 0, 0, 0, state, 1.0, 0), house.address)
