Config: the table changes, and a version of the configuration for all nodes

A node names the control machines, where its site's others stream from while it is a relay, and those others; a control machine names which one it is. Refused with the key: an even number of control machines, fewer than three, one named twice, a node's own address among its neighbours, what is out of range or unknown, a node's keys at a control machine, and cached answers as misses where the node does not reach the origin. A version for the fleet has settings and serve only; a node's own keys in it are refused, and it is checked whole before it goes out.

--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -38,6 +38,9 @@
 USES = "drains", "starts", "lists", "evidence", "words", "fetches", "shares"  # what peers are used for
 USUAL = USES[:5]
 DUTIES = ("snapshot",)  # what one node may do for all
+WHEN_STALE = "serve", "miss"  # what a node does with cached answers while it may have missed a purge
+VERSION_KEYS = "settings", "serve"  # of the configuration, in a version for the whole fleet; the rest is a node's own
+VERSION_MOST = 65_536  # bytes of one version
 
 
 class Faulty(Exception):
@@ -227,6 +230,7 @@
     keeping: Keeping | None = None  # none: nothing is remembered over a restart
     peers: Talking | None = None  # none: it talks to no other node
     duties: Dutiful | None = None  # none: it does nothing for others
+    changes: Changes | None = None  # none: it hears of no changes for the whole fleet
 
     def caps_for(self, processes: int, taken: int = 0) -> Caps:
         return Caps.within(*self.limits, processes, taken)
@@ -337,6 +341,23 @@
     use: tuple[str, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class Changes:
+    """How a node, or a control machine, takes part in the distribution of changes; times in microseconds."""
+
+    cluster: str
+    control: tuple[str, ...]  # addresses of the control machines
+    me: str  # which of them this one is; empty: a node
+    listen: str  # where the site's other nodes stream from while this one is a relay; empty: a control machine
+    site: str
+    neighbours: tuple[str, ...]  # the same address of each other node of the site
+    when_stale: str
+    stale: int
+    retain: int
+    retain_bytes: int
+    lease: int
+
+
 class Operators(Section):
     """A table of the operators' file: there an unknown key is a fault, as nobody else writes into it."""
 
@@ -420,19 +441,107 @@
                    int(duties.number("every_ms", 2000, least=100, most=3_600_000) * 1000), tuple(use))
 
 
-def operators(path: str | None) -> tuple[Keeping | None, Talking | None, Dutiful | None]:
+def endpoint(key: str, value: str) -> str:
+    """One machine's address in its one spelling, as it is also the machine's name."""
+    import ipaddress  # only where it is switched on
+    host, port = numeric(key, value)
+    if not port or ipaddress.ip_address(host).is_unspecified:
+        raise Faulty(f"{key}: must be the one address and port by which the others know it, is {value!r}")
+    return f"{ipaddress.ip_address(host)}:{port}"
+
+
+def endpoints(section: Operators, key: str) -> tuple[str, ...]:
+    """Several, none twice."""
+    said = [endpoint(f"{section.path}{key}[{i}]", one) for i, one in enumerate(section.texts(key))]
+    for i, one in enumerate(said):
+        if one in said[:i]:
+            raise Faulty(f"{section.path}{key}[{i}]: names {one} twice")
+    return tuple(said)
+
+
+def members_of_control(changes: Operators) -> tuple[str, ...]:
+    """Guards against a majority that is none: of an even number two halves could each wait for the other."""
+    control = endpoints(changes, "control")
+    if not 3 <= len(control) <= 9 or len(control) % 2 == 0:
+        raise Faulty(f"{changes.path}control: must name 3, 5, 7 or 9 control machines, names {len(control)}")
+    return control
+
+
+def changing(changes: Operators) -> Changes:
+    changes.only("cluster", "control", "me", "listen", "site", "neighbours", "when_stale", "stale_ms", "retain_s",
+                 "retain_kb", "lease_ms")
+    for key in ("cluster", "site"):
+        if (key == "cluster" or changes.text(key)) and not re.fullmatch(NAME, changes.text(key)):
+            raise changes.fault(key, "1 to 64 letters, digits, '.', '_' or '-'")
+    control, neighbours = members_of_control(changes), endpoints(changes, "neighbours")
+    me, listen = changes.text("me"), changes.text("listen")
+    if bool(me) == bool(listen):
+        raise Faulty(f"changes.{'listen' if not me else 'me'}: " + (
+            "must say where the site's other nodes reach this node" if not me else
+            "a control machine is no node: give either changes.me or changes.listen"))
+    if me:
+        me = endpoint("changes.me", me)
+        if me not in control:
+            raise changes.fault("me", "one of changes.control")
+        for key in ("neighbours", "site", "when_stale", "stale_ms"):
+            if key in changes.said:
+                raise Faulty(f"changes.{key}: is a node's, and changes.me makes this a control machine")
+    else:
+        listen = endpoint("changes.listen", listen)
+        if listen in control:
+            raise Faulty(f"changes.listen: is a control machine's address in changes.control, is {listen!r}")
+        if not changes.text("site"):
+            raise changes.fault("site", "the name of the site that changes.neighbours are of")
+    for i, one in enumerate(neighbours):
+        if one == listen:
+            raise Faulty(f"changes.neighbours[{i}]: is this node's own address, {one!r}")
+        if one in control:
+            raise Faulty(f"changes.neighbours[{i}]: is a control machine's address, {one!r}")
+    if len(neighbours) > 199:
+        raise Faulty(f"changes.neighbours: must name at most 199 nodes, names {len(neighbours)}")
+    when_stale = changes.text("when_stale") or WHEN_STALE[0]
+    if when_stale not in WHEN_STALE:
+        raise changes.fault("when_stale", f"one of {', '.join(WHEN_STALE)}")
+    return Changes(
+        changes.text("cluster"), control, me, listen, changes.text("site"), neighbours, when_stale,
+        int(changes.number("stale_ms", 1000, least=500, most=60_000) * 1000),
+        int(changes.number("retain_s", 600, least=10, most=86_400) * 1_000_000),
+        int(changes.number("retain_kb", 4096, least=256, most=32_768) * 1024),
+        int(changes.number("lease_ms", 2000, least=500, most=60_000) * 1000))
+
+
+def version(text: bytes | str) -> dict[str, Any]:
+    """A version of the configuration for the whole fleet: the keys that replace each node's own, checked as far as
+    one can without a node's file. `Faulty` names its key."""
+    if len(text) > VERSION_MOST:
+        raise Faulty(f"version: must have at most {VERSION_MOST} bytes, has {len(text)}")
+    try:
+        said = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise Faulty(f"version: cannot be read as JSON ({error})") from None
+    for name in Section(said, "version").said:
+        if name not in VERSION_KEYS:
+            raise Faulty(f"{name}: is no part of a version for the fleet; there are {', '.join(VERSION_KEYS)}")
+    if "settings" not in said:
+        raise Faulty("settings: must be in a version for the fleet")
+    parse(said, {})
+    return said
+
+
+def operators(path: str | None) -> tuple[Keeping | None, Talking | None, Dutiful | None, Changes | None]:
     """What the operators' file switches on; nothing without one. `Faulty` names its key."""
     if not path:
-        return None, None, None
+        return None, None, None, None
     try:
         said = tomllib.loads(Path(path).read_text())
     except (OSError, ValueError) as error:
         raise Faulty(f"{path}: cannot be read as TOML ({error})") from None
     top = Operators(said)
-    top.only("state", "peers", "duties")
+    top.only("state", "peers", "duties", "changes")
     peers = talking(Operators(said["peers"], "peers.")) if "peers" in said else None
     duties = dutiful(Operators(said["duties"], "duties."), peers) if "duties" in said else None
-    return keeping(Operators(said["state"], "state.")) if "state" in said else None, peers, duties
+    changes = changing(Operators(said["changes"], "changes.")) if "changes" in said else None
+    return keeping(Operators(said["state"], "state.")) if "state" in said else None, peers, duties, changes
 
 
 def keeping(state: Operators) -> Keeping:
@@ -444,8 +553,10 @@
                    int(state.number("most_kb", 1024, least=16, most=16_384) * 1024))
 
 
-def load(path: str | None, env: Mapping[str, str], ours: str | None = None) -> Config:
-    """The configuration that the path or else the environment names; `ours`: the operators' file."""
+def load(path: str | None, env: Mapping[str, str], ours: str | None = None,
+         over: Mapping[str, Any] | None = None) -> Config:
+    """The configuration that the path or else the environment names; `ours`: the operators' file; `over`: keys of a
+    version for the whole fleet, which replace the file's."""
     path = path or env.get("ROUTER_CONFIG")
     if not path:
         raise Faulty("ROUTER_CONFIG: is not set, and no file was named")
@@ -453,9 +564,15 @@
         said = json.loads(Path(path).read_text())
     except (OSError, ValueError, RecursionError) as error:
         raise Faulty(f"{path}: cannot be read as JSON ({error})") from None
-    given, (keeping, peers, duties) = parse(said, env), operators(ours or env.get("ROUTER_OPERATORS"))
+    if over:
+        said = {**Section(said).said, **over}
+    given, (keeping, peers, duties, changes) = parse(said, env), operators(ours or env.get("ROUTER_OPERATORS"))
+    if changes and changes.me:
+        raise Faulty("changes.me: is for saltmoor control; a node has changes.listen")
+    if changes and changes.when_stale == "miss" and given.node["origin_kind"] is None:
+        raise Faulty("changes.when_stale: must be serve where nodes do not reach the origin (settings.family_info)")
     if peers and not re.fullmatch(NAME, peers.name or given.name):
         raise Faulty(f"name: must be 1 to 64 letters, digits, '.', '_' or '-' among peers, is {given.name!r}")
     if keeping and not re.fullmatch(r"[A-Za-z0-9_.-]{1,100}", given.name):
         raise Faulty(f"name: must be letters, digits, '.', '_' or '-' to name a snapshot, is {given.name!r}")
-    return replace(given, keeping=keeping, peers=peers, duties=duties)
+    return replace(given, keeping=keeping, peers=peers, duties=duties, changes=changes)
