--- /dev/null
+++ b/saltmoor/changes/relay.py
@@ -0,0 +1,130 @@
+"""Owns what a relay, or a control machine, hands on: one cursor for each subscriber into one retained range of the log.
+
+It hands on what is committed, in order, without gaps, and nothing else; what a subscriber costs does not grow with how
+slowly it reads. Work for those that are far behind is bounded by bytes a second, subscribers by number. It is pulled:
+`due` says whose stream has something, `drain` gives it as far as there is room. No I/O, no clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+from zlib import crc32
+
+from saltmoor.changes.messages import BATCH, WEIGHT, Batch, Entry, Refuse, State, Subscribe
+from saltmoor.changes.store import Store
+from saltmoor.model import Micros
+
+SECOND: Micros = 1_000_000
+NEAR = 256  # entries; who is no further behind is given them without being counted as catching up
+
+
+@dataclass(slots=True)
+class Cursor:
+    generation: int
+    offset: int
+    beat: int = 0
+
+
+@dataclass(slots=True)
+class Relay:
+    """`most`: subscribers; `starts`: subscriptions a second, `catch_up`: bytes a second for those far behind."""
+
+    me: str
+    store: Store
+    most: int = 512
+    starts: int = 256
+    catch_up: int = 8 << 20
+    cursors: dict[str, Cursor] = field(default_factory=dict)
+    mark: int = 0  # committed at the beat
+    beat: int = 0
+    at: Micros = 0
+    started: float = 0.0  # subscriptions of late
+    spent: float = 0.0  # bytes of late
+    turn: int = 0
+    refused: int = 0
+
+    # What it has. A control machine's relay has the store of its copy, and is told the watermark alone.
+
+    def feed(self, now: Micros, event: Entry | State) -> None:
+        """What this node's subscriber has newly applied."""
+        if isinstance(event, State):
+            self.store.reset(event)
+            self.mark, self.beat = 0, 0
+        elif event.offset == self.store.last + 1:
+            self.store.append(now, event)
+            self.store.commit(event.offset)
+
+    def watermark(self, mark: int, beat: int) -> None:
+        if beat > self.beat:
+            self.mark, self.beat = mark, beat
+
+    # Subscribers.
+
+    def hear(self, now: Micros, who: str, message: Subscribe) -> list[tuple[str, Any]]:
+        self.tick(now)
+        known = who in self.cursors
+        if not known and len(self.cursors) >= self.most or self.started >= self.starts:
+            self.refused += 1
+            spread = crc32(f"{who}|{now}".encode()) % (2 * SECOND)
+            return [(who, Refuse("full" if len(self.cursors) >= self.most else "busy", SECOND // 2 + spread))]
+        self.started += 1
+        self.cursors[who] = Cursor(message.generation, message.offset)
+        return []
+
+    def gone(self, who: str) -> None:
+        self.cursors.pop(who, None)
+
+    def tick(self, now: Micros) -> list[tuple[str, Any]]:
+        passed = max(0, now - self.at) / SECOND
+        self.at = max(self.at, now)
+        self.started = max(0.0, self.started - passed * self.starts)
+        self.spent = max(0.0, self.spent - passed * self.catch_up)
+        self.store.compact(now)
+        return []
+
+    def due(self) -> list[str]:
+        """Whose streams have something, in another order each time, so that who is near the end starves nobody."""
+        names = [name for name, cursor in self.cursors.items() if self.wants(cursor)]
+        self.turn += 1
+        start = self.turn % len(names) if names else 0
+        return names[start:] + names[:start]
+
+    def wants(self, cursor: Cursor) -> bool:
+        store = self.store
+        if not store.generation:
+            return False
+        if cursor.generation != store.generation or cursor.offset < store.base:
+            return self.spent < self.catch_up
+        lag = store.committed - cursor.offset
+        return cursor.beat < self.beat or lag > 0 and (lag <= NEAR or self.spent < self.catch_up)
+
+    def drain(self, who: str, room: int) -> list[Any]:
+        """Up to so many bytes for that stream, and its cursor moved behind them."""
+        cursor, store, out = self.cursors.get(who), self.store, []
+        while cursor and self.wants(cursor):
+            if cursor.generation != store.generation or cursor.offset < store.base:
+                message: State | Batch = store.state()
+                size = WEIGHT + sum(entry.weight for entry in message.state)
+                if size > room and out:
+                    break
+                self.spent += size
+                cursor.generation, cursor.offset, cursor.beat = store.generation, store.committed, 0
+            else:
+                lag = store.committed - cursor.offset
+                entries = store.after(cursor.offset, min(room, BATCH), store.committed) if lag > 0 and (
+                    lag <= NEAR or self.spent < self.catch_up) else []
+                size = WEIGHT + sum(entry.weight for entry in entries)
+                if size > room and (out or not entries):
+                    break
+                if lag > NEAR:
+                    self.spent += size
+                message = Batch(store.generation, entries, max(self.mark, store.committed), self.beat)
+                cursor.beat = self.beat
+                if entries:
+                    cursor.offset = entries[-1].offset
+            room -= size
+            out.append(message)
+            if room <= 0:
+                break
+        return out
