--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -40,7 +40,7 @@
 DUTIES = ("snapshot",)  # what one node may do for all
 WHEN_STALE = "serve", "miss"  # what a node does with cached answers while it may have missed a purge
 VERSION_KEYS = "settings", "serve"  # of the configuration, in a version for the whole fleet; the rest is a node's own
-VERSION_MOST = 65_536  # bytes of one version
+VERSION_MOST = 65_000  # bytes of one version
 
 
 class Faulty(Exception):
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -112,6 +112,7 @@
         self.due: list[tuple[Micros, int]] = []
         self.limits: list[tuple[Micros, model.TxId]] = []  # of what was taken: when its answer has to be there
         self.again: Micros = 0  # when tick is to come next, as its caller knows
+        self.strict = False  # cached answers may be of before a purge that was missed: reads go to the origin
         self.gate = Admission(**self._limits(), seed=node.seed[0] << 8 | node.seed[1], now=clock())
         if part < 1:  # before anything is drawn from it
             self.share(part)
@@ -186,7 +187,9 @@
         self.txs[tx.id] = tx
         now = self.clock()
         heappush(self.limits, (max(tx.limit, now + 2), tx.id))  # not before the module could
-        came = model.Arrival(tx.id, tx.profile, tx.tenant, tx.key, tx.limit, write=tx.write, again=tx.again)
+        came = model.Arrival(tx.id, tx.profile, tx.tenant, tx.key, tx.limit, again=tx.again,
+                             # To the origin as writes go there: within its room, and behind no fetch that was begun before.
+                             write=tx.write or self.strict and self.node.origin_kind is not None)
         if self._tell(self.node.arrived, now, came):
             self._settle(now)
         else:
@@ -211,6 +214,28 @@
         self._tell(self.node.out_of_hands, self.clock(), tx.id)
         self._settle(self.clock(), {tx.id: Abandon()})
 
+    def purged(self, key: int | None) -> list[Any]:
+        """What is being fetched of that key, of any where it is None, may be the value of before: nobody joins such a
+        fetch from now on. Returns who waited for one; the caller hands them to `anew`, some at a time.
+
+        Guards against a fetch that began before a purge and is passed on behind it.
+        """
+        node, waited = self.node, []
+        keys = [one for one in (list(node.fetches) if key is None else [key]) if one in node.fetches]
+        for one in keys:
+            waited += node.fetches.pop(one)
+        for tx in node.txs.values() if keys else ():
+            if tx.leads and key in (None, tx.key):
+                tx.leads = False
+        return waited
+
+    def anew(self, waited: list[Any]) -> None:
+        """They ask as if they had just come, and the first that misses fetches anew."""
+        now = self.clock()
+        for tx in waited:
+            self._tell(self.node.feed, now, tx, model.In.FETCHED)
+        self._settle(now)
+
     def end_all(self) -> None:
         """The process ends: what is open gets its final answer now, as if its hard limit had come."""
         now = self.clock()
