Changes: nodes and relays, control machines, and the command change

A node with the table follows the log: its streams are the subscriber's, what comes goes to the relay's range at once and to the node in order, a few at a time. A configuration version is checked by config and by what a running node can change over to before anything of it is used, then read through the path of SIGHUP, whose later reads keep it. A node that stood still drops what stood in its sockets. saltmoor control runs one machine of the log; saltmoor change appends through whichever leads, says done only behind the acknowledgement, and not done only where nothing of it was written.

--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -7,6 +7,11 @@
   saltmoor snapshot (show | verify) FILE
   saltmoor peers --cluster=NAME PEER
   saltmoor duties --cluster=NAME PEER
+  saltmoor control --operators=FILE
+  saltmoor change purge KEY (--operators=FILE | --cluster=NAME --control=ADDR...) [--id=ID] [--within=SECONDS]
+  saltmoor change purge-set NAME (--operators=FILE | --cluster=NAME --control=ADDR...) [--id=ID] [--within=SECONDS]
+  saltmoor change config FILE (--operators=FILE | --cluster=NAME --control=ADDR...) [--id=ID] [--within=SECONDS]
+  saltmoor change status (--operators=FILE | --cluster=NAME --control=ADDR...) [--at=ADDR]
   saltmoor replica show --cluster=NAME PEER
   saltmoor replica diff --cluster=NAME PEER OTHER
   saltmoor replica say --cluster=NAME PEER WORD VALUE
@@ -22,6 +27,10 @@
   snapshot      show what a node would remember, or only whether the file is whole
   peers         show whom the node at that peer address holds to be there
   duties        show what that node does for all, by which number and until when
+  control       run one of the machines that hold the log of changes for all nodes; SIGTERM ends it
+  change        purge a key or a set of keys, or put a version of the configuration in force, at all nodes; exit 0
+                once a majority of the control machines holds it, 1 where it is not done or not known to be. status:
+                who leads, and who is how far behind
   replica       show what it shares with the others, where two differ, or give all a word (empty|NODE true)
   version       print the version
   lab           stand-in servers, load and experiments; see saltmoor lab --help
@@ -30,7 +39,11 @@
   --config=FILE      the configuration, JSON; otherwise ROUTER_CONFIG names it
   --operators=FILE   what operators switch on beside it, TOML; otherwise ROUTER_OPERATORS names it
   --cluster=NAME     what the operators' file calls the nodes' cluster
+  --control=ADDR     a control machine, HOST:PORT, in place of the operators' file; once for each of them
+  --at=ADDR          ask that node, by its changes.listen, in place of the control machines
+  --id=ID            ask again for what an earlier call printed under this id: it is one change
   --timeout=SECONDS  how long to wait for an answer [default: 2]
+  --within=SECONDS   how long a change is tried, while there is no leader as well [default: 6]
 """
 
 from __future__ import annotations
@@ -68,7 +81,7 @@
 
     from saltmoor.net.lifecycle import serve as run
     try:
-        uvloop.run(run(given, lambda: config.load(path, os.environ, ours)))
+        uvloop.run(run(given, lambda over=None: config.load(path, os.environ, ours, over)))
     except OSError as error:
         print(f"saltmoor: cannot serve: {error}", file=sys.stderr)
         return 1
@@ -152,6 +165,36 @@
     return int(said["diff"] and bool(lines))
 
 
+def control(path: str) -> int:
+    given = config.operators(path)[3]
+    if given is None or not given.me:
+        raise config.Faulty("changes.me: must say which of changes.control this machine is")
+    import uvloop
+
+    from saltmoor.net.control import control as run
+    try:
+        uvloop.run(run(given))
+    except OSError as error:
+        print(f"saltmoor: cannot run: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def change(said: dict) -> int:
+    if said["--operators"]:
+        given = config.operators(said["--operators"])[3]
+        if given is None:
+            raise config.Faulty("changes: is no table of the operators' file")
+        machines, cluster = list(given.control), given.cluster
+    else:
+        machines = list(config.members_of_control(config.Operators({"control": said["--control"]}, "--")))
+        cluster = said["--cluster"]
+    from saltmoor.net import tool
+    code, lines = tool.changed(said, machines, cluster)
+    print("\n".join(lines), file=sys.stderr if code and not said["status"] else sys.stdout)
+    return code
+
+
 def main(argv: list[str] | None = None) -> int:
     argv = sys.argv[1:] if argv is None else argv
     if argv[:1] == ["lab"]:  # a command line of its own, and libraries that a node does not need
@@ -167,6 +210,12 @@
         return snapshot(said["FILE"], said["show"])
     if said["peers"] or said["replica"] or said["duties"]:
         return among(said)
+    if said["control"] or said["change"]:
+        try:
+            return control(said["--operators"]) if said["control"] else change(said)
+        except config.Faulty as error:
+            print(f"saltmoor: {error}", file=sys.stderr)
+            return 2
     if said["ping"]:
         return ping(said["ADDRESS"], said["--timeout"])
     try:
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -115,6 +115,10 @@
             self.sharing = Sharing(self, given.peers)
             if "fetches" in given.peers.use:
                 self.clients.sharing = self.sharing
+        self.follower = None
+        if given.changes:
+            from saltmoor.net.changes import Follower  # only where it is switched on
+            self.follower = Follower(self, given.changes)
         self.keeper = keeper
         if kept:
             self.recall(kept)
@@ -277,17 +281,10 @@
         except Exception as error:  # whatever is wrong with the file
             self.log(f"configuration kept: {error if isinstance(error, config.Faulty) else repr(error)}")
             return
-        old = self.given
-        for key in ("zones", "kinds"):
-            before = getattr(old.names, key)
-            if getattr(given.names, key)[:len(before)] != before:
-                # Guards against servers known by a place in the lists that means another zone or kind now.
-                self.log(f"configuration kept: settings.{'azs' if key == 'zones' else key}: those before must keep "
-                         f"their places, or it needs a restart")
-                return
-        if given.node["origin_kind"] != old.node["origin_kind"]:
-            self.log("configuration kept: settings.family_info: needs a restart")
+        if why := self.unfit(given):
+            self.log(f"configuration kept: {why}")
             return
+        old = self.given
         self.given = given
         self.log.rate = given.log_lines
         self.settings(given)
@@ -303,11 +300,24 @@
             self.discovery = None
         elif given.discovery:
             self.discovery = self.make_discovery()
-        for key in ("listen", "admin", "peers", "duties"):
+        for key in ("listen", "admin", "peers", "duties", "changes"):
             if getattr(given, key) != getattr(old, key):
                 self.log(f"configuration: {'admin_addr' if key == 'admin' else key} needs a restart")
         self.log(f"configuration read: discovery={'%s:%d' % given.discovery if given.discovery else 'none'}")
 
+    def unfit(self, given: config.Config) -> str:
+        """Why a running node can't change over to it; empty where it can."""
+        old = self.given
+        for key in ("zones", "kinds"):
+            before = getattr(old.names, key)
+            if getattr(given.names, key)[:len(before)] != before:
+                # Guards against servers known by a place in the lists that means another zone or kind now.
+                return (f"settings.{'azs' if key == 'zones' else key}: those before must keep their places, "
+                        f"or it needs a restart")
+        if given.node["origin_kind"] != old.node["origin_kind"]:
+            return "settings.family_info: needs a restart"
+        return ""
+
     def make_discovery(self) -> Discovery | None:
         given = self.given
         return given.discovery and Discovery(given.discovery, self.buffers, self.log, names=given.names,
@@ -415,6 +425,8 @@
             self.keeper.begin(self.noted)
         if self.sharing:
             self.sharing.begin()
+        if self.follower:
+            self.follower.begin()
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
         while not stop.is_set():
             self.upstream.sweep()
@@ -438,6 +450,8 @@
             self.clients.heir = self.sibling
             if self.sharing:  # the process that takes its place is the same member from now on
                 self.sharing.end(left=False)
+            if self.follower:
+                self.follower.resign()
         await asyncio.sleep(linger)
         self.ready = False
         self.clients.settle_down()
@@ -457,6 +471,8 @@
             self.keeper.end()
         if self.sharing and not self.clients.heir:
             self.sharing.end(left=True)
+        if self.follower:
+            self.follower.end()
         if self.discovery:
             self.discovery.stop("stopping")
         if self.admin:
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -219,6 +219,14 @@
                 self.uses.note("fetches")
             done(reply, copy)
 
+    def purged(self, key: int) -> None:
+        """Each node hears of it itself: a fetch lease that is this node's to give is void, a copy not told of any more."""
+        self.guarded(lambda: self.peers.tell_all(self.peers.turns.void(self.peers.clock(), key)))
+
+    def leased(self) -> list[int]:
+        """Keys that this node has given a lease of, or told a copy of."""
+        return [*{*self.peers.turns.permits, *self.peers.turns.copies}]
+
     def ended(self, step: facade.Send, reply: meta.Reply) -> None:
         """A hop to the origin has ended."""
         if step.tx.key is None:
