--- a/saltmoor/changes/log.py
+++ b/saltmoor/changes/log.py
@@ -75,6 +75,7 @@
         self.source_name, self.floor, self.fetched = "", None, []
         self.asked_at = self.told_at = now - AGAIN
         self.writer: Writer | None = None
+        self.writer_kind = Writer
         self.ahead = 0  # the wall clock less `now`, as last told
         self.draws = 0
         self.lines: list[str] = self.copy.lines
@@ -187,7 +188,7 @@
         if after is S.LEADING:
             beat = max(self.copy.beat, *(one.beat for one in self.answers.values())) + 1
             lives = {name: one.life for name, one in self.answers.items()}
-            self.writer = Writer(self.copy, self.epoch, self.by_all, lives, now, now + self.ahead, beat)
+            self.writer = self.writer_kind(self.copy, self.epoch, self.by_all, lives, now, now + self.ahead, beat)
             self.lines.append(f"log: leader, epoch={self.epoch} offset={self.store.last}"
                               f"{' of a new generation' if self.by_all else ''}")
             out = [*self.writer.advance(now), *self.writer.flush(now)]
@@ -221,6 +222,9 @@
             self.epoch = self.claim.fence
             self.step(I.OWNS, now)
             self.asked_at = now - AGAIN
+        elif self.writer and now - self.writer.confirmed_at > self.lease:
+            # Guards against leading those who have all lost their memory: it asks anew, by the rule for that.
+            return self.step(I.OVER, now, "no majority")
         elif self.state is not S.LEADING and now - self.since > 2 * self.lease:
             # Guards against one that holds the lease and can do nothing with it.
             return [*self.step(I.OVER, now), *self.claim.leave(now, self.chance())]
--- a/saltmoor/changes/subscriber.py
+++ b/saltmoor/changes/subscriber.py
@@ -210,6 +210,13 @@
             self.step(I.HEARD)
             self.failures, self.quiet_since = 0, now
 
+    def closed(self, now: Micros, who: str) -> None:
+        """The connection to that one has ended, or could not be made."""
+        if who == self.trial:
+            self.trial = ""
+        elif who == self.upstream and self.step(I.SILENT):
+            self.another(now)
+
     def another(self, now: Micros, wait: Micros = 0) -> None:
         """Guards against all nodes asking at once, again and again: two at once, then with waits that grow."""
         self.place = (self.place + 1) % len(self.order)
