Changes: a generation's end is not handed on before the new one's beginning; no tight loops

Cause: a follower could commit, under the old generation, a tail that the new one has taken from the best copy left. Also: a mismatch that gets no nearer, and a lost source, are asked again by time and not as fast as they are answered.

--- a/saltmoor/changes/copy.py
+++ b/saltmoor/changes/copy.py
@@ -160,7 +160,7 @@
             if have is None:
                 store.append(now, entry)
         match = at + len(entries)
-        store.commit(min(said.committed, match))
+        store.commit(min(said.committed, match), said.generation)
         self.beat = max(self.beat, said.beat)
         if said.confirmed > self.confirmed:
             self.confirmed, self.mark = said.confirmed, said.committed
--- a/saltmoor/changes/log.py
+++ b/saltmoor/changes/log.py
@@ -258,11 +258,14 @@
         self.answers[who] = said
         return self.weigh(now)
 
+    def valid(self) -> dict[str, Held]:
+        """Guards against an answer from before a loss of memory: somebody knows of a later life."""
+        lives = dict(zip(self.voters, self.copy.lives))
+        return {name: one for name, one in self.answers.items() if one.life >= lives[name]}
+
     def weigh(self, now: Micros) -> Out:
         """Whether enough have promised: a majority with memory, or all that there are."""
-        lives = dict(zip(self.voters, self.copy.lives))
-        # Guards against an answer from before a loss of memory: somebody knows of a later life.
-        valid = {name: one for name, one in self.answers.items() if one.life >= lives[name]}
+        valid = self.valid()
         whole = {name: one for name, one in valid.items() if not one.blank}
         if self.copy.majority(len(whole)):
             self.by_all, choice = False, whole
@@ -288,8 +291,8 @@
         source = self.source
         if (said.life, said.blank, said.last, said.last_epoch) != (source.life, source.blank, source.last,
                                                                    source.last_epoch):
-            self.step(I.LOST, now)
-            return self.ask(now)
+            self.asked_at = now  # and again in a while
+            return self.step(I.LOST, now)
         offset, _ = self.fetched_to()
         if said.floor:
             if said.floor.offset <= offset and (self.floor or self.fetched):
--- a/saltmoor/changes/messages.py
+++ b/saltmoor/changes/messages.py
@@ -113,7 +113,8 @@
 
 
 class Replicate(msgspec.Struct, array_like=True, frozen=True):
-    """Entries behind `offset`, whose epoch was `before`. `beat`: to be echoed; `confirmed`: one that a majority has."""
+    """Entries behind `offset`, whose epoch was `before`. `beat`: to be echoed; `confirmed`: one that a majority has.
+    `generation`: of what is committed."""
 
     epoch: Number
     life: Number
@@ -121,6 +122,7 @@
     before: Number
     entries: Entries
     committed: Number
+    generation: Number
     beat: Number
     confirmed: Number
 
--- a/saltmoor/changes/store.py
+++ b/saltmoor/changes/store.py
@@ -77,9 +77,15 @@
             if self.ids.get(entry.id) == entry.offset:
                 del self.ids[entry.id]
 
-    def commit(self, offset: int) -> None:
+    def commit(self, offset: int, generation: int | None = None) -> None:
+        """`generation`: what the leader's log is of, once that is committed."""
         place = self.committed - self.base
-        for entry in self.entries[place:max(place, offset - self.base)]:
+        entries = self.entries[place:max(place, offset - self.base)]
+        # Guards against handing on the end of a generation that is over, before the new one's beginning has come.
+        if generation not in (None, self.generation) and not any(
+                entry.kind == kinds.GENERATION and entry.epoch == generation for entry in entries):
+            return
+        for entry in entries:
             self.committed = entry.offset
             self.loose -= entry.weight
             if entry.kind == kinds.GENERATION:
--- a/saltmoor/changes/writer.py
+++ b/saltmoor/changes/writer.py
@@ -169,8 +169,10 @@
             one.sent = max(one.sent, one.match)
         elif said.blank:
             one.filling = False
+        elif one.sent > (back := max(one.match, min(one.sent, said.last))):
+            one.sent = back
         else:
-            one.sent = max(one.match, min(one.sent, said.last))
+            return self.advance(now)  # no nearer: at the next tick, not as fast as it answers
         return [*self.advance(now), *self.flush(now)]
 
     def majority_of(self, mine: int, theirs: list[int]) -> int:
@@ -215,8 +217,8 @@
                 continue
             if one.match == one.sent:
                 one.moved = now
-            out.append((name, Replicate(self.epoch, copy.life, one.sent, before, entries, store.committed, self.beat,
-                                        copy.confirmed)))
+            out.append((name, Replicate(self.epoch, copy.life, one.sent, before, entries, store.committed,
+                                        store.generation, self.beat, copy.confirmed)))
             one.told = told
             one.sent += len(entries)
             one.flight += sum(entry.weight for entry in entries)
