--- a/saltmoor/changes/log.py
+++ b/saltmoor/changes/log.py
@@ -142,8 +142,9 @@
                 if self.writer:
                     out = self.writer.append(now, now + self.ahead, who, message)
                     return [*out, *self.writer.advance(now), *self.writer.flush(now)]
-                leader = self.copy.leader[0] if self.copy.leader[0] != self.me else ""
-                return [(who, Appended(message.id, "refused", 0, "not the leader", leader, self.store.generation,
+                lately = now - self.copy.heard < 2 * self.lease and self.copy.leader[0] != self.me
+                leader, why = (self.copy.leader[0], "not the leader") if lately else ("", "no leader")
+                return [(who, Appended(message.id, "refused", 0, why, leader, self.store.generation,
                                        self.store.committed))]
             case Subscribe():
                 return self.relay.hear(now, who, message)
--- a/saltmoor/changes/relay.py
+++ b/saltmoor/changes/relay.py
@@ -95,14 +95,18 @@
         if not store.generation:
             return False
         if cursor.generation != store.generation or cursor.offset < store.base:
-            return self.spent < self.catch_up
+            return self.free()
         lag = store.committed - cursor.offset
-        return cursor.beat < self.beat or lag > 0 and (lag <= NEAR or self.spent < self.catch_up)
+        return cursor.beat < self.beat or lag > 0 and (lag <= NEAR or self.free())
+
+    def free(self) -> bool:
+        """Guards against one step that takes long, where many are far behind: an eighth of a second's bytes at once."""
+        return 8 * self.spent < self.catch_up
 
     def drain(self, who: str, room: int) -> list[Any]:
-        """Up to so many bytes for that stream, and its cursor moved behind them."""
+        """Up to so many bytes for that stream, one message at least where there is any room, and its cursor moved."""
         cursor, store, out = self.cursors.get(who), self.store, []
-        while cursor and self.wants(cursor):
+        while room > 0 and cursor and self.wants(cursor):
             if cursor.generation != store.generation or cursor.offset < store.base:
                 message: State | Batch = store.state()
                 size = WEIGHT + sum(entry.weight for entry in message.state)
@@ -113,7 +117,7 @@
             else:
                 lag = store.committed - cursor.offset
                 entries = store.after(cursor.offset, min(room, BATCH), store.committed) if lag > 0 and (
-                    lag <= NEAR or self.spent < self.catch_up) else []
+                    lag <= NEAR or self.free()) else []
                 size = WEIGHT + sum(entry.weight for entry in entries)
                 if size > room and (out or not entries):
                     break
@@ -125,6 +129,4 @@
                     cursor.offset = entries[-1].offset
             room -= size
             out.append(message)
-            if room <= 0:
-                break
         return out
--- a/saltmoor/changes/subscriber.py
+++ b/saltmoor/changes/subscriber.py
@@ -21,9 +21,11 @@
 ASK_AGAIN: Micros = 100 * MS  # between two asks for a range
 ASK_LATER: Micros = 500 * MS  # where nothing comes though there is something
 BACK: Micros = 250 * MS  # the first wait between tries; it doubles
-BACK_MOST: Micros = 8_000 * MS
+BACK_MOST: Micros = 1_000 * MS
+REST: Micros = 30_000 * MS  # with its relay, where nobody has new beats: that one looks for them
 HOME: Micros = 20_000 * MS  # until it looks whether the preferred relay is back
 RELAYS = 2  # of a site
+NEARLY = 2  # beats that the preferred relay may be behind the one that a node has, and is taken
 NEVER: Micros = -1 << 60
 
 
@@ -143,7 +145,7 @@
             case Refuse() if who == self.trial:
                 self.trial = ""
             case Refuse() if who == self.upstream and self.step(I.REFUSED):
-                self.another(now, max(0, min(message.retry_us, BACK_MOST)))
+                self.another(now, max(0, min(message.retry_us, REST)))
         return []
 
     def ask(self, now: Micros, who: str) -> list[tuple[str, Any]]:
@@ -165,6 +167,8 @@
         if message.beat > self.beat:
             self.beat, self.mark, self.pending = message.beat, message.committed, (message.committed, now)
             self.heard(now, who)
+        elif who == self.trial and message.beat + NEARLY >= self.beat:
+            self.heard(now, who)
         self.counted()
         # Behind what this stream has said is committed: something was lost on the way, or it began too late.
         if message.committed > self.offset and who in self.streams() and now - self.asked_at >= ASK_AGAIN:
@@ -215,15 +219,20 @@
         if who == self.trial:
             self.trial = ""
         elif who == self.upstream and self.step(I.SILENT):
-            self.another(now)
+            self.another(now, closed=True)
 
-    def another(self, now: Micros, wait: Micros = 0) -> None:
-        """Guards against all nodes asking at once, again and again: two at once, then with waits that grow."""
-        self.place = (self.place + 1) % len(self.order)
+    def another(self, now: Micros, wait: Micros = 0, closed: bool = False) -> None:
+        """Guards against all nodes asking at once, again and again: two at once, then with waits that grow.
+
+        After a round without any new beat a node stays with its relay, so that relays alone keep asking the machines.
+        """
         self.failures += 1
         self.counts["switches"] += 1
-        if self.failures > RELAYS:
+        if self.failures > len(self.order) and not self.place and not self.relays and not closed:
+            wait = REST
+        elif self.failures > RELAYS:
             wait = max(wait, min(BACK_MOST, BACK << min(self.failures - RELAYS, 8)))
+        self.place = (self.place + 1) % len(self.order)
         self.next = now + int(wait * (0.5 + self.chance()))
         self.home_at = now + int(HOME * (0.5 + self.chance()))
 
