--- a/saltmoor/net/changes.py
+++ b/saltmoor/net/changes.py
@@ -44,8 +44,7 @@
         self.service, self.given, self.log, self.clock = service, given, service.log, service.door.clock
         now, nodes = self.clock(), [given.listen, *given.neighbours]
         self.wire = Wire(given.cluster, given.listen, streams.NODE)
-        self.subscriber = Subscriber(now, given.listen, given.site, nodes, list(given.control))
-        self.subscriber.stale = lambda now: self.subscriber.lag(now) > given.stale
+        self.subscriber = Subscriber(now, given.listen, given.site, nodes, list(given.control), given.stale)
         self.relay = Relay(given.listen, Store(given.retain, given.retain_bytes), most=len(nodes) + SPARE)
         self.apply = Apply(self.unfit)
         self.read = service.read
--- a/saltmoor/net/control.py
+++ b/saltmoor/net/control.py
@@ -49,7 +49,7 @@
         self.streams: dict[str, Stream] = {}  # from nodes and tools: answers go back there
         self.door = Door(self.wire, STREAMS, self.serve)
         self.tasks: list[asyncio.Task] = []
-        self.handed = (0, 0)
+        self.handed = (0, 0, 0)
         self.ended = False
 
     # Life.
@@ -93,8 +93,8 @@
             self.log(line)
         self.core.lines.clear()
         relay, store = self.core.relay, self.core.store
-        if self.handed != (store.committed, relay.beat):
-            self.handed = store.committed, relay.beat
+        if self.handed != (news := (store.committed, relay.beat, relay.pulse)):
+            self.handed = news
             for key in relay.due():
                 if stream := self.streams.get(key):
                     stream.wake.set()
--- a/saltmoor/net/streams.py
+++ b/saltmoor/net/streams.py
@@ -33,8 +33,6 @@
 WRITE_WAIT = 5.0  # seconds: who takes nothing for so long is gone
 CONNECT_WAIT = 2.0  # seconds
 SEND_BUFFER = 65_536  # bytes that the kernel may hold back for one that does not read: old news by then
-NODE_MOST = 512  # entries of one message to a node, so that it holds a loop that serves no longer than a millisecond
-NODE_BYTES = 131_072  # of one that is no state
 QUEUED = 1 << 20  # bytes that may wait in one stream's queue
 
 TOOL, NODE, MACHINE = "tool", "node", "machine"  # who speaks
@@ -62,17 +60,6 @@
 WORDS = messages.WORDS | {"show": Show, "shown": Shown}
 NAMES = {form: word for word, form in WORDS.items()}
 SAID = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
-FIELDS = msgspec.msgpack.Decoder(list[msgspec.Raw])
-
-
-def items(value: bytes) -> int:
-    """How many a MessagePack value says that it has, if it is an array; read from its head alone."""
-    match value[:1]:
-        case b"\xdc":
-            return int.from_bytes(value[1:3], "big")
-        case b"\xdd":
-            return int.from_bytes(value[1:5], "big")
-    return 0  # no array, or one of up to 15
 
 
 class Wire:
@@ -127,9 +114,6 @@
             word, content = SAID.decode(body)
             if word not in WORDS:
                 raise Strange("word")
-            if self.role == NODE and word != messages.NAMES[messages.State] and (
-                    len(body) > NODE_BYTES or any(items(bytes(field)) > NODE_MOST for field in FIELDS.decode(content))):
-                raise Strange("too many")
             message = frames.reader(WORDS[word]).decode(content)
         except (msgspec.DecodeError, RecursionError, OverflowError):
             raise Strange("content") from None
