--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -39,6 +39,7 @@
 USUAL = USES[:5]
 DUTIES = ("snapshot",)  # what one node may do for all
 WHEN_STALE = "serve", "miss"  # what a node does with cached answers while it may have missed a purge
+CHANGES_STREAMS = 12  # of a node beside its neighbours': its own, the listener, operators' questions
 VERSION_KEYS = "settings", "serve"  # of the configuration, in a version for the whole fleet; the rest is a node's own
 VERSION_MOST = 65_000  # bytes of one version
 
@@ -575,4 +576,10 @@
         raise Faulty(f"name: must be 1 to 64 letters, digits, '.', '_' or '-' among peers, is {given.name!r}")
     if keeping and not re.fullmatch(r"[A-Za-z0-9_.-]{1,100}", given.name):
         raise Faulty(f"name: must be letters, digits, '.', '_' or '-' to name a snapshot, is {given.name!r}")
+    if changes:  # what the streams of changes may take is not there for clients and servers
+        memory_mb, sockets, calls = given.limits
+        calls += len(changes.neighbours) + CHANGES_STREAMS
+        if sockets < RESERVED + calls + 16:
+            raise Faulty(f"limits.sockets: must be at least {RESERVED + calls + 16} with so many changes.neighbours")
+        given = replace(given, limits=(memory_mb, sockets, calls), caps=Caps.within(memory_mb, sockets, calls))
     return replace(given, keeping=keeping, peers=peers, duties=duties, changes=changes)
--- a/saltmoor/net/changes.py
+++ b/saltmoor/net/changes.py
@@ -31,7 +31,7 @@
 TICK = 0.05  # seconds
 PAUSE: Micros = 500_000  # a tick later than that: the process stood still
 ROOM = 32_768  # bytes that a subscriber's stream is given at once
-SPARE = 8  # streams beside the neighbours': operators' questions, and who is on its way out
+SPARE = 8  # streams beside the neighbours': operators' questions, and who is on its way out; see config.CHANGES_STREAMS
 AT_A_TIME = 32  # changes that are applied, or requests that ask anew, before the loop goes on
 OPEN_AGAIN = 0.5  # seconds until a port that was taken is tried again
 FLEET = "fleet"  # the name of the configuration that every node follows
