Changes: nodes stay with a relay that lives while the log has no writer; stale bound by setting; 512 entries a message

A relay without new beats says its last one again each 300 ms; a node waits 5 s for one whose stream lives, 750 ms for a silent one.

--- a/saltmoor/changes/messages.py
+++ b/saltmoor/changes/messages.py
@@ -19,7 +19,7 @@
 BATCH = 64 << 10  # bytes of the entries of one message, so that it is done with soon; one entry may be larger alone
 STATE = 640 << 10  # bytes of the state at an offset: the latest versions of all names of the configuration
 WEIGHT = 384  # bytes that an entry takes in memory beside its content; on the wire a quarter of that
-MOST = 1024  # entries of one message
+MOST = 512  # entries of one message
 
 Number = Annotated[int, Meta(ge=0, lt=1 << 62)]  # offsets, epochs, generations, beats, lives
 Id = Annotated[str, Meta(min_length=1, max_length=64)]
--- a/saltmoor/changes/relay.py
+++ b/saltmoor/changes/relay.py
@@ -16,6 +16,7 @@
 from saltmoor.model import Micros
 
 SECOND: Micros = 1_000_000
+PULSE: Micros = 300_000  # without a new beat for so long, the last is said again: the stream lives
 NEAR = 256  # entries; who is no further behind is given them without being counted as catching up
 
 
@@ -24,6 +25,7 @@
     generation: int
     offset: int
     beat: int = 0
+    pulse: int = 0
 
 
 @dataclass(slots=True)
@@ -38,6 +40,8 @@
     cursors: dict[str, Cursor] = field(default_factory=dict)
     mark: int = 0  # committed at the beat
     beat: int = 0
+    beat_at: Micros = 0
+    pulse: int = 0  # how often it had no new beat for that long
     at: Micros = 0
     started: float = 0.0  # subscriptions of late
     spent: float = 0.0  # bytes of late
@@ -57,7 +61,7 @@
 
     def watermark(self, mark: int, beat: int) -> None:
         if beat > self.beat:
-            self.mark, self.beat = mark, beat
+            self.mark, self.beat, self.beat_at = mark, beat, self.at
 
     # Subscribers.
 
@@ -69,7 +73,7 @@
             spread = crc32(f"{who}|{now}".encode()) % (2 * SECOND)
             return [(who, Refuse("full" if len(self.cursors) >= self.most else "busy", SECOND // 2 + spread))]
         self.started += 1
-        self.cursors[who] = Cursor(message.generation, message.offset)
+        self.cursors[who] = Cursor(message.generation, message.offset, pulse=self.pulse)
         return []
 
     def gone(self, who: str) -> None:
@@ -81,6 +85,8 @@
         self.started = max(0.0, self.started - passed * self.starts)
         self.spent = max(0.0, self.spent - passed * self.catch_up)
         self.store.compact(now)
+        if now - self.beat_at >= PULSE:
+            self.pulse, self.beat_at = self.pulse + 1, now
         return []
 
     def due(self) -> list[str]:
@@ -92,13 +98,17 @@
 
     def wants(self, cursor: Cursor) -> bool:
         store = self.store
-        if not store.generation:
-            return False
-        if cursor.generation != store.generation or cursor.offset < store.base:
-            return self.free()
+        if cursor.pulse < self.pulse:
+            return True
+        if self.far(cursor):
+            return bool(store.generation) and self.free()
         lag = store.committed - cursor.offset
         return cursor.beat < self.beat or lag > 0 and (lag <= NEAR or self.free())
 
+    def far(self, cursor: Cursor) -> bool:
+        """Entries alone do not bring it on."""
+        return cursor.generation != self.store.generation or cursor.offset < self.store.base
+
     def free(self) -> bool:
         """Guards against one step that takes long, where many are far behind: an eighth of a second's bytes at once."""
         return 8 * self.spent < self.catch_up
@@ -106,27 +116,25 @@
     def drain(self, who: str, room: int) -> list[Any]:
         """Up to so many bytes for that stream, one message at least where there is any room, and its cursor moved."""
         cursor, store, out = self.cursors.get(who), self.store, []
+        message: State | Batch
         while room > 0 and cursor and self.wants(cursor):
-            if cursor.generation != store.generation or cursor.offset < store.base:
-                message: State | Batch = store.state()
+            far = self.far(cursor)
+            if far and store.generation and self.free():
+                message, offset, beat = store.state(), store.committed, 0
                 size = WEIGHT + sum(entry.weight for entry in message.state)
-                if size > room and out:
-                    break
-                self.spent += size
-                cursor.generation, cursor.offset, cursor.beat = store.generation, store.committed, 0
             else:
-                lag = store.committed - cursor.offset
-                entries = store.after(cursor.offset, min(room, BATCH), store.committed) if lag > 0 and (
-                    lag <= NEAR or self.free()) else []
-                size = WEIGHT + sum(entry.weight for entry in entries)
-                if size > room and (out or not entries):
-                    break
-                if lag > NEAR:
-                    self.spent += size
+                lag = 0 if far else store.committed - cursor.offset
+                entries = store.after(cursor.offset, min(room, BATCH), store.committed) if 0 < lag <= NEAR or (
+                    lag > 0 and self.free()) else []
                 message = Batch(store.generation, entries, max(self.mark, store.committed), self.beat)
-                cursor.beat = self.beat
-                if entries:
-                    cursor.offset = entries[-1].offset
+                offset, beat = entries[-1].offset if entries else cursor.offset, self.beat
+                size, far = WEIGHT + sum(entry.weight for entry in entries), lag > NEAR
+            if size > room and out:
+                break
+            self.spent += size if far else 0
+            if isinstance(message, State):
+                cursor.generation = store.generation
+            cursor.offset, cursor.beat, cursor.pulse = offset, beat, self.pulse
             room -= size
             out.append(message)
         return out
--- a/saltmoor/changes/subscriber.py
+++ b/saltmoor/changes/subscriber.py
@@ -17,6 +17,7 @@
 
 MS: Micros = 1_000
 SILENT: Micros = 750 * MS  # without a new beat, until another is asked
+PATIENT: Micros = 5_000 * MS  # the same, with a relay whose stream lives: it looks for new beats itself
 STALE: Micros = 1_000 * MS
 ASK_AGAIN: Micros = 100 * MS  # between two asks for a range
 ASK_LATER: Micros = 500 * MS  # where nothing comes though there is something
@@ -65,10 +66,12 @@
 
 
 class Subscriber:
-    """`nodes`: of its site, itself among them; `controls`: the control machines; `take` gives what is newly applied."""
+    """`nodes`: of its site, itself among them; `controls`: the control machines; `stale`: what it knows may be
+    so old; `take` gives what is newly applied."""
 
-    def __init__(self, now: Micros, me: str, site: str, nodes: list[str], controls: list[str]) -> None:
-        self.me, self.site, self.controls = me, site, controls
+    def __init__(self, now: Micros, me: str, site: str, nodes: list[str], controls: list[str],
+                 stale: Micros = STALE) -> None:
+        self.me, self.site, self.controls, self.bound = me, site, controls, stale
         self.generation = self.offset = 0
         self.beat = 0  # the largest of this generation
         self.pending: tuple[int, Micros] | None = None  # what must be had for it to count, and when it came
@@ -77,7 +80,7 @@
         self.foreign, self.foreign_lives = (0, 0), False  # another generation and its beat, as first seen
         self.state, self.place, self.failures = S.IDLE, 0, 0
         self.upstream, self.trial = "", ""
-        self.quiet_since = self.next = now
+        self.quiet_since = self.next = self.lives_at = now
         self.trial_until = self.home_at = self.asked_at = self.moved_at = NEVER
         self.taken: list[Entry | State] = []
         self.mode, self.draws = "", 0
@@ -125,7 +128,7 @@
         return now - self.fresh_at
 
     def stale(self, now: Micros) -> bool:
-        return self.lag(now) > STALE
+        return self.lag(now) > self.bound
 
     def counted(self) -> None:
         if self.pending and self.offset >= self.pending[0]:
@@ -153,6 +156,10 @@
         return [(who, Subscribe(self.generation, self.offset, self.me, self.site))]
 
     def batch(self, now: Micros, who: str, message: Batch) -> list[tuple[str, Any]]:
+        if who == self.upstream:
+            self.lives_at = now
+        if not message.generation:
+            return []  # it has nothing yet
         if message.generation != self.generation:
             return self.of_another(now, who, message)
         for entry in message.entries:
@@ -240,10 +247,10 @@
         """Every 50 ms or so."""
         self.said(now)
         out: list[tuple[str, Any]] = []
-        if self.state is not S.IDLE and now - self.quiet_since >= SILENT and self.step(I.SILENT):
+        if self.state is not S.IDLE and now - self.quiet_since >= self.patience(now) and self.step(I.SILENT):
             self.another(now)
         if self.state is S.IDLE and now >= self.next and self.order:
-            self.upstream, self.trial, self.quiet_since = self.order[self.place], "", now
+            self.upstream, self.trial, self.quiet_since, self.lives_at = self.order[self.place], "", now, NEVER
             self.step(I.DUE)
             return self.ask(now, self.upstream)
         if self.state is S.IDLE and self.upstream and now - self.asked_at >= REST // 6:
@@ -256,6 +263,11 @@
             out = self.ask(now, self.trial)
         return out
 
+    def patience(self, now: Micros) -> Micros:
+        """Guards against all nodes leaving their relays, each time that the log has no writer for a while."""
+        lives = not self.relays and self.place < RELAYS and now - self.lives_at < SILENT
+        return PATIENT if lives else SILENT
+
     def said(self, now: Micros) -> None:
         mode = "stale" if self.stale(now) else "fresh"
         if mode != self.mode:
