--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -9,6 +9,9 @@
   saltmoor lab report FILE... --html=FILE
   saltmoor lab capacity [--rate=N]...
   saltmoor lab toy
+  saltmoor lab scale [--live] [--mechanism=M]... [--size=N]... [--changes=R]... [--event=E]... [--span=S]
+                     [--loss=P] [--seed=N] [--json=FILE] [--plot=FILE]
+  saltmoor lab scale --page=FILE
   saltmoor lab (-h | --help)
 
 SCENARIO is the name of one that comes with saltmoor, or a TOML file. A and B are checkouts of saltmoor, or
@@ -26,8 +29,19 @@
   --rounds=N      how often each is played, in turn, each round with a seed of its own [default: 3]
   --html=FILE     the page that is written
   --rate=N        transactions a second that one load process is to offer [default: 1000 2500 5000]
-
-The exit status is 0 if every bound held, 1 if one did not or the run was void, 2 for a faulty scenario.
+  --live          real sockets on loopback beside real nodes, instead of the scripted clock
+  --mechanism=M   how changes come to all: peers (as nodes have it) or log; each that is named is played
+  --size=N        nodes [default: 30 60 120 240 480]
+  --changes=R     changes a second [default: 0 3.9 15]
+  --event=E       calm, aged (with what ten minutes have left), day (an ordinary day's restarts and failures),
+                  relay (one is killed), cut (a region, for ten minutes), start (all in one instant)
+  --span=S        seconds that are measured, of the script's or of real time [default: 20]
+  --loss=P        share of datagrams that is lost [default: 0]
+  --plot=FILE     a picture of the figures over sizes
+  --page=FILE     write the tables of that page anew from the kept data
+
+The exit status is 0 if every bound held, 1 if one did not or the run was void, 2 for a faulty scenario
+or option.
 """
 
 from __future__ import annotations
@@ -171,6 +185,9 @@
         if said["capacity"]:
             from saltmoor.lab import capacity
             return capacity.main([number({"--rate": one}, "--rate", 1) for one in said["--rate"]])
+        if said["scale"]:
+            from saltmoor.lab import scale
+            return scale.run(said)
         if said["toy"]:
             from saltmoor.lab import toy
             return toy.main()
