--- a/saltmoor/lab/scale.py
+++ b/saltmoor/lab/scale.py
@@ -49,7 +49,8 @@
 
 
 def ways() -> dict[str, type[scale_town.Way]]:
-    return {"peers": scale_town.Gossip}
+    from saltmoor.lab.scale_log import Ordered
+    return {"peers": scale_town.Gossip, "log": Ordered}
 
 
 def real(text: str, name: str, least: float, most: float) -> float:
--- a/saltmoor/lab/scale_clock.py
+++ b/saltmoor/lab/scale_clock.py
@@ -158,6 +158,12 @@
         self.network, self.own, self.delay = network, own, delay
         self.other: Stream | None = None
         self.held, self.over, self.wake = bytearray(), False, None
+        self.arrives = 0.0  # when the last of what was written does
+
+    def later(self, data: bytes) -> None:
+        """Guards against two writes at one time, which the loop would call in any order."""
+        self.arrives = max(self.network.loop.time() + self.delay, self.arrives + 1e-6)
+        self.network.loop.call_at(self.arrives, self.other.came, data)
 
     def setblocking(self, flag: bool) -> None:
         pass
@@ -175,7 +181,7 @@
             raise BrokenPipeError
         self.network.streamed(self.own, self.other.own, data)
         if not self.network.severed(self.own, self.other.own):
-            self.network.loop.call_later(self.delay, self.other.came, data)
+            self.later(data)
 
     def came(self, data: bytes) -> None:
         self.held += data
@@ -185,12 +191,67 @@
 
     def close(self) -> None:
         if not self.over and self.other:
-            self.network.loop.call_later(self.delay, self.other.came, b"")
+            self.later(b"")
             self.network.count_head(self.own, self.other.own, 2)
             self.network.count_head(self.other.own, self.own, 2)
         self.over = True
 
 
+class Conn:
+    """One end of a connection that stays: whole frames, in order, handed to whoever `heard` names."""
+
+    def __init__(self, network: Network, own: tuple[str, int], where: tuple[str, int]) -> None:
+        self.network, self.own, self.where = network, own, where
+        self.delay, self.arrives, self.open = network.delay(own, where), 0.0, True
+        self.other: Conn | None = None
+        self.heard: Any = None  # called with this end and a frame
+        self.closed: Any = None  # called with this end
+
+    def send(self, frame: bytes) -> None:
+        network = self.network
+        if not self.open:
+            return
+        network.streamed(self.own, self.where, frame)
+        if network.severed(self.own, self.where):
+            # What was written is sent again and again until the writer's patience ends.
+            network.loop.call_later(PATIENCE, self.broken)
+            self.open = False
+            return
+        self.later(self.other.came, frame)
+
+    def later(self, what: Any, *given: Any) -> None:
+        """Guards against two frames at one time, which the loop would call in any order."""
+        self.arrives = max(self.network.loop.time() + self.delay, self.arrives + 1e-6)
+        self.network.loop.call_at(self.arrives, what, *given)
+
+    def came(self, frame: bytes) -> None:
+        if self.open and self.heard:
+            self.heard(self, frame)
+
+    def broken(self) -> None:
+        if self.closed:
+            self.closed(self)
+
+    def close(self, told: bool = True) -> None:
+        """`told`: the other end hears of it, as its kernel says so; a machine that fails says nothing."""
+        if self.open:
+            self.open = False
+            if told and not self.network.severed(self.own, self.where):
+                self.network.count_head(self.own, self.where, 2)
+                self.network.count_head(self.where, self.own, 2)
+                self.later(self.other.ended)
+
+    def ended(self) -> None:
+        if self.open:
+            self.open = False
+            if self.closed:
+                self.closed(self)
+
+
+PATIENCE = 5.0  # seconds for which written bytes may wait for an acknowledgement
+DIAL_S = 2.0  # seconds until a connection that does not come up is given up
+
+
 @dataclass
 class Network:
     """Addresses at sites. `cut`: regions that reach only themselves; `loss`: the share of datagrams that is lost."""
@@ -202,6 +263,7 @@
     ends: dict[tuple[str, int], End] = field(default_factory=dict)
     traffic: dict[tuple[str, int], Traffic] = field(default_factory=dict)
     places: dict[tuple[str, int], Place] = field(default_factory=dict)
+    silent: set[tuple[str, int]] = field(default_factory=set)  # machines that answer nothing at all
 
     def __post_init__(self) -> None:
         self.rng = Random(f"network {self.seed}")
@@ -250,6 +312,27 @@
         self.count_head(own, where, segments)
         self.count_head(where, own, ceil(segments / 2))
 
+    def dial(self, own: tuple[str, int], where: tuple[str, int], done: Any) -> None:
+        """Connect; `done` is called with this end, or with None."""
+        self.traffic[own].streams += 1
+        self.count_head(own, where, 1, TCP_OPEN)
+        if self.severed(own, where) or where in self.silent:
+            self.loop.call_later(DIAL_S, done, None)
+        else:
+            self.loop.call_later(self.delay(own, where), self.dialled, own, where, done)
+
+    def dialled(self, own: tuple[str, int], where: tuple[str, int], done: Any) -> None:
+        end, delay = self.ends.get(where), self.delay(own, where)
+        if end is None:
+            self.loop.call_later(delay, done, None)
+            return
+        self.count_head(where, own, 1, TCP_OPEN)
+        self.count_head(own, where, 1)
+        near, far = Conn(self, own, where), Conn(self, where, own)
+        near.other, far.other = far, near
+        end.accept(far)
+        self.loop.call_later(delay, done, near)
+
     async def connect(self, own: tuple[str, int], where: tuple[str, int]) -> Stream:
         end = self.ends.get(where)
         if where not in self.places or self.severed(own, where):
--- a/saltmoor/lab/scale_hollow.py
+++ b/saltmoor/lab/scale_hollow.py
@@ -99,6 +99,10 @@
         self.udp, listener = self.network.put(self.own, self.place, self.heard, self.came_stream)
         self.socks = [self.udp, listener]
 
+    def wall(self) -> int:
+        """The script's, so that which number of a lease is larger does not hang on the machine."""
+        return WALL * 1000 + self.clock()
+
     def vote(self, voters: tuple[str, ...]) -> None:
         """It is one of the control machines: it votes, and claims the lease."""
         self.duties = Duties(self, Dutiful(CLUSTER, voters, (), LEASE, FLIGHT, "", 1 << 60, ("writer",)), quiet)
--- a/saltmoor/lab/scale_town.py
+++ b/saltmoor/lab/scale_town.py
@@ -30,7 +30,8 @@
 BODY = 40  # bytes of a change beside its key: a purge's, with room for a set's name
 WARM_S = 2.0
 TAIL_S = 6.0  # that changes are waited for after the span, at most
-EVENTS = ("", "aged", "day", "relay", "cut", "start")
+EVENTS = ("", "aged", "day", "relay", "silent", "cut", "start", "rebuild")
+ANEW = ("start", "rebuild")  # all begin in one instant; with `rebuild` the control machines too, without memory
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -59,15 +60,16 @@
 class Board:
     """Who has which change since when, told by the members' own code."""
 
-    def __init__(self, loop: ScriptedLoop) -> None:
-        self.loop = loop
+    def __init__(self, loop: ScriptedLoop, receivers: list[str]) -> None:
+        self.loop, self.receivers = loop, set(receivers)
         self.given: list[float] = []
         self.seen: dict[str, dict[int, float]] = {}
         self.began: dict[str, float] = {}  # the process that is there now
         self.doubled = 0
 
     def start(self, name: str) -> None:
-        self.seen[name], self.began[name] = {}, self.loop.seconds
+        if name in self.receivers:
+            self.seen[name], self.began[name] = {}, self.loop.seconds
 
     def stop(self, name: str) -> None:
         self.began.pop(name, None)
@@ -112,6 +114,7 @@
     """How changes come to all. One is made for a run; its members are named as the town names them."""
 
     name = ""
+    warm_s = WARM_S
 
     def __init__(self, town: Town) -> None:
         self.town, self.spent_before = town, {}
@@ -121,11 +124,19 @@
         """All members are there and have been for long."""
         raise NotImplementedError
 
+    async def ready(self) -> None:
+        """What has to be there before all begin in one instant."""
+
+    def level(self) -> bool:
+        """Whether every member has all that there is to have."""
+        raise NotImplementedError
+
     def start(self, name: str) -> None:
         """A process begins under that name and knows nothing."""
         raise NotImplementedError
 
-    def stop(self, name: str, crash: bool) -> None:
+    def stop(self, name: str, how: str) -> None:
+        """`how`: end (as asked), kill (the process is gone, its kernel closes what it had), fail (the machine is)."""
         raise NotImplementedError
 
     def give(self, name: str, change: int) -> None:
@@ -143,12 +154,17 @@
 
     def end(self) -> None:
         """All processes are gone."""
-        for name in list(self.town.board.began):
-            self.stop(name, crash=True)
+        for name in self.town.names:
+            if name in self.town.board.began or name[0] == "c":
+                self.stop(name, "kill")
 
     def role(self, name: str) -> str:
         return "control" if name[0] == "c" else "node"
 
+    def busiest(self) -> str:
+        """The relay that hands on to the most; empty where there are none."""
+        return ""
+
     def figures(self) -> dict[str, float | None]:
         return {}
 
@@ -179,7 +195,7 @@
         town = self.town
         for name in town.names:
             self.make(name)
-        if town.plan.event != "start":
+        if town.plan.event not in ANEW:
             count = int(min(KEPT_S * town.plan.rate, 5_000)) if town.plan.event == "aged" else 0
             old = [Item.made("change", f"old{i}", 0, b"\0" * BODY) for i in range(count)]
             for one in self.members.values():
@@ -197,13 +213,13 @@
     def start(self, name: str) -> None:
         self.make(name).begin()
 
-    def stop(self, name: str, crash: bool) -> None:
+    def stop(self, name: str, how: str) -> None:
         one = self.members[name]
         self.gone += one.exchange.pulls
-        if crash:
-            one.crash()
-        else:
+        if how == "end":
             one.end()
+        else:
+            one.crash()
         self.town.board.stop(name)
 
     def give(self, name: str, change: int) -> None:
@@ -224,7 +240,7 @@
         return self.members[name].exchange.pulls
 
     def level(self) -> bool:
-        """Whether every member knows every other, and has caught up."""
+        """And whether it knows every other."""
         count = len(self.members)
         return all(len(one.members.others) == count - 1 and one.exchange.phase is Phase.LEVEL
                    for one in self.members.values())
@@ -251,9 +267,10 @@
         self.plan, self.loop = plan, loop
         self.rng = Random(f"{way.name} {plan.members} {plan.rate} {plan.event} {plan.seed}")
         self.network = Network(loop, plan.seed, plan.loss)
+        self.killed = ""
         self.names = [f"c{i}" for i in range(CONTROL)] + [f"n{i}" for i in range(plan.members)]
         self.nodes = self.names[CONTROL:]
-        self.board = Board(loop)
+        self.board = Board(loop, self.names if way is Gossip else self.nodes)
         self.figures: dict[str, float | None] = {}
         self.way = way(self)
 
@@ -268,10 +285,11 @@
     async def play(self) -> rows.Row:
         plan, way = self.plan, self.way
         way.begin()
-        if plan.event == "start":
-            await self.wait_for("all_level_s", lambda: way.level(), 60.0)
+        if plan.event in ANEW:
+            await way.ready()
+            await self.wait_for("all_level_s", way.level, 60.0)
         else:
-            await asyncio.sleep(WARM_S)
+            await asyncio.sleep(way.warm_s)
         gc.collect()
         gc.freeze()  # so that no member's processor time has the collection of all others' tables in it
         self.network.count_anew()
@@ -337,7 +355,7 @@
                 await self.day(begun)
             case "cut":
                 await self.cut()
-            case "relay":
+            case "relay" | "silent":
                 await self.kill_relay()
 
     async def day(self, begun: float) -> None:
@@ -354,7 +372,7 @@
         await asyncio.gather(*tasks)
 
     async def restart(self, name: str, fails: bool) -> None:
-        self.way.stop(name, crash=fails)
+        self.way.stop(name, "fail" if fails else "end")
         if not fails:
             await asyncio.sleep(AWAY_S)
             self.restarted.add(name)
@@ -376,11 +394,10 @@
     async def kill_relay(self) -> None:
         """A relay is killed in the middle of the run."""
         await asyncio.sleep(self.plan.span_s / 2)
-        relays = [name for name in self.nodes if self.way.role(name) == "relay"]
-        if relays:
-            name = relays[0]
-            self.killed, self.killed_at = name, self.loop.seconds
-            self.way.stop(name, crash=True)
+        name = self.way.busiest()
+        if name:
+            self.killed = name
+            self.way.stop(name, "fail" if self.plan.event == "silent" else "kill")
 
     async def wait_for(self, what: str, true: Any, most: float, since: float | None = None) -> None:
         since = self.loop.seconds if since is None else since
@@ -397,13 +414,11 @@
             took = sorted(self.board.caught(begun))
             self.figures["restart_caught_up_p50_s"] = rows.exact(took, 0.5)
             self.figures["restart_caught_up_worst_s"] = None if not took or took[-1] == float("inf") else took[-1]
-        if plan.event == "relay" and getattr(self, "killed", ""):
+        if plan.event in ("relay", "silent") and self.killed:
             site = self.place(self.killed).site
             near = {name for name in self.nodes if self.place(name).site == site}
-            told = self.board.spread(near)
-            self.figures["site_worst_s"] = told.worst_s
-            others = self.board.spread(set(self.nodes) - near)
-            self.figures["others_worst_s"] = others.worst_s
+            self.figures["site_worst_s"] = self.board.spread(near).worst_s
+            self.figures["others_worst_s"] = self.board.spread(set(self.nodes) - near).worst_s
 
 
 def play(plan: Plan, way: type[Way]) -> rows.Row:
