--- a/saltmoor/lab/scale_clock.py
+++ b/saltmoor/lab/scale_clock.py
@@ -204,6 +204,7 @@
         self.network, self.own, self.where = network, own, where
         self.delay, self.arrives, self.open = network.delay(own, where), 0.0, True
         self.other: Conn | None = None
+        self.greeted = False  # whoever is at this end has heard who the other is
         self.heard: Any = None  # called with this end and a frame
         self.closed: Any = None  # called with this end
 
@@ -330,8 +331,8 @@
         self.count_head(own, where, 1)
         near, far = Conn(self, own, where), Conn(self, where, own)
         near.other, far.other = far, near
+        self.loop.call_later(delay - 1e-6, done, near)  # before the first frame
         end.accept(far)
-        self.loop.call_later(delay, done, near)
 
     async def connect(self, own: tuple[str, int], where: tuple[str, int]) -> Stream:
         end = self.ends.get(where)
--- a/saltmoor/lab/scale_log.py
+++ b/saltmoor/lab/scale_log.py
@@ -1,8 +1,7 @@
 """Owns the ordered log's way in a scripted row: the real cores of `changes/` at control machines, relays and nodes, joined
-as `net/` joins them, on the scripted network.
+as `net/` joins them, in the frames of `net/streams.py`, on the scripted network.
 
-It must never decide what the cores decide. Frames have the form of `net/streams.py`: eight bytes of head and checksum, then
-the message alone; who speaks is said once a connection.
+It must never decide what the cores decide.
 """
 
 from __future__ import annotations
@@ -10,9 +9,8 @@
 import asyncio
 from functools import partial
 from typing import Any
-from zlib import crc32
 
-from saltmoor.changes import kinds, messages
+from saltmoor.changes import kinds
 from saltmoor.changes.apply import Apply
 from saltmoor.changes.log import Log
 from saltmoor.changes.messages import Append, Appended, Entry, State, Subscribe
@@ -20,34 +18,19 @@
 from saltmoor.changes.store import Store
 from saltmoor.changes.subscriber import Subscriber
 from saltmoor.lab.scale_clock import Conn, Place
-from saltmoor.lab.scale_hollow import CONTROL, LEASE, WALL, Spent
+from saltmoor.lab.scale_hollow import CLUSTER, CONTROL, LEASE, WALL, Spent
 from saltmoor.lab.scale_town import BODY, KEPT_S, Town, Way
+from saltmoor.net.streams import HEAD, MACHINE, NODE, TOOL, Wire
 from saltmoor.peers import frames
 
 TICK = 0.05  # seconds
 ROOM = 32_768  # bytes that a subscriber's stream is given at once
 AGAIN_S = 0.3  # until a control machine dials another again, or a tool asks the next one
-HELLO = 120  # bytes of the first frame each way: cluster, name, run, clock, role, whom it wants
 CONTROLS_UP = 8.0  # seconds that the control machines get before all others begin
 OLD_PER_TICK = 25  # changes of before, given at once
 SMALL = 2_000  # bytes that a node which hands nothing on keeps, by sys.getsizeof of its cores
 
 
-def encode(message: Any) -> bytes:
-    body = frames.CODER.encode([messages.NAMES[type(message)], message])
-    return len(body).to_bytes(4, "big") + crc32(body).to_bytes(4, "big") + body
-
-
-SAID = frames.reader(tuple[str, frames.msgspec.Raw])
-
-
-def decode(frame: bytes) -> Any:
-    word, content = SAID.decode(memoryview(frame)[8:])
-    message = frames.reader(messages.WORDS[word]).decode(content)
-    messages.check(message)
-    return message
-
-
 class Process:
     """What a node and a control machine have in common: an address, connections, a tick."""
 
@@ -56,6 +39,7 @@
         self.way, self.name, self.network, self.loop = way, name, town.network, town.loop
         self.own, self.spent, self.ended = town.where(name), Spent(), False
         self.me = text(self.own)
+        self.wire = Wire(CLUSTER, self.me, MACHINE if name[0] == "c" else NODE)
         self.served: dict[str, Conn] = {}  # by who dialled
         self.dialled: dict[str, Conn | None] = {}  # None: not up yet
         self.asked = 0
@@ -87,8 +71,7 @@
         if (before := self.served.get(key)) is not None:
             before.close()
         self.served[key] = conn
-        self.network.traffic[conn.own].tcp_out += HELLO
-        self.network.traffic[conn.where].tcp_in += HELLO
+        conn.send(self.wire.hello())
         conn.heard, conn.closed = partial(self.came, key), partial(self.left, key)
 
     def dial(self, name: str) -> None:
@@ -103,17 +86,23 @@
             self.down(name)
         else:
             self.dialled[name] = conn
-            self.network.traffic[conn.own].tcp_out += HELLO
-            self.network.traffic[conn.where].tcp_in += HELLO
+            conn.send(self.wire.hello(name))
             conn.heard, conn.closed = partial(self.came, name), partial(self.gone, name)
             self.spent.of(self.connected, name)
 
     def came(self, key: str, conn: Conn, frame: bytes) -> None:
         if not self.ended:
-            self.spent.of(self.hear, key, conn, decode, frame)
+            self.spent.of(self.hear, key, conn, frame)
+
+    def hear(self, key: str, conn: Conn, frame: bytes) -> None:
+        if conn.greeted:
+            self.message(key, conn, self.wire.decode(frame[HEAD:]))
+        else:
+            self.wire.heard(frame[HEAD:])
+            conn.greeted = True
 
-    def hear(self, key: str, conn: Conn, read: Any, frame: bytes) -> None:
-        self.message(key, conn, read(frame))
+    def say(self, conn: Conn, message: Any) -> None:
+        conn.send(self.wire.frame(self.wire.encode(message)))
 
     def message(self, key: str, conn: Conn, message: Any) -> None:
         raise NotImplementedError
@@ -139,7 +128,7 @@
         conn = self.served.get(key)
         while conn and conn.open and (out := self.relay.drain(key, ROOM)):
             for message in out:
-                conn.send(encode(message))
+                self.say(conn, message)
 
     def hand_on(self) -> None:
         for key in self.relay.due():
@@ -181,7 +170,7 @@
         for name, message in said:
             self.asked += isinstance(message, Subscribe)
             if conn := self.dialled.get(name):
-                conn.send(encode(message))
+                self.say(conn, message)
             else:
                 self.first[name] = message
 
@@ -197,7 +186,7 @@
 
     def connected(self, name: str) -> None:
         if message := self.first.pop(name, None):
-            self.dialled[name].send(encode(message))
+            self.say(self.dialled[name], message)
 
     def down(self, name: str) -> None:
         del self.dialled[name]
@@ -208,7 +197,7 @@
         now = self.loop.micros()
         if isinstance(message, Subscribe):
             for _, answer in self.relay.hear(now, key, message):
-                conn.send(encode(answer))
+                self.say(conn, answer)
             self.pump(key)
             return
         self.send(self.subscriber.hear(now, key, message))
@@ -243,7 +232,7 @@
         for name, message in out:
             conn = self.dialled.get(name) if name in self.voters else self.served.get(name)
             if conn:
-                conn.send(encode(message))
+                self.say(conn, message)
         self.hand_on()
 
     def message(self, key: str, conn: Conn, message: Any) -> None:
@@ -265,6 +254,7 @@
     def __init__(self, way: Ordered, number: int, place: Place) -> None:
         self.way, self.own, self.network, self.loop = way, (f"10.250.{number}.1", 7000), way.town.network, way.town.loop
         self.network.put(self.own, place, lambda data: None, lambda conn: None)
+        self.wire = Wire(CLUSTER, f"tool{number}", TOOL)
         self.conns: dict[int, Conn | None] = {}
         self.leader, self.number, self.known = 0, number, (0, 0)
         self.open: dict[str, tuple[bytes, float]] = {}
@@ -284,7 +274,7 @@
         if conn and conn.open:
             content, _ = self.open[name]
             generation, seen = self.known
-            conn.send(encode(Append(name, kinds.PURGE, content, generation, seen)))
+            conn.send(self.wire.frame(self.wire.encode(Append(name, kinds.PURGE, content, generation, seen))))
         elif self.leader not in self.conns or conn:
             self.conns[self.leader] = None
             where = self.way.town.where(f"c{self.leader}")
@@ -297,13 +287,17 @@
             self.leader = (self.leader + 1) % CONTROL
             return
         self.conns[number] = conn
+        conn.send(self.wire.hello())
         conn.heard = self.heard
         conn.closed = lambda conn: self.conns.pop(number, None)
         for name in list(self.open):
             self.ask(name)
 
     def heard(self, conn: Conn, frame: bytes) -> None:
-        message = decode(frame)
+        if not conn.greeted:
+            conn.greeted = True
+            return
+        message = self.wire.decode(frame[HEAD:])
         if not isinstance(message, Appended):
             return
         self.known = max(self.known, (message.generation, message.seen))
