--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -11,7 +11,7 @@
   saltmoor lab toy
   saltmoor lab scale [--live] [--mechanism=M]... [--size=N]... [--changes=R]... [--event=E]... [--span=S]
                      [--loss=P] [--seed=N] [--json=FILE] [--plot=FILE]
-  saltmoor lab scale --page=FILE
+  saltmoor lab scale (--page=FILE | --counts=FILE)
   saltmoor lab (-h | --help)
 
 SCENARIO is the name of one that comes with saltmoor, or a TOML file. A and B are checkouts of saltmoor, or
@@ -38,6 +38,7 @@
   --span=S        seconds that are measured, of the script's or of real time [default: 20]
   --loss=P        share of datagrams that is lost [default: 0]
   --plot=FILE     a picture of the figures over sizes
+  --counts=FILE   count on the cores what grows with nodes, and write it there
   --page=FILE     write the tables of that page anew from the kept data
 
 The exit status is 0 if every bound held, 1 if one did not or the run was void, 2 for a faulty scenario
@@ -187,7 +188,7 @@
             return capacity.main([number({"--rate": one}, "--rate", 1) for one in said["--rate"]])
         if said["scale"]:
             from saltmoor.lab import scale
-            return scale.run(said)
+            return scale.run(said, argv)
         if said["toy"]:
             from saltmoor.lab import toy
             return toy.main()
--- a/saltmoor/lab/scale.py
+++ b/saltmoor/lab/scale.py
@@ -17,13 +17,16 @@
 from saltmoor.lab import scale_fit, scale_rows, scale_town
 from saltmoor.lab.experiment import Bound
 from saltmoor.lab.scale_fit import Fit
+from saltmoor.lab.scale_log import Ordered
 from saltmoor.lab.scale_rows import Row
 from saltmoor.lab.scenario import Faulty
 
 MOST_MEMBERS, MOST_PROCESSES = 2_000, 200
 MEMORY_PART = 0.5  # of the machine's, at most
 MEMBER_MB = 1.6  # of one scripted member among 480, with its table; the guard's, measured generously
-EVENT_BOUNDS = {("relay", "site_worst_s"): 1.0, ("cut", "caught_up_s"): 2.0}
+WRITES = ("--json", "--plot", "--counts")
+LIVE_PROCESSES = 24  # workers, real nodes, the lab's stand-ins and load
+EVENT_BOUNDS = {("relay", "site_worst_s"): 1.0, ("silent", "site_worst_s"): 1.0, ("cut", "caught_up_s"): 2.0}
 
 
 class Sheet(msgspec.Struct):
@@ -49,7 +52,6 @@
 
 
 def ways() -> dict[str, type[scale_town.Way]]:
-    from saltmoor.lab.scale_log import Ordered
     return {"peers": scale_town.Gossip, "log": Ordered}
 
 
@@ -88,8 +90,8 @@
                 value = row.figures[figure]
                 found.append(Bound(f"{row.name}: {figure}", value, limit, False, value is not None and value <= limit))
     for fit in fits:
-        if fit.role == "node" and fit.figure == "bytes_per_s" and fit.flat is not None:
-            found.append(Bound(f"{fit.clock} {fit.mechanism} at {fit.changes_per_s:g}/s: node bytes_per_s from "
+        if fit.role == ("fleet" if fit.mechanism == "log" else "node") and fit.figure == "bytes_per_s" and fit.flat is not None:
+            found.append(Bound(f"{fit.clock} {fit.mechanism} at {fit.changes_per_s:g}/s: bytes_per_s a node from "
                                f"{scale_fit.FLAT_FROM} to {max(fit.sizes)} members, growth", fit.flat,
                                scale_fit.FLAT, False, fit.flat <= scale_fit.FLAT))
     return found
@@ -113,18 +115,24 @@
         print(f"  {'held  ' if bound.held else 'BROKEN'} {bound.name} at most {bound.limit:g}: {bound.figure}")
 
 
-def run(said: dict, say: Callable[[str], None] = lambda line: print(line, file=sys.stderr, flush=True)) -> int:
+def run(said: dict, words: list[str],
+        say: Callable[[str], None] = lambda line: print(line, file=sys.stderr, flush=True)) -> int:
+    """`words`: the command line behind `lab`, as the data will name it."""
     if said["--page"] is not None:
         from saltmoor.lab import scale_page
         return scale_page.write(Path(said["--page"]))
+    if said["--counts"] is not None:
+        from saltmoor.lab import scale_counts
+        return scale_counts.write(Path(said["--counts"]), command(words))
     names = said["--mechanism"] or ["peers"]
     for name in names:
         if name not in ways():
             raise Faulty(f"--mechanism: {name!r} is none; there are {', '.join(ways())}")
-    rows = []
-    all_ = plans(said)
+    rows, all_ = [], plans(said)
+    if said["--live"] and (names != ["peers"] or any(plan.event for plan in all_)):
+        raise Faulty("--live: plays peers, calm, alone")
     for plan in all_:
-        guard(plan.members, 1)
+        guard(plan.members, LIVE_PROCESSES if said["--live"] else 1)
     for name in names:
         for plan in all_:
             begun = time.monotonic()
@@ -136,21 +144,26 @@
             rows.append(row)
             say(f"{row.name}: {time.monotonic() - begun:.0f} s")
             if said["--json"]:  # row by row, so that a long run that is ended leaves what it had
-                keep(Path(said["--json"]), rows)
+                keep(Path(said["--json"]), rows, words)
     fits = scale_fit.fits(rows)
     found = judged(rows, fits)
     show(rows, fits, found)
     if said["--json"]:
-        keep(Path(said["--json"]), rows)
+        keep(Path(said["--json"]), rows, words)
     if said["--plot"]:
         from saltmoor.lab import scale_plot
         scale_plot.write(rows, Path(said["--plot"]))
     return 0 if all(bound.held for bound in found) and not any(row.void for row in rows) else 1
 
 
-def keep(path: Path, rows: list[Row]) -> None:
-    words = [word for word in sys.argv[1:] if not word.startswith(("--json", "--plot"))]
-    sheet = Sheet("saltmoor " + " ".join(words), rows, scale_fit.fits(rows))
+def command(words: list[str]) -> str:
+    """As it was given, but for where it writes."""
+    return " ".join(["saltmoor lab", *(f"{name}=FILE" if (name := word.partition("=")[0]) in WRITES else word
+                                       for word in words)])
+
+
+def keep(path: Path, rows: list[Row], words: list[str]) -> None:
+    sheet = Sheet(command(words), rows, scale_fit.fits(rows))
     path.write_bytes(msgspec.json.format(msgspec.json.encode(sheet), indent=1))
 
 
--- a/saltmoor/lab/scale_clock.py
+++ b/saltmoor/lab/scale_clock.py
@@ -250,6 +250,7 @@
 
 
 PATIENCE = 5.0  # seconds for which written bytes may wait for an acknowledgement
+SYN_AGAIN_S = 1.0  # until the kernel sends a SYN again
 DIAL_S = 2.0  # seconds until a connection that does not come up is given up
 
 
@@ -317,10 +318,20 @@
         """Connect; `done` is called with this end, or with None."""
         self.traffic[own].streams += 1
         self.count_head(own, where, 1, TCP_OPEN)
-        if self.severed(own, where) or where in self.silent:
-            self.loop.call_later(DIAL_S, done, None)
+        if not self.lost(own, where):
+            self.loop.call_later(self.delay(own, where), self.dialled, own, where, done)
         else:
+            self.loop.call_later(SYN_AGAIN_S, self.dial_again, own, where, done)
+
+    def lost(self, own: tuple[str, int], where: tuple[str, int]) -> bool:
+        return where in self.silent or self.severed(own, where)
+
+    def dial_again(self, own: tuple[str, int], where: tuple[str, int], done: Any) -> None:
+        """The kernel has sent the SYN a second time."""
+        if not self.lost(own, where):
             self.loop.call_later(self.delay(own, where), self.dialled, own, where, done)
+        else:
+            self.loop.call_later(DIAL_S - SYN_AGAIN_S, done, None)
 
     def dialled(self, own: tuple[str, int], where: tuple[str, int], done: Any) -> None:
         end, delay = self.ends.get(where), self.delay(own, where)
--- a/saltmoor/lab/scale_hollow.py
+++ b/saltmoor/lab/scale_hollow.py
@@ -14,7 +14,6 @@
 from saltmoor.config import Dutiful, Talking
 from saltmoor.lab.scale_clock import Network, Place, ScriptedLoop
 from saltmoor.net.duties import Duties
-from saltmoor.net.log import Log
 from saltmoor.net.peers import Bulk, Peers
 from saltmoor.peers.members import Member, Members, News
 from saltmoor.replica.exchange import Exchange, Known, Phase
@@ -150,6 +149,3 @@
                                                        since=now, spoke=now)
                 self.exchange.peers[one.name] = Known(one.store.epoch, one.store.seq)
         self.exchange.phase = Phase.LEVEL
-
-
-__all__ = ["Hollow", "CLUSTER", "CONTROL", "Log"]
--- a/saltmoor/lab/scale_log.py
+++ b/saltmoor/lab/scale_log.py
@@ -314,7 +314,6 @@
     """An ordered log at five control machines, handed on through two relays a site."""
 
     name = "log"
-    warm_s = CONTROLS_UP
 
     def __init__(self, town: Town) -> None:
         super().__init__(town)
@@ -328,21 +327,26 @@
         town = self.town
         self.tools = [Tool(self, i, Place.of(i)) for i in range(3)]
         for name in town.names:
-            if name[0] == "c" or town.plan.event != "start":
+            if name[0] == "c" or town.plan.event == "rebuild":
                 self.start(name)
 
     async def ready(self) -> None:
-        """Control machines are there, and hold what ten minutes have left."""
+        """The control machines are there before the nodes; with `start` they hold what ten minutes have left."""
         town = self.town
+        if town.plan.event == "rebuild":
+            return
+        await asyncio.sleep(CONTROLS_UP)
+        for i, tool in enumerate(self.tools):  # each has spoken with a control machine before
+            tool.give(-1 - i)
+        await asyncio.sleep(1.0)
         if town.plan.event == "start":
-            await asyncio.sleep(CONTROLS_UP)
             for i in range(int(KEPT_S * town.plan.rate)):
-                self.tools[i % 3].give(-1 - i)
+                self.tools[i % 3].give(-10 - i)
                 if i % OLD_PER_TICK == 0:
                     await asyncio.sleep(TICK)
             await asyncio.sleep(2.0)
-            for name in town.nodes:
-                self.start(name)
+        for name in town.nodes:
+            self.start(name)
 
     def start(self, name: str) -> None:
         self.starts[name] = starts = self.starts.get(name, -1) + 1
@@ -407,6 +411,7 @@
                     sum(one.subscriber.counts["doubled"] for one in nodes)),
                 "gaps": float(sum(one.subscriber.counts["gaps"] for one in nodes)), "states": float(self.states),
                 "switches": float(sum(one.subscriber.counts["switches"] for one in nodes)),
+                "relays": float(sum(one.subscriber.relays for one in nodes)),
                 "stale_at_end": float(sum(one.subscriber.stale(now) for one in nodes)),
                 "refused": float(sum(one.refused for one in self.tools)),
                 "not_done": float(sum(len(one.open) for one in self.tools)),
--- a/saltmoor/lab/scale_town.py
+++ b/saltmoor/lab/scale_town.py
@@ -27,8 +27,9 @@
 AWAY_S = 1.0  # that a restarted process is away, on the script's compressed day
 KEPT_S = 600.0  # for so long today's table keeps a change
 CUT_S = 600.0  # that a region is cut off for, as planned
+HEAL_S = 20.0
 BODY = 40  # bytes of a change beside its key: a purge's, with room for a set's name
-WARM_S = 2.0
+WARM_S = 2.0  # until the count begins
 TAIL_S = 6.0  # that changes are waited for after the span, at most
 EVENTS = ("", "aged", "day", "relay", "silent", "cut", "start", "rebuild")
 ANEW = ("start", "rebuild")  # all begin in one instant; with `rebuild` the control machines too, without memory
@@ -49,7 +50,12 @@
 
     @property
     def compress(self) -> float:
-        return DAY_S / self.span_s if self.event == "day" else CUT_S / (self.span_s / 2) if self.event == "cut" else 1
+        return DAY_S / self.span_s if self.event == "day" else CUT_S / self.cut_s if self.event == "cut" else 1
+
+    @property
+    def cut_s(self) -> float:
+        """How long the script's cut lasts; what is left of the span is for catching up."""
+        return max(self.span_s / 2, self.span_s - HEAL_S)
 
     @property
     def given_per_s(self) -> float:
@@ -114,7 +120,6 @@
     """How changes come to all. One is made for a run; its members are named as the town names them."""
 
     name = ""
-    warm_s = WARM_S
 
     def __init__(self, town: Town) -> None:
         self.town, self.spent_before = town, {}
@@ -285,11 +290,11 @@
     async def play(self) -> rows.Row:
         plan, way = self.plan, self.way
         way.begin()
+        await way.ready()
         if plan.event in ANEW:
-            await way.ready()
             await self.wait_for("all_level_s", way.level, 60.0)
         else:
-            await asyncio.sleep(way.warm_s)
+            await asyncio.sleep(WARM_S)
         gc.collect()
         gc.freeze()  # so that no member's processor time has the collection of all others' tables in it
         self.network.count_anew()
@@ -304,6 +309,8 @@
         roles: dict[str, list[str]] = {}
         for name in self.names:
             roles.setdefault(way.role(name), []).append(name)
+        if "relay" in roles:
+            roles["fleet"] = self.nodes  # relays are nodes of the site: the mean over all
         made = {role: self.role(names, traffic, spent, pulls) for role, names in roles.items()}
         await asyncio.gather(*tasks)
         end = self.loop.seconds + TAIL_S
@@ -338,7 +345,7 @@
         plan = self.plan
         if not plan.rate:
             return
-        rate, stop = plan.given_per_s, plan.span_s / 2 if plan.event == "cut" else plan.span_s
+        rate, stop = plan.given_per_s, plan.cut_s if plan.event == "cut" else plan.span_s
         for i in range(int(stop * rate)):
             await asyncio.sleep(max(0.0, begun + i / rate - self.loop.seconds))
             names = [name for name in self.nodes if name in self.board.began and self.reached(name)]
@@ -381,7 +388,7 @@
     async def cut(self) -> None:
         """One region reaches only itself, for as long as changes are given; then all is healed at once."""
         self.network.cut = {2}
-        await asyncio.sleep(self.plan.span_s / 2)
+        await asyncio.sleep(self.plan.cut_s)
         self.network.cut = set()
         healed = self.loop.seconds
         away = [name for name in self.nodes if self.place(name).region == 2]
