--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -34,7 +34,9 @@
   --size=N        nodes [default: 30 60 120 240 480]
   --changes=R     changes a second [default: 0 3.9 15]
   --event=E       calm, aged (with what ten minutes have left), day (an ordinary day's restarts and failures),
-                  relay (one is killed), cut (a region, for ten minutes), start (all in one instant)
+                  relay (one is killed), silent (its machine fails), writer (who writes is killed), rack (a site's
+                  nodes fail), zone (that of who writes), cut (a region, for ten minutes), start (all nodes in one
+                  instant), rebuild (the control machines too, without memory)
   --span=S        seconds that are measured, of the script's or of real time [default: 20]
   --loss=P        share of datagrams that is lost [default: 0]
   --plot=FILE     a picture of the figures over sizes
--- a/saltmoor/lab/scale.py
+++ b/saltmoor/lab/scale.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import subprocess
 import sys
 import time
 from collections.abc import Callable
@@ -15,7 +16,7 @@
 import msgspec
 
 from saltmoor.lab import scale_fit, scale_rows, scale_town
-from saltmoor.lab.experiment import Bound
+from saltmoor.lab.experiment import HERE, Bound
 from saltmoor.lab.scale_fit import Fit
 from saltmoor.lab.scale_log import Ordered
 from saltmoor.lab.scale_rows import Row
@@ -30,9 +31,10 @@
 
 
 class Sheet(msgspec.Struct):
-    """What a run leaves: `command` gave `rows`."""
+    """What a run leaves: `command` gave `rows`; `build`: the commit, with a plus where the program was not as there."""
 
     command: str
+    build: str
     rows: list[Row]
     fits: list[Fit]
 
@@ -162,8 +164,14 @@
                                        for word in words)])
 
 
+def build() -> str:
+    def git(*said: str) -> str:
+        return subprocess.run(["git", *said], cwd=HERE, capture_output=True, text=True, check=False).stdout.strip()
+    return git("rev-parse", "--short", "HEAD") + ("+" if git("status", "--porcelain", "saltmoor") else "")
+
+
 def keep(path: Path, rows: list[Row], words: list[str]) -> None:
-    sheet = Sheet(command(words), rows, scale_fit.fits(rows))
+    sheet = Sheet(command(words), build(), rows, scale_fit.fits(rows))
     path.write_bytes(msgspec.json.format(msgspec.json.encode(sheet), indent=1))
 
 
--- a/saltmoor/lab/scale_log.py
+++ b/saltmoor/lab/scale_log.py
@@ -25,6 +25,7 @@
 
 TICK = 0.05  # seconds
 ROOM = 32_768  # bytes that a subscriber's stream is given at once
+SILENT_S = 1.0  # that a tool waits for an answer, until it asks another machine
 AGAIN_S = 0.3  # until a control machine dials another again, or a tool asks the next one
 CONTROLS_UP = 8.0  # seconds that the control machines get before all others begin
 OLD_PER_TICK = 25  # changes of before, given at once
@@ -257,23 +258,27 @@
         self.wire = Wire(CLUSTER, f"tool{number}", TOOL)
         self.conns: dict[int, Conn | None] = {}
         self.leader, self.number, self.known = 0, number, (0, 0)
-        self.open: dict[str, tuple[bytes, float]] = {}
-        self.made = 0
-        self.refused = 0
+        self.open: dict[str, bytes] = {}
+        self.heard_at, self.refused = 0.0, 0
 
     def give(self, change: int) -> None:
         """Each id is made where the log was as far as this tool knows."""
+        if not self.open:
+            self.heard_at = self.loop.seconds
         value = change.to_bytes(BODY, "big", signed=True)
-        self.open[f"ch{change}"] = frames.CODER.encode(kinds.Purge("key", value)), 0.0
+        self.open[f"ch{change}"] = frames.CODER.encode(kinds.Purge("key", value))
         self.ask(f"ch{change}")
 
     def ask(self, name: str) -> None:
         if name not in self.open:
             return
-        conn = self.conns.get(self.leader)
+        conn, now = self.conns.get(self.leader), self.loop.seconds
+        if conn and now - self.heard_at > SILENT_S:  # a machine that is gone says nothing
+            conn.close()
+            del self.conns[self.leader]
+            self.leader, self.heard_at, conn = (self.leader + 1) % CONTROL, now, None
         if conn and conn.open:
-            content, _ = self.open[name]
-            generation, seen = self.known
+            content, (generation, seen) = self.open[name], self.known
             conn.send(self.wire.frame(self.wire.encode(Append(name, kinds.PURGE, content, generation, seen))))
         elif self.leader not in self.conns or conn:
             self.conns[self.leader] = None
@@ -286,7 +291,7 @@
             self.conns.pop(number, None)
             self.leader = (self.leader + 1) % CONTROL
             return
-        self.conns[number] = conn
+        self.conns[number], self.heard_at = conn, self.loop.seconds
         conn.send(self.wire.hello())
         conn.heard = self.heard
         conn.closed = lambda conn: self.conns.pop(number, None)
@@ -300,6 +305,7 @@
         message = self.wire.decode(frame[HEAD:])
         if not isinstance(message, Appended):
             return
+        self.heard_at = self.loop.seconds
         self.known = max(self.known, (message.generation, message.seen))
         if message.how == "done":
             self.open.pop(message.id, None)
@@ -356,6 +362,8 @@
         one.begin(self.town.names.index(name) * 7919 % 1000 / 1000 if self.town.plan.event != "start" else 0.0)
 
     def stop(self, name: str, how: str) -> None:
+        if name not in self.members or self.members[name].ended:
+            return
         self.members[name].stop(how)
         self.town.board.stop(name)
 
@@ -392,6 +400,9 @@
             return "control"
         return "relay" if self.members[name].subscriber.relays else "node"
 
+    def writer(self) -> str:
+        return next((f"c{i}" for i in range(CONTROL) if self.members[f"c{i}"].core.writer), "c0")
+
     def busiest(self) -> str:
         return max((name for name in self.town.nodes if self.role(name) == "relay"),
                    key=lambda name: (len(self.members[name].served), name))
@@ -415,6 +426,6 @@
                 "stale_at_end": float(sum(one.subscriber.stale(now) for one in nodes)),
                 "refused": float(sum(one.refused for one in self.tools)),
                 "not_done": float(sum(len(one.open) for one in self.tools)),
-                "leaders": float(sum(one.core.writer is not None for one in controls)),
+                "leaders": float(sum(one.core.writer is not None and not one.ended for one in controls)),
                 "subscribers_most": float(max(len(one.served) for one in controls)),
                 "handed_on_most": float(max(len(one.served) for one in nodes))}
--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -8,6 +8,7 @@
 
 import re
 from collections.abc import Callable
+from math import ceil
 from pathlib import Path
 
 
@@ -171,18 +172,28 @@
     for event, figure, what, limit in (
             ("relay", "site_worst_s", "a killed relay: the worst change at its site, s", 1.0),
             ("silent", "site_worst_s", "a relay's machine gone without a word: the same, s", 1.0),
+            ("writer", "worst", "the writer killed: the worst change, s", 1.0),
+            ("rack", "worst", "a site's nodes gone: the worst change elsewhere, s", 1.0),
+            ("zone", "worst", "the writer's zone gone: the worst change elsewhere, s", 1.0),
             ("cut", "caught_up_s", "a region cut off: caught up after, s", 2.0),
             ("start", "all_level_s", "all started in one instant: all have all after, s", float("inf")),
             ("rebuild", "all_level_s", "the same, control machines without memory, s", float("inf"))):
         cells = []
         for mechanism in ("peers", "log"):
             found = [row for row in data.rows if (row.event, row.mechanism) == (event, mechanism) and not row.void
-                     and row.clock == "scripted" and figure in row.figures]
-            cells.append("; ".join(f"{short(row.figures[figure])} at {row.members}" for row in found) or NONE)
-        made.append([what, short(limit) if limit < 1e9 else "", *cells])
+                     and row.clock == "scripted" and (figure == "worst" or figure in row.figures)]
+            cells.append("; ".join(outcome(row, row.spread.worst_s if figure == "worst" else row.figures[figure], limit)
+                                   for row in found) or NONE)
+        made.append([what, short(limit) if limit < 1e9 else "none", *cells])
     return table(["aim", "limit", "peers (as today)", "log"], made)
 
 
+def outcome(row: Row, value: float | None, limit: float) -> str:
+    longer = f", {row.figures['compressed']:.3g} times compressed" if row.event == "cut" else ""
+    verdict = "" if limit > 1e9 else ", held" if value is not None and value <= limit else ", NOT HELD"
+    return f"{short(value)} at {row.members}{longer}{verdict}"
+
+
 def flat_line(data: Data, rate: float) -> list[str]:
     cells = []
     for mechanism in ("peers", "log"):
@@ -302,7 +313,7 @@
             "of a core", "keep who is there in order, not sorted anew at each tick")
     if log:
         add("a relay's bytes, the busiest", "nodes a site x changes", log.roles["relay"].bytes_worst,
-            AIMS["bytes_per_s"], "B/s", "more relays a site; fewer heads: entries of a site's beat together")
+            AIMS["bytes_per_s"], "B/s", relays_for(log))
         add("a node's bytes with the log", "changes", log.roles["node"].bytes_per_s, AIMS["bytes_per_s"], "B/s", "")
         add("a control machine's processor time", "relays x changes", log.roles["control"].core_worst, 0.5, "of a core",
             "relays of relays")
@@ -326,10 +337,18 @@
                  [line for _, line in found])
 
 
+def relays_for(row: Row) -> str:
+    """By arithmetic: each node that a relay hands on to costs it as much as that node's own stream."""
+    stream, site = row.roles["node"].bytes_per_s, PLAN["nodes"] / PLAN["sites"]
+    most = max(0.0, AIMS["bytes_per_s"] - stream) / stream  # nodes that one may hand on to
+    count = ceil(site / (1 + most))
+    return f"{count} relays a site (derived) and as many streams at the control machines; or fewer heads"
+
+
 def sources(data: Data) -> str:
-    lines = [[name, f"`{sheet.command}`", len(sheet.rows), sum(bool(row.void) for row in sheet.rows)]
+    lines = [[name, f"`{sheet.command}`", sheet.build, len(sheet.rows), sum(bool(row.void) for row in sheet.rows)]
              for name, sheet in data.sheets.items()]
-    return table(["docs/capacity/", "given by", "rows", "void"], lines)
+    return table(["docs/capacity/", "given by", "build", "rows", "void"], lines)
 
 
 TABLES: dict[str, Callable[[Data], str]] = {
--- a/saltmoor/lab/scale_town.py
+++ b/saltmoor/lab/scale_town.py
@@ -23,6 +23,7 @@
 
 FLEET = 480  # nodes of the operators' plan; smaller sizes get their part of the day's events
 DAY_S = 86_400
+ZONES, RACK = 8, 1  # zones of the plan: every eighth site is one's; the site whose rack fails
 FAILURES, RESTARTS = 2, 160  # machines and processes, on an ordinary day
 AWAY_S = 1.0  # that a restarted process is away, on the script's compressed day
 KEPT_S = 600.0  # for so long today's table keeps a change
@@ -31,7 +32,7 @@
 BODY = 40  # bytes of a change beside its key: a purge's, with room for a set's name
 WARM_S = 2.0  # until the count begins
 TAIL_S = 6.0  # that changes are waited for after the span, at most
-EVENTS = ("", "aged", "day", "relay", "silent", "cut", "start", "rebuild")
+EVENTS = ("", "aged", "day", "relay", "silent", "writer", "rack", "zone", "cut", "start", "rebuild")
 ANEW = ("start", "rebuild")  # all begin in one instant; with `rebuild` the control machines too, without memory
 
 
@@ -160,12 +161,15 @@
     def end(self) -> None:
         """All processes are gone."""
         for name in self.town.names:
-            if name in self.town.board.began or name[0] == "c":
-                self.stop(name, "kill")
+            self.stop(name, "kill")
 
     def role(self, name: str) -> str:
         return "control" if name[0] == "c" else "node"
 
+    def writer(self) -> str:
+        """The control machine that holds the lease."""
+        raise NotImplementedError
+
     def busiest(self) -> str:
         """The relay that hands on to the most; empty where there are none."""
         return ""
@@ -220,6 +224,8 @@
 
     def stop(self, name: str, how: str) -> None:
         one = self.members[name]
+        if one.ended:
+            return
         self.gone += one.exchange.pulls
         if how == "end":
             one.end()
@@ -244,6 +250,11 @@
     def pulls(self, name: str) -> int:
         return self.members[name].exchange.pulls
 
+    def writer(self) -> str:
+        now = self.town.loop.micros()
+        return next((name for name, one in self.members.items() if one.duties and any(
+            claim.owns(now) for claim in one.duties.claims.values())), "c0")
+
     def level(self) -> bool:
         """And whether it knows every other."""
         count = len(self.members)
@@ -362,6 +373,8 @@
                 await self.day(begun)
             case "cut":
                 await self.cut()
+            case "writer" | "rack" | "zone":
+                await self.fail_many()
             case "relay" | "silent":
                 await self.kill_relay()
 
@@ -398,6 +411,20 @@
         await self.wait_for("caught_up_s", lambda: all(
             len(self.board.seen[name]) >= total for name in away if name in self.board.began), 60.0, healed)
 
+    async def fail_many(self) -> None:
+        """In the middle of the run: who writes is killed; a site's nodes fail without a word; or all machines of the
+        zone do in which who writes is."""
+        await asyncio.sleep(self.plan.span_s / 2)
+        writer = self.way.writer()
+        struck = [writer] if self.plan.event == "writer" else [
+            name for name in self.names if name in self.board.began or name[0] == "c"
+            if (self.place(name).site == RACK if self.plan.event == "rack" else
+                self.place(name).site % ZONES == self.place(writer).site % ZONES)]
+        for name in struck:
+            self.way.stop(name, "kill" if self.plan.event == "writer" else "fail")
+        self.figures["struck"] = float(len(struck))
+        self.figures["control_struck"] = float(sum(name[0] == "c" for name in struck))
+
     async def kill_relay(self) -> None:
         """A relay is killed in the middle of the run."""
         await asyncio.sleep(self.plan.span_s / 2)
