--- a/saltmoor/lab/scale.py
+++ b/saltmoor/lab/scale.py
@@ -34,9 +34,9 @@
     """What a run leaves: `command` gave `rows`; `build`: the commit, with a plus where the program was not as there."""
 
     command: str
-    build: str
     rows: list[Row]
     fits: list[Fit]
+    build: str = ""
 
 
 def memory_mb() -> float:
@@ -171,7 +171,7 @@
 
 
 def keep(path: Path, rows: list[Row], words: list[str]) -> None:
-    sheet = Sheet(command(words), build(), rows, scale_fit.fits(rows))
+    sheet = Sheet(command(words), rows, scale_fit.fits(rows), build())
     path.write_bytes(msgspec.json.format(msgspec.json.encode(sheet), indent=1))
 
 
