--- a/saltmoor/lab/scale_log.py
+++ b/saltmoor/lab/scale_log.py
@@ -294,10 +294,18 @@
         self.conns[number], self.heard_at = conn, self.loop.seconds
         conn.send(self.wire.hello())
         conn.heard = self.heard
-        conn.closed = lambda conn: self.conns.pop(number, None)
+        conn.closed = partial(self.closed, number)
         for name in list(self.open):
             self.ask(name)
 
+    def closed(self, number: int, conn: Conn) -> None:
+        """The machine has gone: another is asked at once, with the same ids."""
+        self.conns.pop(number, None)
+        if number == self.leader:
+            self.leader = (self.leader + 1) % CONTROL
+            for name in list(self.open):
+                self.ask(name)
+
     def heard(self, conn: Conn, frame: bytes) -> None:
         if not conn.greeted:
             conn.greeted = True
