--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -17,6 +17,7 @@
 from saltmoor.lab.scale_fit import Fit
 from saltmoor.lab.scale_plan import PLAN, derived
 from saltmoor.lab.scale_rows import AIMS, Row, short, table
+from saltmoor.net.control import STREAMS
 from saltmoor.replica.items import KINDS
 
 BLOCK = re.compile(r"<!-- table: (?P<name>[a-z-]+) -->\n.*?<!-- end -->", re.S)
@@ -308,12 +309,12 @@
     if peers:
         add(f"the shared table at the purges' rate, {peers.members} members", "members and changes",
             peers.roles["node"].bytes_per_s, AIMS["bytes_per_s"], "B/s", "changes go by the log; nothing is compared")
-        add(f"its processor time, {peers.members} members", "members and changes", peers.roles["node"].core,
-            AIMS["core"], "of a core", "the same")
+        add(f"the shared table's processor time, {peers.members} members", "members and changes", peers.roles["node"].core,
+            AIMS["core"], "of a core", "changes go by the log")
     if rest:
         add(f"membership at rest, {rest.members} members", "flat in bytes", rest.roles["node"].bytes_per_s,
             AIMS["bytes_per_s"], "B/s", "seen by site, one voice a site")
-        add(f"its processor time, {rest.members} members", "members, each tick", rest.roles["node"].core, AIMS["core"],
+        add(f"membership's processor time at rest, {rest.members} members", "members, each tick", rest.roles["node"].core, AIMS["core"],
             "of a core", "keep who is there in order, not sorted anew at each tick")
     if log:
         add("a relay's bytes, the busiest", "nodes a site x changes", log.roles["relay"].bytes_worst,
@@ -321,6 +322,12 @@
         add("a node's bytes with the log", "changes", log.roles["node"].bytes_per_s, AIMS["bytes_per_s"], "B/s", "")
         add("a control machine's processor time", "relays x changes", log.roles["control"].core_worst, 0.5, "of a core",
             "relays of relays")
+    lost = data.row("log", nodes, rate, "writer")
+    if lost:
+        add("a change's worst time when the writer is lost", "the lease's length", lost.spread.worst_s, 1.0, "s",
+            "a shorter lease; a successor chosen before")
+        add("streams at one control machine after the writer was lost", "nodes, until they look for their relays again",
+            lost.figures["subscribers_most"], STREAMS, "streams", "a node stays with a relay whose stream lives")
     add("origin: room that all nodes begin with", "nodes, once its least part counts",
         data.count(f"origin: requests out at once that {nodes} nodes begin with, together"), scale_counts.FIRST,
         "requests", "a smaller least part, as a rate")
