--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -309,13 +309,13 @@
     if peers:
         add(f"the shared table at the purges' rate, {peers.members} members", "members and changes",
             peers.roles["node"].bytes_per_s, AIMS["bytes_per_s"], "B/s", "changes go by the log; nothing is compared")
-        add(f"the shared table's processor time, {peers.members} members", "members and changes", peers.roles["node"].core,
-            AIMS["core"], "of a core", "changes go by the log")
+        add(f"the shared table's processor time, {peers.members} members", "members and changes",
+            peers.roles["node"].core, AIMS["core"], "of a core", "changes go by the log")
     if rest:
         add(f"membership at rest, {rest.members} members", "flat in bytes", rest.roles["node"].bytes_per_s,
             AIMS["bytes_per_s"], "B/s", "seen by site, one voice a site")
-        add(f"membership's processor time at rest, {rest.members} members", "members, each tick", rest.roles["node"].core, AIMS["core"],
-            "of a core", "keep who is there in order, not sorted anew at each tick")
+        add(f"membership's processor time at rest, {rest.members} members", "members, each tick",
+            rest.roles["node"].core, AIMS["core"], "of a core", "keep who is there in order, not sorted anew at each tick")
     if log:
         add("a relay's bytes, the busiest", "nodes a site x changes", log.roles["relay"].bytes_worst,
             AIMS["bytes_per_s"], "B/s", relays_for(log))
