--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -315,7 +315,8 @@
         add(f"membership at rest, {rest.members} members", "flat in bytes", rest.roles["node"].bytes_per_s,
             AIMS["bytes_per_s"], "B/s", "seen by site, one voice a site")
         add(f"membership's processor time at rest, {rest.members} members", "members, each tick",
-            rest.roles["node"].core, AIMS["core"], "of a core", "keep who is there in order, not sorted anew at each tick")
+            rest.roles["node"].core, AIMS["core"], "of a core",
+            "keep who is there in order, not sorted anew at each tick")
     if log:
         add("a relay's bytes, the busiest", "nodes a site x changes", log.roles["relay"].bytes_worst,
             AIMS["bytes_per_s"], "B/s", relays_for(log))
--- a/saltmoor/lab/scale_rows.py
+++ b/saltmoor/lab/scale_rows.py
@@ -63,7 +63,7 @@
 
     @property
     def name(self) -> str:
-        return f"{self.clock} {self.mechanism} {self.event} {self.members} at {self.changes_per_s:g}/s"
+        return f"{self.clock} {self.mechanism} {self.event or 'calm'} {self.members} at {self.changes_per_s:g}/s"
 
 
 def exact(values: list[float], share: float) -> float | None:
