--- a/saltmoor/lab/scale_live.py
+++ b/saltmoor/lab/scale_live.py
@@ -174,7 +174,8 @@
     streams = (data + stream_heads(data, pulls) / 2)
     udp_out = sum(one.udp_out + UDP_HEAD * one.packets_out for one in reports)
     udp_in = sum(one.udp_in + UDP_HEAD * one.packets_in for one in reports)
-    worst = max((one.worst_bytes + UDP_HEAD * one.worst_packets) / span for one in reports)
+    # The datagrams of the member with the most, and of streams as much as the mean.
+    worst = max(one.worst_bytes + UDP_HEAD * one.worst_packets for one in reports) / span + 2 * streams / count / span
     row.roles["node"] = rows.Role(
         count, mean(udp_out + udp_in + 2 * streams), round(worst, 1), mean(udp_out), mean(udp_in), mean(streams),
         mean(streams), mean(sum(one.packets_out for one in reports)), mean(pulls),
--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -75,7 +75,7 @@
     rows = [row for row in data.rows if row.clock == "real"]
     if not rows:
         return NONE
-    heads = [*scale_rows.HEADS[3:11], "memory MB", "descriptors", "p50 s", "p99 s", "p99.9 s", "missed",
+    heads = ["members", "changes/s", "role", "B/s a node", "sent/s", "pulls/s", "core", "memory MB", "descriptors", "p50 s", "p99 s", "p99.9 s", "missed",
              "loop late p99 ms", "real nodes in time", "their memory MB"]
     made = []
     for row in rows:
@@ -84,7 +84,7 @@
             continue
         role, said, one = row.roles["node"], row.figures, row.spread
         times = [short(one.p50_s), short(one.p99_s), short(one.p999_s), one.missed] if one and one.changes else [""] * 4
-        made.append([row.members, f"{row.changes_per_s:g}", "node", short(role.bytes_per_s), short(role.bytes_worst),
+        made.append([row.members, f"{row.changes_per_s:g}", "node", short(role.bytes_per_s),
                      short(role.messages_per_s), short(role.pulls_per_s), f"{role.core:.2%}", role.memory_mb,
                      role.descriptors, *times, said["late_p99_ms"], said["real_in_time"], said["real_memory_mb"]])
     return table(heads, made)
--- a/saltmoor/lab/scale_worker.py
+++ b/saltmoor/lab/scale_worker.py
@@ -60,7 +60,7 @@
     late_p99_ms: float
     late_worst_ms: float
     worst_packets: int  # of the member with the most, in and out
-    worst_bytes: int  # theirs and the streams', without heads
+    worst_bytes: int  # theirs, without heads; no socket tells what a member's streams were
 
 
 class Far:
@@ -158,7 +158,7 @@
         late = sorted(self.late)
         return Report(self.given, self.seen, known, cpu, memory, files, total[2], total[3], total[0], total[1],
                       total[4], total[5], state, total[6], late[int(len(late) * 0.99)] * 1000, late[-1] * 1000,
-                      max(one[0] + one[1] for one in apart), max(one[2] + one[3] + one[4] for one in apart))
+                      max(one[0] + one[1] for one in apart), max(one[2] + one[3] for one in apart))
 
     async def giving(self, begin: int) -> None:
         share, rng = self.share, Random(f"given {self.part}")
