--- a/saltmoor/lab/scale_fit.py
+++ b/saltmoor/lab/scale_fit.py
@@ -52,13 +52,16 @@
 
 
 def fits(rows: list[Row]) -> list[Fit]:
-    """One for each figure of each calm series with two sizes or more; void rows are left out."""
+    """One for each figure of each calm series with two sizes or more; void rows are left out.
+
+    Guards against a line through runs of different lengths: what is pulled grows over a run's first seconds.
+    """
     series: dict[tuple, list[Row]] = {}
     for row in rows:
         if not row.void and not row.event:
-            series.setdefault((row.clock, row.mechanism, row.changes_per_s), []).append(row)
+            series.setdefault((row.clock, row.mechanism, row.changes_per_s, row.span_s), []).append(row)
     made = []
-    for (clock, mechanism, rate), some in series.items():
+    for (clock, mechanism, rate, _), some in series.items():
         roles = sorted({role for row in some for role in row.roles})
         for role, figure in [(role, figure) for role in roles for figure in FIGURES] + [("", one) for one in TIMES]:
             points = sorted((row.members, found) for row in some
