Changes: a machine that has taken a later life is filled; a test that all machines are whole at the end

Cause: a restarted machine answered its leader in a life that it then left, as another of before was larger; the leader went on filling the first, and the machine said nothing to that. It stayed without its memory for as long as that leader led. The walks missed it: runs were numbered upwards, and nothing looked whether machines were whole. Now runs are larger or smaller than before, all machines must be whole at a walk's end, and one script forces the order: it fails without the mend.

--- a/saltmoor/changes/copy.py
+++ b/saltmoor/changes/copy.py
@@ -124,11 +124,11 @@
         return Replicated(yes, self.promised, self.blank, self.life, last, beat)
 
     def hear_fill(self, now: Micros, who: str, said: Fill) -> Replicated | None:
-        least = self.least()
-        if said.to_life != self.life or self.blank and not said.by_all and (least is None or said.epoch < least):
-            return None
         if not self.admit(now, said.epoch, who, said.life):
             return self.answer(False, 0)
+        least = self.least()
+        if said.to_life != self.life or self.blank and not said.by_all and (least is None or said.epoch < least):
+            return self.answer(False, 0)  # and it says which life it is in now, for the next one
         store = self.store
         if self.blank and self.filling != said.epoch:
             store.reset(said.floor)
--- a/tests/changes_world.py
+++ b/tests/changes_world.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from random import Random
 from typing import Any
+from zlib import crc32
 
 from saltmoor.changes import kinds, log as logs, relay as relays, subscriber as subscribers
 from saltmoor.changes.apply import Apply, Install
@@ -202,9 +203,10 @@
         self.runs += 1
         if name in self.names:
             store = Store(self.keep, self.room)
-            one = self.parts.log(self.now, name, self.names, self.runs * 7919, LEASE, store,
+            run = crc32(f"{self.runs}".encode())  # larger or smaller than that of the run before
+            one = self.parts.log(self.now, name, self.names, run, LEASE, store,
                                  self.parts.relay(name, store, **self.relay_given))
-            one.copy = self.parts.copy(name, self.names, self.runs * 7919, store)
+            one.copy = self.parts.copy(name, self.names, run, store)
             one.lines = one.copy.lines
             one.writer_kind = self.parts.writer
             one.voter = self.parts.voter(self.now, LEASE)
@@ -452,11 +454,13 @@
         return max(one.subscriber.lag(self.now) // MS for name, one in self.nodes.items() if self.awake(name))
 
     def together(self) -> bool:
-        """Everybody at the end of one log, and fresh."""
+        """Everybody at the end of one log, and fresh; no machine without its memory."""
         leader = self.leader()
         if not leader:
             return False
         store = self.machines[leader].store
+        if any(one.copy.blank for name, one in self.machines.items() if self.awake(name)):
+            return False
         return all((one.subscriber.generation, one.subscriber.offset) == (store.generation, store.committed)
                    and not one.subscriber.stale(self.now) for one in self.nodes.values())
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -617,6 +617,22 @@
         self.assertTrue(world.together())
         self.check("changes-rolling", noted(lines))
 
+    def test_a_machine_is_filled_in_whichever_life_it_is(self):
+        """Guards against a leader that holds to the life that it first heard of, while the machine has taken a later one."""
+        world = World(5, 1)
+        name = world.leader()
+        before = world.machines[name].copy.life
+        world.kill(name)
+        world.until(world.ready)
+        while world.awake(name) is False or world.machines[name].copy.life > before:
+            world.start(name)  # until its run is the smaller one
+        world.now += 250 * MS
+        world.tick(world.leader())
+        world.only(Replicate, messages.Replicated)  # the leader hears of that life, which is over at once
+        world.until(lambda: not world.machines[name].copy.blank, 3_000)
+        self.assertGreater(world.machines[name].copy.life >> 30, 1)
+        world.until(world.together, 3_000)
+
     def test_a_writer_that_slept_appends_nothing(self):
         world = World(3, 1)
         leader = world.leader()
