--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -327,8 +327,8 @@
     if lost:
         add("a change's worst time when the writer is lost", "the lease's length", lost.spread.worst_s, 1.0, "s",
             "a shorter lease; a successor chosen before")
-        add("streams at one control machine after the writer was lost", "nodes, until they look for their relays again",
-            lost.figures["subscribers_most"], STREAMS, "streams", "a node stays with a relay whose stream lives")
+        add("streams at one control machine after the writer was lost", "sites, as nodes stay with their relays",
+            lost.figures["subscribers_most"], STREAMS, "streams", "")
     add("origin: room that all nodes begin with", "nodes, once its least part counts",
         data.count(f"origin: requests out at once that {nodes} nodes begin with, together"), scale_counts.FIRST,
         "requests", "a smaller least part, as a rate")
