--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -8,8 +8,11 @@
   saltmoor lab compare A B [--scenario=S] [--rounds=N] [--seed=N] [--json=FILE]
   saltmoor lab report FILE... --html=FILE
   saltmoor lab capacity [--rate=N]...
-  saltmoor lab passing [--size=BYTES]... [--json=FILE]
+  saltmoor lab passing [--value=BYTES]... [--json=FILE]
   saltmoor lab toy
+  saltmoor lab scale [--live] [--mechanism=M]... [--size=N]... [--changes=R]... [--event=E]... [--span=S]
+                     [--loss=P] [--seed=N] [--json=FILE] [--plot=FILE]
+  saltmoor lab scale (--page=FILE | --counts=FILE)
   saltmoor lab (-h | --help)
 
 SCENARIO is the name of one that comes with saltmoor, or a TOML file. A and B are checkouts of saltmoor, or
@@ -26,10 +29,24 @@
   --scenario=S    what is compared [default: steady]
   --rounds=N      how often each is played, in turn, each round with a seed of its own [default: 3]
   --html=FILE     the page that is written
-  --size=BYTES    of a value that one node passes on [default: 200 8000 64000 750000 4000000]
+  --value=BYTES   of a value that one node passes on [default: 200 8000 64000 750000 4000000]
   --rate=N        transactions a second that one load process is to offer [default: 1000 2500 5000]
-
-The exit status is 0 if every bound held, 1 if one did not or the run was void, 2 for a faulty scenario.
+  --live          real sockets on loopback beside real nodes, instead of the scripted clock
+  --mechanism=M   how changes come to all: peers (as nodes have it) or log; each that is named is played
+  --size=N        nodes [default: 30 60 120 240 480]
+  --changes=R     changes a second [default: 0 3.9 15]
+  --event=E       calm, aged (with what ten minutes have left), day (an ordinary day's restarts and failures),
+                  relay (one is killed), silent (its machine fails), writer (who writes is killed), rack (a site's
+                  nodes fail), zone (that of who writes), cut (a region, for ten minutes), start (all nodes in one
+                  instant), rebuild (the control machines too, without memory)
+  --span=S        seconds that are measured, of the script's or of real time [default: 20]
+  --loss=P        share of datagrams that is lost [default: 0]
+  --plot=FILE     a picture of the figures over sizes
+  --counts=FILE   count on the cores what grows with nodes, and write it there
+  --page=FILE     write the tables of that page anew from the kept data
+
+The exit status is 0 if every bound held, 1 if one did not or the run was void, 2 for a faulty scenario
+or option.
 """
 
 from __future__ import annotations
@@ -175,7 +192,10 @@
             return capacity.main([number({"--rate": one}, "--rate", 1) for one in said["--rate"]])
         if said["passing"]:
             from saltmoor.lab import passing
-            return passing.main([number({"--size": one}, "--size", 1) for one in said["--size"]], path=said["--json"])
+            return passing.main([number({"--value": one}, "--value", 1) for one in said["--value"]], path=said["--json"])
+        if said["scale"]:
+            from saltmoor.lab import scale
+            return scale.run(said, argv)
         if said["toy"]:
             from saltmoor.lab import toy
             return toy.main()
