Capacity: counts by the joined decisions, the data path's rows, and what of it does not fit

So it no longer grows with nodes, and a start has half a window's worth saved: a burst within the window's sum, named on the page with its way out.

--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -247,7 +247,7 @@
                      "no limit was set for bytes" if limit is None else
                      f"{limit:,.0f} B/s: {'fits, ' if one.bytes_worst <= limit else 'DOES NOT FIT, '}"
                      f"{one.bytes_worst / limit:.2f} of it at the worst"])
-    path = "; ".join(f"{one.what}: {one.value:g} {one.unit}" for one in data.path) or NONE
+    path = "see the table below" if data.path else NONE
     made.append(["node's data path", path, *[NONE] * 7, "docs/capacity/data-path.json"])
     whole = data.count("discovery: bytes of the whole list")
     line, took = data.count("discovery: bytes of one line"), data.count("node: processor time of a whole list")
@@ -335,8 +335,13 @@
     first = data.count(f"cold server: attempts of {nodes} nodes in its first 10 ms")
     second = data.count(f"cold server: attempts of {nodes} nodes in its first second")
     if first and second:
-        add("a cold server's first 10 ms", "nodes: half of them may send one at once", first, second / 100, "attempts",
-            "a node's first turn comes later, the more nodes there are")
+        add("a cold server's first 10 ms", "what a window allows: a start has half a window's worth saved, however many nodes",
+            first, second / 100, "attempts", "a start that saves nothing")
+    passed = next((one.value for one in data.path if one.unit == "MB/s" and one.what.startswith("750,000 bytes")), None)
+    if passed:
+        add("bytes of a node's mean load, beside what one process passes on of 750 kB answers", "bytes",
+            PLAN["bits_per_s"] / nodes / 1e9, passed * 8 / 1000, "Gbit/s (derived)",
+            "so many processes a machine, which share one address and one control part; not begun")
     add("evidence kept, all servers and observers", "nodes x servers", float(nodes * servers),
         KINDS["evidence"].most, "items (derived)", "by site, not by node")
     owner = data.count(f"node: processor time to find a key's owner of a fetch lease among {nodes}")
