--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -188,7 +188,7 @@
         now = self.clock()
         heappush(self.limits, (max(tx.limit, now + 2), tx.id))  # not before the module could
         came = model.Arrival(tx.id, tx.profile, tx.tenant, tx.key, tx.limit, again=tx.again,
-                             # To the origin as writes go there: within its room, and behind no fetch that was begun before.
+                             # To the origin as writes go there: within its room, behind no fetch begun before.
                              write=tx.write or self.strict and self.node.origin_kind is not None)
         if self._tell(self.node.arrived, now, came):
             self._settle(now)
--- a/saltmoor/net/changes.py
+++ b/saltmoor/net/changes.py
@@ -308,7 +308,8 @@
         return {
             "node": self.given.listen, "site": self.given.site, "relay": one.relays, "upstream": one.upstream,
             "stream": one.state.name.lower(), "generation": one.generation, "offset": one.offset,
-            "applied": apply.offset, "beat": one.beat, "stale": one.stale(now), "when_stale": self.given.when_stale,
+            "applied": apply.offset, "beat": one.beat,
+            "stale": self.stale or one.stale(now), "when_stale": self.given.when_stale,
             "taken_stale": self.taken_stale + (self.service.door.count - self.taken_before if self.stale else 0),
             "behind_ms": min(one.lag(now), 86_400_000_000) // 1000, "purges": apply.purged, "unknown": apply.unknown,
             "in_force": dict(apply.force), "counts": dict(one.counts), "pauses": self.pauses,
--- a/saltmoor/net/control.py
+++ b/saltmoor/net/control.py
@@ -1,7 +1,7 @@
-"""Owns a control machine's program: sockets and clock of one copy of the log, for other machines, relays, nodes and tools.
+"""Owns a control machine's program: sockets and clock of one copy of the log.
 
-It must never decide who leads, what is committed, or who gets what: `changes/log.py` and `changes/relay.py` do. It serves
-no request, and no request under way waits for it.
+It must never decide who leads, what is committed, or who gets what: `changes/log.py` and `changes/relay.py` do. It
+serves no request, and no request under way waits for it.
 """
 
 from __future__ import annotations
@@ -163,6 +163,8 @@
             "generation": store.generation, "committed": store.committed, "last": store.last, "base": store.base,
             "retained_bytes": store.weight, "control": list(self.given.control), "linked": sorted(self.links),
             "versions": {name: one.store.version(name) for name in store.head}, "counts": dict(one.counts),
+            "others": {name: {"behind": store.last - each.match, "blank": each.blank} for name, each in
+                       (one.writer.others if one.writer else {}).items()},
             "beat": one.copy.confirmed, "subscribers": subscribers(one.relay), **self.wire.shown()}
 
 
--- a/saltmoor/net/streams.py
+++ b/saltmoor/net/streams.py
@@ -1,9 +1,9 @@
 """Owns the streams on which changes go: frames of a length, a checksum and a body, one reader and one writer a stream.
 
-The first frame each way says who speaks and of which cluster, in the form of `peers/frames.py`; the cluster's name counts
-in every checksum after it, so a frame of another cluster is never taken for one of this. A length beyond the bound ends the
-stream before anything of the body is read. It must never decide what is sent, believe a name, or let one stream wait
-for another.
+The first frame each way says who speaks and of which cluster, in the form of `peers/frames.py`; the cluster's name
+counts in every checksum after it, so a frame of another cluster is never taken for one of this. A length beyond the
+bound ends the stream before anything of the body is read. It must never decide what is sent, or let one stream wait for
+another.
 """
 
 from __future__ import annotations
--- a/saltmoor/net/tool.py
+++ b/saltmoor/net/tool.py
@@ -1,7 +1,7 @@
 """Owns an operator's side of the log of changes, in blocking style: to append one, and to show who is how far.
 
-A change is said to be done only where a majority of the control machines holds it, not done only where it is in no log by
-this call, and otherwise not known; asked again under its id it is one change. It must never be part of a node.
+A change is said to be done only where a majority of the control machines holds it, not done only where it is in no log
+by this call, and otherwise not known; asked again under its id it is one change. It must never be part of a node.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 
 from saltmoor import config
 from saltmoor.changes import kinds
-from saltmoor.changes.messages import Append, Appended
+from saltmoor.changes.messages import CONTENT, Append, Appended
 from saltmoor.net import streams
 from saltmoor.net.streams import HEAD, MACHINE, MOST, TOOL, Show, Shown, Wire
 from saltmoor.peers.frames import Strange
@@ -116,6 +116,8 @@
                         time.sleep(PAUSE / 2)
                     continue
                 content = content or make(shown)
+                if len(content) > CONTENT:
+                    return Outcome("refused", f"too long: {len(content)} bytes of {CONTENT}")
                 id = id or f"{os.urandom(8).hex()}.{shown['generation']}.{shown['committed']}"
                 _, generation, seen = re.fullmatch(ID, id).groups()
                 asked = True
@@ -149,7 +151,8 @@
         return status([said["--at"]] if said["--at"] else control, cluster)
     if said["config"]:
         try:
-            body = open(said["FILE"], "rb").read(config.VERSION_MOST + 1)
+            with open(said["FILE"], "rb") as file:
+                body = file.read(config.VERSION_MOST + 1)
         except OSError as error:
             raise config.Faulty(f"{said['FILE']}: {error.strerror}") from None
         config.version(body)
@@ -213,13 +216,15 @@
     lines = [f"{one['machine']}: {one['state']} promised={one['promised']}{' blank' if one['blank'] else ''} "
              f"generation={one['generation']} committed={one['committed']} last={one['last']} "
              f"retained_from={one['base'] + 1} dropped={one['dropped']}"]
+    lines += [f"  {name:24} behind={other['behind']} {'blank' if other['blank'] else 'holds it'}"
+              for name, other in one["others"].items()]
     return lines + [f"  {key.partition('#')[0]:24} behind={lag}" for key, lag in sorted(one["subscribers"].items())]
 
 
 def node(one: dict[str, Any]) -> list[str]:
     versions = ", ".join(f"{name}={version}" for name, version in one["in_force"].items()) or "none"
-    lines = [f"{one['node']}: {'STALE' if one['stale'] else 'fresh'} behind_ms={one['behind_ms']} applied={one['applied']} "
-             f"from={one['upstream'] or 'none'}{' relay' if one['relay'] else ''} site={one['site']} versions: {versions} "
-             f"dropped={one['dropped']}"]
+    lines = [f"{one['node']}: {'STALE' if one['stale'] else 'fresh'} behind_ms={one['behind_ms']} "
+             f"applied={one['applied']} from={one['upstream'] or 'none'}{' relay' if one['relay'] else ''} "
+             f"site={one['site']} taken_stale={one['taken_stale']} versions: {versions} dropped={one['dropped']}"]
     lines += [f"  refused: {name} version={version}: {why}" for name, (version, why) in one["refused"].items()]
     return lines + [f"  {key.partition('#')[0]:24} behind={lag}" for key, lag in sorted(one["subscribers"].items())]
