--- a/saltmoor/changes/relay.py
+++ b/saltmoor/changes/relay.py
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class Relay:
-    """`most`: subscribers; `starts`: subscriptions a second, `catch_up`: bytes a second, by weight, for who is far behind."""
+    """`most`: subscribers; `starts`: their starts a second; `catch_up`: bytes a second, by weight, to who is far behind."""
 
     me: str
     store: Store
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -618,7 +618,7 @@
         self.check("changes-rolling", noted(lines))
 
     def test_a_machine_is_filled_in_whichever_life_it_is(self):
-        """Guards against a leader that holds to the life that it first heard of, while the machine has taken a later one."""
+        """Guards against a leader that holds to the life that it first heard of: the machine may have taken a later."""
         world = World(5, 1)
         name = world.leader()
         before = world.machines[name].copy.life
