--- a/tests/runner.py
+++ b/tests/runner.py
@@ -318,7 +318,7 @@
     cores = len(os.sched_getaffinity(0))
     parser = argparse.ArgumentParser(prog="python -m tests", description="Runs the tests; all, if no MODULE is named.")
     parser.add_argument("only", nargs="*", metavar="MODULE", help="as tests.test_net")
-    parser.add_argument("--workers", type=int, default=max(1, min(4, cores // 2)), help="modules at once")
+    parser.add_argument("--workers", type=int, default=max(1, min(3, cores // 2)), help="modules at once")
     parser.add_argument("--limit", type=float, default=LIMIT, help="seconds that one module may take")
     parser.add_argument("--worker", help=argparse.SUPPRESS)
     parser.add_argument("--part", type=int, default=0, help=argparse.SUPPRESS)
