--- a/examples/toy.py
+++ b/examples/toy.py
@@ -40,6 +40,7 @@
     if not words:
         sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
         from saltmoor.lab import toy
+
         toy.main()
     elif words[0] == "read" and len(words) in (2, 3):
         ask(words[1], None, int(words[2]) if len(words) == 3 else 1)
--- a/saltmoor/__main__.py
+++ b/saltmoor/__main__.py
@@ -80,6 +80,7 @@
     import uvloop
 
     from saltmoor.net.lifecycle import serve as run
+
     try:
         uvloop.run(run(given, lambda over=None: config.load(path, os.environ, ours, over)))
     except OSError as error:
@@ -92,10 +93,14 @@
     host, port = given.listen
     print(f"{given.name}: would listen on {host}:{port}")
     print(f"profiles: {', '.join(given.names.profiles)}; tenants: {', '.join(given.names.tenants) or 'none'}")
-    print(f"cache servers known: {len(given.known)}; discovery: "
-          f"{'%s:%d' % given.discovery if given.discovery else 'none'}")
-    print(f"caps: {given.caps.connections} connections, {given.caps.clients} of them from clients; "
-          f"{given.caps.txs} transactions at once")
+    print(
+        f"cache servers known: {len(given.known)}; discovery: "
+        f"{'%s:%d' % given.discovery if given.discovery else 'none'}"
+    )
+    print(
+        f"caps: {given.caps.connections} connections, {given.caps.clients} of them from clients; "
+        f"{given.caps.txs} transactions at once"
+    )
     return 0
 
 
@@ -104,6 +109,7 @@
     from pathlib import Path
 
     from saltmoor.state import file, kinds
+
     try:
         data = file.read(Path(path), 64 << 20)
         if data is None:
@@ -140,6 +146,7 @@
     import json
 
     from saltmoor.peers import ask
+
     cluster, peer, other = said["--cluster"], said["PEER"], said["OTHER"]
     try:
         if said["peers"]:
@@ -172,6 +179,7 @@
     import uvloop
 
     from saltmoor.net.control import control as run
+
     try:
         uvloop.run(run(given))
     except OSError as error:
@@ -190,6 +198,7 @@
         machines = list(config.members_of_control(config.Operators({"control": said["--control"]}, "--")))
         cluster = said["--cluster"]
     from saltmoor.net import tool
+
     code, lines = tool.changed(said, machines, cluster)
     print("\n".join(lines), file=sys.stderr if code and not said["status"] else sys.stdout)
     return code
@@ -199,6 +208,7 @@
     argv = sys.argv[1:] if argv is None else argv
     if argv[:1] == ["lab"]:  # a command line of its own, and libraries that a node does not need
         from saltmoor.lab.cli import main as lab
+
         return lab(argv[1:])
     said = docopt(__doc__, argv)
     if said["serve"]:
--- a/saltmoor/adapter/codec.py
+++ b/saltmoor/adapter/codec.py
@@ -87,7 +87,7 @@
             elif code == 19:
                 rev, mode, lines = CHANGED.unpack_from(frame, at)
                 at += CHANGED.size
-                body = frame[at:at + lines * ENTRY.size]
+                body = frame[at : at + lines * ENTRY.size]
                 if len(body) < lines * ENTRY.size:
                     raise BadFrame("list lines run past the frame's end")
                 at += len(body)
@@ -95,12 +95,12 @@
             elif code == 26:
                 seed, length = POWER_ON.unpack_from(frame, at)
                 at += POWER_ON.size
-                yield node, "power_on", (seed, frame[at:at + length])
+                yield node, "power_on", (seed, frame[at : at + length])
                 at += length
             elif code == 22:
                 sender, length = MESSAGE.unpack_from(frame, at)
                 at += MESSAGE.size
-                yield node, "message", (sender, frame[at:at + length])
+                yield node, "message", (sender, frame[at : at + length])
                 at += length
             else:
                 raise BadFrame(f"unknown record code {code}")
--- a/saltmoor/adapter/host.py
+++ b/saltmoor/adapter/host.py
@@ -10,9 +10,17 @@
 from saltmoor.adapter import codec
 from saltmoor.choice import Node
 
-ENDED = {10: model.Ended.COMMITTED, 20: model.Ended.ERROR, 30: model.Ended.FULL, 40: model.Ended.TIMED_OUT,
-         50: model.Ended.NO_CONNECTION, 60: model.Ended.RESET, 70: model.Ended.CANCELLED,
-         80: model.Ended.NOT_SENT, 90: model.Ended.MISS}
+ENDED = {
+    10: model.Ended.COMMITTED,
+    20: model.Ended.ERROR,
+    30: model.Ended.FULL,
+    40: model.Ended.TIMED_OUT,
+    50: model.Ended.NO_CONNECTION,
+    60: model.Ended.RESET,
+    70: model.Ended.CANCELLED,
+    80: model.Ended.NOT_SENT,
+    90: model.Ended.MISS,
+}
 LISTS = {0: model.ListKind.CHANGES, 1: model.ListKind.FULL, 2: model.ListKind.REMEMBERED}
 
 
@@ -70,12 +78,13 @@
             tx, profile, tenant, key, limit, cost, _, bits = fields
             # The limit is rounded down: nothing that is derived from it may come after it.
             hint = cost // 1000 if bits & 1 else None
-            node.arrived(now, model.Arrival(
-                tx, profile, tenant, key or None, limit // 1000, hint, bool(bits & 4), bool(bits & 2)))
+            node.arrived(
+                now,
+                model.Arrival(tx, profile, tenant, key or None, limit // 1000, hint, bool(bits & 4), bool(bits & 2)),
+            )
         elif name == "returned":
             tx, hop, server, code, elapsed, closed, detail, load = fields
-            node.hop_ended(now, model.HopEnd(
-                tx, hop, server, ended(code), elapsed // 1000, bool(closed), detail, load))
+            node.hop_ended(now, model.HopEnd(tx, hop, server, ended(code), elapsed // 1000, bool(closed), detail, load))
         elif name == "probe_result":
             elapsed, server, code, load = fields
             node.probed(now, server, ended(code), elapsed // 1000, load)
--- a/saltmoor/changes/copy.py
+++ b/saltmoor/changes/copy.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass, field
 
-from saltmoor.changes.messages import (BATCH, Fence, Fill, Held, Recover, Replicate, Replicated, Standing)
+from saltmoor.changes.messages import BATCH, Fence, Fill, Held, Recover, Replicate, Replicated, Standing
 from saltmoor.changes.store import Store
 from saltmoor.model import Micros
 
@@ -76,8 +76,11 @@
 
     def recover(self) -> list[tuple[str, Recover]]:
         """To those who have not answered in this life; without a memory again to all, as theirs may have come back."""
-        return [(name, Recover(self.life)) for name in self.voters
-                if name != self.me and (self.blank or name not in self.standings)]
+        return [
+            (name, Recover(self.life))
+            for name in self.voters
+            if name != self.me and (self.blank or name not in self.standings)
+        ]
 
     def hear_recover(self, who: str, said: Recover) -> Standing:
         lives = list(self.lives)
@@ -123,8 +126,20 @@
             if store.epoch_at(after) != said.before:
                 floor, after = store.floor, store.base
             entries = store.after(after, BATCH, store.last)
-        return Held(said.epoch, said.step, yes, self.promised, self.blank, self.life, list(self.lives), store.last,
-                    store.last_epoch, self.beat, floor, entries)
+        return Held(
+            said.epoch,
+            said.step,
+            yes,
+            self.promised,
+            self.blank,
+            self.life,
+            list(self.lives),
+            store.last,
+            store.last_epoch,
+            self.beat,
+            floor,
+            entries,
+        )
 
     # Copies.
 
--- a/saltmoor/changes/log.py
+++ b/saltmoor/changes/log.py
@@ -16,8 +16,20 @@
 from zlib import crc32
 
 from saltmoor.changes.copy import Copy
-from saltmoor.changes.messages import (Append, Appended, Entry, Fence, Fill, Held, Recover, Replicate, Replicated,
-                                       Standing, State as Floor, Subscribe)
+from saltmoor.changes.messages import (
+    Append,
+    Appended,
+    Entry,
+    Fence,
+    Fill,
+    Held,
+    Recover,
+    Replicate,
+    Replicated,
+    Standing,
+    State as Floor,
+    Subscribe,
+)
 from saltmoor.changes.relay import Relay
 from saltmoor.changes.store import Broken, Store
 from saltmoor.changes.writer import MS, Out, Writer
@@ -60,8 +72,16 @@
     """`voters`: names of all control machines, this one among them; `run`: drawn anew at each start of the process;
     `lease`: in microseconds. `hear` raises nothing, whatever comes; `lines` are for the log, `counts` for figures."""
 
-    def __init__(self, now: Micros, me: str, voters: list[str], run: int, lease: Micros, store: Store | None = None,
-                 relay: Relay | None = None) -> None:
+    def __init__(
+        self,
+        now: Micros,
+        me: str,
+        voters: list[str],
+        run: int,
+        lease: Micros,
+        store: Store | None = None,
+        relay: Relay | None = None,
+    ) -> None:
         self.me, self.voters, self.now, self.lease = me, sorted(voters), now, lease
         self.store = store or Store()
         self.copy = Copy(me, self.voters, run, self.store)
@@ -144,8 +164,9 @@
                     return [*out, *self.writer.advance(now), *self.writer.flush(now)]
                 lately = now - self.copy.heard < 2 * self.lease and self.copy.leader[0] != self.me
                 leader, why = (self.copy.leader[0], "not the leader") if lately else ("", "no leader")
-                return [(who, Appended(message.id, "refused", 0, why, leader, self.store.generation,
-                                       self.store.committed))]
+                return [
+                    (who, Appended(message.id, "refused", 0, why, leader, self.store.generation, self.store.committed))
+                ]
             case Subscribe():
                 return self.relay.hear(now, who, message)
         if who not in self.voters:
@@ -192,8 +213,10 @@
             beat = max(self.copy.beat, *(one.beat for one in self.answers.values())) + 1
             lives = {name: one.life for name, one in self.answers.items()}
             self.writer = self.writer_kind(self.copy, self.epoch, self.by_all, lives, now, now + self.ahead, beat)
-            self.lines.append(f"log: leader, epoch={self.epoch} offset={self.store.last}"
-                              f"{' of a new generation' if self.by_all else ''}")
+            self.lines.append(
+                f"log: leader, epoch={self.epoch} offset={self.store.last}"
+                f"{' of a new generation' if self.by_all else ''}"
+            )
             out = [*self.writer.advance(now), *self.writer.flush(now)]
         elif self.writer:
             self.lines.append(f"log: leader no more, epoch={self.epoch}: {given.name.lower()} {why}".rstrip())
@@ -292,8 +315,12 @@
         if who != self.source_name or said.step != "fetch":
             return []
         source = self.source
-        if (said.life, said.blank, said.last, said.last_epoch) != (source.life, source.blank, source.last,
-                                                                   source.last_epoch):
+        if (said.life, said.blank, said.last, said.last_epoch) != (
+            source.life,
+            source.blank,
+            source.last,
+            source.last_epoch,
+        ):
             self.asked_at = now  # and again in a while
             return self.step(I.LOST, now)
         offset, _ = self.fetched_to()
--- a/saltmoor/changes/messages.py
+++ b/saltmoor/changes/messages.py
@@ -208,10 +208,22 @@
 FENCES = {"fence", "fetch"}
 ANSWERS = {"done", "refused", "unknown"}
 WORDS: dict[str, type] = {
-    "log.ask": Ask, "log.vote": Vote, "log.fence": Fence, "log.held": Held, "log.recover": Recover,
-    "log.standing": Standing, "log.fill": Fill, "log.replicate": Replicate, "log.replicated": Replicated,
-    "log.append": Append, "log.appended": Appended, "log.subscribe": Subscribe, "log.batch": Batch,
-    "log.state": State, "log.refuse": Refuse}
+    "log.ask": Ask,
+    "log.vote": Vote,
+    "log.fence": Fence,
+    "log.held": Held,
+    "log.recover": Recover,
+    "log.standing": Standing,
+    "log.fill": Fill,
+    "log.replicate": Replicate,
+    "log.replicated": Replicated,
+    "log.append": Append,
+    "log.appended": Appended,
+    "log.subscribe": Subscribe,
+    "log.batch": Batch,
+    "log.state": State,
+    "log.refuse": Refuse,
+}
 NAMES = {form: word for word, form in WORDS.items()}
 
 
@@ -259,5 +271,6 @@
         case Ask(number=number, lease=lease) if not (0 <= number < 1 << 62 and 0 <= lease < 1 << 40):
             raise Strange("out of range")
         case Vote(number=number, seen=seen, left=left) if not (
-                0 <= number < 1 << 62 and 0 <= seen < 1 << 62 and 0 <= left < 1 << 40):
+            0 <= number < 1 << 62 and 0 <= seen < 1 << 62 and 0 <= left < 1 << 40
+        ):
             raise Strange("out of range")
--- a/saltmoor/changes/relay.py
+++ b/saltmoor/changes/relay.py
@@ -124,8 +124,11 @@
                 size = WEIGHT + sum(entry.weight for entry in message.state)
             else:
                 lag = 0 if far else store.committed - cursor.offset
-                entries = store.after(cursor.offset, min(room, BATCH), store.committed) if 0 < lag <= NEAR or (
-                    lag > 0 and self.free()) else []
+                entries = (
+                    store.after(cursor.offset, min(room, BATCH), store.committed)
+                    if 0 < lag <= NEAR or (lag > 0 and self.free())
+                    else []
+                )
                 message = Batch(store.generation, entries, max(self.mark, store.committed), self.beat)
                 offset, beat = entries[-1].offset if entries else cursor.offset, self.beat
                 size, far = WEIGHT + sum(entry.weight for entry in entries), lag > NEAR
--- a/saltmoor/changes/store.py
+++ b/saltmoor/changes/store.py
@@ -80,10 +80,11 @@
     def commit(self, offset: int, generation: int | None = None) -> None:
         """`generation`: what the leader's log is of, once that is committed."""
         place = self.committed - self.base
-        entries = self.entries[place:max(place, offset - self.base)]
+        entries = self.entries[place : max(place, offset - self.base)]
         # Guards against handing on the end of a generation that is over, before the new one's beginning has come.
         if generation not in (None, self.generation) and not any(
-                entry.kind == kinds.GENERATION and entry.epoch == generation for entry in entries):
+            entry.kind == kinds.GENERATION and entry.epoch == generation for entry in entries
+        ):
             return
         for entry in entries:
             self.committed = entry.offset
@@ -106,8 +107,9 @@
             gone += 1
         if gone:
             passed, last = self.entries[:gone], self.entries[gone - 1]
-            generation = next((one.epoch for one in reversed(passed) if one.kind == kinds.GENERATION),
-                              self.floor.generation)
+            generation = next(
+                (one.epoch for one in reversed(passed) if one.kind == kinds.GENERATION), self.floor.generation
+            )
             self.floor = State(generation, last.offset, last.epoch, listed(self.under))
             del self.entries[:gone], self.times[:gone]
         return gone
@@ -116,7 +118,7 @@
         """Retained entries behind `offset`, no later than `upto`, in so many bytes; one at least, if there is one."""
         taken: list[Entry] = []
         place = offset - self.base
-        for entry in self.entries[max(0, place):max(0, min(upto - self.base, place + MOST))]:
+        for entry in self.entries[max(0, place) : max(0, min(upto - self.base, place + MOST))]:
             room -= entry.weight
             if room < 0 and taken:
                 break
@@ -138,7 +140,7 @@
 
     def version(self, name: str) -> int:
         """Of the whole log, committed or not; 0: none."""
-        for entry in reversed(self.entries[self.committed - self.base:]):
+        for entry in reversed(self.entries[self.committed - self.base :]):
             if entry.kind == kinds.CONFIG and (one := config(entry)) and one.name == name:
                 return one.version
         one = config(self.head[name]) if name in self.head else None
--- a/saltmoor/changes/subscriber.py
+++ b/saltmoor/changes/subscriber.py
@@ -69,8 +69,9 @@
     """`nodes`: of its site, itself among them; `controls`: the control machines; `stale`: what it knows may be
     so old; `take` gives what is newly applied."""
 
-    def __init__(self, now: Micros, me: str, site: str, nodes: list[str], controls: list[str],
-                 stale: Micros = STALE) -> None:
+    def __init__(
+        self, now: Micros, me: str, site: str, nodes: list[str], controls: list[str], stale: Micros = STALE
+    ) -> None:
         self.me, self.site, self.controls, self.bound = me, site, controls, stale
         self.generation = self.offset = 0
         self.beat = 0  # the largest of this generation
@@ -272,5 +273,6 @@
         mode = "stale" if self.stale(now) else "fresh"
         if mode != self.mode:
             self.mode = mode
-            self.lines.append(f"changes: {mode}, generation={self.generation} offset={self.offset}"
-                              f" upstream={self.upstream or 'none'}")
+            self.lines.append(
+                f"changes: {mode}, generation={self.generation} offset={self.offset} upstream={self.upstream or 'none'}"
+            )
--- a/saltmoor/changes/writer.py
+++ b/saltmoor/changes/writer.py
@@ -12,8 +12,19 @@
 
 from saltmoor.changes import kinds
 from saltmoor.changes.copy import Copy
-from saltmoor.changes.messages import (BATCH, CONTENT, MOST, STATE, WEIGHT, Append, Appended, Entry, Fill, Replicate,
-                                       Replicated)
+from saltmoor.changes.messages import (
+    BATCH,
+    CONTENT,
+    MOST,
+    STATE,
+    WEIGHT,
+    Append,
+    Appended,
+    Entry,
+    Fill,
+    Replicate,
+    Replicated,
+)
 from saltmoor.model import Micros
 
 MS: Micros = 1_000
@@ -215,8 +226,22 @@
                 entries = store.after(one.sent, BATCH, store.last) if more else []
                 if one.match == one.sent:
                     one.moved = now
-                out.append((name, Replicate(self.epoch, copy.life, one.sent, before, entries, store.committed,
-                                            store.generation, self.beat, copy.confirmed)))
+                out.append(
+                    (
+                        name,
+                        Replicate(
+                            self.epoch,
+                            copy.life,
+                            one.sent,
+                            before,
+                            entries,
+                            store.committed,
+                            store.generation,
+                            self.beat,
+                            copy.confirmed,
+                        ),
+                    )
+                )
                 one.told = told
                 if entries:
                     one.sent, before = entries[-1].offset, entries[-1].epoch
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -41,15 +41,19 @@
     if tx.profile.repeat is Repeat.NON_IDEMPOTENT or now >= ran[0].sent + tx.profile.window:
         return False
     group = tx.profile.group
-    return group is Group.ALL or all(hop.server.zone == server.zone and (
-        group is Group.ZONE or hop.server.cell == server.cell) for hop in ran)
+    return group is Group.ALL or all(
+        hop.server.zone == server.zone and (group is Group.ZONE or hop.server.cell == server.cell) for hop in ran
+    )
 
 
 def may_roll_back(tx: Tx) -> bool:
     """Rule 2 again: whether the client may be told that trying again is harmless, and not in vain."""
     repeat, ends = tx.profile.repeat, [hop.ended for hop in tx.hops]
-    return Ended.MALFORMED not in ends and (repeat is Repeat.IDEMPOTENT or not tx.maybe_ran() or (
-        repeat is Repeat.JOURNALLED and tx.profile.group is Group.ALL))
+    return Ended.MALFORMED not in ends and (
+        repeat is Repeat.IDEMPOTENT
+        or not tx.maybe_ran()
+        or (repeat is Repeat.JOURNALLED and tx.profile.group is Group.ALL)
+    )
 
 
 def warmth(server: Server, now: Micros, cold: model.ColdStart) -> float:
@@ -61,7 +65,6 @@
 
 
 class Node(Agenda):
-
     def __init__(self, seed: int, now: Micros, **settings) -> None:
         super().__init__(seed, now)
         self.quotas = []
@@ -85,10 +88,22 @@
         self.asked_list, self.watching, self.list_tries = now, not self.listing.asked, 0
         self.watch(now)
 
-    def configure(self, now: Micros, *, profiles: list[model.Profile], quotas: list[float],
-                  permits: model.Permits, prices: model.Prices, cold: model.ColdStart, listing: model.Listing,
-                  place: model.Place, origin_kind: int | None, columns: list[str], tick: Micros,
-                  budget: model.HopBudget | None = None) -> None:
+    def configure(
+        self,
+        now: Micros,
+        *,
+        profiles: list[model.Profile],
+        quotas: list[float],
+        permits: model.Permits,
+        prices: model.Prices,
+        cold: model.ColdStart,
+        listing: model.Listing,
+        place: model.Place,
+        origin_kind: int | None,
+        columns: list[str],
+        tick: Micros,
+        budget: model.HopBudget | None = None,
+    ) -> None:
         """Take new settings; what is under way keeps its own, and what was learnt stays."""
         self.profiles, self.permits, self.prices, self.cold = profiles, permits, prices, cold
         self.listing, self.place, self.origin_kind, self.budget = listing, place, origin_kind, budget
@@ -124,8 +139,15 @@
                 continue
             if server is None:
                 server = self.servers[member.server] = Server(
-                    member.server, member.zone, member.kind, member.cell, salt(member.server), member.started,
-                    allowed=self.first_turn(member), allowed_at=now - self.cold.window // 2)
+                    member.server,
+                    member.zone,
+                    member.kind,
+                    member.cell,
+                    salt(member.server),
+                    member.started,
+                    allowed=self.first_turn(member),
+                    allowed_at=now - self.cold.window // 2,
+                )
             elif member.started > server.started:
                 server.restart(member.started)
                 server.allowed, server.allowed_at = self.first_turn(member), now - self.cold.window // 2
@@ -216,8 +238,11 @@
         return self.chance() * self.part if member.started > 0 else 0.0
 
     def candidates(self, tx: Tx, now: Micros) -> Iterator[Server]:
-        fit = (server for server in self.ranked(tx.key) if server not in tx.tried
-               and self.usable(server, now) and may_send(tx, server, now, self.permits))
+        fit = (
+            server
+            for server in self.ranked(tx.key)
+            if server not in tx.tried and self.usable(server, now) and may_send(tx, server, now, self.permits)
+        )
         return islice(fit, tx.reach)
 
     def queue(self, server: Server) -> float:
@@ -279,7 +304,8 @@
         more are lost unasked is learnt, as one in a few does what the others do not.
         """
         slow = self.silent(server, now) or (
-            self.expected(server, now) > min(1.0, self.strict) * (tx.goal - now) * tx.favour)
+            self.expected(server, now) > min(1.0, self.strict) * (tx.goal - now) * tx.favour
+        )
         if slow or server.wary or not self.prices.probe:
             return True
         if tx.asked is None:
@@ -294,8 +320,7 @@
         warm = warm or self.stored.get(tx.key, (0, None))[1] is server
         # While fetches fail it may find nothing at all, and takes what others need to fill their copies.
         fetch = 0 if warm else self.fetch + (1 - self.fetching) * 2 * (tx.goal - now)
-        return (self.expected(server, now) + fetch
-                + self.prices.crossing * away * (tx.goal - now))
+        return self.expected(server, now) + fetch + self.prices.crossing * away * (tx.goal - now)
 
     def poll(self, tx: Tx, now: Micros) -> In | None:
         """Ask the candidates' queues; when all have answered or fallen silent, take the shortest."""
@@ -313,8 +338,10 @@
         tx.choice = min(heard, default=None, key=lambda server: self.cost(tx, server, picked, now))
         # Guards against a jam that outlives its cause: where nothing is sent nothing is learnt, so no idle
         # server is held to be too slow.
-        if tx.choice and (self.queue(tx.choice) + tx.choice.full < 1
-                          or self.expected(tx.choice, now) <= self.strict * left * tx.favour):
+        if tx.choice and (
+            self.queue(tx.choice) + tx.choice.full < 1
+            or self.expected(tx.choice, now) <= self.strict * left * tx.favour
+        ):
             return In.BEST
         # A key may be wanted more than its candidates can do, the more so in a large fleet: up to an eighth.
         if len(picked) < tx.reach or tx.reach > len(self.caches) // 8 or self.spare < 1:
@@ -336,8 +363,7 @@
             server.allowed -= 1
         self.effects.append(model.Send(tx.id, server.id, tx.limit, tx.written_by()))
         # A fetch is no work of a cache server: copies of slow ones pay there, also where times vary widely.
-        wait = (3 * self.fetch if server.kind == self.origin_kind else
-                self.patience.times * self.expected(server, now))
+        wait = 3 * self.fetch if server.kind == self.origin_kind else self.patience.times * self.expected(server, now)
         tx.hops[-1].patience = max(self.goal // 4, int(wait))
         self.at(now + tx.hops[-1].patience, self.overdue, tx.hops[-1])
         return None
@@ -397,9 +423,14 @@
         """Guards against a fetch by each node of what all miss: where the cache server tells that another is
         out, the copy is asked for once more after the time that takes, as far as hops and the goal allow.
         """
-        return (note == OTHERS and self.recovery.phase is not Phase.STEADY
-                and tx.shared_key and len(tx.hops) + 2 <= self.permits.hops
-                and 0 < self.fetch < (tx.goal - now) / 2 and (tx.leads or tx.key not in self.fetches))
+        return (
+            note == OTHERS
+            and self.recovery.phase is not Phase.STEADY
+            and tx.shared_key
+            and len(tx.hops) + 2 <= self.permits.hops
+            and 0 < self.fetch < (tx.goal - now) / 2
+            and (tx.leads or tx.key not in self.fetches)
+        )
 
     def await_other(self, tx: Tx, now: Micros) -> In | None:
         self.fetches.setdefault(tx.key, [])
@@ -473,8 +504,17 @@
             goal = came.limit - profile.limit + profile.goal
             if goal <= now and self.strict >= 0.9:
                 goal = came.limit
-        tx = Tx(came.tx, profile, key, came.key is not None, min(goal, came.limit), came.limit,
-                came.write, 0.5 if self.beyond_share(came.tenant, now) else 1.0, CANDIDATES)
+        tx = Tx(
+            came.tx,
+            profile,
+            key,
+            came.key is not None,
+            min(goal, came.limit),
+            came.limit,
+            came.write,
+            0.5 if self.beyond_share(came.tenant, now) else 1.0,
+            CANDIDATES,
+        )
         self.txs[tx.id] = tx
         if self.budget:
             self.allowance.taken.append(now)
@@ -490,8 +530,12 @@
         """Guards against an origin that gets no further under fetches, which leaves caches empty and brings
         more of them: while fetches fail, fewer reads are taken of keys that are not known to be stored.
         """
-        return (self.fetching < 1 and tx.key not in self.stored and not tx.write
-                and self.chance() >= self.fetching * (1 + tx.profile.revenue / self.dearest))
+        return (
+            self.fetching < 1
+            and tx.key not in self.stored
+            and not tx.write
+            and self.chance() >= self.fetching * (1 + tx.profile.revenue / self.dearest)
+        )
 
     def fetched(self, hop: Hop, ended: Ended, note: int, now: Micros) -> None:
         """What the end of a hop says of the fetches behind the cache servers."""
@@ -504,8 +548,9 @@
             self.stored.pop(hop.tx.key, None)
             hop.unfetched = True
             self.fetching = max(0.05, self.fetching * 0.85)
-        self.say("origin spared", self.fetching < 0.4 + 0.3 * ("origin spared" in self.mode),
-                 f"share={self.fetching:.2f}")
+        self.say(
+            "origin spared", self.fetching < 0.4 + 0.3 * ("origin spared" in self.mode), f"share={self.fetching:.2f}"
+        )
 
     def beyond_share(self, tenant: int | None, now: Micros) -> bool:
         if tenant is None or tenant >= len(self.quotas):
@@ -550,8 +595,13 @@
 
     def missed(self, tx: Tx, end: model.HopEnd, now: Micros) -> In:
         """No copy there: it is fetched, unless another node fetches it, or tells where it has it stored."""
-        if ((there := self.servers.get(end.copy)) and there not in tx.tried and self.usable(there, now)
-                and len(tx.hops) + 2 <= self.permits.hops and self.expected(there, now) < tx.goal - now):
+        if (
+            (there := self.servers.get(end.copy))
+            and there not in tx.tried
+            and self.usable(there, now)
+            and len(tx.hops) + 2 <= self.permits.hops
+            and self.expected(there, now) < tx.goal - now
+        ):
             tx.choice = there
             return In.BEST
         return In.SHARED if self.turn_comes_later(tx, end.note, now) else In.ORIGIN
@@ -649,13 +699,13 @@
             tx = self.queued.pop(0)[2]
             if tx.state is State.WAITING:
                 # While copies fill another node may have fetched it since: the copy is asked for first.
-                again = (tx.hops and now - tx.hops[-1].sent > 2 * self.fetch
-                         and self.turn_comes_later(tx, OTHERS, now))
+                again = tx.hops and now - tx.hops[-1].sent > 2 * self.fetch and self.turn_comes_later(tx, OTHERS, now)
                 late = now + self.fetch > tx.goal
                 self.feed(now, tx, In.NOBODY if late else In.FETCHED if again else In.ROOM)
 
-    def probed(self, now: Micros, server_id: model.ServerId, ended: Ended, elapsed: Micros,
-               load: tuple[float, ...]) -> None:
+    def probed(
+        self, now: Micros, server_id: model.ServerId, ended: Ended, elapsed: Micros, load: tuple[float, ...]
+    ) -> None:
         server = self.servers.get(server_id)
         if server is None or server.asked < 0 and ended is not Ended.COMMITTED:
             return  # forgotten meanwhile, or told before
--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -18,8 +18,17 @@
 from saltmoor import model
 
 REPEATS = {"idempotent": model.Repeat.IDEMPOTENT, "deduplicated": model.Repeat.JOURNALLED}
-COLUMNS = {"rif": "held", "inflight": "held", "q": "queue", "busy": "busy", "lat_ms": "latency",
-           "rate": "rate", "fail_rate": "errors", "x0": "hits", "x1": "fetches"}
+COLUMNS = {
+    "rif": "held",
+    "inflight": "held",
+    "q": "queue",
+    "busy": "busy",
+    "lat_ms": "latency",
+    "rate": "rate",
+    "fail_rate": "errors",
+    "x0": "hits",
+    "x1": "fetches",
+}
 READINESS = {"up": model.Readiness.READY, "removed": model.Readiness.GONE}
 BUFFER = 16_384  # the one size of receive buffers
 MIB = 1 << 20
@@ -111,17 +120,22 @@
     if limit < 1000:  # most likely meant in another unit: nothing would be served
         raise line.fault("deadline_ns", "a time of at least 1000000, in nanoseconds")
     return model.Profile(
-        goal=line.micros("aim_ns") or limit, limit=limit,
+        goal=line.micros("aim_ns") or limit,
+        limit=limit,
         # A word that is not known gets the strictest reading.
         repeat=REPEATS.get(line.text("repeat"), model.Repeat.NON_IDEMPOTENT),
-        revenue=float(line.number("worth", 1.0)), group=model.Group(group),
-        window=line.micros("key_ttl_ns"), late_value=float(line.number("late_worth")))
+        revenue=float(line.number("worth", 1.0)),
+        group=model.Group(group),
+        window=line.micros("key_ttl_ns"),
+        late_value=float(line.number("late_worth")),
+    )
 
 
 def hop_budget(rule: Section) -> model.HopBudget | None:
     """None where no budget of further hops is stated; what is stated in part is as strict as it can be."""
-    budget = model.HopBudget(float(rule.number("free_resends")), float(rule.number("resend_ratio")),
-                             rule.micros("budget_window_ns"))
+    budget = model.HopBudget(
+        float(rule.number("free_resends")), float(rule.number("resend_ratio")), rule.micros("budget_window_ns")
+    )
     return budget if {"free_resends", "resend_ratio", "budget_window_ns"} & rule.said.keys() else None
 
 
@@ -136,17 +150,27 @@
         "profiles": [profile(line) for line in top.sections("classes")],
         "quotas": [float(line.number("quota_per_s")) for line in top.sections("tenants")],
         "permits": model.Permits(
-            hops=int(may.number("max_attempts")) or 1, copies=may.flag("may_duplicate"),
+            hops=int(may.number("max_attempts")) or 1,
+            copies=may.flag("may_duplicate"),
             cancel=may.flag("cancel"),
             longest_hint=may.micros("max_retry_after_ns") if may.flag("retry_after") else 0,
-            probes=may.flag("probes") and report.text("how") != "off"),
-        "prices": model.Prices(float(price.number("cross_zone")), float(price.number("waste")),
-                               float(price.number("probe")), float(price.number("origin"))),
+            probes=may.flag("probes") and report.text("how") != "off",
+        ),
+        "prices": model.Prices(
+            float(price.number("cross_zone")),
+            float(price.number("waste")),
+            float(price.number("probe")),
+            float(price.number("origin")),
+        ),
         "cold": model.ColdStart(
-            float(rule.number("cold_from", 1.0)), rule.micros("cold_ns"),
-            float(rule.number("overload_factor", 1.0)), rule.micros("fall_ns") or 1_000_000),
-        "listing": model.Listing(top.text("membership_mode") == "subscribe", rule.micros("ask_within_ns"),
-                                 rule.flag("soft_removal")),
+            float(rule.number("cold_from", 1.0)),
+            rule.micros("cold_ns"),
+            float(rule.number("overload_factor", 1.0)),
+            rule.micros("fall_ns") or 1_000_000,
+        ),
+        "listing": model.Listing(
+            top.text("membership_mode") == "subscribe", rule.micros("ask_within_ns"), rule.flag("soft_removal")
+        ),
         "budget": hop_budget(rule),
         "place": model.Place(int(top.number("locality")), int(top.number("fleet_size"))),
         "origin_kind": origin if aside else None,
@@ -180,15 +204,23 @@
     @classmethod
     def within(cls, memory_mb: float, sockets: int, calls: int = 0, processes: int = 1, taken: int = 0) -> Caps:
         """`processes` of this node share the limits evenly, unless one that ends has said what it still holds."""
-        usable = max((sockets - processes * (RESERVED + calls)) // processes,
-                     sockets - 2 * (RESERVED + calls) - taken if taken else 0)
+        usable = max(
+            (sockets - processes * (RESERVED + calls)) // processes,
+            sockets - 2 * (RESERVED + calls) - taken if taken else 0,
+        )
         spare = memory_mb - INTERPRETER_MB - (processes - 1) * SECOND_MB
         room = int(max(spare / processes, 4) * MIB)
         floor = usable // 4
         # Half of the memory for values that clients write, a quarter for what connections hold in pieces, the
         # rest for values on their way back.
-        return cls(usable, min(usable - floor, room // 4 // (3 * BUFFER)), min(sockets // 6, usable // 2), floor,
-                   room // 4 // LONGEST_HELD, room // 2)
+        return cls(
+            usable,
+            min(usable - floor, room // 4 // (3 * BUFFER)),
+            min(sockets // 6, usable // 2),
+            floor,
+            room // 4 // LONGEST_HELD,
+            room // 2,
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -250,11 +282,15 @@
     if not server:
         raise entry.fault("instanceId", "a text that is not empty")
     member = model.Member(
-        server, names.zones.index(zone) if zone in names.zones else -1,
-        names.kinds.index(kind) if kind in names.kinds else -2, int(entry.number("cell", least=-1)),
+        server,
+        names.zones.index(zone) if zone in names.zones else -1,
+        names.kinds.index(kind) if kind in names.kinds else -2,
+        int(entry.number("cell", least=-1)),
         # A word that is not known wants nothing new, like one that drains.
         READINESS.get(entry.text("lifecycle"), model.Readiness.DRAINING),
-        float(entry.number("weight", 1.0)), int(entry.number("startedAtMs") * 1000))
+        float(entry.number("weight", 1.0)),
+        int(entry.number("startedAtMs") * 1000),
+    )
     gone = member.readiness is model.Readiness.GONE and not entry.text("hostPort")
     return Line(member, ("", 0) if gone else address(f"{entry.path}hostPort", entry.text("hostPort")))
 
@@ -269,10 +305,13 @@
         raise limits.fault("sockets", f"at least {RESERVED + CALLS + 16}")
     if not settings.sections("classes"):
         raise Faulty("settings.classes: must name at least one profile")
-    names = Names([line.text("name") for line in settings.sections("classes")],
-                  [line.text("name") for line in settings.sections("tenants")],
-                  settings.texts("azs"), settings.texts("kinds"),
-                  settings.section("report").texts("columns"))
+    names = Names(
+        [line.text("name") for line in settings.sections("classes")],
+        [line.text("name") for line in settings.sections("tenants")],
+        settings.texts("azs"),
+        settings.texts("kinds"),
+        settings.section("report").texts("columns"),
+    )
     # The file comes first: the environment stays what it was when the file is replaced under a running node.
     listen = top.text("listen") or env.get("ROUTER_LISTEN") or "127.0.0.1:11211"
     discovery = top.text("discovery") or env.get("ROUTER_DISCOVERY")
@@ -294,18 +333,25 @@
     except ValueError:
         raise top.fault("seed", "hexadecimal digits") from None
     return Config(
-        name=top.text("name") or env.get("ROUTER_NAME") or "saltmoor", listen=address("listen", listen),
+        name=top.text("name") or env.get("ROUTER_NAME") or "saltmoor",
+        listen=address("listen", listen),
         admin=address("admin_addr", admin) if admin else None,
-        discovery=address("discovery", discovery) if discovery else None, seed=seed,
-        caps=Caps.within(memory_mb, sockets, CALLS if admin else 0), names=names, node=node,
+        discovery=address("discovery", discovery) if discovery else None,
+        seed=seed,
+        caps=Caps.within(memory_mb, sockets, CALLS if admin else 0),
+        names=names,
+        node=node,
         idle=may.micros("conn_idle_ns") or 30_000_000,
         connect_wait=may.micros("connect_timeout_ns") or 1_000_000,
         linger=int(serve.number("linger_ms", 500, most=LONGEST_LINGER) * 1000),
         unfinished=int(serve.number("unfinished_ms", 2400, least=1) * 1000),
         log_lines=serve.number("log_lines_per_s", 50, least=1),
         known=[line(entry, names) for entry in known.sections("instances")],
-        generation=int(known.number("generation")), pushed=pushed,
-        limits=(memory_mb, sockets, CALLS if admin else 0), shared=env.get("TMPDIR"))
+        generation=int(known.number("generation")),
+        pushed=pushed,
+        limits=(memory_mb, sockets, CALLS if admin else 0),
+        shared=env.get("TMPDIR"),
+    )
 
 
 @dataclass(slots=True, frozen=True)
@@ -371,6 +417,7 @@
 def numeric(key: str, value: str) -> tuple[str, int]:
     """An address that needs no look-up."""
     import ipaddress  # only where there are peers
+
     host, port = address(key, value)
     try:
         ipaddress.ip_address(host)
@@ -380,8 +427,22 @@
 
 
 def talking(peers: Operators) -> Talking:
-    peers.only("cluster", "name", "listen", "address", "site", "source", "seeds", "via", "period_ms", "suspect_ms",
-               "ahead_ms", "most_kb", "kb_per_s", "use")
+    peers.only(
+        "cluster",
+        "name",
+        "listen",
+        "address",
+        "site",
+        "source",
+        "seeds",
+        "via",
+        "period_ms",
+        "suspect_ms",
+        "ahead_ms",
+        "most_kb",
+        "kb_per_s",
+        "use",
+    )
     for key in ("cluster", "name", "site"):
         if (key == "cluster" or peers.text(key)) and not re.fullmatch(NAME, peers.text(key)):
             raise peers.fault(key, "1 to 64 letters, digits, '.', '_' or '-'")
@@ -404,13 +465,21 @@
     for i, seed in enumerate(seeds):
         numeric(f"peers.seeds[{i}]", seed)
     return Talking(
-        peers.text("cluster"), peers.text("name"), listen, reached or "%s:%d" % listen, peers.text("site"),
-        peers.text("source"), tuple(seeds), dict(via),
+        peers.text("cluster"),
+        peers.text("name"),
+        listen,
+        reached or "%s:%d" % listen,
+        peers.text("site"),
+        peers.text("source"),
+        tuple(seeds),
+        dict(via),
         int(peers.number("period_ms", 200, least=20, most=10_000) * 1000),
         int(peers.number("suspect_ms", 1500, least=50, most=120_000) * 1000),
         int(peers.number("ahead_ms", 1000, least=10, most=60_000) * 1000),
         int(peers.number("most_kb", 8192, least=64, most=32_768) * 1024),
-        int(peers.number("kb_per_s", 4096, least=16, most=1_000_000) * 1024), frozenset(use))
+        int(peers.number("kb_per_s", 4096, least=16, most=1_000_000) * 1024),
+        frozenset(use),
+    )
 
 
 def dutiful(duties: Operators, peers: Talking | None) -> Dutiful:
@@ -438,13 +507,21 @@
             raise Faulty(f"duties.use: {one!r} is none; there are {', '.join(DUTIES)}")
     if "snapshot" in use and not folder.startswith("/"):
         raise duties.fault("folder", "the whole path of a folder, for the duty snapshot")
-    return Dutiful(peers.cluster, *lists, int(lease * 1000), int(flight * 1000), folder,
-                   int(duties.number("every_ms", 2000, least=100, most=3_600_000) * 1000), tuple(use))
+    return Dutiful(
+        peers.cluster,
+        *lists,
+        int(lease * 1000),
+        int(flight * 1000),
+        folder,
+        int(duties.number("every_ms", 2000, least=100, most=3_600_000) * 1000),
+        tuple(use),
+    )
 
 
 def endpoint(key: str, value: str) -> str:
     """One machine's address in its one spelling, as it is also the machine's name."""
     import ipaddress  # only where it is switched on
+
     host, port = numeric(key, value)
     if not port or ipaddress.ip_address(host).is_unspecified:
         raise Faulty(f"{key}: must be the one address and port by which the others know it, is {value!r}")
@@ -469,17 +546,33 @@
 
 
 def changing(changes: Operators) -> Changes:
-    changes.only("cluster", "control", "me", "listen", "site", "neighbours", "when_stale", "stale_ms", "retain_s",
-                 "retain_kb", "lease_ms")
+    changes.only(
+        "cluster",
+        "control",
+        "me",
+        "listen",
+        "site",
+        "neighbours",
+        "when_stale",
+        "stale_ms",
+        "retain_s",
+        "retain_kb",
+        "lease_ms",
+    )
     for key in ("cluster", "site"):
         if (key == "cluster" or changes.text(key)) and not re.fullmatch(NAME, changes.text(key)):
             raise changes.fault(key, "1 to 64 letters, digits, '.', '_' or '-'")
     control, neighbours = members_of_control(changes), endpoints(changes, "neighbours")
     me, listen = changes.text("me"), changes.text("listen")
     if bool(me) == bool(listen):
-        raise Faulty(f"changes.{'listen' if not me else 'me'}: " + (
-            "must say where the site's other nodes reach this node" if not me else
-            "a control machine is no node: give either changes.me or changes.listen"))
+        raise Faulty(
+            f"changes.{'listen' if not me else 'me'}: "
+            + (
+                "must say where the site's other nodes reach this node"
+                if not me
+                else "a control machine is no node: give either changes.me or changes.listen"
+            )
+        )
     if me:
         me = endpoint("changes.me", me)
         if me not in control:
@@ -504,11 +597,18 @@
     if when_stale not in WHEN_STALE:
         raise changes.fault("when_stale", f"one of {', '.join(WHEN_STALE)}")
     return Changes(
-        changes.text("cluster"), control, me, listen, changes.text("site"), neighbours, when_stale,
+        changes.text("cluster"),
+        control,
+        me,
+        listen,
+        changes.text("site"),
+        neighbours,
+        when_stale,
         int(changes.number("stale_ms", 1000, least=500, most=60_000) * 1000),
         int(changes.number("retain_s", 600, least=10, most=86_400) * 1_000_000),
         int(changes.number("retain_kb", 4096, least=256, most=32_768) * 1024),
-        int(changes.number("lease_ms", 2000, least=500, most=60_000) * 1000))
+        int(changes.number("lease_ms", 2000, least=500, most=60_000) * 1000),
+    )
 
 
 def version(text: bytes | str) -> dict[str, Any]:
@@ -550,12 +650,16 @@
     folder = state.text("folder")
     if not folder.startswith("/"):
         raise state.fault("folder", "the whole path of a folder")
-    return Keeping(folder, int(state.number("every_ms", 1000, least=100, most=3_600_000) * 1000),
-                   int(state.number("most_kb", 1024, least=16, most=16_384) * 1024))
+    return Keeping(
+        folder,
+        int(state.number("every_ms", 1000, least=100, most=3_600_000) * 1000),
+        int(state.number("most_kb", 1024, least=16, most=16_384) * 1024),
+    )
 
 
-def load(path: str | None, env: Mapping[str, str], ours: str | None = None,
-         over: Mapping[str, Any] | None = None) -> Config:
+def load(
+    path: str | None, env: Mapping[str, str], ours: str | None = None, over: Mapping[str, Any] | None = None
+) -> Config:
     """The configuration that the path or else the environment names; `ours`: the operators' file; `over`: keys of a
     version for the whole fleet, which replace the file's."""
     path = path or env.get("ROUTER_CONFIG")
--- a/saltmoor/duties/lease.py
+++ b/saltmoor/duties/lease.py
@@ -85,8 +85,9 @@
                     one.owner, one.until = who, now + int(ask.lease * (1 + RATE))
             case _:
                 return None
-        return Vote(ask.duty, ask.number, ask.step, yes, one.promised, one.owner,
-                    max(0, one.until - now) if one.owner else 0)
+        return Vote(
+            ask.duty, ask.number, ask.step, yes, one.promised, one.owner, max(0, one.until - now) if one.owner else 0
+        )
 
 
 class State(Enum):
@@ -187,8 +188,10 @@
                 self.since, self.takes = now, self.takes + 1
                 self.lines.append(f"duty {self.duty}: owner, number={self.fence}")
             else:
-                self.lines.append(f"duty {self.duty}: owner no more: {given.name.lower()} {why}number={self.fence} "
-                                  f"held_ms={(now - self.since) // 1000}")
+                self.lines.append(
+                    f"duty {self.duty}: owner no more: {given.name.lower()} {why}number={self.fence} "
+                    f"held_ms={(now - self.since) // 1000}"
+                )
                 self.fence, self.until = 0, 0
         return True
 
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -102,9 +102,17 @@
 class Facade:
     """One node's decisions. `nudge` is called when `tick` is wanted sooner than it last said."""
 
-    def __init__(self, node: Node, known: Iterable[model.Member], *, columns: list[str],
-                 clock: Callable[[], Micros], nudge: Callable[[], None], log: Callable[[str], None],
-                 part: float = 1.0) -> None:
+    def __init__(
+        self,
+        node: Node,
+        known: Iterable[model.Member],
+        *,
+        columns: list[str],
+        clock: Callable[[], Micros],
+        nudge: Callable[[], None],
+        log: Callable[[str], None],
+        part: float = 1.0,
+    ) -> None:
         self.node, self.columns, self.clock, self.nudge, self.log = node, columns, clock, nudge, log
         self.txs: dict[model.TxId, Tx] = {}
         self.count = 0
@@ -129,8 +137,12 @@
 
     def _limits(self) -> dict[str, Any]:
         node = self.node
-        return {"target": node.goal // 40, "revenues": [one.revenue for one in node.profiles],
-                "quotas": [bucket[0] for bucket in node.quotas], "longest_hint": node.permits.longest_hint}
+        return {
+            "target": node.goal // 40,
+            "revenues": [one.revenue for one in node.profiles],
+            "quotas": [bucket[0] for bucket in node.quotas],
+            "longest_hint": node.permits.longest_hint,
+        }
 
     def share(self, part: float) -> None:
         """This process may use so much of what the node may do; the rest is another process's."""
@@ -144,22 +156,28 @@
     def noted(self) -> dict[str, Any]:
         """What is worth remembering over a restart; the list apart, which is its owner's."""
         from saltmoor.state import kinds  # only where it is switched on
+
         return kinds.take(self.node, self.gate, self.clock())
 
     def recall(self, content: dict[str, Any], age: Micros | None) -> str:
         """Remember what an earlier process of this node noted; what of it counts, for the log."""
         from saltmoor.state import kinds
+
         told = kinds.give(self.node, self.gate, content, self.clock(), age)
         self._settle(self.clock())
         return " ".join(f"{kind}={count}" for kind, count in told.items()) or "nothing"
 
     def members(self) -> list[model.Member]:
         """The cache servers and origins that are to be used, as last heard."""
-        return [model.Member(one.id, one.zone, one.kind, one.cell, model.Readiness.READY, one.size, one.started)
-                for one in self.node.servers.values() if one.ready]
-
-    def turned_away(self, profile: int, tenant: int | None, again: bool, waited: Micros,
-                    given: Micros) -> Micros | None:
+        return [
+            model.Member(one.id, one.zone, one.kind, one.cell, model.Readiness.READY, one.size, one.started)
+            for one in self.node.servers.values()
+            if one.ready
+        ]
+
+    def turned_away(
+        self, profile: int, tenant: int | None, again: bool, waited: Micros, given: Micros
+    ) -> Micros | None:
         """Before anything is done for a transaction: None where it is taken, else how long to stay away.
 
         `waited`: how long its bytes stood unread, `given`: how long its client waits in all. Nothing was sent
@@ -187,9 +205,16 @@
         self.txs[tx.id] = tx
         now = self.clock()
         heappush(self.limits, (max(tx.limit, now + 2), tx.id))  # not before the module could
-        came = model.Arrival(tx.id, tx.profile, tx.tenant, tx.key, tx.limit, again=tx.again,
-                             # To the origin as writes go there: within its room, behind no fetch begun before.
-                             write=tx.write or self.strict and self.node.origin_kind is not None)
+        came = model.Arrival(
+            tx.id,
+            tx.profile,
+            tx.tenant,
+            tx.key,
+            tx.limit,
+            again=tx.again,
+            # To the origin as writes go there: within its room, behind no fetch begun before.
+            write=tx.write or self.strict and self.node.origin_kind is not None,
+        )
         if self._tell(self.node.arrived, now, came):
             self._settle(now)
         else:
@@ -245,9 +270,17 @@
         for tx in list(self.txs.values()):  # a fault kept it
             self._give_up(now, tx)
 
-    def report(self, what: Send | Errand, how: Ended | ListKind, *, answer: bytes = b"", note: int = 0,
-               load: dict[str, float] | None = None, members: Iterable[model.Member] = (),
-               copy: model.ServerId | None = None) -> None:
+    def report(
+        self,
+        what: Send | Errand,
+        how: Ended | ListKind,
+        *,
+        answer: bytes = b"",
+        note: int = 0,
+        load: dict[str, float] | None = None,
+        members: Iterable[model.Member] = (),
+        copy: model.ServerId | None = None,
+    ) -> None:
         """How a hop, a probe or a list call ended; a watch reports each piece of news it brings."""
         if not isinstance(what, Watch):
             if what.told:  # each has one end, whoever tells it
@@ -265,8 +298,7 @@
                 if how is Ended.COMMITTED and not tx.over:
                     finals[tx.id] = Commit(answer)
                 closed = tx.over or how is Ended.COMMITTED
-                end = model.HopEnd(tx.id, what.hop, what.server, how, now - what.since, closed, note, figures,
-                                   copy)
+                end = model.HopEnd(tx.id, what.hop, what.server, how, now - what.since, closed, note, figures, copy)
                 if not self._tell(self.node.hop_ended, now, end) and not closed:
                     self._give_up(now, tx)
             case Probe():
@@ -327,7 +359,9 @@
                     if tx is None:  # guards the effects behind it, timers among them
                         self.log(f"fault: a hop for what is over, to {known.name}: not sent")
                         continue
-                    self._hand(tx, Send(tx, tx.hops, server, known.kind == self.node.origin_kind, until, by or until, now))
+                    self._hand(
+                        tx, Send(tx, tx.hops, server, known.kind == self.node.origin_kind, until, by or until, now)
+                    )
                     tx.hops += 1
                 case model.RollBack(tx_id, stay_away):
                     finals[tx_id] = RollBack(stay_away)
--- a/saltmoor/lab/arrivals.py
+++ b/saltmoor/lab/arrivals.py
@@ -14,14 +14,17 @@
 
 from saltmoor.lab.scenario import Faulty, Hot, Profile, Scan, Scenario
 
-FIELDS = np.dtype([
-    ("at", "i8"),  # microseconds after the run's begin
-    ("profile", "u2"), ("tenant", "u2"),  # places in the lists of names
-    ("key", "u8"),  # an opaque number; the key's text is derived from it
-    ("work", "u4"),  # microseconds at a core of speed 1
-    ("size", "u4"),  # bytes of the value
-    ("chance", "f8"),  # for all that is drawn while the transaction lives
-])
+FIELDS = np.dtype(
+    [
+        ("at", "i8"),  # microseconds after the run's begin
+        ("profile", "u2"),
+        ("tenant", "u2"),  # places in the lists of names
+        ("key", "u8"),  # an opaque number; the key's text is derived from it
+        ("work", "u4"),  # microseconds at a core of speed 1
+        ("size", "u4"),  # bytes of the value
+        ("chance", "f8"),  # for all that is drawn while the transaction lives
+    ]
+)
 GRID = 0.01  # seconds; the rate is taken as even within
 
 
@@ -57,8 +60,8 @@
 def drawn(profiles: list[Profile], which: np.ndarray, rng: np.random.Generator) -> np.ndarray:
     """Work of each, lognormal about its profile's mean."""
     mean = np.array([one.work_ms * 1000 for one in profiles])[which]
-    sigma = np.array([sqrt(log(1 + one.cv ** 2)) for one in profiles])[which]
-    return mean * np.exp(rng.standard_normal(len(which)) * sigma - sigma ** 2 / 2)
+    sigma = np.array([sqrt(log(1 + one.cv**2)) for one in profiles])[which]
+    return mean * np.exp(rng.standard_normal(len(which)) * sigma - sigma**2 / 2)
 
 
 def within(span: Scan | Hot, at: np.ndarray) -> np.ndarray:
@@ -98,8 +101,12 @@
 
 
 def save(path: Path, arrivals: np.ndarray, scenario: Scenario) -> None:
-    about = {"format": 1, "profiles": [one.name for one in scenario.profile],
-             "tenants": [one.name for one in scenario.tenant], "length_s": scenario.length_s}
+    about = {
+        "format": 1,
+        "profiles": [one.name for one in scenario.profile],
+        "tenants": [one.name for one in scenario.tenant],
+        "length_s": scenario.length_s,
+    }
     with path.open("wb") as file:
         np.savez_compressed(file, arrivals=arrivals, about=np.array(json.dumps(about)))
 
--- a/saltmoor/lab/cache.py
+++ b/saltmoor/lab/cache.py
@@ -25,11 +25,21 @@
 
     def make_station(self, cold: bool) -> Station:
         kind, rule = self.kind, self.stage.scenario.cold
-        warming = Warming(rule.share, int(rule.warm_s * 1e6), rule.by == "work", rule.multiple,
-                          int(rule.window_s * 1e6))
-        return Station(self.stage.line, cores=kind.cores, speed=kind.speed, slots=kind.slots, room=kind.room,
-                       thrash=kind.thrash, thrash_at=kind.thrash_at, warming=warming, cold=cold,
-                       fell=self.fell)
+        warming = Warming(
+            rule.share, int(rule.warm_s * 1e6), rule.by == "work", rule.multiple, int(rule.window_s * 1e6)
+        )
+        return Station(
+            self.stage.line,
+            cores=kind.cores,
+            speed=kind.speed,
+            slots=kind.slots,
+            room=kind.room,
+            thrash=kind.thrash,
+            thrash_at=kind.thrash_at,
+            warming=warming,
+            cold=cold,
+            fell=self.fell,
+        )
 
     def fell(self) -> None:
         """More than it can do at that moment, for too long: it goes down and stays down."""
@@ -55,8 +65,11 @@
             return
         line, refresh = self.stage.line, int(self.fleet.refresh_ms * 1000)
         noise = 1 + self.rng.uniform(-self.fleet.noise, self.fleet.noise)
-        made = {"queue": len(self.station.waiting) * noise, "inflight": self.station.held * noise,
-                "qps": (self.answers - self.seen) * 1e6 / refresh * noise}
+        made = {
+            "queue": len(self.station.waiting) * noise,
+            "inflight": self.station.held * noise,
+            "qps": (self.answers - self.seen) * 1e6 / refresh * noise,
+        }
         self.seen = self.answers
         line.at(line.now + int(self.fleet.late_ms * 1000), lambda: setattr(self, "report", made))
         line.at(line.now + refresh, self._refresh)
@@ -114,7 +127,7 @@
         line = bytes(self.held[:end])
         words = line.split(b" ")
         if words[0] != b"ms":
-            del self.held[:end + 2]
+            del self.held[: end + 2]
             self._command(line, words, b"")
             return True
         length = int(words[2]) if len(words) > 3 and words[2].isdigit() else -1
@@ -123,8 +136,8 @@
             return False
         if len(self.held) < end + 2 + length + 2:
             return False
-        value, tail = bytes(self.held[end + 2:end + 2 + length]), self.held[end + 2 + length:end + 4 + length]
-        del self.held[:end + 4 + length]
+        value, tail = bytes(self.held[end + 2 : end + 2 + length]), self.held[end + 2 + length : end + 4 + length]
+        del self.held[: end + 4 + length]
         if tail != b"\r\n":
             self._bad(line)
             return False
@@ -156,8 +169,18 @@
         ident, key, mark = ids[0].decode("latin-1"), words[1], pairs.get(b"k", b"").decode("latin-1")
         slot = Slot(ident, self.first, "write" if write else "read")
         self.slots.append(slot)
-        self.book.note("got", slot.first, self.line.now, server.name, self.node, ident, words[0].decode(),
-                       key.decode("latin-1"), mark, self.number)
+        self.book.note(
+            "got",
+            slot.first,
+            self.line.now,
+            server.name,
+            self.node,
+            ident,
+            words[0].decode(),
+            key.decode("latin-1"),
+            mark,
+            self.number,
+        )
         kind = server.spoilt_by(("errors", "full"))
         if kind == "errors" or server.rng.random() < server.kind.error_rate:
             self.say(slot, b"SERVER_ERROR failed\r\n", "failed")
@@ -167,8 +190,7 @@
         work = work if hit or write and server.fleet.mode == "through" else work * server.fleet.miss_work
         job = None
         if kind != "full" and len(self.slots) <= server.fleet.streams:
-            job = server.station.offer(work + self.handshake,
-                                       lambda: self._done(slot, key, hit, write, pairs))
+            job = server.station.offer(work + self.handshake, lambda: self._done(slot, key, hit, write, pairs))
         self.handshake = 0
         if job is None:
             self.say(slot, b"SERVER_ERROR busy\r\n", "busy")
@@ -192,8 +214,9 @@
             self._value(slot, key, copy, b"h1")
         elif server.fleet.mode == "through":
             server.misses += not write
-            self.stage.origin.pass_on(server, slot.id, key, write, pairs,
-                                      lambda how, what: self._passed(slot, key, write, how, what))
+            self.stage.origin.pass_on(
+                server, slot.id, key, write, pairs, lambda how, what: self._passed(slot, key, write, how, what)
+            )
         else:
             server.misses += not write
             other = self.stage.origin.fetching.get(key, 0) > 0
--- a/saltmoor/lab/capacity.py
+++ b/saltmoor/lab/capacity.py
@@ -18,8 +18,12 @@
 from saltmoor.lab.worker import Plan, told
 
 ANSWERERS = 2
-SAID = {"name": "capacity", "about": "reads that are answered at once", "settle_s": 1,
-        "profile": [{"name": "read", "share": 1, "work_ms": 1, "goal_ms": 150, "limit_ms": 1000}]}
+SAID = {
+    "name": "capacity",
+    "about": "reads that are answered at once",
+    "settle_s": 1,
+    "profile": [{"name": "read", "share": 1, "work_ms": 1, "goal_ms": 150, "limit_ms": 1000}],
+}
 
 
 class Answerer(asyncio.Protocol):
@@ -69,9 +73,14 @@
     took = [row[1] - asked[row[2]] for row in written if row[0] == "reply"]
     late = [max(0, row[1]) for row in written if row[0] == "late"]
     span = (max(asked.values()) - min(asked.values())) / 1e6
-    return {"wanted_per_s": rate, "offered_per_s": round(len(asked) / span, 1),
-            "answered": figures.share(len(took), len(rows)), "late_p99_ms": figures.percentiles(late)["p99_ms"],
-            "late_p999_ms": figures.percentiles(late)["p999_ms"], "answer_p99_ms": figures.percentiles(took)["p99_ms"]}
+    return {
+        "wanted_per_s": rate,
+        "offered_per_s": round(len(asked) / span, 1),
+        "answered": figures.share(len(took), len(rows)),
+        "late_p99_ms": figures.percentiles(late)["p99_ms"],
+        "late_p999_ms": figures.percentiles(late)["p999_ms"],
+        "answer_p99_ms": figures.percentiles(took)["p99_ms"],
+    }
 
 
 def holds(made: dict[str, float]) -> bool:
--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -112,17 +112,23 @@
 
 def run(said: dict) -> int:
     from saltmoor.lab import experiment, nodes
+
     scenario = plan.load(said["SCENARIO"])
     if count := number(said, "--nodes", 1):
-        scenario = plan.check(msgspec.to_builtins(msgspec.structs.replace(
-            scenario, nodes=msgspec.structs.replace(scenario.nodes, count=count))))
+        scenario = plan.check(
+            msgspec.to_builtins(
+                msgspec.structs.replace(scenario, nodes=msgspec.structs.replace(scenario.nodes, count=count))
+            )
+        )
     if said["--replay"]:
         scenario = msgspec.structs.replace(
-            scenario, load=msgspec.structs.replace(scenario.load, replay=said["--replay"]))
+            scenario, load=msgspec.structs.replace(scenario.load, replay=said["--replay"])
+        )
     progress, build = Progress(), nodes.Build.named(said["--build"]) if said["--build"] else None
     capture, keep = (Path(said[name]) if said[name] else None for name in ("--capture", "--keep"))
-    result = experiment.run(scenario, number(said, "--seed"), build=build, keep=keep, capture=capture,
-                            progress=progress)
+    result = experiment.run(
+        scenario, number(said, "--seed"), build=build, keep=keep, capture=capture, progress=progress
+    )
     progress.done()
     show(result)
     if said["--json"]:
@@ -133,22 +139,31 @@
 def bound(said: dict) -> int:
     """How soon full service could be back at best, by the scenario's own figures."""
     from saltmoor.lab import comeback
+
     scenario = plan.load(said["SCENARIO"])
     full, good, seconds = comeback.bound(scenario)
     first = int(min((fault.at_s for fault in comeback.faults(scenario)), default=0.0))
-    print(f"{scenario.name}: at best full service {'never in this run' if full is None else f'{full:.2f} s'} after the "
-          f"last fault, {good:.1%} in time over the first {comeback.SPAN:.0f} s of it")
-    print("  in time, second by second from the first fault:",
-          " ".join(f"{share:.2f}" for share in seconds[first:first + int(comeback.SPAN)]))
+    print(
+        f"{scenario.name}: at best full service {'never in this run' if full is None else f'{full:.2f} s'} after the "
+        f"last fault, {good:.1%} in time over the first {comeback.SPAN:.0f} s of it"
+    )
+    print(
+        "  in time, second by second from the first fault:",
+        " ".join(f"{share:.2f}" for share in seconds[first : first + int(comeback.SPAN)]),
+    )
     if said["--json"]:
-        Path(said["--json"]).write_bytes(msgspec.json.encode(
-            {"scenario": scenario.name, "full_service_s": full, "in_time_8s": good, "in_time": seconds}))
+        Path(said["--json"]).write_bytes(
+            msgspec.json.encode(
+                {"scenario": scenario.name, "full_service_s": full, "in_time_8s": good, "in_time": seconds}
+            )
+        )
     return 0
 
 
 def compare(said: dict) -> int:
     """Two builds on the same seeds, in turn, with the spread between runs."""
     from saltmoor.lab import experiment, nodes
+
     scenario, rounds = plan.load(said["--scenario"]), number(said, "--rounds", 1)
     builds = [nodes.Build.named(said[name]) for name in ("A", "B")]
     results, progress, held = ([], []), Progress(), True
@@ -186,18 +201,25 @@
             return compare(said)
         if said["report"]:
             from saltmoor.lab import report
+
             return report.write([Path(one) for one in said["FILE"]], Path(said["--html"]))
         if said["capacity"]:
             from saltmoor.lab import capacity
+
             return capacity.main([number({"--rate": one}, "--rate", 1) for one in said["--rate"]])
         if said["passing"]:
             from saltmoor.lab import passing
-            return passing.main([number({"--value": one}, "--value", 1) for one in said["--value"]], path=said["--json"])
+
+            return passing.main(
+                [number({"--value": one}, "--value", 1) for one in said["--value"]], path=said["--json"]
+            )
         if said["scale"]:
             from saltmoor.lab import scale
+
             return scale.run(said, argv)
         if said["toy"]:
             from saltmoor.lab import toy
+
             return toy.main()
         return run(said)
     except plan.Faulty as error:
--- a/saltmoor/lab/clients.py
+++ b/saltmoor/lab/clients.py
@@ -104,8 +104,18 @@
             return
         tx, profile = asked.tx, self.house.scenario.profile[asked.tx.profile]
         self.house.book.note(
-            "ask", self.house.driver.clock(), asked.id, tx.number, self.node, self.number,
-            "ms" if profile.write else "mg", tx.key.decode(), profile.name, tx.mark, asked.wait)
+            "ask",
+            self.house.driver.clock(),
+            asked.id,
+            tx.number,
+            self.node,
+            self.number,
+            "ms" if profile.write else "mg",
+            tx.key.decode(),
+            profile.name,
+            tx.mark,
+            asked.wait,
+        )
 
     def read(self) -> None:
         while self.held:
@@ -118,7 +128,7 @@
                 whole += int(words[1]) + 2
             if len(self.held) < whole:
                 return
-            body = bytes(self.held[end + 2:whole - 2])
+            body = bytes(self.held[end + 2 : whole - 2])
             del self.held[:whole]
             asked, self.open = self.open, None
             if asked is None:
@@ -136,8 +146,17 @@
 class Clients:
     """All clients of one load process, which takes every `parts`th arrival from `part` on."""
 
-    def __init__(self, scenario: Scenario, nodes: list[tuple[str, int]], book: Book, driver: Driver, *,
-                 part: int, parts: int, tag: str) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        nodes: list[tuple[str, int]],
+        book: Book,
+        driver: Driver,
+        *,
+        part: int,
+        parts: int,
+        tag: str,
+    ) -> None:
         self.scenario, self.nodes, self.book, self.driver = scenario, nodes, book, driver
         self.part, self.parts, self.tag, self.made, self.lines = part, parts, tag, 0, 0
         self.coming = 0  # tries that begin later
@@ -151,7 +170,7 @@
 
     def play(self, rows, begin: int) -> None:
         """Put every arrival of this process into the timeline, one after the other."""
-        self.rows, self.begin, self.next = rows[self.part::self.parts].tolist(), begin, 0
+        self.rows, self.begin, self.next = rows[self.part :: self.parts].tolist(), begin, 0
         self._begin()
 
     def _begin(self) -> None:
@@ -306,10 +325,19 @@
 
     def texts(self) -> list[bytes]:
         noise = bytes(self.rng.randrange(256) for _ in range(300))
-        return [noise + b"\r\n", b"x" * 5000, b"ms k -5 Oa Pc=read\r\n", b"ms k 99999999999 Oa Pc=read\r\nx",
-                b"mg k v Oa Pc=nosuch,d=100\r\n", b"mg k v Oa Pc=read,d=soon\r\n", b"mg k v Pc=read,d=100\r\n",
-                b"ms k 5 Oa Pc=put,d=100\r\nhelloooo\r\n", b"mg " + b"k" * 400 + b" v Oa Pc=read\r\n",
-                b"nonsense\r\n" * 300, b"ms k 60000000 Oa Pc=put,d=100\r\n" + b"z" * 200_000]
+        return [
+            noise + b"\r\n",
+            b"x" * 5000,
+            b"ms k -5 Oa Pc=read\r\n",
+            b"ms k 99999999999 Oa Pc=read\r\nx",
+            b"mg k v Oa Pc=nosuch,d=100\r\n",
+            b"mg k v Oa Pc=read,d=soon\r\n",
+            b"mg k v Pc=read,d=100\r\n",
+            b"ms k 5 Oa Pc=put,d=100\r\nhelloooo\r\n",
+            b"mg " + b"k" * 400 + b" v Oa Pc=read\r\n",
+            b"nonsense\r\n" * 300,
+            b"ms k 60000000 Oa Pc=put,d=100\r\n" + b"z" * 200_000,
+        ]
 
     async def until(self, begin: int, end: int, rate: float, clock) -> None:
         while clock() < begin:
--- a/saltmoor/lab/comeback.py
+++ b/saltmoor/lab/comeback.py
@@ -27,8 +27,9 @@
     return [fault for fault in scenario.fault if fault.on not in ("clients", "link")]
 
 
-def full_service(at: np.ndarray, good: np.ndarray, settle: float, first: float, last: float,
-                 end: float) -> float | None:
+def full_service(
+    at: np.ndarray, good: np.ndarray, settle: float, first: float, last: float, end: float
+) -> float | None:
     """Seconds from `last` until the share in time is that of before, for HOLDS; None: not in this run.
 
     `at`: when each transaction came, `good`: whether it was in time. The second that begins there and the whole
@@ -50,8 +51,9 @@
     return None
 
 
-def figures(ledger: Ledger, rows: list[list], took: list[int], goals: list[int], came: Any,
-            begin: int) -> dict[str, Any]:
+def figures(
+    ledger: Ledger, rows: list[list], took: list[int], goals: list[int], came: Any, begin: int
+) -> dict[str, Any]:
     """`took`: microseconds until each arrival was served, 0 where it was not; `goals`: what each had."""
     scenario, struck = ledger.scenario, faults(ledger.scenario)
     if not struck:
@@ -63,7 +65,8 @@
     back = last + max((fault.for_s for fault in struck if fault.at_s == last and fault.on == "server"), default=0.0)
     made: dict[str, Any] = {
         "full_service_s": full_service(at, good, scenario.settle_s, first, last, scenario.length_s),
-        "in_time_8s": round(float(fault_8s.mean()), 4) if len(fault_8s) else 1.0}
+        "in_time_8s": round(float(fault_8s.mean()), 4) if len(fault_8s) else 1.0,
+    }
     made |= origin_figures(ledger, rows, begin, first, back)
     made["stale"] = stale(ledger, rows)
     return made
@@ -90,12 +93,14 @@
         if row[0] == "got" and row[3] == "origin" and row[6] != "PUT" and low <= row[2] < high:
             fetched[row[7]] += 1
             copies[row[7], sum(at < row[2] for at in written.get(row[7], ()))] += 1
-    return {"origin_held_most": held,
-            "origin_held_over": round(held / (spec.cores * goal_s / (spec.work_ms / 1000)), 2),
-            "origin_use_in_need": round(used / waits, 3) if waits else 1.0,
-            "fetches_a_key_2s": round(sum(fetched.values()) / len(fetched), 3) if fetched else 1.0,
-            "fetches_a_copy_2s": round(sum(copies.values()) / len(copies), 3) if copies else 1.0,
-            "twins_most": max((one["twins_most"] for _, one in samples), default=0)}
+    return {
+        "origin_held_most": held,
+        "origin_held_over": round(held / (spec.cores * goal_s / (spec.work_ms / 1000)), 2),
+        "origin_use_in_need": round(used / waits, 3) if waits else 1.0,
+        "fetches_a_key_2s": round(sum(fetched.values()) / len(fetched), 3) if fetched else 1.0,
+        "fetches_a_copy_2s": round(sum(copies.values()) / len(copies), 3) if copies else 1.0,
+        "twins_most": max((one["twins_most"] for _, one in samples), default=0),
+    }
 
 
 def stale(ledger: Ledger, rows: list[list]) -> int:
@@ -162,8 +167,10 @@
         hits = min(read - missed, cores / work)
         spare = min(can - fetched, read - missed - hits)
         share = min(1.0, (fetched + hits + spare + writes) / rate)
-        lost += STEP * (-read * popular * lost * (fetched / missed if missed else 0.0)
-                        + (writes * popular + load.drift) * (1 - lost))
+        lost += STEP * (
+            -read * popular * lost * (fetched / missed if missed else 0.0)
+            + (writes * popular + load.drift) * (1 - lost)
+        )
         shares[int(now)].append(share)
         if now < first:
             calm = share
@@ -173,5 +180,8 @@
             full = None
         elif now >= last and full is None:
             full = now - last
-    return (None if full is None else round(float(full), 2), round(float(good / came), 4),
-            [round(float(sum(one) / len(one)), 3) for _, one in sorted(shares.items())])
+    return (
+        None if full is None else round(float(full), 2),
+        round(float(good / came), 4),
+        [round(float(sum(one) / len(one)), 3) for _, one in sorted(shares.items())],
+    )
--- a/saltmoor/lab/detect.py
+++ b/saltmoor/lab/detect.py
@@ -89,7 +89,8 @@
         names = [f"n{i}" for i in range(count)]
         self.nodes: dict[str, Any] = {
             name: Swim(name, i, names[:3]) if how == "swim" else Heartbeats(name, names, how == "accrual")
-            for i, name in enumerate(names)}
+            for i, name in enumerate(names)
+        }
         self.cut: set[tuple[int, int]] = set()
         self.dead: set[str] = set()
         self.paused: dict[str, int] = {}
@@ -114,8 +115,11 @@
     def send(self, name: str, outs: list) -> None:
         for to, word, said in outs:
             node = self.nodes[name]
-            speaker = (Speaker(name, node.core.me.life, node.core.me.run, self.now) if isinstance(node, Swim)
-                       else Speaker(name, 1, 1, self.now))
+            speaker = (
+                Speaker(name, node.core.me.life, node.core.me.run, self.now)
+                if isinstance(node, Swim)
+                else Speaker(name, 1, 1, self.now)
+            )
             self.bytes += len(frames.encode("cluster", speaker, word, said)) + 28  # and the heads of IP and UDP
             if (int(name[1:]), int(to[1:])) in self.cut or self.rng.random() < self.loss or to in self.dead:
                 continue
@@ -151,7 +155,7 @@
                 since = (self.now - self.killed) / 1e6
                 self.first_s = self.first_s or since
                 self.all_s = since
-            elif self.paused.get(other, -10**9) > self.now - 2_000_000:
+            elif self.paused.get(other, -(10**9)) > self.now - 2_000_000:
                 self.under_pause += 1
             elif not any(int(other[1:]) in way for way in self.cut):
                 self.false += 1
@@ -193,6 +197,7 @@
 def table() -> list[str]:
     """The three side by side, as docs/peers-design.md has it; one process a row."""
     from multiprocessing import Pool
+
     with Pool(8) as pool:
         return pool.starmap(row, [(count, how) for count in (5, 20, 200) for how in ("beats", "accrual", "swim")])
 
--- a/saltmoor/lab/experiment.py
+++ b/saltmoor/lab/experiment.py
@@ -62,9 +62,14 @@
     def start(self, *words: str) -> subprocess.Popen:
         errors = (self.run / f"{'-'.join(words)}.err").open("wb")
         process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "saltmoor.lab.worker", words[0], str(self.run), *words[1:]], cwd=HERE,
-            env=os.environ | {"PYTHONPATH": str(HERE)}, stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-            stderr=errors, text=True)
+            [sys.executable, "-B", "-m", "saltmoor.lab.worker", words[0], str(self.run), *words[1:]],
+            cwd=HERE,
+            env=os.environ | {"PYTHONPATH": str(HERE)},
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=errors,
+            text=True,
+        )
         errors.close()
         self.members.append(process)
         return process
@@ -92,8 +97,15 @@
             process.wait()
 
 
-def run(scenario: plan.Scenario, seed: int, *, build: Build | None = None, keep: Path | None = None,
-        capture: Path | None = None, progress: Callable[[str], None] = lambda line: None) -> Result:
+def run(
+    scenario: plan.Scenario,
+    seed: int,
+    *,
+    build: Build | None = None,
+    keep: Path | None = None,
+    capture: Path | None = None,
+    progress: Callable[[str], None] = lambda line: None,
+) -> Result:
     """Play it once on loopback. `keep`: a folder in which the books and logs stay."""
     build = build or Build("this checkout", HERE)
     with tempfile.TemporaryDirectory(prefix="saltmoor-lab-") as folder:
@@ -104,8 +116,9 @@
         return play(scenario, seed, build, place, capture, progress)
 
 
-def play(scenario: plan.Scenario, seed: int, build: Build, place: Path, capture: Path | None,
-         progress: Callable[[str], None]) -> Result:
+def play(
+    scenario: plan.Scenario, seed: int, build: Build, place: Path, capture: Path | None, progress: Callable[[str], None]
+) -> Result:
     replayed = scenario.load.replay
     rows = arrivals.replay(Path(replayed), scenario) if replayed else arrivals.draw(scenario, seed)
     arrivals.save(place / "arrivals.npz", rows, scenario)
@@ -137,8 +150,9 @@
             node.start()
         for node in nodes:
             if not node.ready():
-                raise Broken(f"node {node.number} does not serve:\n"
-                             + (place / f"node{node.number}.log").read_text()[-2000:])
+                raise Broken(
+                    f"node {node.number} does not serve:\n" + (place / f"node{node.number}.log").read_text()[-2000:]
+                )
         begin = clock() + 300_000
         for process in crew.members:
             crew.say(process, f"go {begin}")
@@ -163,8 +177,7 @@
     return judge(scenario, seed, build, place, rows, begin, nodes)
 
 
-def judge(scenario: plan.Scenario, seed: int, build: Build, place: Path, rows, begin: int,
-          nodes: list[Node]) -> Result:
+def judge(scenario: plan.Scenario, seed: int, build: Build, place: Path, rows, begin: int, nodes: list[Node]) -> Result:
     """The verdict on what the books in that folder say."""
     written, void, lab = [], [], {}
     most = LATE * min(one.goal_ms for one in scenario.profile)
@@ -197,8 +210,17 @@
     made |= talk.figures(ledger, written, begin)
     if any(fault.on == "server" and fault.kind == "crash" for fault in scenario.fault):
         made["bound_s"], made["bound_in_time_8s"], _ = comeback.bound(scenario)
-    return Result(scenario.name, seed, build.name, {} if void else made, [] if void else bounds(scenario, made),
-                  void, [str(one) for one in breaches[:50]], {} if void else series, lab)
+    return Result(
+        scenario.name,
+        seed,
+        build.name,
+        {} if void else made,
+        [] if void else bounds(scenario, made),
+        void,
+        [str(one) for one in breaches[:50]],
+        {} if void else series,
+        lab,
+    )
 
 
 def bounds(scenario: plan.Scenario, made: dict[str, Any]) -> list[Bound]:
--- a/saltmoor/lab/figures.py
+++ b/saltmoor/lab/figures.py
@@ -24,8 +24,9 @@
     """Milliseconds."""
     made = histogram(times)
     shares = {"p50_ms": 50, "p90_ms": 90, "p99_ms": 99, "p999_ms": 99.9}
-    return {name: round(made.get_value_at_percentile(share) / 1000, 2) if times else 0.0
-            for name, share in shares.items()}
+    return {
+        name: round(made.get_value_at_percentile(share) / 1000, 2) if times else 0.0 for name, share in shares.items()
+    }
 
 
 class Tx:
@@ -70,16 +71,20 @@
     hops = [got for asked in tries for got in asked.gots]
     late = set(ledger.unanswered)
     figures: dict[str, Any] = {
-        "offered_per_s": round(len(txs) / (scenario.length_s - scenario.settle_s), 1), "txs": len(txs),
+        "offered_per_s": round(len(txs) / (scenario.length_s - scenario.settle_s), 1),
+        "txs": len(txs),
         "in_time": share(sum(intime), len(txs)),
         "service": share(sum(one for one, good in zip(worth, intime) if good), sum(worth)),
         "served": share(sum(one > 0 for one in took), len(txs)),
-        "tries_per_tx": ratio(len(tries), len(txs)), "refused": share(hows["refused"], len(tries)),
-        "failed": share(hows["failed"], len(tries)), "no_answer": share(hows["none"], len(tries)),
+        "tries_per_tx": ratio(len(tries), len(txs)),
+        "refused": share(hows["refused"], len(tries)),
+        "failed": share(hows["failed"], len(tries)),
+        "no_answer": share(hows["none"], len(tries)),
         "unanswered": share(sum(asked.id in late for asked in tries), len(tries)),
         **percentiles([one for one in took if one]),
-        "refusal_p99_ms": percentiles([asked.replies[0][0] - asked.at for asked in tries
-                                       if asked.replies and asked.replies[0][1] == "refused"])["p99_ms"],
+        "refusal_p99_ms": percentiles(
+            [asked.replies[0][0] - asked.at for asked in tries if asked.replies and asked.replies[0][1] == "refused"]
+        )["p99_ms"],
         "hops_per_tx": ratio(len(hops), len(txs)),
         "origin_per_tx": ratio(sum(got.server == "origin" for got in hops), len(txs)),
         "busy_per_hop": ratio(sum(got.told == "busy" for got in hops), len(hops)),
@@ -94,24 +99,28 @@
     if len(samples) > 1:
         first, last = samples[0], samples[-1]
         gone = {name: last[name] - first[name] for name in first if name in GROWING}
-        figures |= {"hit_share": share(gone["hits"], gone["hits"] + gone["misses"]),
-                    "fetches_per_s": round(gone["fetches"] / (len(samples) / 4), 1),
-                    "probes_per_tx": ratio(gone["probes"], len(txs)),
-                    "connects_per_tx": ratio(gone["connected"], len(txs)),
-                    "held_most": round(max(one["held_most"] for one in samples), 1)}
+        figures |= {
+            "hit_share": share(gone["hits"], gone["hits"] + gone["misses"]),
+            "fetches_per_s": round(gone["fetches"] / (len(samples) / 4), 1),
+            "probes_per_tx": ratio(gone["probes"], len(txs)),
+            "connects_per_tx": ratio(gone["connected"], len(txs)),
+            "held_most": round(max(one["held_most"] for one in samples), 1),
+        }
     if nodes:
         cpu = sum(one["cpu_s"] for one in nodes)
-        figures |= {"node_cpu_us_per_tx": round(cpu * 1e6 / max(1, len(rows)), 1),
-                    "node_cpu_share_most": max(one["cpu_most"] for one in nodes),
-                    "node_memory_mb": max(one["memory_mb"] for one in nodes),
-                    "node_descriptors": max(one["descriptors"] for one in nodes)}
+        figures |= {
+            "node_cpu_us_per_tx": round(cpu * 1e6 / max(1, len(rows)), 1),
+            "node_cpu_share_most": max(one["cpu_most"] for one in nodes),
+            "node_memory_mb": max(one["memory_mb"] for one in nodes),
+            "node_descriptors": max(one["descriptors"] for one in nodes),
+        }
     return figures
 
 
 def goodput(series: dict[str, Any]) -> dict[str, float]:
     """Transactions in time a second: the best three seconds in a row, and the last three with any load."""
     good = [whole * part for whole, part in zip(series["offered"], series["in_time"])]
-    sums = [sum(good[i:i + 3]) / 3 for i in range(len(good) - 2)]
+    sums = [sum(good[i : i + 3]) / 3 for i in range(len(good) - 2)]
     return {"good_most_per_s": round(max(sums, default=0.0), 1), "good_last_per_s": round(sums[-1], 1) if sums else 0.0}
 
 
@@ -138,8 +147,12 @@
             took[second].append(one)
             good[second] += one <= ledger.profiles[tx.profile].goal_ms * 1000
     shares = [percentiles(one) for one in took]
-    return {"offered": whole, "in_time": [share(a, b) for a, b in zip(good, whole)],
-            "p50_ms": [one["p50_ms"] for one in shares], "p99_ms": [one["p99_ms"] for one in shares],
-            "hops_per_tx": [ratio(a, b) for a, b in zip(hops, whole)],
-            "samples": [[round((at - begin) / 1e6, 2), one] for at, one in ledger.samples],
-            "marks": [[round((at - begin) / 1e6, 2), what] for at, what in ledger.marks]}
+    return {
+        "offered": whole,
+        "in_time": [share(a, b) for a, b in zip(good, whole)],
+        "p50_ms": [one["p50_ms"] for one in shares],
+        "p99_ms": [one["p99_ms"] for one in shares],
+        "hops_per_tx": [ratio(a, b) for a, b in zip(hops, whole)],
+        "samples": [[round((at - begin) / 1e6, 2), one] for at, one in ledger.samples],
+        "marks": [[round((at - begin) / 1e6, 2), what] for at, what in ledger.marks],
+    }
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -98,8 +98,7 @@
             self.asked[ident].sent.append(at)
             self.asked[ident].nodes.append(node)
         else:
-            self.asked[ident] = Asked(ident, at, tx, node, profile, mark, wait, sent=[at],
-                                      nodes=[node])
+            self.asked[ident] = Asked(ident, at, tx, node, profile, mark, wait, sent=[at], nodes=[node])
 
     def _reply(self, at, ident, how, crc, length, hint) -> None:
         self.asked[ident].replies.append((at, how, crc, length, hint))
@@ -227,8 +226,9 @@
     def repeated(self, asked: Asked) -> None:
         """Rule 2, by what was sent and what was said."""
         # What a killed node had sent is no doing of the one that its client asked next; it may arrive after the kill.
-        dead = {node for node, sent, ended in zip(asked.nodes, asked.sent, asked.ended)
-                if self.killed(node, sent, ended)}
+        dead = {
+            node for node, sent, ended in zip(asked.nodes, asked.sent, asked.ended) if self.killed(node, sent, ended)
+        }
         for one in dead:
             self.repeated_by(asked, [got for got in asked.gots if got.node == one], answered=False)
         self.repeated_by(asked, [got for got in asked.gots if got.node not in dead], answered=True)
@@ -248,8 +248,7 @@
                 self.breach(2, asked.id, f"sent to {hop.server} though it may have run at {before[0].server}")
             elif hop.first > before[0].first + profile.window_ms * 1000 + SLACK:
                 late = (hop.first - before[0].last) // 1000
-                self.breach(2, asked.id,
-                            f"sent to {hop.server} {late} ms after {before[0].server}, past its window")
+                self.breach(2, asked.id, f"sent to {hop.server} {late} ms after {before[0].server}, past its window")
         if profile.repeat == "non-idempotent" and answered and asked.replies and asked.replies[0][1] == "refused":
             if any(hop.may_have_run(asked.replies[0][0]) for hop in hops):
                 self.breach(2, asked.id, "refused as harmless to try again though it may have run")
--- a/saltmoor/lab/links.py
+++ b/saltmoor/lab/links.py
@@ -169,8 +169,11 @@
     def struck(self, fault: Fault) -> list[Way]:
         every = list(range(len(self.ports)))
         source, target = fault.from_nodes or every, fault.to_nodes or every
-        return [way for (i, j), way in self.ways.items()
-                if i in source and j in target or fault.both and j in source and i in target]
+        return [
+            way
+            for (i, j), way in self.ways.items()
+            if i in source and j in target or fault.both and j in source and i in target
+        ]
 
     def strike(self, fault: Fault, on: bool) -> None:
         self.book.note("mark", self.driver.line.now, f"peers {fault.kind}{'' if on else ' ends'}")
@@ -187,11 +190,32 @@
             except (OSError, TimeoutError, frames.Strange, msgspec.DecodeError, EOFError):
                 shown = None
             if shown:
-                self.book.note("believes", self.driver.clock(), node, {
-                    "there": sorted(int(one[0][1:]) for one in shown["members"] if one[1] in ("alive", "suspect")),
-                    **{key: shown[key] for key in ("root", "items", "phase", "took_ms", "sent_bytes", "came_bytes",
-                                                   "refused", "dropped", "slowest_us", "pulls", "repairs", "life",
-                                                   "given_bytes")}})
+                self.book.note(
+                    "believes",
+                    self.driver.clock(),
+                    node,
+                    {
+                        "there": sorted(int(one[0][1:]) for one in shown["members"] if one[1] in ("alive", "suspect")),
+                        **{
+                            key: shown[key]
+                            for key in (
+                                "root",
+                                "items",
+                                "phase",
+                                "took_ms",
+                                "sent_bytes",
+                                "came_bytes",
+                                "refused",
+                                "dropped",
+                                "slowest_us",
+                                "pulls",
+                                "repairs",
+                                "life",
+                                "given_bytes",
+                            )
+                        },
+                    },
+                )
             await asyncio.sleep(LOOK)
 
     async def ask(self, node: int, what: str) -> dict[str, Any]:
@@ -212,7 +236,14 @@
 
 def operators(cluster_file: dict[str, Any]) -> str:
     """A node's operators' file with a table of peers."""
-    lines = ["[peers]", f'cluster = "{CLUSTER}"', f'listen = "{cluster_file["listen"]}"',
-             f"seeds = {msgspec.json.encode(cluster_file['seeds']).decode()}", f'site = "{cluster_file["site"]}"',
-             'source = "lab"', f"use = {msgspec.json.encode(cluster_file['use']).decode()}", "[peers.via]"]
+    lines = [
+        "[peers]",
+        f'cluster = "{CLUSTER}"',
+        f'listen = "{cluster_file["listen"]}"',
+        f"seeds = {msgspec.json.encode(cluster_file['seeds']).decode()}",
+        f'site = "{cluster_file["site"]}"',
+        'source = "lab"',
+        f"use = {msgspec.json.encode(cluster_file['use']).decode()}",
+        "[peers.via]",
+    ]
     return "\n".join(lines + [f'{name} = "{place}"' for name, place in cluster_file["via"].items()]) + "\n"
--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -53,23 +53,47 @@
     may, cold, fleet = scenario.nodes, scenario.cold, scenario.fleet
     kinds = [kind.name for kind in fleet.kind or [plan.Kind(name="std")]]
     return {
-        "classes": [{"name": one.name, "aim_ns": int(one.goal_ms * 1e6), "deadline_ns": int(one.limit_ms * 1e6),
-                     "repeat": REPEATS[one.repeat], "group": "all", "key_ttl_ns": int(one.window_ms * 1e6),
-                     "worth": one.revenue} for one in scenario.profile],
-        "tenants": [{"name": one.name, "quota_per_s": one.quota_per_s or scenario.load.rate * 2}
-                    for one in scenario.tenant],
-        "azs": fleet.sites, "kinds": [*kinds, "origin"], "fleet_size": may.told or may.count,
-        "locality": node % len(fleet.sites), "membership_mode": "subscribe",
+        "classes": [
+            {
+                "name": one.name,
+                "aim_ns": int(one.goal_ms * 1e6),
+                "deadline_ns": int(one.limit_ms * 1e6),
+                "repeat": REPEATS[one.repeat],
+                "group": "all",
+                "key_ttl_ns": int(one.window_ms * 1e6),
+                "worth": one.revenue,
+            }
+            for one in scenario.profile
+        ],
+        "tenants": [
+            {"name": one.name, "quota_per_s": one.quota_per_s or scenario.load.rate * 2} for one in scenario.tenant
+        ],
+        "azs": fleet.sites,
+        "kinds": [*kinds, "origin"],
+        "fleet_size": may.told or may.count,
+        "locality": node % len(fleet.sites),
+        "membership_mode": "subscribe",
         "family_info": {"mode": fleet.mode, "origin_kind": len(kinds)},
         "report": {"how": "on_probe", "columns": fleet.report},
-        "permissions": {"max_attempts": may.hops, "may_duplicate": may.copies, "cancel": may.cancel,
-                        "probes": may.probes, "retry_after": may.hint_ms > 0,
-                        "max_retry_after_ns": int(may.hint_ms * 1e6), "conn_idle_ns": int(fleet.idle_s * 1e9),
-                        "connect_timeout_ns": 250_000_000},
-        "rules": {"ask_within_ns": int(scenario.discovery.within_s * 1e9), "cold_from": cold.share,
-                  "cold_ns": int(cold.warm_s * 1e9), "overload_factor": cold.multiple,
-                  "fall_ns": int(cold.window_s * 1e9),
-                  "stop_sending_within_ns": int(scenario.discovery.grace_ms * 1e6)}}
+        "permissions": {
+            "max_attempts": may.hops,
+            "may_duplicate": may.copies,
+            "cancel": may.cancel,
+            "probes": may.probes,
+            "retry_after": may.hint_ms > 0,
+            "max_retry_after_ns": int(may.hint_ms * 1e6),
+            "conn_idle_ns": int(fleet.idle_s * 1e9),
+            "connect_timeout_ns": 250_000_000,
+        },
+        "rules": {
+            "ask_within_ns": int(scenario.discovery.within_s * 1e9),
+            "cold_from": cold.share,
+            "cold_ns": int(cold.warm_s * 1e9),
+            "overload_factor": cold.multiple,
+            "fall_ns": int(cold.window_s * 1e9),
+            "stop_sending_within_ns": int(scenario.discovery.grace_ms * 1e6),
+        },
+    }
 
 
 def listening(port: int) -> int:
@@ -93,8 +117,7 @@
 class Node:
     """One node's process, and the next one after it."""
 
-    def __init__(self, number: int, scenario: plan.Scenario, build: Build, run: Path, book: Book,
-                 seed: int) -> None:
+    def __init__(self, number: int, scenario: plan.Scenario, build: Build, run: Path, book: Book, seed: int) -> None:
         self.number, self.scenario, self.build, self.run, self.book = number, scenario, build, run, book
         self.seed, self.starts, self.process, self.wanted = seed, 0, None, True
         # Guards against two nodes at one port, each of which would start there: bound to the end of the run, and
@@ -114,10 +137,16 @@
 
     def configure(self, discovery: str, known: dict[str, Any]) -> None:
         limits = self.scenario.nodes
-        said = {"name": f"n{self.number}", "listen": f"{HOST}:{self.port}", "discovery": discovery,
-                "seed": f"{self.seed * 1000 + self.number * 10 + self.starts:016x}",
-                "limits": {"memory_mb": limits.memory_mb, "sockets": limits.sockets}, "known": known,
-                "serve": {"linger_ms": limits.linger_ms}, "settings": settings(self.scenario, self.number)}
+        said = {
+            "name": f"n{self.number}",
+            "listen": f"{HOST}:{self.port}",
+            "discovery": discovery,
+            "seed": f"{self.seed * 1000 + self.number * 10 + self.starts:016x}",
+            "limits": {"memory_mb": limits.memory_mb, "sockets": limits.sockets},
+            "known": known,
+            "serve": {"linger_ms": limits.linger_ms},
+            "settings": settings(self.scenario, self.number),
+        }
         self.file.write_text(json.dumps(plan.merged(said, self.build.overlay)))
 
     def start(self) -> None:
@@ -130,9 +159,13 @@
             words.append(f"--operators={file}")
         log = (self.run / f"node{self.number}.log").open("ab")
         self.process = subprocess.Popen(
-            words, cwd=self.build.folder,
-            env=os.environ | {"PYTHONPATH": str(self.build.folder)}, stdout=log, stderr=log,
-            stdin=subprocess.DEVNULL)
+            words,
+            cwd=self.build.folder,
+            env=os.environ | {"PYTHONPATH": str(self.build.folder)},
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+        )
         log.close()
 
     def operators(self) -> str:
@@ -143,9 +176,15 @@
             text += f'[state]\nfolder = "{self.state}"\nevery_ms = 500\n'
         if limits.peers:
             sites = self.scenario.fleet.sites
-            text += links.operators({
-                "listen": f"{links.HOST}:{self.port}", "seeds": list(self.via.values())[:3],
-                "site": sites[self.number % len(sites)], "via": self.via, "use": limits.use})
+            text += links.operators(
+                {
+                    "listen": f"{links.HOST}:{self.port}",
+                    "seeds": list(self.via.values())[:3],
+                    "site": sites[self.number % len(sites)],
+                    "via": self.via,
+                    "use": limits.use,
+                }
+            )
         return text
 
     def ready(self) -> bool:
@@ -246,7 +285,7 @@
             case "old":
                 data = aged(bytes(data), int(fault.ms * 1000))
             case "cut":
-                del data[len(data) // 2:]
+                del data[len(data) // 2 :]
             case "flipped":
                 data[len(data) // 2] ^= 0x10
             case "foreign":
@@ -272,8 +311,12 @@
                 self.process.wait()
 
     def used(self) -> dict[str, Any]:
-        return {"cpu_s": self.cpu_s, "cpu_most": self.cpu_most, "memory_mb": self.memory_mb,
-                "descriptors": self.descriptors}
+        return {
+            "cpu_s": self.cpu_s,
+            "cpu_most": self.cpu_most,
+            "memory_mb": self.memory_mb,
+            "descriptors": self.descriptors,
+        }
 
 
 class Keeper(threading.Thread):
--- a/saltmoor/lab/origin.py
+++ b/saltmoor/lab/origin.py
@@ -36,11 +36,12 @@
     def work(self, write: bool) -> float:
         """Of one exchange; lognormal."""
         mean = self.spec.work_ms * 1000 * (self.spec.write if write else 1.0)
-        sigma = sqrt(log(1 + self.spec.cv ** 2))
+        sigma = sqrt(log(1 + self.spec.cv**2))
         return mean * self.rng.lognormvariate(-sigma * sigma / 2, sigma) if sigma else mean
 
-    def take(self, ident: str, key: bytes, write: bool, pairs: dict[bytes, bytes],
-             done: Callable[[str, object], None]) -> None:
+    def take(
+        self, ident: str, key: bytes, write: bool, pairs: dict[bytes, bytes], done: Callable[[str, object], None]
+    ) -> None:
         """Do one read or write; `done` hears 'done' with a copy or receipt, or 'busy'."""
         work = self.work(write)
         self._offered(work)
@@ -84,8 +85,15 @@
         self.stage.book.note("ran", now, self.name, ident, mark, key.decode("latin-1"))
         return receipt
 
-    def pass_on(self, server: Server, ident: str, key: bytes, write: bool, pairs: dict[bytes, bytes],
-                done: Callable[[str, object], None]) -> None:
+    def pass_on(
+        self,
+        server: Server,
+        ident: str,
+        key: bytes,
+        write: bool,
+        pairs: dict[bytes, bytes],
+        done: Callable[[str, object], None],
+    ) -> None:
         """From a cache server that fetches for itself; reads of one key there share a fetch."""
         if write:
             self.take(ident, key, True, pairs, done)
@@ -178,8 +186,18 @@
             return
         slot = Slot(ident, first, "write" if write else "read")
         self.slots.append(slot)
-        self.book.note("got", first, self.line.now, server.name, self.node, ident, method.decode(),
-                       key.decode("latin-1"), pairs.get(b"k", b"").decode("latin-1"), self.number)
+        self.book.note(
+            "got",
+            first,
+            self.line.now,
+            server.name,
+            self.node,
+            ident,
+            method.decode(),
+            key.decode("latin-1"),
+            pairs.get(b"k", b"").decode("latin-1"),
+            self.number,
+        )
         kind = server.spoilt_by(("errors", "full"))
         if kind == "errors":
             self._answer(slot, 500, b"", "failed")
--- a/saltmoor/lab/passing.py
+++ b/saltmoor/lab/passing.py
@@ -92,19 +92,49 @@
 
 
 def config(ports: list[int]) -> dict[str, Any]:
-    known = [{"instanceId": f"c{i}", "hostPort": f"{HOST}:{port}", "zone": "home", "cell": 0, "lifecycle": "up",
-              "weight": 1.0, "machineType": "plain", "startedAtMs": 0} for i, port in enumerate(ports)]
-    return {"name": "passing", "listen": f"{HOST}:0", "limits": {"memory_mb": 192, "sockets": 1024},
-            "known": {"generation": 1, "reset": True, "instances": known},
-            "settings": {"azs": ["home"], "kinds": ["plain"], "classes": [CLASS],
-                         "report": {"how": "on_probe", "columns": ["queue"]},
-                         "permissions": {"max_attempts": 3, "cancel": True, "probes": True,
-                                         "conn_idle_ns": 30_000_000_000, "connect_timeout_ns": 1_000_000_000}}}
+    known = [
+        {
+            "instanceId": f"c{i}",
+            "hostPort": f"{HOST}:{port}",
+            "zone": "home",
+            "cell": 0,
+            "lifecycle": "up",
+            "weight": 1.0,
+            "machineType": "plain",
+            "startedAtMs": 0,
+        }
+        for i, port in enumerate(ports)
+    ]
+    return {
+        "name": "passing",
+        "listen": f"{HOST}:0",
+        "limits": {"memory_mb": 192, "sockets": 1024},
+        "known": {"generation": 1, "reset": True, "instances": known},
+        "settings": {
+            "azs": ["home"],
+            "kinds": ["plain"],
+            "classes": [CLASS],
+            "report": {"how": "on_probe", "columns": ["queue"]},
+            "permissions": {
+                "max_attempts": 3,
+                "cancel": True,
+                "probes": True,
+                "conn_idle_ns": 30_000_000_000,
+                "connect_timeout_ns": 1_000_000_000,
+            },
+        },
+    }
 
 
 def part(*words: str) -> subprocess.Popen:
-    return subprocess.Popen([sys.executable, "-B", "-m", "saltmoor.lab.passing", *words], cwd=HERE, text=True,
-                            stdin=subprocess.PIPE, stdout=subprocess.PIPE, env=os.environ | {"PYTHONPATH": str(HERE)})
+    return subprocess.Popen(
+        [sys.executable, "-B", "-m", "saltmoor.lab.passing", *words],
+        cwd=HERE,
+        text=True,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        env=os.environ | {"PYTHONPATH": str(HERE)},
+    )
 
 
 def serve(folder: Path, ports: list[int]) -> tuple[subprocess.Popen, int]:
@@ -112,8 +142,13 @@
     place, log = folder / "node.json", folder / "node.log"
     place.write_text(json.dumps(config(ports)))
     with log.open("wb") as out:
-        node = subprocess.Popen([sys.executable, "-B", "-m", "saltmoor", "serve", f"--config={place}"], cwd=HERE,
-                                stderr=out, stdout=out, env=os.environ | {"PYTHONPATH": str(HERE)})
+        node = subprocess.Popen(
+            [sys.executable, "-B", "-m", "saltmoor", "serve", f"--config={place}"],
+            cwd=HERE,
+            stderr=out,
+            stdout=out,
+            env=os.environ | {"PYTHONPATH": str(HERE)},
+        )
     for _ in range(200):
         for line in log.read_text().splitlines():
             if "serving at " in line:
@@ -150,9 +185,15 @@
                 one.wait()
     served = sum(one["served"] for one in made)
     core, waited = (after[0] - before[0]) / span, (after[1] - before[1]) / span
-    row = {"value_bytes": size, "served_per_s": round(served / seconds, 1), "other": sum(one["other"] for one in made),
-           "mbyte_per_s": round(sum(one["bytes"] for one in made) / seconds / 1e6, 1), "core": round(core, 3),
-           "waited_for_a_core": round(waited, 3), "memory_mb": round(after[2] / 1e6, 1)}
+    row = {
+        "value_bytes": size,
+        "served_per_s": round(served / seconds, 1),
+        "other": sum(one["other"] for one in made),
+        "mbyte_per_s": round(sum(one["bytes"] for one in made) / seconds / 1e6, 1),
+        "core": round(core, 3),
+        "waited_for_a_core": round(waited, 3),
+        "memory_mb": round(after[2] / 1e6, 1),
+    }
     if served:
         row["core_us_a_request"] = round(core * 1e6 / (served / seconds), 1)
         row["per_core_per_s"] = round(served / seconds / core, 1)
@@ -168,12 +209,24 @@
         if row["void"]:
             continue
         limit = "at its limit" if row["at_its_limit"] else "not at its limit"
-        how = (f"one real node, {ASKERS * CONNECTIONS} connections in a closed loop, {seconds:g} s, {limit}: {row['core']:g} of a "
-               f"core, waited {row['waited_for_a_core']:.1%} for one")
-        for name, unit in ("served_per_s", "requests/s"), ("mbyte_per_s", "MB/s"), ("core_us_a_request", "us of a core"), (
-                "memory_mb", "MB at most"):
-            made.append({"what": f"{row['value_bytes']:,} bytes a value: {name.replace('_', ' ')}", "unit": unit,
-                         "value": row[name], "how": how})
+        how = (
+            f"one real node, {ASKERS * CONNECTIONS} connections in a closed loop, {seconds:g} s, {limit}: {row['core']:g} of a "
+            f"core, waited {row['waited_for_a_core']:.1%} for one"
+        )
+        for name, unit in (
+            ("served_per_s", "requests/s"),
+            ("mbyte_per_s", "MB/s"),
+            ("core_us_a_request", "us of a core"),
+            ("memory_mb", "MB at most"),
+        ):
+            made.append(
+                {
+                    "what": f"{row['value_bytes']:,} bytes a value: {name.replace('_', ' ')}",
+                    "unit": unit,
+                    "value": row[name],
+                    "how": how,
+                }
+            )
     return made
 
 
@@ -183,12 +236,15 @@
         rows.append(measure(size, seconds))
         print("  ".join(f"{name} {value}" for name, value in rows[-1].items() if value != ""), flush=True)
     if path:
-        Path(path).write_text(json.dumps({"command": "saltmoor lab passing", "rows": counted(rows, seconds)}, indent=1) + "\n")
+        Path(path).write_text(
+            json.dumps({"command": "saltmoor lab passing", "rows": counted(rows, seconds)}, indent=1) + "\n"
+        )
     return 0 if all(not row["void"] for row in rows) else 1
 
 
 if __name__ == "__main__":
     import uvloop
+
     match sys.argv[1:]:
         case ["answer", size]:
             uvloop.run(answer(int(size)))
--- a/saltmoor/lab/registry.py
+++ b/saltmoor/lab/registry.py
@@ -39,10 +39,16 @@
             view.update(self.entries)
 
     def entry(self, server, state: str) -> dict:
-        return {"instanceId": server.name, "zone": server.site, "cell": 0, "lifecycle": state, "weight": 1.0,
-                "machineType": "origin" if server is self.stage.origin else server.kind.name,
-                "startedAtMs": server.started and (server.started + self.stage.to_unix) // 1000,
-                "ports": [port.number for port in server.ports]}
+        return {
+            "instanceId": server.name,
+            "zone": server.site,
+            "cell": 0,
+            "lifecycle": state,
+            "weight": 1.0,
+            "machineType": "origin" if server is self.stage.origin else server.kind.name,
+            "startedAtMs": server.started and (server.started + self.stage.to_unix) // 1000,
+            "ports": [port.number for port in server.ports],
+        }
 
     def change(self, server, state: str, late: int = 0) -> None:
         """A server's line changes; every node hears of it, each in its time and `late` more."""
@@ -70,8 +76,11 @@
 
     def known(self, node: int) -> dict:
         """The list as a node had it last, for its configuration."""
-        return {"generation": self.generation, "reset": True,
-                "instances": [self.render(entry, node) for entry in self.views[node].values()]}
+        return {
+            "generation": self.generation,
+            "reset": True,
+            "instances": [self.render(entry, node) for entry in self.views[node].values()],
+        }
 
     def render(self, entry: dict, node: int) -> dict:
         plain = {name: value for name, value in entry.items() if name != "ports"}
@@ -154,14 +163,18 @@
 
     def tell(self, entries: list[dict], reset: bool) -> None:
         registry, book = self.registry, self.registry.stage.book
-        said = {"generation": registry.generation, "reset": reset,
-                "instances": [registry.render(entry, self.node) for entry in entries]}
+        said = {
+            "generation": registry.generation,
+            "reset": reset,
+            "instances": [registry.render(entry, self.node) for entry in entries],
+        }
         self._chunk(json.dumps(said).encode() + b"\n")
         for entry in entries:
             book.note("listed", self.line.now, self.node, entry["instanceId"], entry["lifecycle"])
         if reset:
-            book.note("listed", self.line.now, self.node, "", "only " + " ".join(
-                entry["instanceId"] for entry in entries))
+            book.note(
+                "listed", self.line.now, self.node, "", "only " + " ".join(entry["instanceId"] for entry in entries)
+            )
 
     def _beat(self) -> None:
         if not self.wire.over:
--- a/saltmoor/lab/report.py
+++ b/saltmoor/lab/report.py
@@ -11,12 +11,24 @@
 
 from saltmoor.lab.scenario import Faulty
 
-STYLE = ("body{font:15px/1.5 sans-serif;max-width:62em;margin:2em auto;padding:0 1em;color:#222}"
-         "table{border-collapse:collapse;margin:1em 0}td,th{padding:.15em .8em;text-align:right;"
-         "border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}"
-         ".broken{color:#b00020;font-weight:bold}img{max-width:100%}")
-HEAD = ("in_time", "service", "refused", "failed", "unanswered", "p50_ms", "p99_ms", "hops_per_tx", "hit_share",
-        "breaches")
+STYLE = (
+    "body{font:15px/1.5 sans-serif;max-width:62em;margin:2em auto;padding:0 1em;color:#222}"
+    "table{border-collapse:collapse;margin:1em 0}td,th{padding:.15em .8em;text-align:right;"
+    "border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}"
+    ".broken{color:#b00020;font-weight:bold}img{max-width:100%}"
+)
+HEAD = (
+    "in_time",
+    "service",
+    "refused",
+    "failed",
+    "unanswered",
+    "p50_ms",
+    "p99_ms",
+    "hops_per_tx",
+    "hit_share",
+    "breaches",
+)
 
 
 def read(path: Path) -> list[dict[str, Any]]:
@@ -34,8 +46,10 @@
 def picture(result: dict[str, Any]) -> str:
     """Six small plots over one time axis, as an image in the page."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     series = result["series"]
     seconds = range(len(series["offered"]))
     at, samples = [one[0] for one in series["samples"]], [one[1] for one in series["samples"]]
@@ -43,10 +57,11 @@
     plots = [
         ("in time, share", [(seconds, series["in_time"], "")]),
         ("offered, a second", [(seconds, series["offered"], "")]),
-        ("time until served, ms", [(seconds, series["p50_ms"], "median"),
-                                   (seconds, series["p99_ms"], "99%")]),
-        ("held at a server", [(at, [one["held_most"] for one in samples], "most"),
-                              (at, [one["held_mean"] for one in samples], "mean")]),
+        ("time until served, ms", [(seconds, series["p50_ms"], "median"), (seconds, series["p99_ms"], "99%")]),
+        (
+            "held at a server",
+            [(at, [one["held_most"] for one in samples], "most"), (at, [one["held_mean"] for one in samples], "mean")],
+        ),
         ("hops a transaction", [(seconds, series["hops_per_tx"], "")]),
         ("fetches, a second", [(at[1:], fetched, "")]),
     ]
@@ -69,8 +84,10 @@
     kept = io.BytesIO()
     figure.savefig(kept, format="png", dpi=90)
     pyplot.close(figure)
-    return f'<img alt="{escape(result["scenario"])} over time" src="data:image/png;base64,' \
-           f'{base64.b64encode(kept.getvalue()).decode()}">'
+    return (
+        f'<img alt="{escape(result["scenario"])} over time" src="data:image/png;base64,'
+        f'{base64.b64encode(kept.getvalue()).decode()}">'
+    )
 
 
 def table(heads: list[str], rows: list[list[Any]]) -> str:
@@ -83,21 +100,39 @@
     name = f"<h2>{escape(result['scenario'])}, seed {result['seed']}, {escape(result['build'])}</h2>"
     if result["void"]:
         return name + "".join(f'<p class="broken">Void: {escape(why)}</p>' for why in result["void"])
-    bounds = [[one["name"], "at least" if one["least"] else "at most", one["limit"], one["figure"],
-               "held" if one["held"] else "BROKEN"] for one in result["bounds"]]
+    bounds = [
+        [
+            one["name"],
+            "at least" if one["least"] else "at most",
+            one["limit"],
+            one["figure"],
+            "held" if one["held"] else "BROKEN",
+        ]
+        for one in result["bounds"]
+    ]
     breaches = "".join(f'<p class="broken">{escape(one)}</p>' for one in result["breaches"][:20])
-    return (name + picture(result) + table(["bound", "", "limit", "figure", ""], bounds) + breaches
-            + table(["figure", ""], [[key, value] for key, value in result["figures"].items()]))
+    return (
+        name
+        + picture(result)
+        + table(["bound", "", "limit", "figure", ""], bounds)
+        + breaches
+        + table(["figure", ""], [[key, value] for key, value in result["figures"].items()])
+    )
 
 
 def write(files: list[Path], html: Path) -> int:
     results = [one for path in files for one in read(path)]
-    rows = [[one["scenario"], one["seed"], one["build"]] + (
-        ["void"] + [""] * (len(HEAD) - 1) if one["void"] else [one["figures"].get(key, "") for key in HEAD])
-        for one in results]
-    html.write_text(f'<!doctype html><meta charset="utf-8"><title>saltmoor lab</title><style>{STYLE}</style>'
-                    f"<h1>saltmoor lab</h1><p>Measured on loopback with stand-in servers.</p>"
-                    + table(["scenario", "seed", "build", *HEAD], rows) + "".join(map(section, results)))
+    rows = [
+        [one["scenario"], one["seed"], one["build"]]
+        + (["void"] + [""] * (len(HEAD) - 1) if one["void"] else [one["figures"].get(key, "") for key in HEAD])
+        for one in results
+    ]
+    html.write_text(
+        f'<!doctype html><meta charset="utf-8"><title>saltmoor lab</title><style>{STYLE}</style>'
+        f"<h1>saltmoor lab</h1><p>Measured on loopback with stand-in servers.</p>"
+        + table(["scenario", "seed", "build", *HEAD], rows)
+        + "".join(map(section, results))
+    )
     print(f"{html}: {len(results)} runs")
     held = all(not one["void"] and all(bound["held"] for bound in one["bounds"]) for one in results)
     return 0 if held else 1
--- a/saltmoor/lab/scale.py
+++ b/saltmoor/lab/scale.py
@@ -47,8 +47,9 @@
     """Guards against a run that takes the machine from everybody else on it."""
     wanted = MEMBER_MB * members
     if wanted > MEMORY_PART * memory_mb():
-        raise Faulty(f"--size: {members} members may take {wanted:.0f} MB, over half of this machine's "
-                     f"{memory_mb():.0f} MB")
+        raise Faulty(
+            f"--size: {members} members may take {wanted:.0f} MB, over half of this machine's {memory_mb():.0f} MB"
+        )
     if processes > MOST_PROCESSES:
         raise Faulty(f"--size: {members} members need {processes} processes, over {MOST_PROCESSES}")
 
@@ -77,8 +78,12 @@
         if event not in ("calm", *scale_town.EVENTS[1:]):
             raise Faulty(f"--event: {event!r} is none; there are calm, {', '.join(scale_town.EVENTS[1:])}")
     seed = int(real(said["--seed"], "--seed", 0, 1 << 30))
-    return [scale_town.Plan(size, rate, "" if event == "calm" else event, span, seed, loss)
-            for event in events for size in sizes for rate in rates]
+    return [
+        scale_town.Plan(size, rate, "" if event == "calm" else event, span, seed, loss)
+        for event in events
+        for size in sizes
+        for rate in rates
+    ]
 
 
 def judged(rows: list[Row], fits: list[Fit]) -> list[Bound]:
@@ -94,9 +99,16 @@
     for fit in fits:
         role = "fleet" if fit.mechanism == "log" else "node"  # the mean over relays and others
         if (fit.role, fit.figure) == (role, "bytes_per_s") and fit.flat is not None:
-            found.append(Bound(f"{fit.clock} {fit.mechanism} at {fit.changes_per_s:g}/s: bytes_per_s a node from "
-                               f"{scale_fit.FLAT_FROM} to {max(fit.sizes)} members, growth", fit.flat,
-                               scale_fit.FLAT, False, fit.flat <= scale_fit.FLAT))
+            found.append(
+                Bound(
+                    f"{fit.clock} {fit.mechanism} at {fit.changes_per_s:g}/s: bytes_per_s a node from "
+                    f"{scale_fit.FLAT_FROM} to {max(fit.sizes)} members, growth",
+                    fit.flat,
+                    scale_fit.FLAT,
+                    False,
+                    fit.flat <= scale_fit.FLAT,
+                )
+            )
     return found
 
 
@@ -111,21 +123,26 @@
         if fit.figure in ("bytes_per_s", "pulls_per_s", "core", "p999_s"):
             at, factor = scale_fit.grown(fit, scale_town.FLEET)
             said = f"; extrapolated {factor:.1f} times to {scale_town.FLEET}: {at:.4g}" if factor > 1 else ""
-            print(f"  fit {fit.mechanism} {fit.clock} {fit.changes_per_s:g}/s {fit.role or 'spread'} {fit.figure}: "
-                  f"{fit.at_none:.4g} + {fit.slope:.4g} a member, residuals "
-                  f"{' '.join(f'{one:.3g}' for one in fit.residuals)}{said}")
+            print(
+                f"  fit {fit.mechanism} {fit.clock} {fit.changes_per_s:g}/s {fit.role or 'spread'} {fit.figure}: "
+                f"{fit.at_none:.4g} + {fit.slope:.4g} a member, residuals "
+                f"{' '.join(f'{one:.3g}' for one in fit.residuals)}{said}"
+            )
     for bound in found:
         print(f"  {'held  ' if bound.held else 'BROKEN'} {bound.name} at most {bound.limit:g}: {bound.figure}")
 
 
-def run(said: dict, words: list[str],
-        say: Callable[[str], None] = lambda line: print(line, file=sys.stderr, flush=True)) -> int:
+def run(
+    said: dict, words: list[str], say: Callable[[str], None] = lambda line: print(line, file=sys.stderr, flush=True)
+) -> int:
     """`words`: the command line behind `lab`, as the data will name it."""
     if said["--page"] is not None:
         from saltmoor.lab import scale_page
+
         return scale_page.write(Path(said["--page"]))
     if said["--counts"] is not None:
         from saltmoor.lab import scale_counts
+
         return scale_counts.write(Path(said["--counts"]), command(words))
     names = said["--mechanism"] or ["peers"]
     for name in names:
@@ -141,6 +158,7 @@
             begun = time.monotonic()
             if said["--live"]:
                 from saltmoor.lab import scale_live
+
                 row = scale_live.play(plan)
             else:
                 row = scale_town.play(plan, ways()[name])
@@ -155,19 +173,22 @@
         keep(Path(said["--json"]), rows, words)
     if said["--plot"]:
         from saltmoor.lab import scale_plot
+
         scale_plot.write(rows, Path(said["--plot"]))
     return 0 if all(bound.held for bound in found) and not any(row.void for row in rows) else 1
 
 
 def command(words: list[str]) -> str:
     """As it was given, but for where it writes."""
-    return " ".join(["saltmoor lab", *(f"{name}=FILE" if (name := word.partition("=")[0]) in WRITES else word
-                                       for word in words)])
+    return " ".join(
+        ["saltmoor lab", *(f"{name}=FILE" if (name := word.partition("=")[0]) in WRITES else word for word in words)]
+    )
 
 
 def build() -> str:
     def git(*said: str) -> str:
         return subprocess.run(["git", *said], cwd=HERE, capture_output=True, text=True, check=False).stdout.strip()
+
     return git("rev-parse", "--short", "HEAD") + ("+" if git("status", "--porcelain", "saltmoor") else "")
 
 
--- a/saltmoor/lab/scale_counts.py
+++ b/saltmoor/lab/scale_counts.py
@@ -22,11 +22,14 @@
 
 ROUNDS = 7  # of each timing; the middle one counts
 STEP = 10_000  # microseconds between two requests of one node for a cold server's keys: more than it may send
-SCENARIO = {"name": "counts", "about": "the plan's fleet",
-            "fleet": {"servers": PLAN["servers"], "sites": [f"s{i}" for i in range(PLAN["sites"])]},
-            "cold": {"share": 0.1, "warm_s": 30, "multiple": 2, "window_s": 1},
-            "profile": [{"name": "read", "share": 1, "work_ms": 30, "goal_ms": 150, "limit_ms": 600}],
-            "load": {"rate": 500, "keys": 1000}}
+SCENARIO = {
+    "name": "counts",
+    "about": "the plan's fleet",
+    "fleet": {"servers": PLAN["servers"], "sites": [f"s{i}" for i in range(PLAN["sites"])]},
+    "cold": {"share": 0.1, "warm_s": 30, "multiple": 2, "window_s": 1},
+    "profile": [{"name": "read", "share": 1, "work_ms": 30, "goal_ms": 150, "limit_ms": 600}],
+    "load": {"rate": 500, "keys": 1000},
+}
 
 
 class Count(msgspec.Struct):
@@ -55,8 +58,10 @@
 
 
 def members(cold: int = -1, now: int = 0) -> list[model.Member]:
-    return [model.Member(f"server-{i:02}", i % 31, 0, 0, model.Readiness.READY, 1.0, now if i == cold else 0)
-            for i in range(PLAN["servers"])]
+    return [
+        model.Member(f"server-{i:02}", i % 31, 0, 0, model.Readiness.READY, 1.0, now if i == cold else 0)
+        for i in range(PLAN["servers"])
+    ]
 
 
 def node(seed: int, count: int) -> choice.Node:
@@ -86,9 +91,19 @@
 
 def list_bytes() -> tuple[int, int]:
     """Of the whole list in the lab's discovery's form, and of one line of it."""
-    lines = [{"instanceId": f"server-{i:02}", "zone": f"site-{i % 31:02}", "cell": 0, "lifecycle": "ready",
-              "weight": 1.0, "machineType": "quick-4", "startedAtMs": 1_800_000_000_000,
-              "hostPort": f"10.0.{i}.1:11211"} for i in range(PLAN["servers"])]
+    lines = [
+        {
+            "instanceId": f"server-{i:02}",
+            "zone": f"site-{i % 31:02}",
+            "cell": 0,
+            "lifecycle": "ready",
+            "weight": 1.0,
+            "machineType": "quick-4",
+            "startedAtMs": 1_800_000_000_000,
+            "hostPort": f"10.0.{i}.1:11211",
+        }
+        for i in range(PLAN["servers"])
+    ]
     return len(json.dumps({"generation": 1000, "reset": True, "instances": lines})), len(json.dumps(lines[0]))
 
 
@@ -106,6 +121,7 @@
     def put() -> None:
         number[0] += 1
         store.put(10**6 + number[0], Item.made("change", f"new{number[0]:06}", 1, b"\0" * 40))
+
     return took_us(put, 20)
 
 
@@ -118,12 +134,20 @@
 
     for count in (8, 60, nodes):
         rooms = sum(Room(count).limit for _ in range(count))
-        add(f"origin: requests out at once that {count} nodes begin with, together", "requests", rooms,
-            f"recovery/room.py: sum of Room({count}).limit; meant for the fleet: FIRST = {FIRST:g}")
+        add(
+            f"origin: requests out at once that {count} nodes begin with, together",
+            "requests",
+            rooms,
+            f"recovery/room.py: sum of Room({count}).limit; meant for the fleet: FIRST = {FIRST:g}",
+        )
     for count in (8, 60, nodes):
         first, second = cold_attempts(count)
-        add(f"cold server: attempts of {count} nodes in its first 10 ms", "attempts", first,
-            "choice.Node.within_cold_budget, always one more wanted; share 0.1, multiple 2, window 1 s")
+        add(
+            f"cold server: attempts of {count} nodes in its first 10 ms",
+            "attempts",
+            first,
+            "choice.Node.within_cold_budget, always one more wanted; share 0.1, multiple 2, window 1 s",
+        )
         add(f"cold server: attempts of {count} nodes in its first second", "attempts", second, "the same")
     whole, line = list_bytes()
     add("discovery: bytes of the whole list", "bytes", whole, "the lab's discovery's form, 52 lines")
@@ -133,27 +157,45 @@
     def listed() -> None:
         turn[0] += 1
         one.listed(turn[0] * 1000, model.ListKind.FULL, members())
+
     add("node: processor time of a whole list", "us", took_us(listed, 50), "choice.Node.listed, 52 servers")
     key = [0]
 
     def ranked() -> None:
         key[0] += 1
         one.ranked(key[0])
-    add("node: processor time to rank a key that is not kept", "us", took_us(ranked, 200),
-        "choice.Node.ranked, 52 servers; 20,000 keys are kept")
+
+    add(
+        "node: processor time to rank a key that is not kept",
+        "us",
+        took_us(ranked, 200),
+        "choice.Node.ranked, 52 servers; 20,000 keys are kept",
+    )
     names = [f"node-{i:03}" for i in range(nodes)]
     for count in (60, nodes):
         some = names[:count]
-        add(f"node: processor time to find a key's owner of a fetch lease among {count}", "us",
-            took_us(lambda: keeper(key[0], some), 50), "replica/turns.py: keeper, once a miss")
+        add(
+            f"node: processor time to find a key's owner of a fetch lease among {count}",
+            "us",
+            took_us(lambda: keeper(key[0], some), 50),
+            "replica/turns.py: keeper, once a miss",
+        )
     add("table: processor time of a put below its bound", "us", puts(1_000), "replica/items.py: Store.put, 1,000 kept")
     add("table: processor time of a put at its bound", "us", puts(UNKNOWN.most), f"the same, {UNKNOWN.most} kept")
     store = full(5_000)
-    add("table: processor time of a look for what is too old", "us", took_us(lambda: store.expire(1), 5),
-        "Store.expire, 5,000 kept, nothing too old; four kinds of five once a second, evidence each tick")
+    add(
+        "table: processor time of a look for what is too old",
+        "us",
+        took_us(lambda: store.expire(1), 5),
+        "Store.expire, 5,000 kept, nothing too old; four kinds of five once a second, evidence each tick",
+    )
     evidence = full(20_000, "evidence")
-    add("table: bytes of evidence at its bound", "bytes", evidence.bytes,
-        f"Store.bytes, 20,000 kept; servers x nodes is {servers * nodes:,}")
+    add(
+        "table: bytes of evidence at its bound",
+        "bytes",
+        evidence.bytes,
+        f"Store.bytes, 20,000 kept; servers x nodes is {servers * nodes:,}",
+    )
     return made
 
 
--- a/saltmoor/lab/scale_fit.py
+++ b/saltmoor/lab/scale_fit.py
@@ -64,8 +64,7 @@
     for (clock, mechanism, rate, _), some in series.items():
         roles = sorted({role for row in some for role in row.roles})
         for role, figure in [(role, figure) for role in roles for figure in FIGURES] + [("", one) for one in TIMES]:
-            points = sorted((row.members, found) for row in some
-                            if (found := value(row, role, figure)) is not None)
+            points = sorted((row.members, found) for row in some if (found := value(row, role, figure)) is not None)
             if len(points) < 2:
                 continue
             sizes, values = [one for one, _ in points], [one for _, one in points]
@@ -73,17 +72,31 @@
             left = [y - at_none - slope * x for x, y in points]
             at = dict(points)
             flat = at[max(sizes)] / at[FLAT_FROM] - 1 if at.get(FLAT_FROM) and max(sizes) > FLAT_FROM else None
-            made.append(Fit(clock, mechanism, rate, role, figure, float(f"{at_none:.6g}"), float(f"{slope:.6g}"),
-                            sizes, values, [float(f"{one:.4g}") for one in left],
-                            round(max(abs(one) / abs(y) if y else 0.0 for one, y in zip(left, values)), 4),
-                            None if flat is None else round(flat, 4)))
+            made.append(
+                Fit(
+                    clock,
+                    mechanism,
+                    rate,
+                    role,
+                    figure,
+                    float(f"{at_none:.6g}"),
+                    float(f"{slope:.6g}"),
+                    sizes,
+                    values,
+                    [float(f"{one:.4g}") for one in left],
+                    round(max(abs(one) / abs(y) if y else 0.0 for one, y in zip(left, values)), 4),
+                    None if flat is None else round(flat, 4),
+                )
+            )
     return made
 
 
 def strayed(fit: Fit, kept: Fit, within: float) -> list[str]:
     """Where a fit's values leave those of a kept one by more than that share."""
     at = dict(zip(kept.sizes, kept.values))
-    return [f"{fit.mechanism} at {fit.changes_per_s:g}/s, {fit.role or 'spread'} {fit.figure}, {size} members: "
-            f"{found:.5g}, kept {at[size]:.5g}"
-            for size, found in zip(fit.sizes, fit.values)
-            if size in at and abs(found - at[size]) > within * abs(at[size])]
+    return [
+        f"{fit.mechanism} at {fit.changes_per_s:g}/s, {fit.role or 'spread'} {fit.figure}, {size} members: "
+        f"{found:.5g}, kept {at[size]:.5g}"
+        for size, found in zip(fit.sizes, fit.values)
+        if size in at and abs(found - at[size]) > within * abs(at[size])
+    ]
--- a/saltmoor/lab/scale_hollow.py
+++ b/saltmoor/lab/scale_hollow.py
@@ -31,8 +31,22 @@
 
 
 def talking(name: str, where: tuple[str, int], site: int, seeds: tuple[str, ...]) -> Talking:
-    return Talking(CLUSTER, name, where, f"{where[0]}:{where[1]}", f"s{site}", "lab", seeds, {}, PERIOD, SUSPECT,
-                   5_000_000, 8 << 20, 1 << 20, frozenset(("drains", "starts", "evidence", "lists", "words")))
+    return Talking(
+        CLUSTER,
+        name,
+        where,
+        f"{where[0]}:{where[1]}",
+        f"s{site}",
+        "lab",
+        seeds,
+        {},
+        PERIOD,
+        SUSPECT,
+        5_000_000,
+        8 << 20,
+        1 << 20,
+        frozenset(("drains", "starts", "evidence", "lists", "words")),
+    )
 
 
 class Spent:
@@ -72,8 +86,16 @@
 class Hollow(Peers):
     """One member. `starts` counts the processes under its name, so that a later one has a larger life."""
 
-    def __init__(self, network: Network, name: str, where: tuple[str, int], place: Place, seeds: tuple[str, ...],
-                 number: int, starts: int = 0) -> None:
+    def __init__(
+        self,
+        network: Network,
+        name: str,
+        where: tuple[str, int],
+        place: Place,
+        seeds: tuple[str, ...],
+        number: int,
+        starts: int = 0,
+    ) -> None:
         loop: ScriptedLoop = network.loop
         super().__init__(talking(name, where, place.site, seeds), name, quiet, loop.micros)
         self.network, self.own, self.place, self.spent = network, where, place, Spent()
@@ -145,7 +167,8 @@
         for one in others:
             if one is not self:
                 me = one.members.me
-                self.members.others[one.name] = Member(one.name, me.life, me.run, me.address, me.site, me.build,
-                                                       since=now, spoke=now)
+                self.members.others[one.name] = Member(
+                    one.name, me.life, me.run, me.address, me.site, me.build, since=now, spoke=now
+                )
                 self.exchange.peers[one.name] = Known(one.store.epoch, one.store.seq)
         self.exchange.phase = Phase.LEVEL
--- a/saltmoor/lab/scale_live.py
+++ b/saltmoor/lab/scale_live.py
@@ -32,11 +32,16 @@
 LEARN_S = 12.0  # for all to hear of all
 TAIL_S = 4.0
 SETTLE_S = 4.0
-LOAD = {"name": "scale", "about": "a light load beside hollow members", "settle_s": SETTLE_S,
-        "nodes": {"count": REAL, "hops": 3, "peers": True}, "fleet": {"servers": 4, "sites": ["s0"]},
-        "discovery": {"late_ms": [50, 200], "grace_ms": 2000},
-        "profile": [{"name": "read", "share": 1, "work_ms": 5, "goal_ms": 150, "limit_ms": 800}],
-        "load": {"rate": 160, "keys": 500, "retries": 0}}
+LOAD = {
+    "name": "scale",
+    "about": "a light load beside hollow members",
+    "settle_s": SETTLE_S,
+    "nodes": {"count": REAL, "hops": 3, "peers": True},
+    "fleet": {"servers": 4, "sites": ["s0"]},
+    "discovery": {"late_ms": [50, 200], "grace_ms": 2000},
+    "profile": [{"name": "read", "share": 1, "work_ms": 5, "goal_ms": 150, "limit_ms": 800}],
+    "load": {"rate": 160, "keys": 500, "retries": 0},
+}
 
 
 def stream_heads(data: int, streams: int) -> int:
@@ -92,9 +97,21 @@
     made = []
     for part in range(count):
         own = members[part::count]
-        made.append(Share(links.CLUSTER, seeds, [one[0] for one in own], [one[1] for one in own],
-                          [one[2] for one in own], hosts, count, plan.rate, int(plan.span_s * 1e6),
-                          int(TAIL_S * 1e6), BODY))
+        made.append(
+            Share(
+                links.CLUSTER,
+                seeds,
+                [one[0] for one in own],
+                [one[1] for one in own],
+                [one[2] for one in own],
+                hosts,
+                count,
+                plan.rate,
+                int(plan.span_s * 1e6),
+                int(TAIL_S * 1e6),
+                BODY,
+            )
+        )
     return made
 
 
@@ -111,9 +128,16 @@
             for part, share in enumerate(shares):
                 (place / f"hollow{part}.plan").write_bytes(msgspec.json.encode(share))
                 with (place / f"hollow{part}.err").open("wb") as errors:
-                    workers.append(subprocess.Popen(
-                        [sys.executable, "-B", "-m", "saltmoor.lab.scale_worker", folder, str(part)],
-                        cwd=experiment.HERE, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=errors, text=True))
+                    workers.append(
+                        subprocess.Popen(
+                            [sys.executable, "-B", "-m", "saltmoor.lab.scale_worker", folder, str(part)],
+                            cwd=experiment.HERE,
+                            stdin=subprocess.PIPE,
+                            stdout=subprocess.PIPE,
+                            stderr=errors,
+                            text=True,
+                        )
+                    )
             for process in workers:
                 if process.stdout.readline().strip() != "READY":
                     raise experiment.Broken(failures(place))
@@ -128,8 +152,10 @@
             for process in workers:
                 process.wait(TAIL_S + 60)
             fleet.join(120)
-            reports = [msgspec.json.decode((place / f"hollow{part}.json").read_bytes(), type=Report)
-                       for part in range(len(shares))]
+            reports = [
+                msgspec.json.decode((place / f"hollow{part}.json").read_bytes(), type=Report)
+                for part in range(len(shares))
+            ]
             fill(row, plan, shares, reports, before, after, fleet)
         except (experiment.Broken, OSError, subprocess.TimeoutExpired) as error:
             row.void.append(f"{type(error).__name__}: {error}"[:300])
@@ -147,8 +173,15 @@
     return "\n".join(said) or "a worker ended without a word"
 
 
-def fill(row: rows.Row, plan: Plan, shares: list[Share], reports: list[Report], before: list[dict],
-         after: list[dict], fleet: Fleet) -> None:
+def fill(
+    row: rows.Row,
+    plan: Plan,
+    shares: list[Share],
+    reports: list[Report],
+    before: list[dict],
+    after: list[dict],
+    fleet: Fleet,
+) -> None:
     late = max(one.late_p99_ms for one in reports)
     if late > LATE_P99_MS:
         row.void.append(f"the machine was late: a loop by {late:.0f} ms at p99, bound {LATE_P99_MS:g} ms")
@@ -171,30 +204,45 @@
         return round(total / count / span, 2)
 
     pulls, data = sum(one.pulls for one in reports), sum(one.tcp_out for one in reports)
-    streams = (data + stream_heads(data, pulls) / 2)
+    streams = data + stream_heads(data, pulls) / 2
     udp_out = sum(one.udp_out + UDP_HEAD * one.packets_out for one in reports)
     udp_in = sum(one.udp_in + UDP_HEAD * one.packets_in for one in reports)
     # The datagrams of the member with the most, and of streams as much as the mean.
     worst = max(one.worst_bytes + UDP_HEAD * one.worst_packets for one in reports) / span + 2 * streams / count / span
     row.roles["node"] = rows.Role(
-        count, mean(udp_out + udp_in + 2 * streams), round(worst, 1), mean(udp_out), mean(udp_in), mean(streams),
-        mean(streams), mean(sum(one.packets_out for one in reports)), mean(pulls),
+        count,
+        mean(udp_out + udp_in + 2 * streams),
+        round(worst, 1),
+        mean(udp_out),
+        mean(udp_in),
+        mean(streams),
+        mean(streams),
+        mean(sum(one.packets_out for one in reports)),
+        mean(pulls),
         round(sum(one.cpu_s for one in reports) / count / span, 5),
         round(max(one.cpu_s / len(share.names) for one, share in zip(reports, shares)) / span, 5),
         round(sum(one.state_bytes for one in reports) / count),
         round(sum(one.memory_mb for one in reports) / count, 2),
-        round(sum(one.descriptors for one in reports) / count, 2))
+        round(sum(one.descriptors for one in reports) / count, 2),
+    )
     made = fleet.result.figures
     row.figures = {
-        "late_p99_ms": round(late, 1), "late_worst_ms": round(max(one.late_worst_ms for one in reports), 1),
+        "late_p99_ms": round(late, 1),
+        "late_worst_ms": round(max(one.late_worst_ms for one in reports), 1),
         "known_least": float(min(one.known_least for one in reports)),
         "busy": float(sum(one.busy for one in reports)),
-        "real_in_time": made.get("in_time"), "real_cpu_us_per_request": made.get("node_cpu_us_per_tx"),
-        "real_memory_mb": made.get("node_memory_mb"), "real_breaches": float(len(fleet.result.breaches))}
+        "real_in_time": made.get("in_time"),
+        "real_cpu_us_per_request": made.get("node_cpu_us_per_tx"),
+        "real_memory_mb": made.get("node_memory_mb"),
+        "real_breaches": float(len(fleet.result.breaches)),
+    }
     if len(before) == len(after) == REAL:
-        apart = [sum(b[key] - a[key] for a, b in zip(before, after))
-                 for key in ("sent_bytes", "came_bytes", "sent", "came", "given_bytes")]
-        row.figures |= {"real_udp_bytes_per_s": round((apart[0] + apart[1] + UDP_HEAD * (apart[2] + apart[3]))
-                                                      / REAL / span, 1),
-                        "real_given_bytes_per_s": round(apart[4] / REAL / span, 1),
-                        "real_items_least": float(min(one["items"] for one in after))}
+        apart = [
+            sum(b[key] - a[key] for a, b in zip(before, after))
+            for key in ("sent_bytes", "came_bytes", "sent", "came", "given_bytes")
+        ]
+        row.figures |= {
+            "real_udp_bytes_per_s": round((apart[0] + apart[1] + UDP_HEAD * (apart[2] + apart[3])) / REAL / span, 1),
+            "real_given_bytes_per_s": round(apart[4] / REAL / span, 1),
+            "real_items_least": float(min(one["items"] for one in after)),
+        }
--- a/saltmoor/lab/scale_log.py
+++ b/saltmoor/lab/scale_log.py
@@ -414,28 +414,35 @@
         return next((f"c{i}" for i in range(CONTROL) if self.members[f"c{i}"].core.writer), "c0")
 
     def busiest(self) -> str:
-        return max((name for name in self.town.nodes if self.role(name) == "relay"),
-                   key=lambda name: (len(self.members[name].served), name))
+        return max(
+            (name for name in self.town.nodes if self.role(name) == "relay"),
+            key=lambda name: (len(self.members[name].served), name),
+        )
 
     def level(self) -> bool:
         now = self.town.loop.micros()
         last = max(self.members[f"c{i}"].core.store.committed for i in range(CONTROL))
         return last > 0 and all(
             not one.subscriber.stale(now) and one.subscriber.offset >= last
-            for name, one in self.members.items() if name[0] != "c" and not one.ended)
+            for name, one in self.members.items()
+            if name[0] != "c" and not one.ended
+        )
 
     def figures(self) -> dict[str, float | None]:
         nodes = [one for name, one in self.members.items() if name[0] != "c" and not one.ended]
         controls = [self.members[f"c{i}"] for i in range(CONTROL)]
         now = self.town.loop.micros()
-        return {"disorder": float(self.disorder), "doubled_dropped": float(
-                    sum(one.subscriber.counts["doubled"] for one in nodes)),
-                "gaps": float(sum(one.subscriber.counts["gaps"] for one in nodes)), "states": float(self.states),
-                "switches": float(sum(one.subscriber.counts["switches"] for one in nodes)),
-                "relays": float(sum(one.subscriber.relays for one in nodes)),
-                "stale_at_end": float(sum(one.subscriber.stale(now) for one in nodes)),
-                "refused": float(sum(one.refused for one in self.tools)),
-                "not_done": float(sum(len(one.open) for one in self.tools)),
-                "leaders": float(sum(one.core.writer is not None and not one.ended for one in controls)),
-                "subscribers_most": float(max(len(one.served) for one in controls)),
-                "handed_on_most": float(max(len(one.served) for one in nodes))}
+        return {
+            "disorder": float(self.disorder),
+            "doubled_dropped": float(sum(one.subscriber.counts["doubled"] for one in nodes)),
+            "gaps": float(sum(one.subscriber.counts["gaps"] for one in nodes)),
+            "states": float(self.states),
+            "switches": float(sum(one.subscriber.counts["switches"] for one in nodes)),
+            "relays": float(sum(one.subscriber.relays for one in nodes)),
+            "stale_at_end": float(sum(one.subscriber.stale(now) for one in nodes)),
+            "refused": float(sum(one.refused for one in self.tools)),
+            "not_done": float(sum(len(one.open) for one in self.tools)),
+            "leaders": float(sum(one.core.writer is not None and not one.ended for one in controls)),
+            "subscribers_most": float(max(len(one.served) for one in controls)),
+            "handed_on_most": float(max(len(one.served) for one in nodes)),
+        }
--- a/saltmoor/lab/scale_plan.py
+++ b/saltmoor/lab/scale_plan.py
@@ -3,10 +3,25 @@
 from __future__ import annotations
 
 PLAN = {
-    "nodes": 480, "sites": 31, "servers": 52, "regions": 3, "zones": 8, "requests_per_s": 500_000,
-    "bits_per_s": 3e12, "objects": 3.9e9, "purges_per_s": 3.9, "purge_s": 1, "changes_per_day": 2_500,
-    "change_s": 12, "core": 0.03, "memory_mb": 64, "bytes_per_s": 4_000, "control": 5, "failures_per_day": 2,
-    "restarts_per_day": 160}
+    "nodes": 480,
+    "sites": 31,
+    "servers": 52,
+    "regions": 3,
+    "zones": 8,
+    "requests_per_s": 500_000,
+    "bits_per_s": 3e12,
+    "objects": 3.9e9,
+    "purges_per_s": 3.9,
+    "purge_s": 1,
+    "changes_per_day": 2_500,
+    "change_s": 12,
+    "core": 0.03,
+    "memory_mb": 64,
+    "bytes_per_s": 4_000,
+    "control": 5,
+    "failures_per_day": 2,
+    "restarts_per_day": 160,
+}
 
 
 def derived() -> list[tuple[str, str, float]]:
@@ -30,7 +45,10 @@
         ("restarts an hour", "restarts a day / 24", PLAN["restarts_per_day"] / 24),
         ("watches at discovery", "nodes", nodes),
         ("evidence changes/s while one server is down", "nodes / 2 s: each says so again every 2 s", nodes / 2),
-        ("evidence changes/s while a zone is down", "nodes x servers / zones / 2 s",
-         nodes * servers / PLAN["zones"] / 2),
+        (
+            "evidence changes/s while a zone is down",
+            "nodes x servers / zones / 2 s",
+            nodes * servers / PLAN["zones"] / 2,
+        ),
         ("members x members", "entries that all nodes together keep", nodes * nodes),
     ]
--- a/saltmoor/lab/scale_rows.py
+++ b/saltmoor/lab/scale_rows.py
@@ -13,7 +13,13 @@
 from saltmoor.lab.experiment import Bound
 
 AIMS = {  # what the operators' plan allows a node, by the figure's name
-    "bytes_per_s": 4_000.0, "core": 0.03, "memory_mb": 64.0, "p50_s": 0.3, "p999_s": 1.0, "missed": 0.0}
+    "bytes_per_s": 4_000.0,
+    "core": 0.03,
+    "memory_mb": 64.0,
+    "p50_s": 0.3,
+    "p999_s": 1.0,
+    "missed": 0.0,
+}
 MEGABYTE = 1e6
 
 
@@ -75,8 +81,9 @@
     """Who never got it counts as later than all others."""
     values = sorted(times) + [float("inf")] * missed
     found = [exact(values, share) for share in (0.5, 0.99, 0.999, 1.0)]
-    return Spread(changes, len(times), missed,
-                  *(None if one is None or one == float("inf") else round(one, 4) for one in found))
+    return Spread(
+        changes, len(times), missed, *(None if one is None or one == float("inf") else round(one, 4) for one in found)
+    )
 
 
 def bounds(row: Row) -> list[Bound]:
@@ -102,8 +109,25 @@
     return made
 
 
-HEADS = ["clock", "mechanism", "event", "members", "changes/s", "role", "B/s a node", "worst", "sent/s", "pulls/s",
-         "core", "state kB", "p50 s", "p99 s", "p99.9 s", "worst s", "missed"]
+HEADS = [
+    "clock",
+    "mechanism",
+    "event",
+    "members",
+    "changes/s",
+    "role",
+    "B/s a node",
+    "worst",
+    "sent/s",
+    "pulls/s",
+    "core",
+    "state kB",
+    "p50 s",
+    "p99 s",
+    "p99.9 s",
+    "worst s",
+    "missed",
+]
 
 
 def short(value: float | None, digits: int = 3) -> str:
@@ -116,14 +140,27 @@
     if row.void:
         return [[*head, "void", *["" for _ in HEADS[6:]]]]
     one = row.spread
-    times = ["", "", "", "", ""] if not one or not one.changes else [
-        short(one.p50_s), short(one.p99_s), short(one.p999_s), short(one.worst_s), str(one.missed)]
-    return [[*head, name, short(role.bytes_per_s), short(role.bytes_worst), short(role.messages_per_s),
-             short(role.pulls_per_s), f"{role.core:.2%}", short(role.state_bytes / 1000), *times]
-            for name, role in row.roles.items()]
+    times = (
+        ["", "", "", "", ""]
+        if not one or not one.changes
+        else [short(one.p50_s), short(one.p99_s), short(one.p999_s), short(one.worst_s), str(one.missed)]
+    )
+    return [
+        [
+            *head,
+            name,
+            short(role.bytes_per_s),
+            short(role.bytes_worst),
+            short(role.messages_per_s),
+            short(role.pulls_per_s),
+            f"{role.core:.2%}",
+            short(role.state_bytes / 1000),
+            *times,
+        ]
+        for name, role in row.roles.items()
+    ]
 
 
 def table(heads: list[str], rows: list[list[Any]]) -> str:
     """As Markdown."""
-    return "\n".join("| " + " | ".join(str(one) for one in row) + " |"
-                     for row in [heads, ["---"] * len(heads), *rows])
+    return "\n".join("| " + " | ".join(str(one) for one in row) + " |" for row in [heads, ["---"] * len(heads), *rows])
--- a/saltmoor/lab/scale_town.py
+++ b/saltmoor/lab/scale_town.py
@@ -110,8 +110,7 @@
         took = []
         for name, began in self.began.items():
             if began > since:
-                seen = [self.seen[name].get(change, float("inf"))
-                        for change, at in enumerate(self.given) if at < began]
+                seen = [self.seen[name].get(change, float("inf")) for change, at in enumerate(self.given) if at < began]
                 took.append(max([began, *seen]) - began)
         return took
 
@@ -251,25 +250,39 @@
 
     def writer(self) -> str:
         now = self.town.loop.micros()
-        return next((name for name, one in self.members.items() if one.duties and any(
-            claim.owns(now) for claim in one.duties.claims.values())), "c0")
+        return next(
+            (
+                name
+                for name, one in self.members.items()
+                if one.duties and any(claim.owns(now) for claim in one.duties.claims.values())
+            ),
+            "c0",
+        )
 
     def level(self) -> bool:
         """And whether it knows every other."""
         count = len(self.members)
-        return all(len(one.members.others) == count - 1 and one.exchange.phase is Phase.LEVEL
-                   for one in self.members.values())
+        return all(
+            len(one.members.others) == count - 1 and one.exchange.phase is Phase.LEVEL for one in self.members.values()
+        )
 
     def figures(self) -> dict[str, float | None]:
         there = [one for one in self.members.values() if not one.ended]
         names = {one.name for one in there}
-        wrong = sum(other.state is State.DEAD and other.name in names
-                    for one in there for other in one.members.others.values())
-        return {"busy": float(sum(one.dropped.get("busy", 0) for one in self.members.values())),
-                "held_dead_wrongly": float(wrong),
-                "known_least": float(min(sum(o.there for o in one.members.others.values()) + 1 for one in there)),
-                "writers": float(sum(bool(one.duties) and any(c.owns(self.town.loop.micros())
-                                                              for c in one.duties.claims.values()) for one in there))}
+        wrong = sum(
+            other.state is State.DEAD and other.name in names for one in there for other in one.members.others.values()
+        )
+        return {
+            "busy": float(sum(one.dropped.get("busy", 0) for one in self.members.values())),
+            "held_dead_wrongly": float(wrong),
+            "known_least": float(min(sum(o.there for o in one.members.others.values()) + 1 for one in there)),
+            "writers": float(
+                sum(
+                    bool(one.duties) and any(c.owns(self.town.loop.micros()) for c in one.duties.claims.values())
+                    for one in there
+                )
+            ),
+        }
 
 
 MEMBER, KNOWN = 420, 260  # bytes, by sys.getsizeof of one with its texts and its place in the table
@@ -328,27 +341,45 @@
             await asyncio.sleep(0.1)
         self.measure(begun)
         self.figures |= way.figures()
-        return rows.Row("scripted", way.name, plan.event, plan.members, plan.rate, plan.seed, plan.span_s, made,
-                        self.board.spread(), {name: value if value is None else round(value, 4)
-                                              for name, value in self.figures.items()})
+        return rows.Row(
+            "scripted",
+            way.name,
+            plan.event,
+            plan.members,
+            plan.rate,
+            plan.seed,
+            plan.span_s,
+            made,
+            self.board.spread(),
+            {name: value if value is None else round(value, 4) for name, value in self.figures.items()},
+        )
 
     def role(self, names: list[str], traffic: dict, spent: dict[str, int], pulls: dict[str, int]) -> rows.Role:
         span, way, count = self.plan.span_s, self.way, len(names)
         all_ = [traffic[self.where(name)] for name in names]
         # A process that began meanwhile began at none.
-        cores = [max(0, way.spent(name) - (0 if name in self.restarted else spent[name])) / span / 1e9
-                 for name in names]
+        cores = [
+            max(0, way.spent(name) - (0 if name in self.restarted else spent[name])) / span / 1e9 for name in names
+        ]
         pulled = [max(0, way.pulls(name) - (0 if name in self.restarted else pulls[name])) for name in names]
 
         def mean(values: Any) -> float:
             return round(sum(values) / count / span, 2)
 
         return rows.Role(
-            count, mean(one.total for one in all_), round(max(one.total for one in all_) / span, 1),
-            mean(one.udp_out for one in all_), mean(one.udp_in for one in all_), mean(one.tcp_out for one in all_),
-            mean(one.tcp_in for one in all_), mean(one.messages for one in all_), round(sum(pulled) / count / span, 4),
-            round(sum(cores) / count, 5), round(max(cores), 5),
-            round(sum(way.state(name) for name in names) / count))
+            count,
+            mean(one.total for one in all_),
+            round(max(one.total for one in all_) / span, 1),
+            mean(one.udp_out for one in all_),
+            mean(one.udp_in for one in all_),
+            mean(one.tcp_out for one in all_),
+            mean(one.tcp_in for one in all_),
+            mean(one.messages for one in all_),
+            round(sum(pulled) / count / span, 4),
+            round(sum(cores) / count, 5),
+            round(max(cores), 5),
+            round(sum(way.state(name) for name in names) / count),
+        )
 
     async def giving(self, begun: float) -> None:
         """Changes at an even rate, each at some node that is there."""
@@ -407,18 +438,32 @@
         total = len(self.board.given)
         self.figures["compressed"] = self.plan.compress
         self.figures["changes_missed_meanwhile"] = float(total)
-        await self.wait_for("caught_up_s", lambda: all(
-            len(self.board.seen[name]) >= total for name in away if name in self.board.began), 60.0, healed)
+        await self.wait_for(
+            "caught_up_s",
+            lambda: all(len(self.board.seen[name]) >= total for name in away if name in self.board.began),
+            60.0,
+            healed,
+        )
 
     async def fail_many(self) -> None:
         """In the middle of the run: who writes is killed; a site's nodes fail without a word; or all machines of the
         zone do in which who writes is."""
         await asyncio.sleep(self.plan.span_s / 2)
         writer = self.way.writer()
-        struck = [writer] if self.plan.event == "writer" else [
-            name for name in self.names if name in self.board.began or name[0] == "c"
-            if (self.place(name).site == RACK if self.plan.event == "rack" else
-                self.place(name).site % ZONES == self.place(writer).site % ZONES)]
+        struck = (
+            [writer]
+            if self.plan.event == "writer"
+            else [
+                name
+                for name in self.names
+                if name in self.board.began or name[0] == "c"
+                if (
+                    self.place(name).site == RACK
+                    if self.plan.event == "rack"
+                    else self.place(name).site % ZONES == self.place(writer).site % ZONES
+                )
+            ]
+        )
         for name in struck:
             self.way.stop(name, "kill" if self.plan.event == "writer" else "fail")
         self.figures["struck"] = float(len(struck))
--- a/saltmoor/lab/scale_worker.py
+++ b/saltmoor/lab/scale_worker.py
@@ -86,9 +86,22 @@
 class Member(Peers):
     def __init__(self, share: Share, number: int) -> None:
         (host, port), self.site = share.addresses[number], share.sites[number]
-        given = Talking(share.cluster, share.names[number], (host, port), f"{host}:{port}", f"s{self.site}", "lab",
-                        tuple(share.seeds), {}, PERIOD, SUSPECT, 5_000_000, 8 << 20, 1 << 20,
-                        frozenset(("drains", "starts", "evidence", "words")))
+        given = Talking(
+            share.cluster,
+            share.names[number],
+            (host, port),
+            f"{host}:{port}",
+            f"s{self.site}",
+            "lab",
+            tuple(share.seeds),
+            {},
+            PERIOD,
+            SUSPECT,
+            5_000_000,
+            8 << 20,
+            1 << 20,
+            frozenset(("drains", "starts", "evidence", "words")),
+        )
         super().__init__(given, given.name, quiet, clock)
         self.share = share
 
@@ -98,8 +111,15 @@
             self.udp = Far(self.udp, self.loop, self.site, self.share.all_sites)
 
     def counts(self) -> list[int]:
-        return [self.sent, self.came, self.sent_bytes, self.came_bytes, self.given_bytes, self.exchange.pulls,
-                self.dropped.get("busy", 0)]
+        return [
+            self.sent,
+            self.came,
+            self.sent_bytes,
+            self.came_bytes,
+            self.given_bytes,
+            self.exchange.pulls,
+            self.dropped.get("busy", 0),
+        ]
 
 
 def memory_mb() -> float:
@@ -124,6 +144,7 @@
         def note(item: Item) -> None:
             if item.kind == "change":
                 seen.setdefault(int(item.key), clock())
+
         return note
 
     async def whole(self) -> Report:
@@ -156,9 +177,26 @@
         for one in self.members:
             one.end(left=False)
         late = sorted(self.late)
-        return Report(self.given, self.seen, known, cpu, memory, files, total[2], total[3], total[0], total[1],
-                      total[4], total[5], state, total[6], late[int(len(late) * 0.99)] * 1000, late[-1] * 1000,
-                      max(one[0] + one[1] for one in apart), max(one[2] + one[3] for one in apart))
+        return Report(
+            self.given,
+            self.seen,
+            known,
+            cpu,
+            memory,
+            files,
+            total[2],
+            total[3],
+            total[0],
+            total[1],
+            total[4],
+            total[5],
+            state,
+            total[6],
+            late[int(len(late) * 0.99)] * 1000,
+            late[-1] * 1000,
+            max(one[0] + one[1] for one in apart),
+            max(one[2] + one[3] for one in apart),
+        )
 
     async def giving(self, begin: int) -> None:
         share, rng = self.share, Random(f"given {self.part}")
@@ -179,6 +217,7 @@
 
 def main(folder: str, part: str) -> None:
     import uvloop
+
     share = msgspec.json.decode((Path(folder) / f"hollow{part}.plan").read_bytes(), type=Share)
 
     async def run() -> Report:
--- a/saltmoor/lab/scenario.py
+++ b/saltmoor/lab/scenario.py
@@ -42,7 +42,8 @@
     state: bool = False  # whether each keeps snapshots, in a folder of its own
     peers: bool = False  # whether they talk to each other, over links that faults strike
     use: list[Literal["drains", "starts", "evidence", "words", "fetches", "shares"]] = msgspec.field(
-        default_factory=lambda: ["drains", "starts", "evidence", "words"])  # what they use it for
+        default_factory=lambda: ["drains", "starts", "evidence", "words"]
+    )  # what they use it for
     told: int = 0  # how many nodes each is told that there are; 0: as many as there are
 
 
@@ -171,8 +172,20 @@
     replay: str = ""  # a captured run's arrivals instead of drawn ones
 
 
-ON_BOTH = ("crash", "hang", "silence", "slow", "pauses", "errors", "full", "reset", "cut", "garbled", "hand-back",
-           "refused")
+ON_BOTH = (
+    "crash",
+    "hang",
+    "silence",
+    "slow",
+    "pauses",
+    "errors",
+    "full",
+    "reset",
+    "cut",
+    "garbled",
+    "hand-back",
+    "refused",
+)
 ON_SERVERS = (*ON_BOTH, "foreign", "surplus", "half-open", "drain", "replace", "deploy", "grow", "shrink")
 ON_DISCOVERY = ("outage", "late", "gap")
 ON_LINKS = ("delay", "loss", "silence")
@@ -180,8 +193,16 @@
 ON_STATE = ("lost", "old", "cut", "flipped", "foreign", "blocked")
 ON_PEERS = ("cut", "loss", "delay", "double", "reorder", "corrupt", "slow")
 ON_CLIENTS = ("rude",)
-PLACES = {"server": ON_SERVERS, "origin": ON_BOTH, "discovery": ON_DISCOVERY, "link": ON_LINKS,
-          "node": ON_NODES, "state": ON_STATE, "peers": ON_PEERS, "clients": ON_CLIENTS}
+PLACES = {
+    "server": ON_SERVERS,
+    "origin": ON_BOTH,
+    "discovery": ON_DISCOVERY,
+    "link": ON_LINKS,
+    "node": ON_NODES,
+    "state": ON_STATE,
+    "peers": ON_PEERS,
+    "clients": ON_CLIENTS,
+}
 
 
 class Fault(Part, kw_only=True):
@@ -266,8 +287,9 @@
         for key in ("from_nodes", "to_nodes"):
             if any(not 0 <= one < scenario.nodes.count for one in getattr(fault, key)):
                 raise Faulty(f"fault[{i}].{key}: numbers from 0 to {scenario.nodes.count - 1}")
-        most = {"server": scenario.fleet.servers, "node": scenario.nodes.count,
-                "state": scenario.nodes.count}.get(fault.on, 1)
+        most = {"server": scenario.fleet.servers, "node": scenario.nodes.count, "state": scenario.nodes.count}.get(
+            fault.on, 1
+        )
         if any(not 0 <= one < most for one in fault.which):
             raise Faulty(f"fault[{i}].which: numbers from 0 to {most - 1}")
     for name, bound in scenario.bounds.items():
--- a/saltmoor/lab/server.py
+++ b/saltmoor/lab/server.py
@@ -47,6 +47,7 @@
         def welcome(wire: Wire) -> Peer | None:
             self.connected += 1
             return self.conversation(wire, node) if self.running else None
+
         return welcome
 
     def conversation(self, wire: Wire, node: int) -> Peer | None:
@@ -162,7 +163,7 @@
             server.answers += 1
         match kind:
             case "reset" | "cut":
-                self.wire.send(answer[:server.rng.randrange(len(answer))])
+                self.wire.send(answer[: server.rng.randrange(len(answer))])
                 self.wire.reset() if kind == "reset" else self.wire.close()
                 self.deaf = True
             case "garbled":
--- a/saltmoor/lab/stage.py
+++ b/saltmoor/lab/stage.py
@@ -154,8 +154,13 @@
                 stay = int((fault.ms or 4000) * 1000)
                 self.line.at(self.line.now + stay, self._leave, server, fault.kind == "replace", fault)
             case _:
-                server.trouble(fault.kind, times=fault.times, share=fault.share, pause=int(fault.ms * 1000),
-                               every=int(fault.every_s * 1e6))
+                server.trouble(
+                    fault.kind,
+                    times=fault.times,
+                    share=fault.share,
+                    pause=int(fault.ms * 1000),
+                    every=int(fault.every_s * 1e6),
+                )
                 if ends:
                     self.line.at(ends, server.relieve, fault.kind, fault.share)
 
@@ -180,7 +185,7 @@
         """A rolling deploy: batch after batch drains, ends, and is replaced by new ones."""
         for i in range(0, len(servers), fault.batch):
             when = self.line.now + int(i // fault.batch * fault.every_s * 1e6)
-            for server in servers[i:i + fault.batch]:
+            for server in servers[i : i + fault.batch]:
                 self.line.at(when, self._strike_one, server, structs.replace(fault, kind="replace"), 0)
 
     def _strike_links(self, fault: plan.Fault, ends: int) -> None:
@@ -215,13 +220,23 @@
     def _sample(self) -> None:
         up = [server for server in self.caches if server.running]
         held = [server.station.held for server in up] or [0]
-        self.book.note("sample", self.line.now, {
-            "servers": len(up), "held_most": max(held), "held_mean": sum(held) / len(held),
-            "origin_held": self.origin.station.held, "origin_most": self.origin.most(),
-            "origin_busy": self.origin.station.busy, "twins_most": self.origin.twins,
-            "fetches": sum(self.origin.fetches.values()),
-            "hits": sum(server.hits for server in self.caches),
-            "misses": sum(server.misses for server in self.caches),
-            "probes": sum(self.probes.values()), "connected": sum(server.connected for server in self.caches),
-            "busy": sum(server.station.busy for server in up)})
+        self.book.note(
+            "sample",
+            self.line.now,
+            {
+                "servers": len(up),
+                "held_most": max(held),
+                "held_mean": sum(held) / len(held),
+                "origin_held": self.origin.station.held,
+                "origin_most": self.origin.most(),
+                "origin_busy": self.origin.station.busy,
+                "twins_most": self.origin.twins,
+                "fetches": sum(self.origin.fetches.values()),
+                "hits": sum(server.hits for server in self.caches),
+                "misses": sum(server.misses for server in self.caches),
+                "probes": sum(self.probes.values()),
+                "connected": sum(server.connected for server in self.caches),
+                "busy": sum(server.station.busy for server in up),
+            },
+        )
         self.line.at(self.line.now + SAMPLE, self._sample)
--- a/saltmoor/lab/station.py
+++ b/saltmoor/lab/station.py
@@ -36,9 +36,20 @@
 class Station:
     """`cores` that do `speed` microseconds of work each microsecond, shared evenly by jobs in work."""
 
-    def __init__(self, line: Timeline, *, cores: int, speed: float = 1.0, slots: int, room: int,
-                 thrash: float = 0.0, thrash_at: float = 1.0, warming: Warming = Warming(), cold: bool = False,
-                 fell: Callable[[], None] | None = None) -> None:
+    def __init__(
+        self,
+        line: Timeline,
+        *,
+        cores: int,
+        speed: float = 1.0,
+        slots: int,
+        room: int,
+        thrash: float = 0.0,
+        thrash_at: float = 1.0,
+        warming: Warming = Warming(),
+        cold: bool = False,
+        fell: Callable[[], None] | None = None,
+    ) -> None:
         self.line, self.cores, self.speed, self.slots, self.room = line, cores, speed, slots, room
         self.thrash, self.thrash_at, self.warming, self.fell = thrash, thrash_at, warming, fell
         self.working: list[tuple[float, int, Job]] = []  # by the served time at which they end
@@ -116,8 +127,11 @@
         self.offered_sum += work
         while self.offered[0][0] <= now - warm.window:
             self.offered_sum -= self.offered.popleft()[1]
-        if warm.multiple and self.fell and (
-                self.offered_sum > warm.multiple * self.capacity() * self.slower * warm.window):
+        if (
+            warm.multiple
+            and self.fell
+            and (self.offered_sum > warm.multiple * self.capacity() * self.slower * warm.window)
+        ):
             fell, self.fell = self.fell, None
             fell()
 
@@ -148,8 +162,7 @@
             self.rate = 0.0
             return
         crowd = max(0.0, (count + len(self.waiting)) / self.cores - self.thrash_at)
-        self.rate = (min(1.0, self.cores / count) * self.speed * self.warmth() / self.slower
-                     / (1 + self.thrash * crowd))
+        self.rate = min(1.0, self.cores / count) * self.speed * self.warmth() / self.slower / (1 + self.thrash * crowd)
         left = max(0.0, self.working[0][0] - self.served)
         self.planned = self.line.at(self.line.now + max(1, -(-left // self.rate)), self._end)
 
--- a/saltmoor/lab/talk.py
+++ b/saltmoor/lab/talk.py
@@ -32,11 +32,17 @@
         "peers_false": false_words(ledger, believed, begin),
         "peers_slowest_us": max(one["slowest_us"] for one in cost),
         "peers_caught_up_ms": max((one["took_ms"] for one in cost), default=0),
-        "peers_bytes_per_s": round(max(
-            (told[-1][1]["sent_bytes"] - told[0][1]["sent_bytes"]) / span if told[-1][1]["life"] == told[0][1]["life"]
-            else told[-1][1]["sent_bytes"] / span for told, span in zip(believed.values(), seconds))),
+        "peers_bytes_per_s": round(
+            max(
+                (told[-1][1]["sent_bytes"] - told[0][1]["sent_bytes"]) / span
+                if told[-1][1]["life"] == told[0][1]["life"]
+                else told[-1][1]["sent_bytes"] / span
+                for told, span in zip(believed.values(), seconds)
+            )
+        ),
         "peers_items": max(one["items"] for one in cost),
-        "peers_repairs": sum(one["repairs"] for one in cost)}
+        "peers_repairs": sum(one["repairs"] for one in cost),
+    }
     made |= drains(ledger, rows, begin)
     return made
 
@@ -53,8 +59,11 @@
             at, one = told[place[node]]
             if since <= at <= moment and moment - at <= FRESH:
                 seen.append(one)
-        if len(seen) == count and all(len(one["there"]) == count - 1 for one in seen) and len(
-                {one["root"] for one in seen}) == 1:
+        if (
+            len(seen) == count
+            and all(len(one["there"]) == count - 1 for one in seen)
+            and len({one["root"] for one in seen}) == 1
+        ):
             return round(moment - since, 2)
     return None
 
@@ -71,10 +80,16 @@
                 before, life = set(), one["life"]
             for lost in before - there:
                 struck = any(fault.at_s <= at <= fault.at_s + (fault.for_s or 1e9) + 3 for fault in cuts)
-                ran = all(not begin + (at - 15) * 1e6 <= when <= begin + at * 1e6
-                          for when, what in ledger.nodes[lost] if what != "ready")
-                started = any(when > begin + (at - 5) * 1e6 for when, what in ledger.nodes[lost] if what == "ready"
-                              and when < begin + at * 1e6)
+                ran = all(
+                    not begin + (at - 15) * 1e6 <= when <= begin + at * 1e6
+                    for when, what in ledger.nodes[lost]
+                    if what != "ready"
+                )
+                started = any(
+                    when > begin + (at - 5) * 1e6
+                    for when, what in ledger.nodes[lost]
+                    if what == "ready" and when < begin + at * 1e6
+                )
                 count += ran and not struck and not started
             before = there
     return count
--- a/saltmoor/lab/toy.py
+++ b/saltmoor/lab/toy.py
@@ -14,12 +14,24 @@
 
 DISCOVERY, ORIGIN, CACHES = 8500, 8600, (11311, 11312)
 SAID = {
-    "name": "toy", "about": "two cache servers and an origin",
+    "name": "toy",
+    "about": "two cache servers and an origin",
     "fleet": {"servers": 2, "start": "empty", "kind": [{"name": "small", "cores": 2}], "report": ["queue"]},
-    "origin": {"work_ms": 100}, "discovery": {"late_ms": [0, 0]},
-    "profile": [{"name": "read", "share": 1, "work_ms": 10, "goal_ms": 400, "limit_ms": 1000},
-                {"name": "put", "share": 1, "work_ms": 10, "goal_ms": 1000, "limit_ms": 2000, "write": True,
-                 "repeat": "journalled", "window_ms": 1500}],
+    "origin": {"work_ms": 100},
+    "discovery": {"late_ms": [0, 0]},
+    "profile": [
+        {"name": "read", "share": 1, "work_ms": 10, "goal_ms": 400, "limit_ms": 1000},
+        {
+            "name": "put",
+            "share": 1,
+            "work_ms": 10,
+            "goal_ms": 1000,
+            "limit_ms": 2000,
+            "write": True,
+            "repeat": "journalled",
+            "window_ms": 1500,
+        },
+    ],
 }
 
 
@@ -39,8 +51,7 @@
         server.ports[0].number = port
     stage.registry.ports[0].number = DISCOVERY
     stage.open()
-    print(f"toy deployment on 127.0.0.1: discovery {DISCOVERY}, origin {ORIGIN}, cache servers {CACHES}",
-          flush=True)
+    print(f"toy deployment on 127.0.0.1: discovery {DISCOVERY}, origin {ORIGIN}, cache servers {CACHES}", flush=True)
     await asyncio.Event().wait()
 
 
--- a/saltmoor/lab/wire.py
+++ b/saltmoor/lab/wire.py
@@ -166,7 +166,7 @@
             return
         if not self.pending:
             try:
-                data = data[self.sock.send(data):]
+                data = data[self.sock.send(data) :]
             except BlockingIOError:
                 pass
             except OSError:
@@ -181,7 +181,7 @@
             while self.pending:
                 data = bytes(self.pending)
                 await self.driver.loop.sock_sendall(self.sock, data)
-                del self.pending[:len(data)]
+                del self.pending[: len(data)]
 
     def finish(self) -> None:
         """No more is said; the other side may go on until it sees the end."""
--- a/saltmoor/lab/worker.py
+++ b/saltmoor/lab/worker.py
@@ -48,9 +48,14 @@
     town = Stage(plan.scenario, plan.seed, len(plan.nodes), book, driver)
     town.open()
     town.warm(*arrivals.warm_keys(plan.scenario, plan.seed))
-    (run / "stage.json").write_bytes(msgspec.json.encode({
-        "discovery": [port.address for port in town.registry.ports],
-        "known": [town.registry.known(node) for node in range(len(plan.nodes))]}))
+    (run / "stage.json").write_bytes(
+        msgspec.json.encode(
+            {
+                "discovery": [port.address for port in town.registry.ports],
+                "known": [town.registry.known(node) for node in range(len(plan.nodes))],
+            }
+        )
+    )
     town.schedule(await told())
     # The runner says when it is over; until then the list as it stands is kept for nodes that restart.
     over = asyncio.get_running_loop().run_in_executor(None, sys.stdin.readline)
@@ -65,8 +70,9 @@
 
 async def load(run: Path, plan: Plan, book: Book, part: int) -> None:
     driver = Driver()
-    clients = Clients(plan.scenario, plan.nodes, book, driver, part=part, parts=plan.scenario.load.workers,
-                      tag=plan.tag)
+    clients = Clients(
+        plan.scenario, plan.nodes, book, driver, part=part, parts=plan.scenario.load.workers, tag=plan.tag
+    )
     rows = np_load(run)
     begin = await told()
     clients.play(rows, begin)
@@ -94,6 +100,7 @@
 
 async def links(run: Path, plan: Plan, book: Book) -> None:
     from saltmoor.lab.links import Links
+
     driver = Driver()
     between = Links(plan.scenario, plan.seed, [port for _, port in plan.nodes], book, driver)
     (run / "links.json").write_bytes(msgspec.json.encode(between.places()))
@@ -106,21 +113,28 @@
 
 def np_load(run: Path):
     import numpy as np
+
     with np.load(run / "arrivals.npz", allow_pickle=False) as kept:
         return kept["arrivals"]
 
 
 def main(role: str, folder: str, part: str = "0") -> None:
     import uvloop
+
     run, book = Path(folder), Book()
     if role == "answer":
         from saltmoor.lab import capacity
+
         uvloop.run(capacity.answer(run, part))
         return
     plan = msgspec.json.decode((run / "plan.json").read_bytes(), type=Plan)
     gc.disable()  # a pause of the lab would look like one of the node; a run is short
-    work = {"stage": lambda: stage(run, plan, book), "load": lambda: load(run, plan, book, int(part)),
-            "rude": lambda: rude(run, plan, book), "links": lambda: links(run, plan, book)}[role]
+    work = {
+        "stage": lambda: stage(run, plan, book),
+        "load": lambda: load(run, plan, book, int(part)),
+        "rude": lambda: rude(run, plan, book),
+        "links": lambda: links(run, plan, book),
+    }[role]
     uvloop.run(work())
     book.save(run / f"{role}{part if role == 'load' else ''}.book")
 
--- a/saltmoor/limits/admission.py
+++ b/saltmoor/limits/admission.py
@@ -81,8 +81,9 @@
     def __post_init__(self) -> None:
         self.configure(self.now, self.target, self.revenues, self.quotas, self.longest_hint)
 
-    def configure(self, now: Micros, target: Micros, revenues: list[float], quotas: list[float],
-                  longest_hint: Micros) -> None:
+    def configure(
+        self, now: Micros, target: Micros, revenues: list[float], quotas: list[float], longest_hint: Micros
+    ) -> None:
         """New settings; what was learnt of the node itself stays."""
         self.target, self.revenues, self.longest_hint = target, revenues, longest_hint
         # Guards against a reload that fills every bucket again: each keeps its level.
@@ -106,8 +107,9 @@
         self.again += again
         if self.limit:
             # A step's worth at most may come at once; the clock refills it, however late the loop is.
-            self.budget = min(self.limit * STEP / 1_000_000 + 1,
-                              self.budget + self.limit * (now - self.filled) / 1_000_000)
+            self.budget = min(
+                self.limit * STEP / 1_000_000 + 1, self.budget + self.limit * (now - self.filled) / 1_000_000
+            )
             self.filled = now
             if self.budget < 1 or sort.share < 1 and self.chance() >= sort.share:
                 self.shed += 1
--- a/saltmoor/net/admin.py
+++ b/saltmoor/net/admin.py
@@ -17,15 +17,23 @@
 
 LONGEST = 8192  # bytes of one call
 PATIENCE = 5.0  # seconds that a call may take to come, and its answer to be taken
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 
 Answer = Callable[[], tuple[bool, str]]  # whether it is a yes, and the state in a few words
 
 
 class Admin:
-    def __init__(self, address: tuple[str, int], buffers: Buffers, log: Log,
-                 table: Mapping[str, tuple[str, Answer]]) -> None:
+    def __init__(
+        self, address: tuple[str, int], buffers: Buffers, log: Log, table: Mapping[str, tuple[str, Answer]]
+    ) -> None:
         self.buffers, self.log, self.table = buffers, log, table
         self.calls: dict[asyncio.Task, None] = {}  # the one open longest first
         self.listener = listener("admin_addr", address)
--- a/saltmoor/net/changes.py
+++ b/saltmoor/net/changes.py
@@ -306,19 +306,34 @@
     def shown(self) -> dict[str, Any]:
         now, one, apply = self.clock(), self.subscriber, self.apply
         return {
-            "node": self.given.listen, "site": self.given.site, "relay": one.relays, "upstream": one.upstream,
-            "stream": one.state.name.lower(), "generation": one.generation, "offset": one.offset,
-            "applied": apply.offset, "beat": one.beat,
-            "stale": self.stale or one.stale(now), "when_stale": self.given.when_stale,
+            "node": self.given.listen,
+            "site": self.given.site,
+            "relay": one.relays,
+            "upstream": one.upstream,
+            "stream": one.state.name.lower(),
+            "generation": one.generation,
+            "offset": one.offset,
+            "applied": apply.offset,
+            "beat": one.beat,
+            "stale": self.stale or one.stale(now),
+            "when_stale": self.given.when_stale,
             "taken_stale": self.taken_stale + (self.service.door.count - self.taken_before if self.stale else 0),
-            "behind_ms": min(one.lag(now), 86_400_000_000) // 1000, "purges": apply.purged, "unknown": apply.unknown,
-            "in_force": dict(apply.force), "counts": dict(one.counts), "pauses": self.pauses,
+            "behind_ms": min(one.lag(now), 86_400_000_000) // 1000,
+            "purges": apply.purged,
+            "unknown": apply.unknown,
+            "in_force": dict(apply.force),
+            "counts": dict(one.counts),
+            "pauses": self.pauses,
             "refused": {name: [said.version, said.why] for name, said in apply.rejected.items()},
-            "subscribers": subscribers(self.relay), **self.wire.shown()}
+            "subscribers": subscribers(self.relay),
+            **self.wire.shown(),
+        }
 
 
 def subscribers(relay: Relay) -> dict[str, int]:
     """How many changes each lacks that it has not been sent."""
     store = relay.store
-    return {key: store.committed - cursor.offset if cursor.generation == store.generation else store.committed
-            for key, cursor in relay.cursors.items()}
+    return {
+        key: store.committed - cursor.offset if cursor.generation == store.generation else store.committed
+        for key, cursor in relay.cursors.items()
+    }
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -335,9 +335,19 @@
 class Clients:
     """All clients of the node."""
 
-    def __init__(self, door: facade.Facade, upstream: Upstream, buffers: Buffers, log: Log,
-                 clock: Callable[[], Micros], *, names: config.Names, profiles: list[Profile],
-                 caps: config.Caps, budget: Budget) -> None:
+    def __init__(
+        self,
+        door: facade.Facade,
+        upstream: Upstream,
+        buffers: Buffers,
+        log: Log,
+        clock: Callable[[], Micros],
+        *,
+        names: config.Names,
+        profiles: list[Profile],
+        caps: config.Caps,
+        budget: Budget,
+    ) -> None:
         self.door, self.upstream, self.buffers, self.log, self.clock = door, upstream, buffers, log, clock
         self.configure(names, profiles, caps)
         self.clients: set[Client] = set()
@@ -460,7 +470,8 @@
         """
         staying = len(self.clients) - self.leaving
         if len(self.clients) + self.upstream.open >= self.caps.connections + EVICTIONS // 2 or (
-                len(self.clients) >= self.caps.clients + EVICTIONS // 2):
+            len(self.clients) >= self.caps.clients + EVICTIONS // 2
+        ):
             if not self.leaving:  # the caps have come down
                 self.evict()
             return False
@@ -563,8 +574,7 @@
 
     def drop_stalled(self) -> bool:
         """End the connection whose client has not read an answer for longest."""
-        stalled = [one for one in self.clients
-                   if one.writer and one.slots and isinstance(one.slots[0].answer, bytes)]
+        stalled = [one for one in self.clients if one.writer and one.slots and isinstance(one.slots[0].answer, bytes)]
         if stalled:
             worst = min(stalled, key=lambda one: one.used)
             worst.code = "stalled"
@@ -655,8 +665,9 @@
             return origin.hop_bytes(kept, f"{host}:{port}", wait) if step.origin else meta.hop_bytes(kept, wait)
 
         reader = origin.OriginReply() if step.origin else meta.HopReply(command)
-        return await self.upstream.exchange(step.server, data, reader, step.until, step.by,
-                                            lambda: self.wanted(client, step.tx))
+        return await self.upstream.exchange(
+            step.server, data, reader, step.until, step.by, lambda: self.wanted(client, step.tx)
+        )
 
     def hop_done(self, step: facade.Send, task: asyncio.Task) -> None:
         self.upstream.unsent.discard(task)
@@ -680,8 +691,9 @@
             self.hop_over(step, reply)
 
     def hop_over(self, step: facade.Send, reply: meta.Reply, copy: str | None = None) -> None:
-        self.door.report(step, reply.ended, answer=reply.flow or reply.body, note=reply.note, load=reply.load,
-                         copy=copy)
+        self.door.report(
+            step, reply.ended, answer=reply.flow or reply.body, note=reply.note, load=reply.load, copy=copy
+        )
 
     def settle_down(self) -> None:
         """Stop: take what the machine has accepted already, then end each connection between transactions."""
--- a/saltmoor/net/control.py
+++ b/saltmoor/net/control.py
@@ -42,8 +42,9 @@
         self.given, self.log = given, log
         now, store = clock(), Store(given.retain, given.retain_bytes)
         run = int.from_bytes(os.urandom(6), "big")
-        self.core = core.Log(now, given.me, list(given.control), run, given.lease, store,
-                             Relay(given.me, store, most=STREAMS))
+        self.core = core.Log(
+            now, given.me, list(given.control), run, given.lease, store, Relay(given.me, store, most=STREAMS)
+        )
         self.wire = Wire(given.cluster, given.me, MACHINE)
         self.links: dict[str, Stream] = {}  # to the other machines: what is said to them goes there
         self.streams: dict[str, Stream] = {}  # from nodes and tools: answers go back there
@@ -158,14 +159,29 @@
     def shown(self) -> dict[str, Any]:
         one, store = self.core, self.core.store
         return {
-            "machine": self.given.me, "state": one.state.name.lower(), "epoch": one.epoch if one.writer else 0,
-            "promised": one.copy.promised, "leader": one.copy.leader[0], "blank": one.copy.blank,
-            "generation": store.generation, "committed": store.committed, "last": store.last, "base": store.base,
-            "retained_bytes": store.weight, "control": list(self.given.control), "linked": sorted(self.links),
-            "versions": {name: one.store.version(name) for name in store.head}, "counts": dict(one.counts),
-            "others": {name: {"behind": store.last - each.match, "blank": each.blank} for name, each in
-                       (one.writer.others if one.writer else {}).items()},
-            "beat": one.copy.confirmed, "subscribers": subscribers(one.relay), **self.wire.shown()}
+            "machine": self.given.me,
+            "state": one.state.name.lower(),
+            "epoch": one.epoch if one.writer else 0,
+            "promised": one.copy.promised,
+            "leader": one.copy.leader[0],
+            "blank": one.copy.blank,
+            "generation": store.generation,
+            "committed": store.committed,
+            "last": store.last,
+            "base": store.base,
+            "retained_bytes": store.weight,
+            "control": list(self.given.control),
+            "linked": sorted(self.links),
+            "versions": {name: one.store.version(name) for name in store.head},
+            "counts": dict(one.counts),
+            "others": {
+                name: {"behind": store.last - each.match, "blank": each.blank}
+                for name, each in (one.writer.others if one.writer else {}).items()
+            },
+            "beat": one.copy.confirmed,
+            "subscribers": subscribers(one.relay),
+            **self.wire.shown(),
+        }
 
 
 async def control(given: config.Changes) -> None:
--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -95,8 +95,16 @@
 
 
 class Discovery:
-    def __init__(self, address: tuple[str, int], buffers: Buffers, log: Log, *, names: config.Names,
-                 generation: int, pushed: bool = False) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        buffers: Buffers,
+        log: Log,
+        *,
+        names: config.Names,
+        generation: int,
+        pushed: bool = False,
+    ) -> None:
         self.address, self.buffers, self.log = address, buffers, log
         self.names, self.generation, self.pushed = names, generation, pushed
         self.asked: tuple[Micros, Callable[[News], None]] | None = None  # how the list is to be followed
--- a/saltmoor/net/duties.py
+++ b/saltmoor/net/duties.py
@@ -98,9 +98,23 @@
         everyone = sorted({*given.voters, *given.before})
         self.voter = Voter(now, given.lease) if peers.name in everyone else None
         # Only voters are candidates: each has a place of its own, so no two numbers are the same.
-        self.claims = {duty: Claim(duty, peers.name, everyone.index(peers.name), list(given.voters),
-                                   list(given.before), given.lease, given.flight, next=now)
-                       for duty in given.use} if self.voter else {}
+        self.claims = (
+            {
+                duty: Claim(
+                    duty,
+                    peers.name,
+                    everyone.index(peers.name),
+                    list(given.voters),
+                    list(given.before),
+                    given.lease,
+                    given.flight,
+                    next=now,
+                )
+                for duty in given.use
+            }
+            if self.voter
+            else {}
+        )
         self.differ: set[str] = set()  # members with another list of voters
         self.kept_at, self.writing, self.mode = now, False, ""
         self.wrote = 0
@@ -180,6 +194,7 @@
 
     def work(self, kept: Kept, claim: Claim, takes: int) -> None:
         """The thread's. A clock and a few numbers are all it reads of the claim."""
+
         def still() -> bool:
             return claim.takes == takes and claim.may_act(self.clock()) >= kept.number
 
@@ -231,8 +246,10 @@
         items = [item for item in kept.items if gone is not None or item.kind == "word"]
         for item in items:
             item.age += gone or 0
-        self.log(f"duty snapshot: number={kept.number} of {kept.writer}: items={len(items)} "
-                 f"{'of unknown age' if gone is None else f'age_ms={gone // 1000}'}")
+        self.log(
+            f"duty snapshot: number={kept.number} of {kept.writer}: items={len(items)} "
+            f"{'of unknown age' if gone is None else f'age_ms={gone // 1000}'}"
+        )
         self.take(items)
 
     def take(self, items: list[Item]) -> None:
@@ -245,9 +262,20 @@
 
     def shown(self) -> dict[str, Any]:
         now = self.clock()
-        return {"voters": list(self.given.voters), "before": list(self.given.before), "duties": {
-            duty: {"state": one.state.name.lower(), "owner": one.owns(now), "number": one.fence,
-                   "left_ms": max(0, one.until - now) // 1000,
-                   "held_ms": (now - one.since) // 1000 if one.owns(now) else 0,
-                   "holder": one.holder[0], "takes": one.takes, "wrote": self.wrote}
-            for duty, one in self.claims.items()}}
+        return {
+            "voters": list(self.given.voters),
+            "before": list(self.given.before),
+            "duties": {
+                duty: {
+                    "state": one.state.name.lower(),
+                    "owner": one.owns(now),
+                    "number": one.fence,
+                    "left_ms": max(0, one.until - now) // 1000,
+                    "held_ms": (now - one.since) // 1000 if one.owns(now) else 0,
+                    "holder": one.holder[0],
+                    "takes": one.takes,
+                    "wrote": self.wrote,
+                }
+                for duty, one in self.claims.items()
+            },
+        }
--- a/saltmoor/net/flow.py
+++ b/saltmoor/net/flow.py
@@ -24,8 +24,7 @@
 
     __slots__ = ("bring", "drop_link", "length", "moved", "over", "reader")
 
-    def __init__(self, length: int, reader, bring: Callable, drop_link: Callable[[str], None],
-                 now: Micros) -> None:
+    def __init__(self, length: int, reader, bring: Callable, drop_link: Callable[[str], None], now: Micros) -> None:
         self.length, self.reader, self.bring, self.drop_link = length, reader, bring, drop_link
         self.over, self.moved = False, now
 
@@ -63,7 +62,7 @@
         return self.passed == len(self.value)
 
     def take(self) -> memoryview:
-        piece = self.value[self.passed:self.passed + self.size]
+        piece = self.value[self.passed : self.passed + self.size]
         self.passed += len(piece)
         return piece
 
