--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -71,8 +71,12 @@
                 last = told
             seen[server] = last, own
         self.seen = seen if whole else before | seen
-        return [line if seen[line.member.server][1] == line.member.started else
-                replace(line, member=replace(line.member, started=seen[line.member.server][1])) for line in lines]
+        return [
+            line
+            if seen[line.member.server][1] == line.member.started
+            else replace(line, member=replace(line.member, started=seen[line.member.server][1]))
+            for line in lines
+        ]
 
     def told(self, server: str, own: Micros) -> Micros:
         """As the list has it, for the process that takes this one's place."""
@@ -85,9 +89,16 @@
 class Service:
     """One running node."""
 
-    def __init__(self, given: config.Config, read: Callable[[], config.Config], log: Log | None = None,
-                 meeting: Meeting | None = None, found: tuple[Sibling, Message, list[int]] | None = None,
-                 keeper: Any = None, kept: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        given: config.Config,
+        read: Callable[[], config.Config],
+        log: Log | None = None,
+        meeting: Meeting | None = None,
+        found: tuple[Sibling, Message, list[int]] | None = None,
+        keeper: Any = None,
+        kept: dict[str, Any] | None = None,
+    ) -> None:
         self.given, self.read = given, read
         self.log = log or Log(given.log_lines)
         self.meeting, self.sibling = meeting, None
@@ -98,30 +109,56 @@
         self.hurry = asyncio.Event()  # the next sweep is to come at once
         self.buffers = buffers = Buffers(keep=given.caps.connections)
         self.budget = Budget(given.caps.gathered)
-        self.upstream = Upstream(buffers, self.log, clock, budget=self.budget, cap=self.upstream_cap,
-                                 make_room=lambda: self.clients.make_room(), idle=given.idle,
-                                 connect_wait=given.connect_wait, figures=bool(given.names.columns))
+        self.upstream = Upstream(
+            buffers,
+            self.log,
+            clock,
+            budget=self.budget,
+            cap=self.upstream_cap,
+            make_room=lambda: self.clients.make_room(),
+            idle=given.idle,
+            connect_wait=given.connect_wait,
+            figures=bool(given.names.columns),
+        )
         self.starts = Starts()
         known = self.starts.own(given.known, whole=True)
         self.upstream.listed(known)
         self.discovery = self.make_discovery()
         self.errand: facade.Watch | None = None  # the last one to follow the list, also where there is no discovery
         node = Node(given.seed, clock(), **given.node)
-        self.door = facade.Facade(node, [line.member for line in known], columns=given.names.columns, clock=clock,
-                                  nudge=self.nudge, log=self.log, part=0.5 if found else 1.0)
-        self.clients = Clients(self.door, self.upstream, buffers, self.log, clock, names=given.names,
-                               profiles=given.node["profiles"], caps=given.caps, budget=self.budget)
+        self.door = facade.Facade(
+            node,
+            [line.member for line in known],
+            columns=given.names.columns,
+            clock=clock,
+            nudge=self.nudge,
+            log=self.log,
+            part=0.5 if found else 1.0,
+        )
+        self.clients = Clients(
+            self.door,
+            self.upstream,
+            buffers,
+            self.log,
+            clock,
+            names=given.names,
+            profiles=given.node["profiles"],
+            caps=given.caps,
+            budget=self.budget,
+        )
         self.ready = False
         self.settings(given)
         self.sharing = None
         if given.peers:
             from saltmoor.net.sharing import Sharing  # only where it is switched on
+
             self.sharing = Sharing(self, given.peers)
             if "fetches" in given.peers.use:
                 self.clients.sharing = self.sharing
         self.follower = None
         if given.changes:
             from saltmoor.net.changes import Follower  # only where it is switched on
+
             self.follower = Follower(self, given.changes)
         self.keeper = keeper
         if kept:
@@ -129,10 +166,16 @@
         shared = self.beside(*found) if found else None
         self.shares = shared is not None  # with the process that was there before
         self.listener = shared or listener("listen", given.listen)
-        self.admin = given.admin and Admin(given.admin, self.buffers, self.log, {
-            "/_ready": ("GET", self.say_ready),
-            "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
-            "/_lameduck/off": ("POST", lambda: self.say_lame(False))})
+        self.admin = given.admin and Admin(
+            given.admin,
+            self.buffers,
+            self.log,
+            {
+                "/_ready": ("GET", self.say_ready),
+                "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
+                "/_lameduck/off": ("POST", lambda: self.say_lame(False)),
+            },
+        )
 
     def recall(self, kept: dict[str, Any]) -> None:
         """Guards against whatever else a snapshot holds: what cannot be used costs the snapshot, never the start."""
@@ -161,11 +204,20 @@
     def lines(self) -> list[dict[str, Any]]:
         """The list as it is followed, in discovery's form."""
         names, addresses = self.given.names, self.upstream.address
-        return [{"instanceId": one.server, "hostPort": "%s:%d" % addresses[one.server],
-                 "zone": names.zones[one.zone] if one.zone >= 0 else "", "cell": one.cell,
-                 "machineType": names.kinds[one.kind] if one.kind >= 0 else "", "lifecycle": "up",
-                 "weight": one.size, "startedAtMs": self.starts.told(one.server, one.started) // 1000}
-                for one in self.door.members() if one.server in addresses]
+        return [
+            {
+                "instanceId": one.server,
+                "hostPort": "%s:%d" % addresses[one.server],
+                "zone": names.zones[one.zone] if one.zone >= 0 else "",
+                "cell": one.cell,
+                "machineType": names.kinds[one.kind] if one.kind >= 0 else "",
+                "lifecycle": "up",
+                "weight": one.size,
+                "startedAtMs": self.starts.told(one.server, one.started) // 1000,
+            }
+            for one in self.door.members()
+            if one.server in addresses
+        ]
 
     def noted(self) -> dict[str, Any]:
         generation = self.discovery.generation if self.discovery else self.given.generation
@@ -215,8 +267,10 @@
             return
         self.pair_with(sibling)
         lines = self.lines()
-        said = {"lame": bool(self.clients.lame),
-                "generation": self.discovery.generation if self.discovery else self.given.generation}
+        said = {
+            "lame": bool(self.clients.lame),
+            "generation": self.discovery.generation if self.discovery else self.given.generation,
+        }
         shared = self.listener.fileno()
         try:
             learnt = {"state": self.door.noted()}
@@ -316,18 +370,21 @@
         old = self.given
         for key in ("zones", "kinds"):
             before = getattr(old.names, key)
-            if getattr(given.names, key)[:len(before)] != before:
+            if getattr(given.names, key)[: len(before)] != before:
                 # Guards against servers known by a place in the lists that means another zone or kind now.
-                return (f"settings.{'azs' if key == 'zones' else key}: those before must keep their places, "
-                        f"or it needs a restart")
+                return (
+                    f"settings.{'azs' if key == 'zones' else key}: those before must keep their places, "
+                    f"or it needs a restart"
+                )
         if given.node["origin_kind"] != old.node["origin_kind"]:
             return "settings.family_info: needs a restart"
         return ""
 
     def make_discovery(self) -> Discovery | None:
         given = self.given
-        return given.discovery and Discovery(given.discovery, self.buffers, self.log, names=given.names,
-                                             generation=given.generation, pushed=given.pushed)
+        return given.discovery and Discovery(
+            given.discovery, self.buffers, self.log, names=given.names, generation=given.generation, pushed=given.pushed
+        )
 
     def upstream_cap(self) -> int:
         """Connections to servers may take what clients leave; the reserve has those that are on their way out."""
@@ -518,6 +575,7 @@
     keeper = kept = None
     if given.keeping:
         from saltmoor.net.keeper import Keeper
+
         keeper = Keeper(given.keeping, given.name, log)
         kept = await keeper.load()
     service = Service(given, read, log, meeting, found, keeper, kept)
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -43,7 +43,7 @@
         if end < 0 or end > LONGEST_LINE:
             raise FramingLost("line too long")
         line = bytes(self.held[:end]).removesuffix(b"\r")
-        del self.held[:end + 1]
+        del self.held[: end + 1]
         self.searched = 0
         return line
 
@@ -51,10 +51,10 @@
         """A block of that length and the line's end after it."""
         if len(self.held) < length + 2:
             return None
-        if self.held[length:length + 2] != b"\r\n":
+        if self.held[length : length + 2] != b"\r\n":
             raise FramingLost("bad data chunk")
         block = bytes(self.held[:length])
-        del self.held[:length + 2]
+        del self.held[: length + 2]
         self.searched = 0
         return block
 
@@ -94,7 +94,7 @@
     Guards against passing on what no server can use: it would be refused at one after the other, and what was
     learnt of their health with it.
     """
-    flags = command.words[3 if command.write else 2:]
+    flags = command.words[3 if command.write else 2 :]
     if not 0 < len(command.key) <= LONGEST_KEY:
         return "bad key or line"
     for flag in flags:
@@ -149,7 +149,7 @@
         piece = min(len(held), self.length - self.filled)
         if piece:
             with memoryview(held) as view:
-                command.value[self.filled:self.filled + piece] = view[:piece]
+                command.value[self.filled : self.filled + piece] = view[:piece]
             del held[:piece]
             self.filled += piece
         if self.filled < self.length or len(held) < 2:
@@ -279,13 +279,13 @@
         """Of a large value: what may be passed on. The last byte only once the line's end behind it has come."""
         held, left = self.splitter.held, self.length - self.passed
         if left and len(held) >= left + 2:
-            if held[left:left + 2] != b"\r\n":
+            if held[left : left + 2] != b"\r\n":
                 raise FramingLost("bad data chunk")
             size, self.done = left, True
         else:
             size = max(0, min(len(held), left - 1))
         piece = bytes(memoryview(held)[:size])
-        del held[:size + 2 * self.done * bool(size)]
+        del held[: size + 2 * self.done * bool(size)]
         self.passed += size
         return piece
 
@@ -296,7 +296,7 @@
         elif kind in (b"CLIENT_ERROR", b"ERROR"):
             self.reply = Reply(Ended.MALFORMED, b" ".join(words))
         elif kind in (b"EN", b"HD" if self.command.write else b"VA"):
-            flags = words[2 if kind == b"VA" else 1:]
+            flags = words[2 if kind == b"VA" else 1 :]
             if b"O" + self.command.id not in flags:
                 raise FramingLost("an answer to something else")
             self.reply = Reply(Ended.MISS if kind == b"EN" else Ended.COMMITTED)
--- a/saltmoor/net/origin.py
+++ b/saltmoor/net/origin.py
@@ -63,8 +63,9 @@
         got = self.response
         load = meta.figures(got.headers.get("x-server-load", "").encode("latin-1"))
         if got.status == 200:
-            return meta.Reply(Ended.COMMITTED, b"" if got.large or len(got.body) > LONGEST_HELD else bytes(got.body),
-                              load=load)
+            return meta.Reply(
+                Ended.COMMITTED, b"" if got.large or len(got.body) > LONGEST_HELD else bytes(got.body), load=load
+            )
         not_run = got.status in (503, 504) and got.headers.get("x-not-processed") == "1"
         return meta.Reply(Ended.FULL if not_run else Ended.ERROR, load=load)
 
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -104,8 +104,8 @@
                 if not frames.HEAD <= length <= frames.BULK:
                     raise Strange("length")
                 if len(self.held) >= 4 + length:
-                    frame = bytes(self.held[4:4 + length])
-                    del self.held[:4 + length]
+                    frame = bytes(self.held[4 : 4 + length])
+                    del self.held[: 4 + length]
                     return frame
             data = await self.loop.sock_recv(self.sock, 65_536)
             if not data:
@@ -272,7 +272,10 @@
         for out in outs:
             if isinstance(out.content, Ping):
                 out.content.root, out.content.epoch, out.content.seq = (
-                    self.store.root, self.store.epoch, self.store.seq)
+                    self.store.root,
+                    self.store.epoch,
+                    self.store.seq,
+                )
             self.send(self.where(out.to) if out.to else place(out.address), out.word, out.content)
 
     def send(self, where: tuple[str, int] | None, word: str, said: Any) -> None:
@@ -336,8 +339,11 @@
             self.tell_all([self.turns.ask(now, said.key, speaker.name, said.number, lease, said.server)])
         elif word == "turn!":
             said = frames.content(frame, TurnWord)
-            self.answered(Word(self.name, said.number, How(said.how) if said.how in (0, 1, 2) else How.GO, said.permit,
-                               said.server))
+            self.answered(
+                Word(
+                    self.name, said.number, How(said.how) if said.how in (0, 1, 2) else How.GO, said.permit, said.server
+                )
+            )
         elif word == "turned":
             said = frames.content(frame, TurnWord)
             self.tell_all(self.turns.done(now, said.key, said.number, said.server))
@@ -483,8 +489,11 @@
     async def give(self, bulk: Bulk, said: PullWord) -> None:
         """What a peer lacks, at a bounded rate: who returns must not hold up who serves."""
         now, seq = self.clock(), self.store.seq
-        wanted = (self.store.ranges(now, said.ranges[:512]) if said.ranges
-                  else self.store.since(now, said.seq if said.epoch == self.store.epoch else 0))
+        wanted = (
+            self.store.ranges(now, said.ranges[:512])
+            if said.ranges
+            else self.store.since(now, said.seq if said.epoch == self.store.epoch else 0)
+        )
         chunk, size = [], 0
         for item in wanted:
             chunk.append(item)
@@ -524,13 +533,12 @@
                     frame = frames.decode(data, self.given.cluster)
                     if frame.word == "items":
                         now = self.clock()
-                        for item in frames.content(frame, list[Item])[:4 * CHUNK]:
+                        for item in frames.content(frame, list[Item])[: 4 * CHUNK]:
                             self.merge(now, item)
                         await asyncio.sleep(0)
                     elif frame.word == "end":
                         end = frames.content(frame, EndWord)
-                        self.exchange.done(self.clock(), pull.name, end.epoch, end.seq,
-                                           self.store.compare(end.digests))
+                        self.exchange.done(self.clock(), pull.name, end.epoch, end.seq, self.store.compare(end.digests))
                         return
                 raise Strange("cut off")
         except (OSError, TimeoutError, Strange) as error:
@@ -550,8 +558,7 @@
             if one.to == self.name:
                 self.answered(one)
             else:
-                self.send(self.where(one.to), "turn!",
-                          TurnWord(one.ask, 0, 0, int(one.how), one.permit, one.server))
+                self.send(self.where(one.to), "turn!", TurnWord(one.ask, 0, 0, int(one.how), one.permit, one.server))
 
     def answered(self, word: Word) -> None:
         """A keeper's answer to a question of this node."""
@@ -629,17 +636,49 @@
         if what in self.shows:
             return self.shows[what]()
         if what == "items":
-            return {"items": [[kind, key, kept.version, kept.body[:2000], (now - kept.written) // 1000]
-                              for kind, table in self.store.kinds.items() for key, kept in list(table.items())[:2000]]}
+            return {
+                "items": [
+                    [kind, key, kept.version, kept.body[:2000], (now - kept.written) // 1000]
+                    for kind, table in self.store.kinds.items()
+                    for key, kept in list(table.items())[:2000]
+                ]
+            }
         one = self.members
         return {
-            "name": self.name, "cluster": self.given.cluster, "life": one.me.life, "site": one.me.site,
-            "build": one.me.build, "late": one.late, "clashes": len(one.clashes),
-            "members": [[m.name, m.state.name.lower(), m.life, m.address, m.site, m.build, (now - m.since) // 1000,
-                         m.offset // 1000] for m in one.others.values()],
-            "root": self.store.root, "digests": self.store.digests, "items": self.store.count(),
-            "bytes": self.store.bytes, "refused": self.store.refused, "dropped": self.dropped,
-            "phase": self.exchange.phase.name.lower(), "took_ms": self.exchange.took // 1000,
-            "pulls": self.exchange.pulls, "repairs": self.exchange.repairs,
-            "sent": self.sent, "came": self.came, "sent_bytes": self.sent_bytes, "came_bytes": self.came_bytes,
-            "given_bytes": self.given_bytes, "slowest_us": int(self.slowest * 1e6)}
+            "name": self.name,
+            "cluster": self.given.cluster,
+            "life": one.me.life,
+            "site": one.me.site,
+            "build": one.me.build,
+            "late": one.late,
+            "clashes": len(one.clashes),
+            "members": [
+                [
+                    m.name,
+                    m.state.name.lower(),
+                    m.life,
+                    m.address,
+                    m.site,
+                    m.build,
+                    (now - m.since) // 1000,
+                    m.offset // 1000,
+                ]
+                for m in one.others.values()
+            ],
+            "root": self.store.root,
+            "digests": self.store.digests,
+            "items": self.store.count(),
+            "bytes": self.store.bytes,
+            "refused": self.store.refused,
+            "dropped": self.dropped,
+            "phase": self.exchange.phase.name.lower(),
+            "took_ms": self.exchange.took // 1000,
+            "pulls": self.exchange.pulls,
+            "repairs": self.exchange.repairs,
+            "sent": self.sent,
+            "came": self.came,
+            "sent_bytes": self.sent_bytes,
+            "came_bytes": self.came_bytes,
+            "given_bytes": self.given_bytes,
+            "slowest_us": int(self.slowest * 1e6),
+        }
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -36,11 +36,13 @@
         clock = service.door.clock
         self.peers = peers = Peers(given, service.given.name, service.log, clock)
         peers.took, peers.step = self.took, self.step
-        self.uses = Uses(peers.name, given.site, given.source or service.source(), given.use, peers.store,
-                         count=peers.me.life << 20)
+        self.uses = Uses(
+            peers.name, given.site, given.source or service.source(), given.use, peers.store, count=peers.me.life << 20
+        )
         self.duties = None
         if service.given.duties:
             from saltmoor.net.duties import Duties  # only where it is switched on
+
             self.duties = Duties(peers, service.given.duties, service.log)
         self.stepped, self.kept = 0, 0
         self.quotas: list | None = None  # the node's, as its settings made them
@@ -143,8 +145,11 @@
         """Rule 3 gets sooner: it is told by a peer, so it is told."""
         name, started = self.uses.server_of(item) or ("", 0)
         server = self.known(name)
-        if server and self.service.starts.told(server.id, server.started) // 1000 == started and self.uses.drains(
-                name, started * 1000):
+        if (
+            server
+            and self.service.starts.told(server.id, server.started) // 1000 == started
+            and self.uses.drains(name, started * 1000)
+        ):
             self.change(name, readiness=Readiness.DRAINING)
             self.uses.note("drains")
 
@@ -178,9 +183,14 @@
             lines.append(line)
         service.upstream.listed(lines)
         lines = service.starts.own(lines, whole=False)
-        service.door.remembered([
-            replace(line.member, started=max(line.member.started, servers[line.member.server].started))
-            if line.member.server in servers else line.member for line in lines])
+        service.door.remembered(
+            [
+                replace(line.member, started=max(line.member.started, servers[line.member.server].started))
+                if line.member.server in servers
+                else line.member
+                for line in lines
+            ]
+        )
         self.uses.listed.generation = generation
         self.uses.note("lists")
         service.log(f"replica: list of generation {generation} taken from a peer: servers={len(lines)}")
@@ -197,11 +207,15 @@
 
     def asks(self, step: facade.Send, reply: meta.Reply) -> bool:
         """Whether this miss is one to ask the key's keeper about."""
-        return (reply.ended is Ended.MISS and not step.tx.write and not step.origin and step.tx.key is not None
-                and reply.note != OTHERS)
-
-    async def turn(self, step: facade.Send, reply: meta.Reply,
-                   done: Callable[[meta.Reply, str | None], None]) -> None:
+        return (
+            reply.ended is Ended.MISS
+            and not step.tx.write
+            and not step.origin
+            and step.tx.key is not None
+            and reply.note != OTHERS
+        )
+
+    async def turn(self, step: facade.Send, reply: meta.Reply, done: Callable[[meta.Reply, str | None], None]) -> None:
         """Tell of the miss once it is known whether another is fetching; the wait is none of the server's time."""
         begun, word, copy, node = self.peers.clock(), None, None, self.service.door.node
         try:
--- a/saltmoor/net/streams.py
+++ b/saltmoor/net/streams.py
@@ -79,9 +79,14 @@
 
     def shown(self) -> dict[str, Any]:
         """What was counted, for operators."""
-        return {"dropped": self.dropped, "read_bytes": self.read_bytes, "written_bytes": self.written_bytes,
-                "read_frames": self.read_frames, "written_frames": self.written_frames,
-                "slowest_us": int(self.slowest * 1e6)}
+        return {
+            "dropped": self.dropped,
+            "read_bytes": self.read_bytes,
+            "written_bytes": self.written_bytes,
+            "read_frames": self.read_frames,
+            "written_frames": self.written_frames,
+            "slowest_us": int(self.slowest * 1e6),
+        }
 
     def frame(self, body: bytes, first: bool = False) -> bytes:
         return len(body).to_bytes(4, "big") + self.checksum(body, first).to_bytes(4, "big") + body
@@ -146,19 +151,19 @@
         cluster: what follows it can't be found any more."""
         while True:
             if len(self.held) - self.at >= HEAD:
-                length = int.from_bytes(self.held[self.at:self.at + 4], "big")
+                length = int.from_bytes(self.held[self.at : self.at + 4], "big")
                 if not 0 < length <= most:
                     raise Strange("length")
                 if len(self.held) - self.at >= HEAD + length:
                     start = self.at + HEAD
-                    body = bytes(memoryview(self.held)[start:start + length])
-                    if self.wire.checksum(body, first) != int.from_bytes(self.held[self.at + 4:start], "big"):
+                    body = bytes(memoryview(self.held)[start : start + length])
+                    if self.wire.checksum(body, first) != int.from_bytes(self.held[self.at + 4 : start], "big"):
                         raise Strange("checksum")
                     self.at = start + length
                     self.wire.read_frames += 1
                     return body
             if self.at:  # once for all frames of a chunk
-                del self.held[:self.at]
+                del self.held[: self.at]
                 self.at = 0
             count = await self.loop.sock_recv_into(self.sock, self.chunk)
             if not count:
--- a/saltmoor/net/tool.py
+++ b/saltmoor/net/tool.py
@@ -90,8 +90,14 @@
         return call.ask(Show(), Shown).shown
 
 
-def append(control: list[str], cluster: str, kind: str, make: Callable[[dict[str, Any]], bytes], id: str = "",
-           timeout: float = 6.0) -> Outcome:
+def append(
+    control: list[str],
+    cluster: str,
+    kind: str,
+    make: Callable[[dict[str, Any]], bytes],
+    id: str = "",
+    timeout: float = 6.0,
+) -> Outcome:
     """Put one change into the log, by whichever machine leads. `make`: its content, from what the leader shows; `id`:
     that of an earlier call whose outcome is not known."""
     if id and not re.fullmatch(ID, id):
@@ -138,7 +144,9 @@
         time.sleep(PAUSE)
     if unknown:
         return Outcome("unknown", why, id)
-    return Outcome("refused", f"no majority of the {len(control)} control machines ({len(answering)} answer; {why})", id)
+    return Outcome(
+        "refused", f"no majority of the {len(control)} control machines ({len(answering)} answer; {why})", id
+    )
 
 
 # The command's words.
@@ -206,25 +214,35 @@
     leader = max(leaders, key=lambda one: one["epoch"], default=None)
     follow = sum(bool(leader) and one["promised"] == leader["epoch"] and not one["blank"] for one in machines)
     whole = 2 * follow > len(places)
-    lines.insert(0, f"leader: {leader['machine']} epoch={leader['epoch']} committed={leader['committed']}, "
-                    f"followed by {follow} of {len(places)}" if leader and whole else
-                    f"no leader that a majority of {len(places)} follows: no change is taken")
+    lines.insert(
+        0,
+        f"leader: {leader['machine']} epoch={leader['epoch']} committed={leader['committed']}, "
+        f"followed by {follow} of {len(places)}"
+        if leader and whole
+        else f"no leader that a majority of {len(places)} follows: no change is taken",
+    )
     return int(not whole or len(shown) < len(places)), lines
 
 
 def machine(one: dict[str, Any]) -> list[str]:
-    lines = [f"{one['machine']}: {one['state']} promised={one['promised']}{' blank' if one['blank'] else ''} "
-             f"generation={one['generation']} committed={one['committed']} last={one['last']} "
-             f"retained_from={one['base'] + 1} dropped={one['dropped']}"]
-    lines += [f"  {name:24} behind={other['behind']} {'blank' if other['blank'] else 'holds it'}"
-              for name, other in one["others"].items()]
+    lines = [
+        f"{one['machine']}: {one['state']} promised={one['promised']}{' blank' if one['blank'] else ''} "
+        f"generation={one['generation']} committed={one['committed']} last={one['last']} "
+        f"retained_from={one['base'] + 1} dropped={one['dropped']}"
+    ]
+    lines += [
+        f"  {name:24} behind={other['behind']} {'blank' if other['blank'] else 'holds it'}"
+        for name, other in one["others"].items()
+    ]
     return lines + [f"  {key.partition('#')[0]:24} behind={lag}" for key, lag in sorted(one["subscribers"].items())]
 
 
 def node(one: dict[str, Any]) -> list[str]:
     versions = ", ".join(f"{name}={version}" for name, version in one["in_force"].items()) or "none"
-    lines = [f"{one['node']}: {'STALE' if one['stale'] else 'fresh'} behind_ms={one['behind_ms']} "
-             f"applied={one['applied']} from={one['upstream'] or 'none'}{' relay' if one['relay'] else ''} "
-             f"site={one['site']} taken_stale={one['taken_stale']} versions: {versions} dropped={one['dropped']}"]
+    lines = [
+        f"{one['node']}: {'STALE' if one['stale'] else 'fresh'} behind_ms={one['behind_ms']} "
+        f"applied={one['applied']} from={one['upstream'] or 'none'}{' relay' if one['relay'] else ''} "
+        f"site={one['site']} taken_stale={one['taken_stale']} versions: {versions} dropped={one['dropped']}"
+    ]
     lines += [f"  refused: {name} version={version}: {why}" for name, (version, why) in one["refused"].items()]
     return lines + [f"  {key.partition('#')[0]:24} behind={lag}" for key, lag in sorted(one["subscribers"].items())]
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -109,9 +109,19 @@
 
 
 class Upstream:
-    def __init__(self, buffers: Buffers, log: Log, clock: Callable[[], Micros], *, budget: Budget,
-                 cap: Callable[[], int], make_room: Callable[[], bool], idle: Micros, connect_wait: Micros,
-                 figures: bool) -> None:
+    def __init__(
+        self,
+        buffers: Buffers,
+        log: Log,
+        clock: Callable[[], Micros],
+        *,
+        budget: Budget,
+        cap: Callable[[], int],
+        make_room: Callable[[], bool],
+        idle: Micros,
+        connect_wait: Micros,
+        figures: bool,
+    ) -> None:
         self.buffers, self.log, self.clock, self.budget = buffers, log, clock, budget
         self.cap, self.make_room, self.ages, self.forget_at = cap, make_room, Ages(), 0
         self.configure(idle, connect_wait, figures)
@@ -131,8 +141,7 @@
 
     def listed(self, lines: list[config.Line], whole: bool = False) -> None:
         """Where servers are reached now; what is kept for those that left, and links to the moved, goes."""
-        stay = {line.member.server: line.address for line in lines
-                if line.member.readiness is not Readiness.GONE}
+        stay = {line.member.server: line.address for line in lines if line.member.readiness is not Readiness.GONE}
         left = {line.member.server for line in lines} | (set(self.address) if whole else set())
         self.draining -= left
         self.draining |= {line.member.server for line in lines if line.member.readiness is Readiness.DRAINING}
@@ -156,9 +165,15 @@
             for dial in self.late.get(server, [])[:]:
                 self.let_go(dial, "given-back")
 
-    async def exchange(self, server: ServerId, data: list[bytes] | Callable[[], list[bytes]], reader: Reader,
-                       until: Micros, by: Micros = 0,
-                       wanted: Callable[[], bool] | None = None) -> meta.Reply:
+    async def exchange(
+        self,
+        server: ServerId,
+        data: list[bytes] | Callable[[], list[bytes]],
+        reader: Reader,
+        until: Micros,
+        by: Micros = 0,
+        wanted: Callable[[], bool] | None = None,
+    ) -> meta.Reply:
         """Write it, read the answer; the reply's `ended` tells how far it came when there is none.
 
         `data`: a callable is asked right before the first byte. Guards against telling a server of time that
@@ -174,11 +189,15 @@
         self.unsent.add(task)
         # Guards against giving up a moment early, which looks like time for another hop: the loop's timers go
         # by whole milliseconds, so one more is added.
-        timer = asyncio.get_running_loop().call_later(
-            max(0, until - self.clock()) / 1_000_000 + 0.001, task.cancel)
+        timer = asyncio.get_running_loop().call_later(max(0, until - self.clock()) / 1_000_000 + 0.001, task.cancel)
         # Guards against a repeat that is decided inside of its window, and written behind it: connecting takes time.
-        late = by and by < until and asyncio.get_running_loop().call_later(
-            max(0, by - self.clock()) / 1_000_000, lambda: task in self.unsent and task.cancel())
+        late = (
+            by
+            and by < until
+            and asyncio.get_running_loop().call_later(
+                max(0, by - self.clock()) / 1_000_000, lambda: task in self.unsent and task.cancel()
+            )
+        )
         try:
             link = self.take(server)
             if link:
@@ -229,8 +248,9 @@
             code = code if code == "ended" else "" if reader.clean else "closed"
             if reader.gathered > LONGEST_HELD:
                 value, back = reader.keep(), paid
-                reply.flow = Flow(len(value), Kept(value, STEP // 16), None,
-                                  lambda code: self.budget.give_back(back), self.clock())
+                reply.flow = Flow(
+                    len(value), Kept(value, STEP // 16), None, lambda code: self.budget.give_back(back), self.clock()
+                )
                 paid = 0
             return reply
         except asyncio.CancelledError:
@@ -317,8 +337,9 @@
         other, waiting, link = loop.create_future(), self.waiting.setdefault(server, []), None
         waiting.append(other)
         try:
-            await asyncio.wait((dial.over, other), timeout=self.connect_wait / 1_000_000,
-                               return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                (dial.over, other), timeout=self.connect_wait / 1_000_000, return_when=asyncio.FIRST_COMPLETED
+            )
             link = other.result() if other.done() else dial.link if dial.over.done() else None
         finally:
             waiting.remove(other)
@@ -396,8 +417,7 @@
         if self.late:
             self.let_go(min((ones[0] for ones in self.late.values()), key=lambda dial: dial.link.since), "evicted")
             return True
-        oldest = min((links for links in self.free.values() if links), default=None,
-                     key=lambda links: links[0].used)
+        oldest = min((links for links in self.free.values() if links), default=None, key=lambda links: links[0].used)
         if oldest is None:
             return False
         self.close(oldest.pop(0), "evicted")
@@ -440,8 +460,16 @@
             while links:
                 link = links.pop()
                 if link.used > self.clock() - self.good and link.stream.quiet():
-                    give({"server": link.server, "address": link.address, "since": link.since, "used": link.used,
-                          "exchanges": link.exchanges}, link.stream.sock.fileno())
+                    give(
+                        {
+                            "server": link.server,
+                            "address": link.address,
+                            "since": link.since,
+                            "used": link.used,
+                            "exchanges": link.exchanges,
+                        },
+                        link.stream.sock.fileno(),
+                    )
                 self.close(link, "handed-on")
 
     def adopt(self, sock: socket.socket, said: dict) -> None:
--- a/saltmoor/peers/ask.py
+++ b/saltmoor/peers/ask.py
@@ -42,12 +42,19 @@
 
 
 def members(shown: dict[str, Any]) -> list[str]:
-    lines = [f"{shown['name']} of {shown['cluster']}: life={shown['life']} build={shown['build']} "
-             f"phase={shown['phase']} items={shown['items']} root={shown['root']:016x}"]
-    lines += [f"  {name:20} {state:8} life={life} at={address} site={site or '-'} build={build} for_ms={since} "
-              f"clock_ms={offset:+d}" for name, state, life, address, site, build, since, offset in shown["members"]]
-    lines.append(f"  sent={shown['sent']} came={shown['came']} dropped={shown['dropped']} refused={shown['refused']} "
-                 f"late={shown['late']} clashes={shown['clashes']}")
+    lines = [
+        f"{shown['name']} of {shown['cluster']}: life={shown['life']} build={shown['build']} "
+        f"phase={shown['phase']} items={shown['items']} root={shown['root']:016x}"
+    ]
+    lines += [
+        f"  {name:20} {state:8} life={life} at={address} site={site or '-'} build={build} for_ms={since} "
+        f"clock_ms={offset:+d}"
+        for name, state, life, address, site, build, since, offset in shown["members"]
+    ]
+    lines.append(
+        f"  sent={shown['sent']} came={shown['came']} dropped={shown['dropped']} refused={shown['refused']} "
+        f"late={shown['late']} clashes={shown['clashes']}"
+    )
     return lines
 
 
@@ -56,9 +63,15 @@
         return ["no duties"]
     before = f"; before: {', '.join(shown['before'])}" if shown["before"] else ""
     lines = [f"voters: {', '.join(shown['voters'])}{before}"]
-    return lines + [f"  {duty:10} " + (f"owner number={one['number']} left_ms={one['left_ms']} held_ms={one['held_ms']}"
-                                        if one["owner"] else f"{one['state']} holder={one['holder'] or 'not known'}")
-                    for duty, one in shown["duties"].items()]
+    return lines + [
+        f"  {duty:10} "
+        + (
+            f"owner number={one['number']} left_ms={one['left_ms']} held_ms={one['held_ms']}"
+            if one["owner"]
+            else f"{one['state']} holder={one['holder'] or 'not known'}"
+        )
+        for duty, one in shown["duties"].items()
+    ]
 
 
 def items(shown: dict[str, Any]) -> list[str]:
@@ -74,8 +87,9 @@
 
 def diff(one: dict[str, Any], other: dict[str, Any], names: tuple[str, str]) -> list[str]:
     """Items that only one has, or that differ."""
-    own, their = ({(kind, key): (version, body) for kind, key, version, body, _ in shown["items"]}
-                  for shown in (one, other))
+    own, their = (
+        {(kind, key): (version, body) for kind, key, version, body, _ in shown["items"]} for shown in (one, other)
+    )
     lines = []
     for which in sorted(own.keys() | their.keys()):
         if own.get(which) != their.get(which):
--- a/saltmoor/peers/members.py
+++ b/saltmoor/peers/members.py
@@ -209,8 +209,9 @@
             elif now >= ping.direct and not ping.helped:
                 ping.helped = True
                 helpers = [name for name in self.there() if name != ping.name]
-                outs += [Out(name, "ask", Ask(ping.number, ping.name, self.news()))
-                         for name in self.some(helpers, HELPERS)]
+                outs += [
+                    Out(name, "ask", Ask(ping.number, ping.name, self.news())) for name in self.some(helpers, HELPERS)
+                ]
         for one in list(self.others.values()):
             if one.state is State.SUSPECT and now >= one.since + self.patience():
                 outs += self.step(one.name, In.EXPIRED, now)
@@ -264,7 +265,7 @@
         if speaker.name == self.me.name:
             return self.clash(now, speaker)
         outs: list[Out] = []
-        for news in said.news[:WORDS + 2]:
+        for news in said.news[: WORDS + 2]:
             outs += self.learn(news, now)
         one = self.others.get(speaker.name)
         if one and speaker.life >= one.life and (speaker.run == one.run or speaker.life > one.life):
@@ -293,8 +294,9 @@
             del self.clashes[min(self.clashes, key=self.clashes.get)]
         if not self.clash_said or now - self.clash_said > 60_000_000:
             self.clash_said = now
-            self.lines.append(f"peers: another process calls itself {self.me.name} too: "
-                              f"run={speaker.run:x} own={self.me.run:x}")
+            self.lines.append(
+                f"peers: another process calls itself {self.me.name} too: run={speaker.run:x} own={self.me.run:x}"
+            )
         return []
 
     def learn(self, news: News, now: Micros) -> list[Out]:
@@ -306,8 +308,12 @@
             # What is said of an earlier process, or wrongly of this one, is answered by a larger life; but two
             # processes with one name outbid each other without end, so then seldom.
             wait = CLASHING if any(now - seen < 10 * CLASHING for seen in self.clashes.values()) else 0
-            if (news.life >= self.me.life and (not mine or news.state != State.ALIVE)
-                    and self.me.state != State.LEFT and now >= self.answered + wait):
+            if (
+                news.life >= self.me.life
+                and (not mine or news.state != State.ALIVE)
+                and self.me.state != State.LEFT
+                and now >= self.answered + wait
+            ):
                 self.answered = now
                 self.me = msgspec.structs.replace(self.me, life=news.life + 1)
                 self.tell(self.me)
@@ -317,8 +323,9 @@
         if one is None:
             if state >= State.DEAD:  # whoever was not known is not missed
                 return []
-            one = self.others[news.name] = Member(news.name, news.life, news.run, news.address, news.site,
-                                                  news.build, state, now)
+            one = self.others[news.name] = Member(
+                news.name, news.life, news.run, news.address, news.site, news.build, state, now
+            )
             self.enter(one, state, now, "first heard of")
             return []
         if news.life < one.life:
@@ -349,15 +356,18 @@
         stood, one.state, one.since = now - one.since, state, now
         self.tell(self.told(one))
         if state is not State.SUSPECT:
-            self.lines.append(f"peers: {one.name} {state.name.lower()}: {why} life={one.life} "
-                              f"stood_ms={stood // 1000} there={len(self.there()) + 1}")
+            self.lines.append(
+                f"peers: {one.name} {state.name.lower()}: {why} life={one.life} "
+                f"stood_ms={stood // 1000} there={len(self.there()) + 1}"
+            )
 
     def leave(self) -> list[Out]:
         """This node ends: the others need not wait to find out."""
         self.me = msgspec.structs.replace(self.me, state=int(State.LEFT))
         names = self.there()
-        return [Out(name, "ping", Ping(0, "", [self.me])) for name in (names if len(names) <= 12
-                                                                        else self.some(names, 6))]
+        return [
+            Out(name, "ping", Ping(0, "", [self.me])) for name in (names if len(names) <= 12 else self.some(names, 6))
+        ]
 
     def middle_clock(self, own: Micros) -> Micros:
         """The wall clock as most see it: this node's, moved by the middle of what it is off from the others.
--- a/saltmoor/recovery/phase.py
+++ b/saltmoor/recovery/phase.py
@@ -76,8 +76,12 @@
             self.known += 1
             self.usual += over * max(SLOW, 1 / (self.known + 8))
         self.worst = max(self.worst, self.share)
-        for sign, holds in ((Sign.MORE, over > MORE and self.rate >= READS), (Sign.FETCHED, fetched),
-                            (Sign.LESS, self.near >= HELD), (Sign.STUCK, now - self.begun > STUCK)):
+        for sign, holds in (
+            (Sign.MORE, over > MORE and self.rate >= READS),
+            (Sign.FETCHED, fetched),
+            (Sign.LESS, self.near >= HELD),
+            (Sign.STUCK, now - self.begun > STUCK),
+        ):
             if holds and (after := TABLE.get((self.phase, sign))):
                 return self.enter(after, sign, now)
         return ""
--- a/saltmoor/replica/exchange.py
+++ b/saltmoor/replica/exchange.py
@@ -88,8 +88,11 @@
             wanted = [name for name in order if name not in self.whole]
             if len(self.whole) >= min(GIVERS, len(there)) and there or now - self.begun > ALONE and not there:
                 self.level(now, f"from {len(self.whole)}")
-        wanted += [name for name, known in self.peers.items()
-                   if name in there and (known.ranges or known.differs and now - known.differs >= SETTLE)]
+        wanted += [
+            name
+            for name, known in self.peers.items()
+            if name in there and (known.ranges or known.differs and now - known.differs >= SETTLE)
+        ]
         pulls = []
         for name in wanted:
             known = self.peers.setdefault(name, Known())
--- a/saltmoor/replica/items.py
+++ b/saltmoor/replica/items.py
@@ -36,18 +36,48 @@
 
 
 SECOND: Micros = 1_000_000
-KINDS = {kind.name: kind for kind in (
-    Kind("drain", "source|server|start", "generation of the list", "who heard it from discovery",
-         "nothing new goes there", 600 * SECOND, 5_000),
-    Kind("start", "source|server", "the start, wall time in ms", "who heard it from discovery",
-         "the server counts as cold from then", 600 * SECOND, 20_000),
-    Kind("list", "source", "generation of the list", "who heard it from discovery",
-         "known servers where discovery has told less", 86_400 * SECOND, 16),
-    Kind("evidence", "server|observer", "the observer's count", "the observer",
-         "asked before it is sent to", 5 * SECOND, 20_000),
-    Kind("word", "what|name", "hybrid logical clock", "operators, at any node",
-         "what it says", 0, 1_000),
-)}
+KINDS = {
+    kind.name: kind
+    for kind in (
+        Kind(
+            "drain",
+            "source|server|start",
+            "generation of the list",
+            "who heard it from discovery",
+            "nothing new goes there",
+            600 * SECOND,
+            5_000,
+        ),
+        Kind(
+            "start",
+            "source|server",
+            "the start, wall time in ms",
+            "who heard it from discovery",
+            "the server counts as cold from then",
+            600 * SECOND,
+            20_000,
+        ),
+        Kind(
+            "list",
+            "source",
+            "generation of the list",
+            "who heard it from discovery",
+            "known servers where discovery has told less",
+            86_400 * SECOND,
+            16,
+        ),
+        Kind(
+            "evidence",
+            "server|observer",
+            "the observer's count",
+            "the observer",
+            "asked before it is sent to",
+            5 * SECOND,
+            20_000,
+        ),
+        Kind("word", "what|name", "hybrid logical clock", "operators, at any node", "what it says", 0, 1_000),
+    )
+}
 UNKNOWN = Kind("", "", "", "", "carried", 600 * SECOND, 5_000)
 
 
@@ -114,8 +144,13 @@
 
     def fits(self, item: Item) -> bool:
         """Guards against damaged, oversized and overdue items: they are never kept, so never spread."""
-        if (not 0 < len(item.kind) <= LONGEST_KIND or not 0 < len(item.key) <= LONGEST_KEY
-                or len(item.body) > LONGEST_BODY or item.version < 0 or item.age < 0):
+        if (
+            not 0 < len(item.kind) <= LONGEST_KIND
+            or not 0 < len(item.key) <= LONGEST_KEY
+            or len(item.body) > LONGEST_BODY
+            or item.version < 0
+            or item.age < 0
+        ):
             return self.refuse("size")
         if check(item.kind, item.key, item.version, item.body) != item.check:
             return self.refuse("check")
--- a/saltmoor/replica/turns.py
+++ b/saltmoor/replica/turns.py
@@ -73,8 +73,7 @@
             return Word(who, ask, How.GO)
         return self.grant(now, key, who, ask, lease, permit.waiters if permit else [])
 
-    def grant(self, now: Micros, key: int, who: str, ask: int, lease: Micros,
-              waiters: list[tuple[str, int]]) -> Word:
+    def grant(self, now: Micros, key: int, who: str, ask: int, lease: Micros, waiters: list[tuple[str, int]]) -> Word:
         self.number += 1
         self.permits[key] = Permit(self.number, who, now + lease, lease, waiters)
         self.permits.move_to_end(key)
--- a/saltmoor/replica/uses.py
+++ b/saltmoor/replica/uses.py
@@ -139,8 +139,7 @@
             if observer != self.me and seen and seen.what in ("down", "aside") and now - kept.written < 2 * AGAIN:
                 told.setdefault(name, set()).add(seen.site)
                 counts[name] = counts.get(name, 0) + 1
-        return {name: count for name, count in counts.items()
-                if (len(told[name]) > 1 if sites > 1 else count > 1)}
+        return {name: count for name, count in counts.items() if (len(told[name]) > 1 if sites > 1 else count > 1)}
 
     @staticmethod
     def read(kept: Kept) -> Seen | None:
--- a/saltmoor/state/file.py
+++ b/saltmoor/state/file.py
@@ -35,8 +35,7 @@
 
 def clocks() -> dict[str, Any]:
     """When it is: on the wall, and since this machine's start, which nobody sets."""
-    return {"wall": time.time_ns() // 1000, "boot": boot(),
-            "up": time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000}
+    return {"wall": time.time_ns() // 1000, "boot": boot(), "up": time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000}
 
 
 def age(then: dict[str, Any], now: dict[str, Any]) -> int | None:
@@ -64,7 +63,7 @@
     form, length, check = (int(word) for word in words[1:])
     if form != FORMAT:
         raise Unfit(f"of format {form}, this build reads {FORMAT}")
-    body = data[len(head) + 1:]
+    body = data[len(head) + 1 :]
     if len(body) != length:
         raise Unfit(f"{len(body)} bytes of {length}")
     if crc32(body) != check:
@@ -112,7 +111,7 @@
         view = memoryview(data)
         while view:
             step("write")
-            view = view[os.write(handle, view[:65_536]):]
+            view = view[os.write(handle, view[:65_536]) :]
         step("sync")
         os.fsync(handle)
     except OSError:
--- a/saltmoor/state/kinds.py
+++ b/saltmoor/state/kinds.py
@@ -55,21 +55,42 @@
     servers = {}
     for server in list(node.servers.values())[:MOST]:
         servers[str(server.id)] = {
-            "started": now - server.started if server.started > 0 else None, "ready": server.ready,
+            "started": now - server.started if server.started > 0 else None,
+            "ready": server.ready,
             "allowed": round(server.allowed, 3),
-            "delay": round(server.delay), "held": round(server.usual_held, 2), "seen": now - server.delay_at,
-            "bad": round(server.bad, 3), "down": server.down, "heard": now - server.heard}
+            "delay": round(server.delay),
+            "held": round(server.usual_held, 2),
+            "seen": now - server.delay_at,
+            "bad": round(server.bad, 3),
+            "down": server.down,
+            "heard": now - server.heard,
+        }
     room, recovery = node.room, node.recovery
     return {
         "servers": servers,
-        "spent": {"quotas": [[bucket[1], now - bucket[2]] for bucket in node.quotas],
-                  "gate": [[bucket.level, now - bucket.since] for bucket in gate.buckets],
-                  "further": [now - at for at in node.allowance.further], "spare": round(node.spare, 2)},
-        "usual": {"usual": round(node.usual), "held": round(node.usual_held, 2), "hits": node.hits,
-                  "fetch": round(node.fetch), "patience": round(node.patience.times, 3),
-                  "misses": round(recovery.usual, 3), "known": recovery.known},
-        "room": {"limit": round(room.limit, 2), "slowed": room.slowed, "base": round(room.base),
-                 "middle": round(room.middle), "usual": round(room.usual), "rounds": room.rounds},
+        "spent": {
+            "quotas": [[bucket[1], now - bucket[2]] for bucket in node.quotas],
+            "gate": [[bucket.level, now - bucket.since] for bucket in gate.buckets],
+            "further": [now - at for at in node.allowance.further],
+            "spare": round(node.spare, 2),
+        },
+        "usual": {
+            "usual": round(node.usual),
+            "held": round(node.usual_held, 2),
+            "hits": node.hits,
+            "fetch": round(node.fetch),
+            "patience": round(node.patience.times, 3),
+            "misses": round(recovery.usual, 3),
+            "known": recovery.known,
+        },
+        "room": {
+            "limit": round(room.limit, 2),
+            "slowed": room.slowed,
+            "base": round(room.base),
+            "middle": round(room.middle),
+            "usual": round(room.usual),
+            "rounds": room.rounds,
+        },
         "admission": {"limit": round(gate.limit, 1)},
     }
 
@@ -132,8 +153,9 @@
         told["health"] += 1
 
 
-def _spent(node: Node, gate: Admission, said: dict[str, Any], now: Micros, age: Micros | None,
-           told: dict[str, int]) -> None:
+def _spent(
+    node: Node, gate: Admission, said: dict[str, Any], now: Micros, age: Micros | None, told: dict[str, int]
+) -> None:
     gone = age or 0
     for bucket, (level, since) in zip(node.quotas, said["quotas"]):
         bucket[1] = min(bucket[1], max(0.0, float(level) + bucket[0] * (gone + int(since)) / SECOND))
--- a/tests/changes_world.py
+++ b/tests/changes_world.py
@@ -73,8 +73,11 @@
         self.answers += 1
         if said.id not in self.asked:
             raise Broken(f"{said.id} was never asked")
-        if not any(len(who) * 2 > self.machines for (offset, epoch), who in self.held.items()
-                   if offset == said.offset and self.ids[offset, epoch] == said.id):
+        if not any(
+            len(who) * 2 > self.machines
+            for (offset, epoch), who in self.held.items()
+            if offset == said.offset and self.ids[offset, epoch] == said.id
+        ):
             raise Broken(f"{said.id} acknowledged before a majority had it")
         before = self.done.setdefault(said.id, (said.generation, said.offset))
         if before[0] == said.generation and before[1] != said.offset:
@@ -163,9 +166,18 @@
 class World:
     """`sites`: nodes by site, where there is more than one; `keep` in milliseconds, `room` in bytes, of each store."""
 
-    def __init__(self, machines: int, seed: int, parts: Parts = Parts(), nodes: list[str] = SITE, keep: int = 900_000,
-                 room: int = 1 << 20, calm: int = 4_000, sites: dict[str, list[str]] | None = None,
-                 **relay: int) -> None:
+    def __init__(
+        self,
+        machines: int,
+        seed: int,
+        parts: Parts = Parts(),
+        nodes: list[str] = SITE,
+        keep: int = 900_000,
+        room: int = 1 << 20,
+        calm: int = 4_000,
+        sites: dict[str, list[str]] | None = None,
+        **relay: int,
+    ) -> None:
         self.rng, self.now, self.wire, self.runs, self.parts = Random(seed), START, [], 0, parts
         sites = sites or {"site": nodes}
         self.names, self.site = [f"m{i}" for i in range(machines)], [one for site in sites.values() for one in site]
@@ -204,8 +216,9 @@
         if name in self.names:
             store = Store(self.keep, self.room)
             run = crc32(f"{self.runs}".encode())  # larger or smaller than that of the run before
-            one = self.parts.log(self.now, name, self.names, run, LEASE, store,
-                                 self.parts.relay(name, store, **self.relay_given))
+            one = self.parts.log(
+                self.now, name, self.names, run, LEASE, store, self.parts.relay(name, store, **self.relay_given)
+            )
             one.copy = self.parts.copy(name, self.names, run, store)
             one.lines = one.copy.lines
             one.writer_kind = self.parts.writer
@@ -214,9 +227,11 @@
         else:
             self.ledger.started(name)
             self.open[name] = set()
-            self.nodes[name] = Node(self.parts.subscriber(self.now, name, *self.places[name], self.names),
-                                    self.parts.relay(name, Store(self.keep, self.room), **self.relay_given),
-                                    Apply(agrees))
+            self.nodes[name] = Node(
+                self.parts.subscriber(self.now, name, *self.places[name], self.names),
+                self.parts.relay(name, Store(self.keep, self.room), **self.relay_given),
+                Apply(agrees),
+            )
         self.asleep.pop(name, None)
         self.dead.discard(name)
 
@@ -283,7 +298,7 @@
         store = self.machines[name].store
         if (store.last, store.last_epoch) != self.ends[name]:
             since = min(self.ends[name][0], store.last) - store.base
-            self.ledger.holds(name, store.entries[max(0, since - 12):])
+            self.ledger.holds(name, store.entries[max(0, since - 12) :])
             self.ends[name] = store.last, store.last_epoch
         if store.committed > self.looked[name]:
             since = max(self.looked[name], store.base)
@@ -368,8 +383,14 @@
         """Messages of these forms alone arrive, and what they bring about; `among`: between these, all others lost."""
         names = among.split()
         for _ in range(1_000):
-            place = next((i for i, (source, to, message) in enumerate(self.wire) if isinstance(message, forms or object)
-                          and (not names or source in names and to in names)), None)
+            place = next(
+                (
+                    i
+                    for i, (source, to, message) in enumerate(self.wire)
+                    if isinstance(message, forms or object) and (not names or source in names and to in names)
+                ),
+                None,
+            )
             if place is None:
                 return
             self.deliver(place)
@@ -461,8 +482,11 @@
         store = self.machines[leader].store
         if any(one.copy.blank for name, one in self.machines.items() if self.awake(name)):
             return False
-        return all((one.subscriber.generation, one.subscriber.offset) == (store.generation, store.committed)
-                   and not one.subscriber.stale(self.now) for one in self.nodes.values())
+        return all(
+            (one.subscriber.generation, one.subscriber.offset) == (store.generation, store.committed)
+            and not one.subscriber.stale(self.now)
+            for one in self.nodes.values()
+        )
 
     # A walk: mostly what happens on a calm network, with everything that may go wrong in between.
 
--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -57,12 +57,21 @@
 
 def settings(changed: dict[str, Any]) -> dict[str, Any]:
     return {
-        "profiles": [model.Profile(GOAL, LIMIT, Repeat.IDEMPOTENT),
-                     model.Profile(GOAL, LIMIT, Repeat.JOURNALLED, group=model.Group.ZONE, window=WINDOW),
-                     model.Profile(GOAL, LIMIT, Repeat.NON_IDEMPOTENT)],
-        "quotas": [], "permits": model.Permits(hops=3, copies=True, cancel=True, probes=True),
-        "prices": model.Prices(), "cold": COLD, "listing": model.Listing(True, 3_000 * MS), "place": model.Place(),
-        "origin_kind": 1, "columns": ["queue"], "tick": MS} | changed
+        "profiles": [
+            model.Profile(GOAL, LIMIT, Repeat.IDEMPOTENT),
+            model.Profile(GOAL, LIMIT, Repeat.JOURNALLED, group=model.Group.ZONE, window=WINDOW),
+            model.Profile(GOAL, LIMIT, Repeat.NON_IDEMPOTENT),
+        ],
+        "quotas": [],
+        "permits": model.Permits(hops=3, copies=True, cancel=True, probes=True),
+        "prices": model.Prices(),
+        "cold": COLD,
+        "listing": model.Listing(True, 3_000 * MS),
+        "place": model.Place(),
+        "origin_kind": 1,
+        "columns": ["queue"],
+        "tick": MS,
+    } | changed
 
 
 @dataclass
@@ -194,8 +203,15 @@
         self.ledger.said.append({})
         self.ledger.heard(len(self.doors), ListKind.FULL, self.plan.servers)
         options = {"part": part} if part < 1 else {}
-        door = facade.Facade(node, self.plan.servers, columns=["queue"], clock=lambda: self.now,
-                             nudge=lambda: None, log=self.logged.append, **options)
+        door = facade.Facade(
+            node,
+            self.plan.servers,
+            columns=["queue"],
+            clock=lambda: self.now,
+            nudge=lambda: None,
+            log=self.logged.append,
+            **options,
+        )
         self.doors.append(door)
         self.watches.append(None)
         self.run(door)
@@ -215,13 +231,13 @@
                 yield "probe", i, queue
         for i in range(len(self.news)):
             yield "news", i
-        yield "due",
+        yield ("due",)
         if self.plan.stopped and self.stood < 1:
-            yield "stopped",
+            yield ("stopped",)
         if self.plan.later and not self.changed:
-            yield "settings",
+            yield ("settings",)
         if len(self.doors) < self.plan.nodes * self.plan.processes:
-            yield "second process",
+            yield ("second process",)
         if self.plan.odd and self.odd_ones < 2:
             if self.last_end:
                 for how in (Ended.COMMITTED, Ended.RESET):
@@ -349,8 +365,20 @@
         if all(tx.over for tx, _ in self.txs.values()) and not self.hops and not self.probes:
             for door in self.doors:
                 node = door.node
-                held = (len(door.txs), len(node.txs), len(node.fetches), sum(map(len, [
-                    *(one.out for one in node.servers.values()), *(one.askers for one in node.servers.values())])))
+                held = (
+                    len(door.txs),
+                    len(node.txs),
+                    len(node.fetches),
+                    sum(
+                        map(
+                            len,
+                            [
+                                *(one.out for one in node.servers.values()),
+                                *(one.askers for one in node.servers.values()),
+                            ],
+                        )
+                    ),
+                )
                 if any(held):
                     raise Broken(f"nothing is kept once all is closed: {held}")
                 if not all(math.isfinite(one.others + one.delay + one.weight) for one in node.servers.values()):
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -31,13 +31,21 @@
     def __init__(self, servers: int = 3, origin: bool = False, **changed) -> None:
         self.now, self.lines, self.wakes = 0, [], []
         settings = {
-            "profiles": [model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT),
-                         model.Profile(500 * MS, 1000 * MS, Repeat.JOURNALLED, window=300 * MS),
-                         model.Profile(500 * MS, 1000 * MS, Repeat.NON_IDEMPOTENT)],
-            "quotas": [], "permits": model.Permits(hops=4, copies=False, cancel=True, probes=True),
-            "prices": model.Prices(), "cold": model.ColdStart(0.25, 10_000 * MS, 4.0, 1000 * MS),
-            "listing": model.Listing(), "place": model.Place(), "origin_kind": 1 if origin else None,
-            "columns": ["queue"], "tick": 5 * MS} | changed
+            "profiles": [
+                model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT),
+                model.Profile(500 * MS, 1000 * MS, Repeat.JOURNALLED, window=300 * MS),
+                model.Profile(500 * MS, 1000 * MS, Repeat.NON_IDEMPOTENT),
+            ],
+            "quotas": [],
+            "permits": model.Permits(hops=4, copies=False, cancel=True, probes=True),
+            "prices": model.Prices(),
+            "cold": model.ColdStart(0.25, 10_000 * MS, 4.0, 1000 * MS),
+            "listing": model.Listing(),
+            "place": model.Place(),
+            "origin_kind": 1 if origin else None,
+            "columns": ["queue"],
+            "tick": 5 * MS,
+        } | changed
         self.node = Node(1, 0, **settings)
         self.list(model.ListKind.REMEMBERED, *range(1, servers + 1), *([99] if origin else []))
 
@@ -69,15 +77,13 @@
                     self.note(f"   log: {line}")
         self.node.effects.clear()
 
-    def list(self, kind: model.ListKind, *servers: int, state: Readiness = Readiness.READY,
-             started: int = 0) -> None:
+    def list(self, kind: model.ListKind, *servers: int, state: Readiness = Readiness.READY, started: int = 0) -> None:
         lines = [model.Member(one, 0, int(one == 99), 0, state, 1.0, started * MS) for one in servers]
         self.note(f"list {kind.value}: {list(servers)} {state.name.lower()}")
         self.node.listed(self.now * MS, kind, lines)
         self.told()
 
-    def tx(self, number: int, profile: int = READ, key: int | None = 7, write: bool = False,
-           left: int = 1000) -> None:
+    def tx(self, number: int, profile: int = READ, key: int | None = 7, write: bool = False, left: int = 1000) -> None:
         self.note(f"tx {number} comes: {self.node.profiles[profile].repeat.value} key {key}")
         limit = (self.now + left) * MS
         self.node.arrived(self.now * MS, model.Arrival(number, profile, None, key, limit, write=write))
@@ -142,15 +148,26 @@
     """The settings object of a small deployment, in the operators' names."""
     base = {"aim_ns": 500 * MS * 1000, "deadline_ns": 1000 * MS * 1000}
     return {
-        "classes": [{"name": "read", "repeat": "idempotent", **base},
-                    {"name": "put", "repeat": "deduplicated", "key_ttl_ns": 300 * MS * 1000, **base},
-                    {"name": "once", "repeat": "at_most_once", **base}],
-        "tenants": [{"name": "acme", "quota_per_s": 100}], "azs": ["a", "b"], "kinds": ["m1", "origin"],
-        "permissions": {"max_attempts": 3, "cancel": True, "probes": True, "conn_idle_ns": 400 * MS * 1000,
-                        "connect_timeout_ns": 100 * MS * 1000},
+        "classes": [
+            {"name": "read", "repeat": "idempotent", **base},
+            {"name": "put", "repeat": "deduplicated", "key_ttl_ns": 300 * MS * 1000, **base},
+            {"name": "once", "repeat": "at_most_once", **base},
+        ],
+        "tenants": [{"name": "acme", "quota_per_s": 100}],
+        "azs": ["a", "b"],
+        "kinds": ["m1", "origin"],
+        "permissions": {
+            "max_attempts": 3,
+            "cancel": True,
+            "probes": True,
+            "conn_idle_ns": 400 * MS * 1000,
+            "connect_timeout_ns": 100 * MS * 1000,
+        },
         "family_info": {"mode": "aside", "origin_kind": 1},
         "report": {"how": "on_probe", "columns": ["queue"]},
-        "membership_mode": "subscribe", "rules": {"ask_within_ns": 9000 * MS * 1000}} | changed
+        "membership_mode": "subscribe",
+        "rules": {"ask_within_ns": 9000 * MS * 1000},
+    } | changed
 
 
 def reserve(host: str = "127.0.0.1") -> socket.socket:
@@ -184,14 +201,21 @@
         """Build everything but the node."""
         self.reserved = [reserve() for _ in range(3)]  # so that each can be closed and come back
         cache, origin, discovery = ports = [one.getsockname()[1] for one in self.reserved]
-        self.servers = [await asyncio.start_server(each, "127.0.0.1", port)
-                        for each, port in zip((self.cache, self.origin, self.discovery), ports)]
-        self.list = [{"instanceId": "s1", "hostPort": f"127.0.0.1:{cache}", "zone": "a", "machineType": "m1",
-                      "lifecycle": "up"},
-                     {"instanceId": "o", "hostPort": f"127.0.0.1:{origin}", "machineType": "origin",
-                      "lifecycle": "up"}]
-        self.said = {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}", "seed": "1",
-                     "known": {"generation": 7, "instances": self.list}, "settings": settings()} | self.changed
+        self.servers = [
+            await asyncio.start_server(each, "127.0.0.1", port)
+            for each, port in zip((self.cache, self.origin, self.discovery), ports)
+        ]
+        self.list = [
+            {"instanceId": "s1", "hostPort": f"127.0.0.1:{cache}", "zone": "a", "machineType": "m1", "lifecycle": "up"},
+            {"instanceId": "o", "hostPort": f"127.0.0.1:{origin}", "machineType": "origin", "lifecycle": "up"},
+        ]
+        self.said = {
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{discovery}",
+            "seed": "1",
+            "known": {"generation": 7, "instances": self.list},
+            "settings": settings(),
+        } | self.changed
 
     async def __aenter__(self) -> Town:
         self.quiet = contextlib.redirect_stderr(self.logged)
@@ -231,7 +255,7 @@
     def codes(self, side: str) -> None:
         """Note how connections of that side ended, since the last time."""
         lines = self.logged.getvalue().splitlines()
-        ends = [line.split("code=")[1].split()[0] for line in lines[self.heard:] if f"end {side} " in line]
+        ends = [line.split("code=")[1].split()[0] for line in lines[self.heard :] if f"end {side} " in line]
         self.heard = len(lines)
         self.note(f"ended {side}: {' '.join(sorted(ends))}")
 
@@ -253,8 +277,13 @@
                     break
                 continue
             await asyncio.sleep(0.15 if key == "slow" else 0)
-            answers = {"miss": f"EN {tag}", "busy": "SERVER_ERROR busy", "fail": "SERVER_ERROR failed",
-                       "odd": "VA 1 Oother\r\nx", "refuse": "CLIENT_ERROR no"}
+            answers = {
+                "miss": f"EN {tag}",
+                "busy": "SERVER_ERROR busy",
+                "fail": "SERVER_ERROR failed",
+                "odd": "VA 1 Oother\r\nx",
+                "refuse": "CLIENT_ERROR no",
+            }
             if key.startswith("miss"):
                 answers[key] = f"EN {tag}"
             writer.write(answers.get(key, f"VA {len(key)} {tag} h1\r\n{key}").encode() + b"\r\n")
@@ -265,7 +294,7 @@
         body = VALUE + (b"xx" if key == "bigbad" else b"\r\n")
         body = f"VA {len(VALUE)} {tag} h1\r\n".encode() + (body[:2_000_000] if key == "bigcut" else body)
         for at in range(0, len(body), 99_991):
-            writer.write(body[at:at + 99_991])
+            writer.write(body[at : at + 99_991])
             await writer.drain()
         return key == "big"
 
@@ -277,20 +306,20 @@
             length = re.search(r"Content-Length: (\d+)", head)
             body = await reader.readexactly(int(length[1])) if length else b""
             tag = re.search("X-Request-ID: (.*)", head)[1].strip()
-            shown = repr(body) if len(body) < 100 else f"{len(body)} bytes, as sent: {body == VALUE[:len(body)]}"
+            shown = repr(body) if len(body) < 100 else f"{len(body)} bytes, as sent: {body == VALUE[: len(body)]}"
             self.note(f"  origin gets {method} {path} {tag} {shown}")
             if path == "/cut":
                 break
             if path.startswith("/miss-"):
                 head = "HTTP/1.1 200 OK\r\nX-Note: \r\n"
-                pieces = [VALUE[at:at + 70_001] for at in range(0, len(VALUE), 70_001)]
+                pieces = [VALUE[at : at + 70_001] for at in range(0, len(VALUE), 70_001)]
                 if path == "/miss-chunked":
                     head += "Transfer-Encoding: chunked\r\n"
                     pieces = [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces] + [b"0\r\n\r\n"]
                 elif path != "/miss-toend":
                     head += f"Content-Length: {len(VALUE)}  \r\n"
                 writer.write(head.encode() + b"\r\n")
-                for piece in pieces[:20 if path == "/miss-cut" else None]:
+                for piece in pieces[: 20 if path == "/miss-cut" else None]:
                     writer.write(piece)
                     await writer.drain()
                 if path in ("/miss-toend", "/miss-cut"):
--- a/tests/lab_helper.py
+++ b/tests/lab_helper.py
@@ -14,16 +14,36 @@
 from saltmoor.lab.wire import Driver
 
 SMALL = {
-    "name": "small", "about": "a second of little load", "length_s": 1.0, "settle_s": 0.1,
-    "fleet": {"servers": 3, "kind": [{"name": "std", "cores": 2}]}, "origin": {"work_ms": 5},
+    "name": "small",
+    "about": "a second of little load",
+    "length_s": 1.0,
+    "settle_s": 0.1,
+    "fleet": {"servers": 3, "kind": [{"name": "std", "cores": 2}]},
+    "origin": {"work_ms": 5},
     "discovery": {"late_ms": [0, 1], "grace_ms": 200},
     "cold": {"share": 0.1, "warm_s": 5, "multiple": 2, "window_s": 0.2},
     "profile": [
         {"name": "read", "share": 6, "work_ms": 2, "goal_ms": 200, "limit_ms": 800},
-        {"name": "put", "share": 2, "work_ms": 2, "goal_ms": 200, "limit_ms": 1000, "write": True,
-         "repeat": "journalled", "window_ms": 150},
-        {"name": "once", "share": 2, "work_ms": 2, "goal_ms": 200, "limit_ms": 1000, "write": True,
-         "repeat": "non-idempotent"}],
+        {
+            "name": "put",
+            "share": 2,
+            "work_ms": 2,
+            "goal_ms": 200,
+            "limit_ms": 1000,
+            "write": True,
+            "repeat": "journalled",
+            "window_ms": 150,
+        },
+        {
+            "name": "once",
+            "share": 2,
+            "work_ms": 2,
+            "goal_ms": 200,
+            "limit_ms": 1000,
+            "write": True,
+            "repeat": "non-idempotent",
+        },
+    ],
     "load": {"rate": 150, "keys": 100, "retries": 0, "connections": 60},
 }
 
@@ -108,8 +128,10 @@
 
 async def planted(plant: str) -> Ledger:
     """What the ledger makes of a second with that fault."""
-    faults = {"drained": [{"kind": "drain", "at_s": 0.2, "which": [0], "ms": 5000}],
-              "flooded": [{"kind": "grow", "at_s": 0.1}]}.get(plant, [])
+    faults = {
+        "drained": [{"kind": "drain", "at_s": 0.2, "which": [0], "ms": 5000}],
+        "flooded": [{"kind": "grow", "at_s": 0.1}],
+    }.get(plant, [])
     said = SMALL | {"fault": faults}
     if plant == "flooded":
         slow = [{**profile, "work_ms": 15} for profile in SMALL["profile"]]
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -39,10 +39,30 @@
 LINE = re.compile(r"(?P<test>[A-Za-z_][\w.]*), (?P<cause>\S(?:.*\S)?), issue (?P<issue>[1-9]\d*)")
 # Seconds that modules took in one run on a busy machine: those that take longest begin first, for which their order
 # alone counts; one that isn't here counts as a minute.
-TAKES = {f"tests.test_{name}": seconds for name, seconds in {
-    "orders": 348, "together": 186, "drills": 133, "comeback": 126, "fleet": 123, "peers": 116, "lab": 72,
-    "known_red": 46, "crossings": 34, "operations": 25, "hardening": 25, "duties": 24, "net": 16, "flow": 10,
-    "choice": 5, "limits": 5, "standing": 4, "facade": 3, "adapter": 3}.items()}
+TAKES = {
+    f"tests.test_{name}": seconds
+    for name, seconds in {
+        "orders": 348,
+        "together": 186,
+        "drills": 133,
+        "comeback": 126,
+        "fleet": 123,
+        "peers": 116,
+        "lab": 72,
+        "known_red": 46,
+        "crossings": 34,
+        "operations": 25,
+        "hardening": 25,
+        "duties": 24,
+        "net": 16,
+        "flow": 10,
+        "choice": 5,
+        "limits": 5,
+        "standing": 4,
+        "facade": 3,
+        "adapter": 3,
+    }.items()
+}
 # They start many processes and judge them by the clock: one of them at a time.
 SPLIT = {"tests.test_orders": 3}  # into so many parts
 CROWDS = {f"tests.test_{name}" for name in ("together", "drills", "comeback", "lab")}
@@ -88,6 +108,7 @@
 
 # In a worker process.
 
+
 class Result(unittest.TextTestResult):
     """How each test ended, by its name; a failure outside of any test stands under the name of what failed."""
 
@@ -161,7 +182,7 @@
     if unit.module:
         suite = unittest.TestLoader().loadTestsFromModule(importlib.import_module(unit.module))
         if unit.parts > 1:
-            suite = unittest.TestSuite(list(each(suite))[unit.part::unit.parts])
+            suite = unittest.TestSuite(list(each(suite))[unit.part :: unit.parts])
         said = unittest.TextTestRunner(stream=sys.stdout, resultclass=Result).run(suite).ends
     else:
         said = found()
@@ -172,6 +193,7 @@
 
 # In the process that is started.
 
+
 @dataclass
 class Worker:
     """The process of one unit."""
@@ -183,8 +205,18 @@
 
     def __post_init__(self) -> None:
         self.sink, self.log = self.folder / f"{self.unit}.json", self.folder / f"{self.unit}.log"
-        words = [sys.executable, "-P", __file__, "--worker", self.unit.module, "--sink", str(self.sink),
-                 f"--limit={self.limit}", f"--part={self.unit.part}", f"--parts={self.unit.parts}"]
+        words = [
+            sys.executable,
+            "-P",
+            __file__,
+            "--worker",
+            self.unit.module,
+            "--sink",
+            str(self.sink),
+            f"--limit={self.limit}",
+            f"--part={self.unit.part}",
+            f"--parts={self.unit.parts}",
+        ]
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(words, stdin=subprocess.DEVNULL, stdout=log, stderr=log, process_group=0)
 
@@ -258,7 +290,7 @@
                 self.running.append(Worker(unit, folder, self.limit))
             for worker in [worker for worker in self.running if worker.over()]:
                 self.running.remove(worker)
-                self.count(worker, modules[worker.unit.module][worker.unit.part::worker.unit.parts])
+                self.count(worker, modules[worker.unit.module][worker.unit.part :: worker.unit.parts])
             time.sleep(0.02)
         self.say(f"{len(modules)} modules in {time.monotonic() - began:.0f} s, {self.workers} at once")
         return self.judge([red for red in reds if red.test in self.ends], wrong)
@@ -283,8 +315,10 @@
     def count(self, worker: Worker, tests: list[str]) -> None:
         """Take what a module's process said, for just the tests that were found in it."""
         said, why = worker.said()
-        self.say(f"\n== {worker.unit}: {len(tests)} tests, {worker.took:.1f} s\n"
-                 f"{worker.log.read_text(errors='replace').rstrip()}")
+        self.say(
+            f"\n== {worker.unit}: {len(tests)} tests, {worker.took:.1f} s\n"
+            f"{worker.log.read_text(errors='replace').rstrip()}"
+        )
         for test in tests:
             self.ends[test] = said.get(test, "failed")
             if test not in said:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,8 +8,9 @@
 from saltmoor.adapter import codec
 from saltmoor.adapter.host import Host, serve
 
-INFO = json.dumps({"classes": [{"aim_ns": 10**9, "deadline_ns": 2 * 10**9, "repeat": "idempotent"}],
-                   "news": 1}).encode()
+INFO = json.dumps(
+    {"classes": [{"aim_ns": 10**9, "deadline_ns": 2 * 10**9, "repeat": "idempotent"}], "news": 1}
+).encode()
 SERVER = bytes([10, 18, 74, 7]) + struct.pack("<H", 11200)
 
 
@@ -20,8 +21,11 @@
 
 def start() -> list[bytes]:
     line = SERVER + struct.pack("<HBHBfQ", 0, 0, 0, 1, 1.0, 0)
-    return [struct.pack("<BI", 24, 7), struct.pack("<BQI", 26, 1, len(INFO)) + INFO,
-            struct.pack("<BIBI", 19, 1, 2, 1) + line]
+    return [
+        struct.pack("<BI", 24, 7),
+        struct.pack("<BQI", 26, 1, len(INFO)) + INFO,
+        struct.pack("<BIBI", 19, 1, 2, 1) + line,
+    ]
 
 
 class Wire(unittest.TestCase):
@@ -43,8 +47,14 @@
 
     def test_malformed_frames_are_refused(self):
         good = batch(*start())
-        for bad in (good[:-1], batch(struct.pack("<BI", 24, 7), b"\xfe"), batch(b"\x14"), good[:3],
-                    good + b"\x00", struct.pack("<I", 5) + b"x"):
+        for bad in (
+            good[:-1],
+            batch(struct.pack("<BI", 24, 7), b"\xfe"),
+            batch(b"\x14"),
+            good[:3],
+            good + b"\x00",
+            struct.pack("<I", 5) + b"x",
+        ):
             with self.subTest(bad=bad[:24]), self.assertRaises(codec.BadFrame):
                 serve(io.BytesIO(bad), io.BytesIO())
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -126,9 +126,15 @@
         return dict(self.answers)
 
 
-PLANTED = [(Parts(writer=Early), 3, True), (Parts(copy=Unfenced, voter=Generous), 3, True),
-           (Parts(copy=Forgetful), 3, True), (Parts(subscriber=Skipping), 3, True), (Parts(subscriber=Doubling), 3, True),
-           (Parts(subscriber=Flighty), 3, False), (Parts(relay=Hasty), 3, True)]
+PLANTED = [
+    (Parts(writer=Early), 3, True),
+    (Parts(copy=Unfenced, voter=Generous), 3, True),
+    (Parts(copy=Forgetful), 3, True),
+    (Parts(subscriber=Skipping), 3, True),
+    (Parts(subscriber=Doubling), 3, True),
+    (Parts(subscriber=Flighty), 3, False),
+    (Parts(relay=Hasty), 3, True),
+]
 
 
 def others(world: World) -> list[str]:
@@ -220,8 +226,13 @@
 class Walks(TraceCase):
     def test_no_promise_is_broken_and_all_come_together_after(self):
         lines = []
-        for machines, gentle, walks, lease in ((3, True, 8, Voter), (3, False, 8, Voter), (5, True, 5, Voter),
-                                               (5, False, 5, Voter), (3, True, 2, Generous)):
+        for machines, gentle, walks, lease in (
+            (3, True, 8, Voter),
+            (3, False, 8, Voter),
+            (5, True, 5, Voter),
+            (5, False, 5, Voter),
+            (3, True, 2, Generous),
+        ):
             done = applied = states = generations = 0
             for seed in range(walks):
                 world = World(machines, seed, Parts(voter=lease))
@@ -234,8 +245,10 @@
                     self.assertEqual(len(ledger.generations), 1, f"seed {seed}")
                 done, applied = done + len(ledger.done), applied + ledger.applied
                 states, generations = states + ledger.states, generations + len(ledger.generations)
-            lines.append(f"{machines} machines, {'gentle' if gentle else 'wild'}, {lease.__name__}: {walks} walks of 300 "
-                         f"events, {done} acknowledged, {applied} applied, {states} states, {generations} generations")
+            lines.append(
+                f"{machines} machines, {'gentle' if gentle else 'wild'}, {lease.__name__}: {walks} walks of 300 "
+                f"events, {done} acknowledged, {applied} applied, {states} states, {generations} generations"
+            )
         self.check("changes-walks", noted(lines))
 
     def test_each_planted_fault_is_found(self):
@@ -245,8 +258,11 @@
             whys = ((seed, walked(parts, seed, machines, gentle)) for seed in range(12))
             found = next((f"in walk {seed + 1}: {why}" for seed, why in whys if why), None)
             lines.append(f"{name}: {found}")
-        for play, parts in ((lost_promise, Parts(copy=Deaf)), (two_memories, Parts(log=Credulous)),
-                            (figure_eight, Parts(writer=AnyEpoch))):
+        for play, parts in (
+            (lost_promise, Parts(copy=Deaf)),
+            (two_memories, Parts(log=Credulous)),
+            (figure_eight, Parts(writer=AnyEpoch)),
+        ):
             name = next(one.__name__ for one in vars(parts).values() if one.__module__ == __name__)
             self.assertIsNone(played(play, Parts()), play.__name__)
             lines.append(f"{name}: by {play.__name__}: {played(play, parts)}")
@@ -287,8 +303,20 @@
 class Orders(TraceCase):
     def test_all_orders_of_a_few_events(self):
         """Three machines, a relay and a node behind it, a change on its way: every order of what may happen first."""
-        events = ("first", "last", "lose", "double", "tick m0", "tick m1", "later", "append m0", "kill m1", "forget m2",
-                  "serve", "wake")
+        events = (
+            "first",
+            "last",
+            "lose",
+            "double",
+            "tick m0",
+            "tick m1",
+            "later",
+            "append m0",
+            "kill m1",
+            "forget m2",
+            "serve",
+            "wake",
+        )
         begun = World(3, 1, nodes=["n0", "n1", "n2"])
         begun.append(begun.leader())
         frozen = pickle.dumps(begun)
@@ -354,10 +382,16 @@
 
 
 def image(world: World) -> tuple:
-    return (world.now, world.wire, world.asleep, [(one.state, one.copy, one.answers, one.writer)
-                                                  for one in world.machines.values()],
-            [(one.subscriber.offset, one.subscriber.state, one.subscriber.upstream, one.relay.cursors)
-             for one in world.nodes.values()])
+    return (
+        world.now,
+        world.wire,
+        world.asleep,
+        [(one.state, one.copy, one.answers, one.writer) for one in world.machines.values()],
+        [
+            (one.subscriber.offset, one.subscriber.state, one.subscriber.upstream, one.relay.cursors)
+            for one in world.nodes.values()
+        ],
+    )
 
 
 def hubs(world: World) -> tuple[list[str], list[str]]:
@@ -437,13 +471,19 @@
 
     def test_what_goes_back_or_is_of_a_generation_that_is_over_changes_nothing(self):
         sub = Subscriber(START, "n9", "s", ["n9"], ["a", "b", "c"])
-        (who, _), = sub.tick(START)
+        ((who, _),) = sub.tick(START)
         sub.hear(START, who, State(7, 10, 7, []))
         sub.hear(START, who, Batch(7, [entry(11, 7), entry(12, 7)], 12, 5))
         self.assertEqual(len(sub.take()), 3)
-        for message in (Batch(7, [entry(9, 7), entry(10, 7)], 10, 4), State(7, 11, 7, []),
-                        Batch(7, [entry(12, 7)], 12, 5), State(6, 90, 6, []), Batch(6, [entry(13, 6)], 13, 99),
-                        State(6, 90, 6, []), State(9, 90, 9, [])):
+        for message in (
+            Batch(7, [entry(9, 7), entry(10, 7)], 10, 4),
+            State(7, 11, 7, []),
+            Batch(7, [entry(12, 7)], 12, 5),
+            State(6, 90, 6, []),
+            Batch(6, [entry(13, 6)], 13, 99),
+            State(6, 90, 6, []),
+            State(9, 90, 9, []),
+        ):
             sub.hear(START + MS, who, message)
             self.assertEqual((sub.take(), sub.offset, sub.generation, sub.beat, sub.lag(START)), ([], 12, 7, 5, 0))
         # A living one, though its number be smaller, is asked for its state, and that is taken.
@@ -464,16 +504,25 @@
         self.assertGreater(sub.lag(START + 400 * MS), 1_000 * MS)  # it has heard a beat, and has not all for it
 
     def test_without_anybody_all_ask_at_a_bounded_rate(self):
-        subs = [Subscriber(START, f"n{i}", f"s{i // 16}", [f"n{i // 16 * 16 + k}" for k in range(16)], list("abcde"))
-                for i in range(480)]
+        subs = [
+            Subscriber(START, f"n{i}", f"s{i // 16}", [f"n{i // 16 * 16 + k}" for k in range(16)], list("abcde"))
+            for i in range(480)
+        ]
         asks = [0] * 31
         for step in range(30 * 20):
             now = START + step * 50 * MS
             for sub in subs:
                 asks[step // 20] += sum(to in "abcde" for to, _ in sub.tick(now))
-        self.check("changes-nobody", noted([f"480 nodes, nobody answers: asks at the control machines in the 1st s"
-                                            f" {asks[0]}, most in a second {max(asks)}, "
-                                            f"of the last ten {sum(asks[20:30])}"]))
+        self.check(
+            "changes-nobody",
+            noted(
+                [
+                    f"480 nodes, nobody answers: asks at the control machines in the 1st s"
+                    f" {asks[0]}, most in a second {max(asks)}, "
+                    f"of the last ten {sum(asks[20:30])}"
+                ]
+            ),
+        )
         self.assertLessEqual(max(asks), 480)  # the first round: one of each in a second, at five machines
         self.assertLess(max(asks[10:]), 120)
 
@@ -505,8 +554,10 @@
                 world.settle()
             took = (world.now - begun) // MS
             self.assertTrue(world.together(), what)
-            lines.append(f"{what}: all 480 have a state of 240 kB and are fresh after {took} ms; a control machine had "
-                         f"at most {max(sent)} subscribers, and sent at most {max(most.values()) // 1000} kB in 50 ms")
+            lines.append(
+                f"{what}: all 480 have a state of 240 kB and are fresh after {took} ms; a control machine had "
+                f"at most {max(sent)} subscribers, and sent at most {max(most.values()) // 1000} kB in 50 ms"
+            )
             # An eighth of its second at once, what it gains in a step, and one state that began inside of it.
             self.assertLess(max(most.values()), (4 << 20) * (1 / 8 + 0.05) + 300_000)
         self.check("changes-instant", noted(lines))
@@ -560,10 +611,19 @@
         world.watched = True
         took = world.until(world.together, 5_000)
         world.calm(1_000)
-        self.assertEqual({name: dict(world.nodes[name].subscriber.counts) for name in rest},
-                         {name: {**counts, "entries": counts["entries"] + 1} for name, counts in before.items()})
-        self.check("changes-writer", noted([f"the writer killed: all fresh under another after {took} ms, worst age "
-                                            f"{world.peak} ms; no node left its relay"]))
+        self.assertEqual(
+            {name: dict(world.nodes[name].subscriber.counts) for name in rest},
+            {name: {**counts, "entries": counts["entries"] + 1} for name, counts in before.items()},
+        )
+        self.check(
+            "changes-writer",
+            noted(
+                [
+                    f"the writer killed: all fresh under another after {took} ms, worst age "
+                    f"{world.peak} ms; no node left its relay"
+                ]
+            ),
+        )
 
     def test_two_of_five_are_gone_then_three_and_they_come_back(self):
         world = World(5, 1)
@@ -637,8 +697,9 @@
         world = World(3, 1)
         leader, name, _ = others(world)
         late = world.machines[name].copy.life + (5 << 30)
-        world.machines[leader].hear(world.now, name, messages.Replicated(
-            False, world.machines[leader].epoch, True, late, 0, 0))
+        world.machines[leader].hear(
+            world.now, name, messages.Replicated(False, world.machines[leader].epoch, True, late, 0, 0)
+        )
         world.start(name)
         world.until(world.together, 3_000)
         self.assertGreater(world.machines[name].copy.life, late)
@@ -679,8 +740,10 @@
         for _ in range(600):
             world.append(world.leader())
             world.calm(1_000, 500)
-        self.assertEqual({name: one.subscriber.mode for name, one in world.nodes.items()},
-                         {name: "fresh" if name in here else "stale" for name in world.nodes})
+        self.assertEqual(
+            {name: one.subscriber.mode for name, one in world.nodes.items()},
+            {name: "fresh" if name in here else "stale" for name in world.nodes},
+        )
         behind = world.machines[leader].store.last - world.nodes["t0"].subscriber.offset
         world.cut = set()
         took = world.until(world.together, 12_000)
@@ -719,7 +782,9 @@
             world.loss = 0.0
             world.heal()
             self.assertTrue(world.together(), loss)
-            lines.append(f"{loss:.0%} lost: {len(world.ledger.done)} of {len(asked)} acknowledged, none lost or doubled")
+            lines.append(
+                f"{loss:.0%} lost: {len(world.ledger.done)} of {len(asked)} acknowledged, none lost or doubled"
+            )
         self.check("changes-loss", noted(lines))
 
     def test_64_kb_and_a_hundred_purges_a_second_of_one_key_and_a_log_at_its_bound(self):
@@ -788,8 +853,9 @@
             return entry(offset, 1, kinds.CONFIG, kinds.encode(kinds.Config("t", version, before, body)))
 
         key = entry(12, 1, kinds.PURGE, kinds.encode(kinds.Purge("prefix", b"a/")))
-        self.assertEqual(apply.apply(State(1, 10, 1, [config(4, 1, 0, b"one")])),
-                         [VoidAll(1, 10), Install("t", 1, b"one")])
+        self.assertEqual(
+            apply.apply(State(1, 10, 1, [config(4, 1, 0, b"one")])), [VoidAll(1, 10), Install("t", 1, b"one")]
+        )
         self.assertEqual(apply.apply(config(11, 2, 1, b"bad")), [Rejected("t", 2, "no such class")])
         self.assertEqual((apply.force, apply.rejected["t"].version), ({"t": 1}, 2))
         self.assertEqual(apply.apply(key), [Void("prefix", b"a/", 12)])
@@ -801,8 +867,9 @@
         self.assertEqual(apply.apply(entry(15, 1, "of-later", b"?")), [])
         self.assertEqual(apply.unknown, 2)
         # Another generation: its versions are its own, also under the numbers of before.
-        self.assertEqual(apply.apply(State(2, 5, 2, [config(3, 2, 1, b"two")])),
-                         [VoidAll(2, 5), Install("t", 2, b"two")])
+        self.assertEqual(
+            apply.apply(State(2, 5, 2, [config(3, 2, 1, b"two")])), [VoidAll(2, 5), Install("t", 2, b"two")]
+        )
 
 
 class Strangers(unittest.TestCase):
@@ -811,12 +878,23 @@
     def frames(self) -> list[bytes]:
         one = entry(3, 2)
         state = State(1, 2, 1, [one])
-        given = [messages.Fence(1, 2, "fence", [1]), Held(1, "fetch", True, 1, False, 2, [1], 3, 2, 1, state, [one]),
-                 messages.Recover(1), messages.Standing(1, 2, True, [3]), messages.Fill(1, 2, 3, True, state, 4),
-                 Replicate(2, 1, 2, 1, [one], 3, 1, 5, 4), messages.Replicated(True, 1, False, 2, 3, 4),
-                 Append("i", "k", b"c", 1, 2), Appended("i", "done", 3), Subscribe(1, 2, "n", "s"),
-                 Batch(1, [one], 3, 4), state, Refuse("full", 5), messages.Ask("log", 1, "prepare", 2, 3),
-                 messages.Vote("log", 1, "prepare", True, 2)]
+        given = [
+            messages.Fence(1, 2, "fence", [1]),
+            Held(1, "fetch", True, 1, False, 2, [1], 3, 2, 1, state, [one]),
+            messages.Recover(1),
+            messages.Standing(1, 2, True, [3]),
+            messages.Fill(1, 2, 3, True, state, 4),
+            Replicate(2, 1, 2, 1, [one], 3, 1, 5, 4),
+            messages.Replicated(True, 1, False, 2, 3, 4),
+            Append("i", "k", b"c", 1, 2),
+            Appended("i", "done", 3),
+            Subscribe(1, 2, "n", "s"),
+            Batch(1, [one], 3, 4),
+            state,
+            Refuse("full", 5),
+            messages.Ask("log", 1, "prepare", 2, 3),
+            messages.Vote("log", 1, "prepare", True, 2),
+        ]
         for message in given:
             self.assertEqual(messages.decode(messages.encode("c", self.SPEAKER, message), "c"), (self.SPEAKER, message))
         return [messages.encode("c", self.SPEAKER, message) for message in given]
@@ -849,15 +927,20 @@
 
     def test_what_is_out_of_range_is_refused_with_a_reason(self):
         one = entry(3, 2)
-        for message, why in ((Batch(1, [one, entry(5, 2)], 9, 1), "gap"), (Batch(1, [one], 2, 1), "not committed"),
-                             (Batch(1, [one, entry(4, 1)], 9, 1), "epochs fall"),
-                             (Batch(1 << 62, [], 1, 1), "out of range"), (Batch(1, [], -1, 1), "out of range"),
-                             (Replicate(2, 1, 7, 1, [one], 3, 1, 5, 4), "gap"),
-                             (Append("", "k", b"", 0, 0), "out of range"),
-                             (Append("i" * 65, "k", b"", 0, 0), "out of range"),
-                             (Append("i", "k" * 33, b"", 0, 0), "out of range"),
-                             (Append("i", "k", bytes((64 << 10) + 1), 0, 0), "out of range"),
-                             (Appended("i", "perhaps"), "answer"), (messages.Fence(1, 1, "shut", []), "step")):
+        for message, why in (
+            (Batch(1, [one, entry(5, 2)], 9, 1), "gap"),
+            (Batch(1, [one], 2, 1), "not committed"),
+            (Batch(1, [one, entry(4, 1)], 9, 1), "epochs fall"),
+            (Batch(1 << 62, [], 1, 1), "out of range"),
+            (Batch(1, [], -1, 1), "out of range"),
+            (Replicate(2, 1, 7, 1, [one], 3, 1, 5, 4), "gap"),
+            (Append("", "k", b"", 0, 0), "out of range"),
+            (Append("i" * 65, "k", b"", 0, 0), "out of range"),
+            (Append("i", "k" * 33, b"", 0, 0), "out of range"),
+            (Append("i", "k", bytes((64 << 10) + 1), 0, 0), "out of range"),
+            (Appended("i", "perhaps"), "answer"),
+            (messages.Fence(1, 1, "shut", []), "step"),
+        ):
             with self.assertRaisesRegex(Strange, why):
                 messages.decode(messages.encode("c", self.SPEAKER, message), "c")
 
@@ -869,9 +952,13 @@
         said = [messages.decode(data, "c")[1] for data in self.frames()]
         for _ in range(3_000):
             one = rng.choice(said)
-            fields = {name: rng.choice((0, 1, 3, 1 << 40, (1 << 62) - 1)) for name in one.__struct_fields__
-                      if isinstance(getattr(one, name), int) and not isinstance(getattr(one, name), bool)
-                      and rng.random() < 0.5}
+            fields = {
+                name: rng.choice((0, 1, 3, 1 << 40, (1 << 62) - 1))
+                for name in one.__struct_fields__
+                if isinstance(getattr(one, name), int)
+                and not isinstance(getattr(one, name), bool)
+                and rng.random() < 0.5
+            }
             if isinstance(one, (messages.Fence, messages.Replicate, messages.Fill)):
                 fields["epoch"] = rng.randrange(4)  # a voter may be behind; what it may not be is believed to lead
             message = msgspec.structs.replace(one, **fields)
--- a/tests/test_changes_net.py
+++ b/tests/test_changes_net.py
@@ -60,21 +60,49 @@
             return f"cluster = 'c'\ncontrol = {json.dumps(control)}\nlisten = '127.1.0.1:7950'\nsite = 's1'\n"
 
         tables = [
-            "", "cluster = 'a b'", "cluster = 'c'", of(*FIVE[:1]), of(*FIVE[:2]), of(*FIVE[:3]), of(*FIVE[:4]),
-            of(*FIVE), of(*(f"127.0.0.{i}:7950" for i in range(1, 12))), of(*FIVE[:4], FIVE[0]),
-            of(*FIVE[:2], "here:7950"), of(*FIVE[:2], "127.0.0.3:0"), of(*FIVE[:2], "0.0.0.0:7950"),
-            of(*FIVE[:4], "[::1]:7950"), of("[::1]:1", "[0::1]:1", FIVE[0]),
-            "cluster = 'c'\ncontrol = 'x'", "cluster = 'c'\n" + CONTROL, NODE.replace("site = 's1'\n", ""),
-            NODE + "me = '127.0.0.1:7950'", NODE.replace("127.1.0.1", "0.0.0.0"), NODE.replace("127.1.0.1", "n1"),
-            NODE.replace("127.1.0.1", "127.0.0.3"), NODE + "neighbours = ['127.1.0.2:7950', '127.1.0.3:7950']",
-            NODE + "neighbours = ['127.1.0.2:7950', '127.1.0.1:7950']", NODE + "neighbours = ['127.0.0.2:7950']",
-            NODE + "neighbours = ['127.1.0.2:7950', '127.1.0.2:7950']", NODE + "neighbours = ['n2:7950']",
+            "",
+            "cluster = 'a b'",
+            "cluster = 'c'",
+            of(*FIVE[:1]),
+            of(*FIVE[:2]),
+            of(*FIVE[:3]),
+            of(*FIVE[:4]),
+            of(*FIVE),
+            of(*(f"127.0.0.{i}:7950" for i in range(1, 12))),
+            of(*FIVE[:4], FIVE[0]),
+            of(*FIVE[:2], "here:7950"),
+            of(*FIVE[:2], "127.0.0.3:0"),
+            of(*FIVE[:2], "0.0.0.0:7950"),
+            of(*FIVE[:4], "[::1]:7950"),
+            of("[::1]:1", "[0::1]:1", FIVE[0]),
+            "cluster = 'c'\ncontrol = 'x'",
+            "cluster = 'c'\n" + CONTROL,
+            NODE.replace("site = 's1'\n", ""),
+            NODE + "me = '127.0.0.1:7950'",
+            NODE.replace("127.1.0.1", "0.0.0.0"),
+            NODE.replace("127.1.0.1", "n1"),
+            NODE.replace("127.1.0.1", "127.0.0.3"),
+            NODE + "neighbours = ['127.1.0.2:7950', '127.1.0.3:7950']",
+            NODE + "neighbours = ['127.1.0.2:7950', '127.1.0.1:7950']",
+            NODE + "neighbours = ['127.0.0.2:7950']",
+            NODE + "neighbours = ['127.1.0.2:7950', '127.1.0.2:7950']",
+            NODE + "neighbours = ['n2:7950']",
             NODE + f"neighbours = {json.dumps([f'127.1.1.{i}:7950' for i in range(1, 201)])}",
-            NODE + "when_stale = 'miss'", NODE + "when_stale = 'wait'", NODE + "stale_ms = 499",
-            NODE + "stale_ms = 60001", NODE + "retain_s = 9", NODE + "retain_kb = 32769", NODE + "retain_kb = 'much'",
-            NODE + "lease_ms = 100", NODE + "beat_ms = 250", MACHINE,
+            NODE + "when_stale = 'miss'",
+            NODE + "when_stale = 'wait'",
+            NODE + "stale_ms = 499",
+            NODE + "stale_ms = 60001",
+            NODE + "retain_s = 9",
+            NODE + "retain_kb = 32769",
+            NODE + "retain_kb = 'much'",
+            NODE + "lease_ms = 100",
+            NODE + "beat_ms = 250",
+            MACHINE,
             MACHINE.replace("me = '127.0.0.1", "me = '127.0.0.9"),
-            MACHINE + "site = 's1'", MACHINE + "neighbours = []", MACHINE + "retain_s = 60"]
+            MACHINE + "site = 's1'",
+            MACHINE + "neighbours = []",
+            MACHINE + "retain_s = 60",
+        ]
         for table in tables:
             shown = table.replace(NODE, "NODE ").replace(MACHINE, "MACHINE ").replace(json.dumps(FIVE), "FIVE")
             notes.note(f"{shown[:150]!r}: {self.said('[changes]' + chr(10) + table)}")
@@ -109,13 +137,20 @@
         good = {"settings": settings(), "serve": {"linger_ms": 10}}
         self.assertEqual(config.version(json.dumps(good)), good)
         classes = [{"name": "read", "deadline_ns": 5}]
-        for text, key in [("{", "JSON"), ("[]", "version"), ("7", "version"), ("{}", "settings"),
-                          ('{"settings": 7}', "settings"), ('{"settings": {}}', "settings.classes"),
-                          (json.dumps(good | {"listen": "127.0.0.1:1"}), "listen"),
-                          (json.dumps(good | {"name": "n"}), "name"),
-                          (json.dumps({"settings": settings(classes=classes)}), "settings.classes[0].deadline_ns"),
-                          (json.dumps(good | {"serve": {"linger_ms": -1}}), "serve.linger_ms"),
-                          ("[" * 50_000, "JSON"), (" " * (config.VERSION_MOST + 1), "bytes")]:
+        for text, key in [
+            ("{", "JSON"),
+            ("[]", "version"),
+            ("7", "version"),
+            ("{}", "settings"),
+            ('{"settings": 7}', "settings"),
+            ('{"settings": {}}', "settings.classes"),
+            (json.dumps(good | {"listen": "127.0.0.1:1"}), "listen"),
+            (json.dumps(good | {"name": "n"}), "name"),
+            (json.dumps({"settings": settings(classes=classes)}), "settings.classes[0].deadline_ns"),
+            (json.dumps(good | {"serve": {"linger_ms": -1}}), "serve.linger_ms"),
+            ("[" * 50_000, "JSON"),
+            (" " * (config.VERSION_MOST + 1), "bytes"),
+        ]:
             with self.subTest(text[:60]), self.assertRaises(config.Faulty) as caught:
                 config.version(text)
             self.assertIn(key, str(caught.exception))
@@ -172,6 +207,7 @@
 
     def test_who_waits_for_a_fetch_from_before_a_purge_asks_anew(self):
         """Guards against a value fetched before a purge that is handed on, as a joined fetch, behind it."""
+
         async def scene(town: Slow) -> None:
             door, notes, town.note = town.service.door, town.lines, lambda text: None
             notes.clear()
@@ -183,7 +219,12 @@
                 while not what():
                     await asyncio.sleep(0.001)
 
-            for name, purge in {"nothing": 0, "another key": key("miss-b"), "the key": key("miss"), "all": None}.items():
+            for name, purge in {
+                "nothing": 0,
+                "another key": key("miss-b"),
+                "the key": key("miss"),
+                "all": None,
+            }.items():
                 calls, callers = len(town.calls), [await town.client() for _ in range(3)]
                 callers[0].say(read("miss", "1"))
                 await until(lambda: len(town.calls) == calls + 1)
@@ -199,9 +240,14 @@
                 await callers[0].hear()
                 await until(lambda: len(door.node.txs) == 2)
                 leads = sum(tx.leads for tx in door.node.txs.values())
-                notes.append(f"purged {name}: asked anew {fresh}; the end of the fetch of before is " + (
-                    f"nobody's who came behind: {joined()} waits for the one that {leads} leads" if fresh else
-                    "that of all who wait"))
+                notes.append(
+                    f"purged {name}: asked anew {fresh}; the end of the fetch of before is "
+                    + (
+                        f"nobody's who came behind: {joined()} waits for the one that {leads} leads"
+                        if fresh
+                        else "that of all who wait"
+                    )
+                )
 
                 async def let_all() -> None:
                     while True:
@@ -226,8 +272,10 @@
             town.calls[0].set()
             await caller.hear()
             node = door.node
-            with mock.patch.object(type(node), "crowded", lambda node, now: True), \
-                    mock.patch.object(node, "fetch", 10_000_000.0):  # what does not fit is answered at once
+            with (
+                mock.patch.object(type(node), "crowded", lambda node, now: True),
+                mock.patch.object(node, "fetch", 10_000_000.0),
+            ):  # what does not fit is answered at once
                 await caller.ask(read("hit", "3"))
             door.strict = False
             await caller.ask(read("hit", "4"))
@@ -337,8 +385,28 @@
         self.run_it(scene())
 
     def test_content_of_any_shape_is_a_message_or_strange(self):
-        rng, values = Random(46), [None, -1, 0, 3, 2**63, "x" * 70, "", "fence", b"x", b"x" * 70_000, [], {}, 1.5, True,
-                                   [5, 1, "i", "purge", b"k", 0], [[5, 1, "i", "purge", b"k", 0]], [[]]]
+        rng, values = (
+            Random(46),
+            [
+                None,
+                -1,
+                0,
+                3,
+                2**63,
+                "x" * 70,
+                "",
+                "fence",
+                b"x",
+                b"x" * 70_000,
+                [],
+                {},
+                1.5,
+                True,
+                [5, 1, "i", "purge", b"k", 0],
+                [[5, 1, "i", "purge", b"k", 0]],
+                [[]],
+            ],
+        )
         taken = 0
         for _ in range(20_000):
             word = rng.choice([*messages.WORDS, "log.later", 7, ""])
@@ -356,6 +424,7 @@
 
     def test_strangers_who_hold_all_places_keep_nobody_out(self):
         """Guards against silent connections that fill the door, and against one that reads nothing."""
+
         async def scene() -> None:
             served: list[str] = []
             kept = asyncio.Event()
@@ -382,8 +451,10 @@
                     while "over" not in served:
                         await asyncio.sleep(0.01)
                 self.assertEqual(self.wire.dropped["slow"], 1)
-                self.assertFalse(stream.send(Append("i", "purge", b"", 0, 0)) and
-                                 all(stream.send(Append("i", "purge", bytes(messages.CONTENT), 0, 0)) for _ in range(80)))
+                self.assertFalse(
+                    stream.send(Append("i", "purge", b"", 0, 0))
+                    and all(stream.send(Append("i", "purge", bytes(messages.CONTENT), 0, 0)) for _ in range(80))
+                )
                 self.assertIn("queue full", self.other.dropped)
                 with self.assertRaises(Strange):
                     await streams.dial(address, self.other, "127.0.0.9:1")
@@ -395,18 +466,24 @@
             finally:
                 door.close()
 
-        with mock.patch.object(streams, "HELLO_WAIT", 30.0):  # the silent ones are not over meanwhile, however late this is
+        with mock.patch.object(
+            streams, "HELLO_WAIT", 30.0
+        ):  # the silent ones are not over meanwhile, however late this is
             self.run_it(scene())
 
     def test_the_largest_frames_hold_a_serving_loop_for_no_more_than_a_millisecond(self):
         """CPU of taking one frame apart at a node, the best of thirty: what a stranger of the same cluster may cost."""
+
         def entries(count: int, size: int) -> list[Entry]:
             return [Entry(i, 1, "x" * 36, "purge", bytes(size)) for i in range(1, count + 1)]
 
-        for message, taken in ((Batch(1, entries(messages.MOST, 60), messages.MOST, 1), True),
-                               (Batch(1, entries(messages.MOST + 1, 0), messages.MOST + 1, 1), False),
-                               (Batch(1, entries(4096, 60), 4096, 1), False),
-                               (State(1, 10, 1, entries(10, messages.CONTENT - 1)), True), (Subscribe(0, 0, "x"), True)):
+        for message, taken in (
+            (Batch(1, entries(messages.MOST, 60), messages.MOST, 1), True),
+            (Batch(1, entries(messages.MOST + 1, 0), messages.MOST + 1, 1), False),
+            (Batch(1, entries(4096, 60), 4096, 1), False),
+            (State(1, 10, 1, entries(10, messages.CONTENT - 1)), True),
+            (Subscribe(0, 0, "x"), True),
+        ):
             body, took = self.wire.encode(message), []
             for _ in range(30):
                 begun = time.thread_time()
@@ -454,8 +531,13 @@
             file.write_text(json.dumps({"listen": "127.0.0.1:0", "settings": settings(), "serve": {"linger_ms": 0}}))
             for table in tables:
                 ours.write_text(table)
-            done = subprocess.run([sys.executable, "-c", LOOK, str(file), *([str(ours)] if tables else [])],
-                                  capture_output=True, text=True, env=os.environ | {"TMPDIR": folder}, timeout=20)
+            done = subprocess.run(
+                [sys.executable, "-c", LOOK, str(file), *([str(ours)] if tables else [])],
+                capture_output=True,
+                text=True,
+                env=os.environ | {"TMPDIR": folder},
+                timeout=20,
+            )
         return json.loads(done.stdout)
 
     def test_without_the_table_nothing_of_it_is_there(self):
@@ -464,8 +546,9 @@
         self.assertEqual(without["modules"], [])
         self.assertIn("saltmoor.net.changes", with_it["modules"])
         notes = Notes()
-        notes.note(f"without: sockets {without['sockets']}, descriptors {without['descriptors']}, "
-                   f"tasks {without['tasks']}")
+        notes.note(
+            f"without: sockets {without['sockets']}, descriptors {without['descriptors']}, tasks {without['tasks']}"
+        )
         self.check("changes-off", notes)
 
 
@@ -499,8 +582,10 @@
         # Outside of the range from which the machine gives ports: a machine that is away loses its own to nobody.
         port = 20_000 + os.getpid() % 12_000
         self.control = [f"127.46.0.{i}:{port}" for i in range(1, 6)]
-        self.sites = {site: [f"127.46.{1 + place}.{i}:{port}" for i in range(1, count + 1)]
-                      for place, (site, count) in enumerate(self.SITES.items())}
+        self.sites = {
+            site: [f"127.46.{1 + place}.{i}:{port}" for i in range(1, count + 1)]
+            for place, (site, count) in enumerate(self.SITES.items())
+        }
         self.nodes = [node for nodes in self.sites.values() for node in nodes]
         self.serving = {node: f"127.46.9.{i}:{port}" for i, node in enumerate(self.nodes, 1)}
         self.running: dict[str, subprocess.Popen] = {}
@@ -519,21 +604,38 @@
             args = ["control"]
         else:
             site = next(site for site, nodes in self.sites.items() if name in nodes)
-            table |= {"listen": name, "site": site, "neighbours": [node for node in self.sites[site] if node != name],
-                      "when_stale": "miss" if site == "b" else "serve"}
+            table |= {
+                "listen": name,
+                "site": site,
+                "neighbours": [node for node in self.sites[site] if node != name],
+                "when_stale": "miss" if site == "b" else "serve",
+            }
             place = "127.0.0.1:%d" % self.stand_in.server_address[1]
-            known = [{"instanceId": "s1", "hostPort": place, "zone": "a", "machineType": "m1", "lifecycle": "up"},
-                     {"instanceId": "o", "hostPort": place, "machineType": "origin", "lifecycle": "up"}]
-            file["json"].write_text(json.dumps({
-                "name": name, "listen": self.serving[name], "settings": settings(),
-                "known": {"generation": 7, "instances": known}}))
+            known = [
+                {"instanceId": "s1", "hostPort": place, "zone": "a", "machineType": "m1", "lifecycle": "up"},
+                {"instanceId": "o", "hostPort": place, "machineType": "origin", "lifecycle": "up"},
+            ]
+            file["json"].write_text(
+                json.dumps(
+                    {
+                        "name": name,
+                        "listen": self.serving[name],
+                        "settings": settings(),
+                        "known": {"generation": 7, "instances": known},
+                    }
+                )
+            )
             args = ["serve", f"--config={file['json']}"]
         file["toml"].write_text(
-            "[changes]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in table.items()))
+            "[changes]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in table.items())
+        )
         with open(file["log"], "ab") as log:
             self.running[name] = subprocess.Popen(
                 [sys.executable, "-m", "saltmoor", *args, f"--operators={file['toml']}"],
-                stdout=subprocess.DEVNULL, stderr=log, env=os.environ | {"TMPDIR": str(self.folder)})
+                stdout=subprocess.DEVNULL,
+                stderr=log,
+                env=os.environ | {"TMPDIR": str(self.folder)},
+            )
 
     def log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
@@ -583,9 +685,13 @@
         begun = time.monotonic()
         while not what():
             if time.monotonic() - begun > within:
-                raise AssertionError("not in time:\n" + "\n".join(
-                    f"{name}: {one.poll()} {self.show(name)} {self.log(name)[-300:]}"
-                    for name, one in self.running.items()))
+                raise AssertionError(
+                    "not in time:\n"
+                    + "\n".join(
+                        f"{name}: {one.poll()} {self.show(name)} {self.log(name)[-300:]}"
+                        for name, one in self.running.items()
+                    )
+                )
             time.sleep(0.01)
         return time.monotonic() - begun
 
@@ -600,9 +706,17 @@
         def there() -> bool:
             code, _ = tool.status(self.control, self.CLUSTER)
             leader = self.show(self.leader()) if not code else {}
-            return bool(leader) and len(leader["linked"]) == 4 and all(
-                self.show(node).get("stale", True) is False and self.show(node)["applied"] == leader["committed"]
-                and not self.show(name)["blank"] for node in self.nodes for name in self.control)
+            return (
+                bool(leader)
+                and len(leader["linked"]) == 4
+                and all(
+                    self.show(node).get("stale", True) is False
+                    and self.show(node)["applied"] == leader["committed"]
+                    and not self.show(name)["blank"]
+                    for node in self.nodes
+                    for name in self.control
+                )
+            )
 
         self.until(there, 20)
 
@@ -691,7 +805,9 @@
         self.reached(outcome.offset)
         self.assertEqual({fleet.show(node)["in_force"]["other"] for node in fleet.nodes}, {before + 1})
         too_large = kinds.encode(kinds.Config("other", before + 2, before + 1, bytes(messages.CONTENT)))
-        self.assertEqual(tool.append(fleet.control, fleet.CLUSTER, kinds.CONFIG, lambda shown: too_large).how, "refused")
+        self.assertEqual(
+            tool.append(fleet.control, fleet.CLUSTER, kinds.CONFIG, lambda shown: too_large).how, "refused"
+        )
         fleet.at_home()
         # Two relays a site, which stream from control machines; the third node streams from one of them.
         shown = {node: fleet.show(node) for node in fleet.sites["a"]}
@@ -776,8 +892,10 @@
         content = kinds.encode(kinds.Purge("key", b"between"))
         fleet.stop(*others)  # it can write, and nobody holds it beside it
         with tool.Call(leader, tool.wire(fleet.CLUSTER), 3) as call:
-            said = call.ask(messages.Append(id, kinds.PURGE, content, shown["generation"], shown["committed"], 300_000),
-                            messages.Appended)
+            said = call.ask(
+                messages.Append(id, kinds.PURGE, content, shown["generation"], shown["committed"], 300_000),
+                messages.Appended,
+            )
             self.assertEqual(said.how, "unknown")
         fleet.kill(leader)
         fleet.go_on(*others)
@@ -869,16 +987,21 @@
             address = config.numeric("", name)
             before = fleet.show(name)["dropped"]
             speaks = Wire(fleet.CLUSTER, "127.9.9.9:1", streams.NODE)
-            said = [b"", b"GET / HTTP/1.1\r\n\r\n", b"\xff\xff\xff\xff" + bytes(40),
-                    Wire("other", "n", streams.NODE).hello(), speaks.hello("127.0.0.9:1"),
-                    speaks.hello()[:-3], speaks.hello() + b"\xff" * 50,
-                    speaks.hello() + speaks.frame(b"\x91" * 5000),
-                    speaks.hello() + speaks.frame(speaks.encode(
-                        Batch(1, [Entry(9, 1, "x", "purge", b"k")], 9, 1 << 61))),
-                    speaks.hello() + speaks.frame(speaks.encode(messages.Fence(1 << 61, 1, "fence", [0] * 5))),
-                    Wire(fleet.CLUSTER, "127.9.9.9:1", streams.MACHINE).hello() + speaks.frame(
-                        speaks.encode(messages.Fence(1 << 61, 1, "fence", [0] * 5))),
-                    *(speaks.hello() + rng.randbytes(300) for _ in range(20))]
+            said = [
+                b"",
+                b"GET / HTTP/1.1\r\n\r\n",
+                b"\xff\xff\xff\xff" + bytes(40),
+                Wire("other", "n", streams.NODE).hello(),
+                speaks.hello("127.0.0.9:1"),
+                speaks.hello()[:-3],
+                speaks.hello() + b"\xff" * 50,
+                speaks.hello() + speaks.frame(b"\x91" * 5000),
+                speaks.hello() + speaks.frame(speaks.encode(Batch(1, [Entry(9, 1, "x", "purge", b"k")], 9, 1 << 61))),
+                speaks.hello() + speaks.frame(speaks.encode(messages.Fence(1 << 61, 1, "fence", [0] * 5))),
+                Wire(fleet.CLUSTER, "127.9.9.9:1", streams.MACHINE).hello()
+                + speaks.frame(speaks.encode(messages.Fence(1 << 61, 1, "fence", [0] * 5))),
+                *(speaks.hello() + rng.randbytes(300) for _ in range(20)),
+            ]
             for data in said:
                 with contextlib.suppress(OSError), socket.create_connection(address, 2) as sock:
                     sock.sendall(data)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -188,7 +188,6 @@
         script.tx(20, key=20, write=True)
         self.check("origin-full", script)
 
-
     def test_an_origin_whose_times_vary_keeps_its_room(self):
         """Guards against taking a wide spread of times for a full origin: only the usual time tells."""
         script, room = Script(), Room()
@@ -321,8 +320,10 @@
 
     def test_further_hops_stay_within_their_budget(self):
         """Guards against more hops beyond the first than are stated, in any window; the dearest go first."""
-        profiles = [model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=1.0),
-                    model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=5.0)]
+        profiles = [
+            model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=1.0),
+            model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=5.0),
+        ]
         script = Script(3, profiles=profiles, budget=model.HopBudget(2, 0.1, 2000 * MS), columns=[])
         for number in range(1, 5):
             script.tx(number, profile=number % 2, key=number)
@@ -337,8 +338,10 @@
     def test_fetches_that_fail_spare_the_origin(self):
         """Guards against an origin that gets no further: fewer reads of unknown keys, no repeats of cheap ones,
         no server blamed; a key known to be stored is read as ever."""
-        profiles = [model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=1.0),
-                    model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=5.0)]
+        profiles = [
+            model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=1.0),
+            model.Profile(500 * MS, 1000 * MS, Repeat.IDEMPOTENT, revenue=5.0),
+        ]
         script = Script(3, profiles=profiles, columns=[])
         script.tx(0, key=100)
         script.ends(0, 0, script.last, Ended.COMMITTED, note=1)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -49,12 +49,22 @@
 
     def __init__(self, nodes: int, case: str, draw: int) -> None:
         self.word, self.drawn = f"{nodes} {case} {draw}".encode(), 0
-        self.case = {"skew": 1, "restarts": 0, "struck": 0.4, "wrong": 0, "apart": 0, "warm": 20 * SECOND,
-                     "upgrade": False, "hot_at": 0, "others_cold": False} | CASES[case]
+        self.case = {
+            "skew": 1,
+            "restarts": 0,
+            "struck": 0.4,
+            "wrong": 0,
+            "apart": 0,
+            "warm": 20 * SECOND,
+            "upgrade": False,
+            "hot_at": 0,
+            "others_cold": False,
+        } | CASES[case]
         self.now, self.order, self.heap, self.ids, self.seeds = 0, count(), [], count(1), count(1)
         self.sent: list[int] = []  # when the cold server was sent to
-        self.cold = model.ColdStart(self.between(0.12, 0.4), self.case["warm"], self.between(2.5, 4.0),
-                                    int(self.between(0.5, 2.0) * SECOND))
+        self.cold = model.ColdStart(
+            self.between(0.12, 0.4), self.case["warm"], self.between(2.5, 4.0), int(self.between(0.5, 2.0) * SECOND)
+        )
         self.base = 2 * 20 ** self.chance()  # N as the server starts: 2 to 40
         self.capacity = self.base / self.cold.multiple / self.cold.share / self.cold.window * SECOND
         # Three others stand for all that are there: as many as there are nodes, or fewer.
@@ -101,15 +111,36 @@
             heappush(self.heap, (when, next(self.order), call, args))
 
     def members(self, started: bool) -> list[model.Member]:
-        return [model.Member(one, 0, 0, 0, Readiness.READY, size, TOLD if started and (
-            one == COLD or self.case["others_cold"]) else 0) for one, size in self.sizes.items()]
+        return [
+            model.Member(
+                one,
+                0,
+                0,
+                0,
+                Readiness.READY,
+                size,
+                TOLD if started and (one == COLD or self.case["others_cold"]) else 0,
+            )
+            for one, size in self.sizes.items()
+        ]
 
     def make(self) -> Node:
-        return Node(crc32(self.word, next(self.seeds)), self.now, **{
-            "profiles": [model.Profile(400 * MS, 1200 * MS, Repeat.IDEMPOTENT)], "quotas": [],
-            "permits": model.Permits(hops=2, copies=False, cancel=True, probes=False),
-            "prices": model.Prices(), "cold": self.cold, "listing": model.Listing(), "place": self.place,
-            "origin_kind": None, "columns": [], "tick": MS})
+        return Node(
+            crc32(self.word, next(self.seeds)),
+            self.now,
+            **{
+                "profiles": [model.Profile(400 * MS, 1200 * MS, Repeat.IDEMPOTENT)],
+                "quotas": [],
+                "permits": model.Permits(hops=2, copies=False, cancel=True, probes=False),
+                "prices": model.Prices(),
+                "cold": self.cold,
+                "listing": model.Listing(),
+                "place": self.place,
+                "origin_kind": None,
+                "columns": [],
+                "tick": MS,
+            },
+        )
 
     def start(self, i: int, learnt: bool = False, part: float = 1.0) -> Node:
         """A process; one that has run for long knows its rate, and how long a hit takes."""
@@ -137,8 +168,13 @@
                 case model.Send(tx, server):
                     if server == COLD and node in self.told:
                         self.sent.append(self.now)
-                    self.at(self.now + self.hit, self.event, node, Node.hop_ended, model.HopEnd(
-                        tx, node.txs[tx].hops[-1].number, server, Ended.COMMITTED, self.hit, True, 1))
+                    self.at(
+                        self.now + self.hit,
+                        self.event,
+                        node,
+                        Node.hop_ended,
+                        model.HopEnd(tx, node.txs[tx].hops[-1].number, server, Ended.COMMITTED, self.hit, True, 1),
+                    )
                 case model.Wake(at, token):
                     self.at(max(at, self.now), self.event, node, Node.woken, token)
 
@@ -186,8 +222,10 @@
 
 def table(draws: int, sizes=SIZES, cases=CASES) -> list[tuple[int, str]]:
     """Prints a line a size and case; what went over its bound."""
-    print(f"| nodes | case | worst window / bound | its requests, its N | middle | draws broken of {draws} |\n"
-          "| --- | --- | --- | --- | --- | --- |")
+    print(
+        f"| nodes | case | worst window / bound | its requests, its N | middle | draws broken of {draws} |\n"
+        "| --- | --- | --- | --- | --- | --- |"
+    )
     broken = []
     for nodes in sizes:
         for case in cases:
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -74,8 +74,18 @@
     def test_the_sum_fits_the_origin_however_many_there_are(self):
         """Guards against ten nodes that each begin as if alone, and then all shrink to nothing."""
         notes = Notes()
-        for nodes, told, cores in ((1, 1, 8), (3, 3, 8), (10, 10, 8), (10, 30, 8), (10, 3, 8), (10, 0, 8),
-                                   (40, 40, 8), (200, 200, 64), (200, 600, 64), (200, 67, 64)):
+        for nodes, told, cores in (
+            (1, 1, 8),
+            (3, 3, 8),
+            (10, 10, 8),
+            (10, 30, 8),
+            (10, 3, 8),
+            (10, 0, 8),
+            (40, 40, 8),
+            (200, 200, 64),
+            (200, 600, 64),
+            (200, 67, 64),
+        ):
             self.play(notes, nodes, told, cores)
         self.check("comeback-rooms", notes)
 
@@ -100,8 +110,16 @@
 
     def test_lost_filling_steady(self):
         notes, core, now = Notes(), Recovery(0), 0
-        for reads, missed, fetched, steps in ((20, 5, 5, 40), (20, 16, 0, 3), (20, 15, 8, 6), (20, 8, 8, 4), (20, 5, 5, 12),
-                                              (1, 1, 0, 8), (20, 5, 5, 8), (20, 17, 4, 100)):
+        for reads, missed, fetched, steps in (
+            (20, 5, 5, 40),
+            (20, 16, 0, 3),
+            (20, 15, 8, 6),
+            (20, 8, 8, 4),
+            (20, 5, 5, 12),
+            (1, 1, 0, 8),
+            (20, 5, 5, 8),
+            (20, 17, 4, 100),
+        ):
             for _ in range(steps):
                 now += phase.STEP
                 if line := self.feed(core, now, reads, missed, fetched):
@@ -163,10 +181,12 @@
             told = kinds.give(node, gate, lived, now, age)
             said = "unknown" if age is None else f"{age / SECOND:g} s"
             s1 = node.servers["s1"]
-            notes.note(f"{said}: {' '.join(f'{kind}={count}' for kind, count in told.items())}; s0 may get "
-                       f"{node.servers['s0'].allowed:.2f}, s3 ready {node.servers['s3'].ready}, s1 delay {s1.delay / MS:.0f} "
-                       f"of {s1.hits}, room {node.room.limit:.1f}, quota {node.quotas[0][1]:.0f}, limit {gate.limit:.0f}, "
-                       f"further {len(node.allowance.further)}")
+            notes.note(
+                f"{said}: {' '.join(f'{kind}={count}' for kind, count in told.items())}; s0 may get "
+                f"{node.servers['s0'].allowed:.2f}, s3 ready {node.servers['s3'].ready}, s1 delay {s1.delay / MS:.0f} "
+                f"of {s1.hits}, room {node.room.limit:.1f}, quota {node.quotas[0][1]:.0f}, limit {gate.limit:.0f}, "
+                f"further {len(node.allowance.further)}"
+            )
         self.check("comeback-kinds", notes)
 
     def test_never_laxer_than_a_node_that_remembers_nothing(self):
@@ -209,7 +229,12 @@
 
     def test_content_of_another_build_costs_only_the_snapshot(self):
         node, gate = make(self.NOW, fleet(self.NOW))
-        for wrong in ({}, {"servers": {"s1": {}}}, self.lived() | {"usual": {"usual": "x"}}, self.lived() | {"servers": []}):
+        for wrong in (
+            {},
+            {"servers": {"s1": {}}},
+            self.lived() | {"usual": {"usual": "x"}},
+            self.lived() | {"servers": []},
+        ):
             with self.assertRaises((KeyError, TypeError, ValueError, AttributeError)):
                 kinds.give(node, gate, wrong, self.NOW, 0)
 
@@ -221,20 +246,34 @@
         self.path = Path(folder.name) / "n1.snapshot"
 
     def content(self, mark: int) -> dict:
-        return {"clock": {"wall": 1, "boot": "b", "up": 1}, "kinds": {kind: {} for kind in ("servers", "spent", "usual", "room", "admission")},
-                "mark": mark}
+        return {
+            "clock": {"wall": 1, "boot": "b", "up": 1},
+            "kinds": {kind: {} for kind in ("servers", "spent", "usual", "room", "admission")},
+            "mark": mark,
+        }
 
     def test_cut_or_altered_anywhere_it_is_refused(self):
         data = file.encode("n1", self.content(1))
         self.assertEqual(file.decode(data, "n1")["mark"], 1)
         for place in range(len(data)):
-            for wrong in (data[:place], data[:place] + bytes([data[place] ^ 0x04]) + data[place + 1:], data[place + 1:]):
+            for wrong in (
+                data[:place],
+                data[:place] + bytes([data[place] ^ 0x04]) + data[place + 1 :],
+                data[place + 1 :],
+            ):
                 with self.assertRaises(file.Unfit):
                     file.decode(wrong, "n1")
         notes = Notes()
         newer = data.replace(b"snapshot 1 ", b"snapshot 2 ", 1)
-        for name, wrong in (("n2", data), ("n1", newer), ("n1", b""), ("n1", data + b"x"), ("n1", data[:-1]),
-                            ("n1", file.encode("n1", {"clock": {}, "kinds": {}})), ("n1", file.encode("n1", {}))):
+        for name, wrong in (
+            ("n2", data),
+            ("n1", newer),
+            ("n1", b""),
+            ("n1", data + b"x"),
+            ("n1", data[:-1]),
+            ("n1", file.encode("n1", {"clock": {}, "kinds": {}})),
+            ("n1", file.encode("n1", {})),
+        ):
             try:
                 file.decode(wrong, name)
             except file.Unfit as error:
@@ -243,24 +282,28 @@
 
     def test_ages_by_the_clock_that_nobody_sets(self):
         then = {"wall": 10_000 * SECOND, "boot": "a", "up": 500 * SECOND}
-        cases = [({"wall": 10_005 * SECOND, "boot": "a", "up": 505 * SECOND}, 5 * SECOND),
-                 ({"wall": 6_400 * SECOND, "boot": "a", "up": 505 * SECOND}, 5 * SECOND),  # an hour back meanwhile
-                 ({"wall": 10_030 * SECOND, "boot": "b", "up": 9 * SECOND}, 30 * SECOND),
-                 ({"wall": 6_400 * SECOND, "boot": "b", "up": 9 * SECOND}, None),
-                 ({"wall": 9_999 * SECOND, "boot": "b", "up": 9 * SECOND}, 0)]
+        cases = [
+            ({"wall": 10_005 * SECOND, "boot": "a", "up": 505 * SECOND}, 5 * SECOND),
+            ({"wall": 6_400 * SECOND, "boot": "a", "up": 505 * SECOND}, 5 * SECOND),  # an hour back meanwhile
+            ({"wall": 10_030 * SECOND, "boot": "b", "up": 9 * SECOND}, 30 * SECOND),
+            ({"wall": 6_400 * SECOND, "boot": "b", "up": 9 * SECOND}, None),
+            ({"wall": 9_999 * SECOND, "boot": "b", "up": 9 * SECOND}, 0),
+        ]
         for now, gone in cases:
             self.assertEqual(file.age(then, now), gone)
 
     def test_killed_at_each_step_of_writing(self):
         """Whatever the step, there is a whole snapshot afterwards: the old one, or the new one."""
-        code = ("import os, sys; from pathlib import Path; from saltmoor.state import file\n"
-                "left = int(sys.argv[2])\n"
-                "def step(what):\n"
-                "    global left\n"
-                "    left -= 1\n"
-                "    if left < 0: os.kill(os.getpid(), 9)\n"
-                "content = file.decode(Path(sys.argv[1]).read_bytes()) | {'mark': 2, 'pad': 'x' * 200000}\n"
-                "file.write(Path(sys.argv[1]), file.encode('n1', content), step)\n")
+        code = (
+            "import os, sys; from pathlib import Path; from saltmoor.state import file\n"
+            "left = int(sys.argv[2])\n"
+            "def step(what):\n"
+            "    global left\n"
+            "    left -= 1\n"
+            "    if left < 0: os.kill(os.getpid(), 9)\n"
+            "content = file.decode(Path(sys.argv[1]).read_bytes()) | {'mark': 2, 'pad': 'x' * 200000}\n"
+            "file.write(Path(sys.argv[1]), file.encode('n1', content), step)\n"
+        )
         found = []
         for steps in range(9):
             self.path.write_bytes(file.encode("n1", self.content(1)))
@@ -270,8 +313,17 @@
 
     def test_the_operators_file_names_its_faulty_key(self):
         notes, path = Notes(), self.path.with_name("operators.toml")
-        for text in ("", "[state]\nfolder = 'here'", "[state]\nfolder = '/x'\nevery_ms = 5", "[state]\nfolder = 7",
-                     "[state]\nfolder = '/x'\nmost_mb = 3", "[peer]", "state = 3", "[state", "[state]"):
+        for text in (
+            "",
+            "[state]\nfolder = 'here'",
+            "[state]\nfolder = '/x'\nevery_ms = 5",
+            "[state]\nfolder = 7",
+            "[state]\nfolder = '/x'\nmost_mb = 3",
+            "[peer]",
+            "state = 3",
+            "[state",
+            "[state]",
+        ):
             path.write_text(text)
             try:
                 notes.note(f"{text!r}: {config.operators(str(path))[0]}")
@@ -287,7 +339,9 @@
         super().__init__()
         self.kept = tempfile.TemporaryDirectory()
 
-    async def started(self, name: str = "n1", folder: str | None = None) -> tuple[asyncio.subprocess.Process, list[str]]:
+    async def started(
+        self, name: str = "n1", folder: str | None = None
+    ) -> tuple[asyncio.subprocess.Process, list[str]]:
         """A process of the node and what it logs of snapshots until it serves, and a moment longer."""
         self.said["name"] = name
         self.file.write_text(json.dumps(self.said | {"listen": "%s:%d" % self.address}))
@@ -316,6 +370,7 @@
 class Processes(TraceCase):
     def test_killed_and_started_again_on_what_it_kept(self):
         """Whole, cut, of another node, in a folder that is not there or that another process has: it always serves."""
+
         async def play(notes: Notes) -> None:
             async with asyncio.timeout(60), Kept() as town:
                 path = Path(town.kept.name) / "n1.snapshot"
@@ -329,14 +384,19 @@
                         await asyncio.sleep(0.05)
                     await asyncio.sleep(0.25)
                     await town.kill(node)
-                    shown = [re.sub(r"\d+ bytes of \d+", "N bytes of M", line).split("age_ms=")[0].replace(town.kept.name, "FOLDER") + "..." * ("age_ms" in line)
-                             for line in lines]
+                    shown = [
+                        re.sub(r"\d+ bytes of \d+", "N bytes of M", line)
+                        .split("age_ms=")[0]
+                        .replace(town.kept.name, "FOLDER")
+                        + "..." * ("age_ms" in line)
+                        for line in lines
+                    ]
                     notes.note(f"{what}: {' | '.join(shown) or 'no line'}; {' '.join(ends)}")
 
                 await turn("first")
                 held = path.read_bytes()
                 await turn("killed and again")
-                path.write_bytes(held[:len(held) // 2])
+                path.write_bytes(held[: len(held) // 2])
                 await turn("cut")
                 path.write_bytes(held.replace(b'"node":"n1"', b'"node":"n2"'))
                 await turn("altered")
@@ -349,6 +409,7 @@
                 await turn("two of one name")
                 os.close(taken)
                 await turn("no such folder", folder=town.kept.name + "/none")
+
         notes = Notes()
         uvloop.run(play(notes))
         self.check("comeback-processes", notes)
@@ -362,12 +423,18 @@
         said["fleet"] = said["fleet"] | {"servers": 4}
         said["load"] = said["load"] | {"rate": 200, "keys": 1000}
         said["origin"] = said["origin"] | {"cores": 4}
-        said["fault"] = [{"kind": "crash", "on": "server", "at_s": 3, "for_s": 0.5, "part": 0.75},
-                         {"kind": "kill", "on": "node", "at_s": 3, "for_s": 0.3, "part": 0.8},
-                         {"kind": "flipped", "on": "state", "at_s": 3.2, "which": [0]},
-                         {"kind": "lost", "on": "state", "at_s": 3.2, "which": [1]},
-                         {"kind": "pause", "on": "node", "at_s": 5.5, "for_s": 0.3, "which": [2]}]
-        said["bounds"] = {"origin_held_over": {"at_most": 2.5}, "stale": {"at_most": 0}, "in_time_8s": {"at_least": 0.5}}
+        said["fault"] = [
+            {"kind": "crash", "on": "server", "at_s": 3, "for_s": 0.5, "part": 0.75},
+            {"kind": "kill", "on": "node", "at_s": 3, "for_s": 0.3, "part": 0.8},
+            {"kind": "flipped", "on": "state", "at_s": 3.2, "which": [0]},
+            {"kind": "lost", "on": "state", "at_s": 3.2, "which": [1]},
+            {"kind": "pause", "on": "node", "at_s": 5.5, "for_s": 0.3, "which": [2]},
+        ]
+        said["bounds"] = {
+            "origin_held_over": {"at_most": 2.5},
+            "stale": {"at_most": 0},
+            "in_time_8s": {"at_least": 0.5},
+        }
         scenario = plan.check(msgspec.to_builtins(said))
         for seed in (1, 2, 3):
             result = experiment.run(scenario, seed)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,9 +28,13 @@
 from tests.helper import MS, VALUE, Caller, Town, read, settings, write
 
 
-ENDS = {"half": ("VA 5 OTAG\r\nab", True), "whole": ("VA 5 OTAG\r\nabcde\r\n", True),
-        "head": ("VA 5 OT", True), "endless": ("VA 5 OTAG " + "x" * 1500, False),
-        "wide": ("VA 60000 OTAG\r\nab", False)}
+ENDS = {
+    "half": ("VA 5 OTAG\r\nab", True),
+    "whole": ("VA 5 OTAG\r\nabcde\r\n", True),
+    "head": ("VA 5 OT", True),
+    "endless": ("VA 5 OTAG " + "x" * 1500, False),
+    "wide": ("VA 60000 OTAG\r\nab", False),
+}
 
 
 class Held(Town):
@@ -70,7 +74,8 @@
             writer.write(copy)
             copy = b"SERVER_ERROR busy\r\n" if key == "pair" else b""  # comes once more, with the next command
             said = {"miss": f"EN O{tag}", "pair": "SERVER_ERROR busy", "fail": "SERVER_ERROR failed"}.get(
-                key.partition("-")[0], f"VA {len(key)} O{tag}\r\n{key}")
+                key.partition("-")[0], f"VA {len(key)} O{tag}\r\n{key}"
+            )
             answers.put_nowait((key, f"{said}\r\n".encode()))
         task.cancel()
         writer.close()
@@ -156,6 +161,7 @@
 
     def test_behind_a_command_that_ends_the_connection(self):
         for last in "quit\r\n", "ms k five O1 Pc=put\r\n":
+
             async def scene(town: Held) -> None:
                 one = await town.client()
                 one.say(read("held", "a") + last)
@@ -186,6 +192,7 @@
     def test_while_its_hop_connects(self):
         """Whatever the settings say of cancelling: nothing was written, so nothing has to be cancelled."""
         for allowed in True, False:
+
             async def scene(town: Held) -> None:
                 made, connects, go = town.service.upstream.connect, asyncio.Event(), asyncio.Event()
 
@@ -210,6 +217,7 @@
 
     def test_after_the_node_has_begun_to_end_its_connection(self):
         """The end that the client makes is told from the node's own."""
+
         async def scene(town: Held) -> None:
             one = await town.client()
             one.say(read("held-a", "a"))
@@ -239,8 +247,13 @@
 class LastByte(Case):
     def test_a_time_out_that_crosses_the_kernel(self):
         """The kernel takes the last byte, then the time-out strikes before the task runs again: it may have run."""
-        for parts, crossing, told in ((1, True, Ended.TIMED_OUT), (1, False, Ended.NO_CONNECTION),
-                                      (3, True, Ended.TIMED_OUT), (3, False, Ended.NO_CONNECTION)):
+        for parts, crossing, told in (
+            (1, True, Ended.TIMED_OUT),
+            (1, False, Ended.NO_CONNECTION),
+            (3, True, Ended.TIMED_OUT),
+            (3, False, Ended.NO_CONNECTION),
+        ):
+
             async def scene(town: Held) -> None:
                 upstream, loop = town.service.upstream, asyncio.get_running_loop()
                 link = await upstream.connect("s1")
@@ -257,9 +270,14 @@
                         await turns[-1]
 
                 link.stream.loop = Stepped()
-                task = asyncio.create_task(upstream.exchange(
-                    "s1", [b"ms k 1 O1 Pc=once\r\n", b"x", b"\r\n"][-parts:], meta.ProbeReply(),
-                    lifecycle.clock() + 9_000_000))
+                task = asyncio.create_task(
+                    upstream.exchange(
+                        "s1",
+                        [b"ms k 1 O1 Pc=once\r\n", b"x", b"\r\n"][-parts:],
+                        meta.ProbeReply(),
+                        lifecycle.clock() + 9_000_000,
+                    )
+                )
                 for turn in range(parts):
                     while len(turns) <= turn:
                         await asyncio.sleep(0)
@@ -277,6 +295,7 @@
     def test_a_repeat_that_is_written_behind_its_window(self):
         """It was decided inside of it, but connecting takes longer than is left: it must not be written."""
         for wait, count in (0.4, 1), (0.05, 2):  # the window is 0.3 s, and the connection may take 0.9 s
+
             async def scene(town: Held) -> None:
                 made, connects = town.service.upstream.connect, []
 
@@ -304,10 +323,13 @@
             upstream = town.service.upstream
             await (await town.client()).ask(read("hit", "a"))
             self.assertEqual(len(upstream.free["s1"]), 1)
-            task = asyncio.create_task(upstream.exchange("s1", [b"mg k v Ob Pc=read\r\n"], meta.ProbeReply(),
-                                                         lifecycle.clock() + 200_000))
-            lines = [config.line(config.Section(one | {"lifecycle": "draining"}), town.service.given.names)
-                     for one in town.list[:1]]
+            task = asyncio.create_task(
+                upstream.exchange("s1", [b"mg k v Ob Pc=read\r\n"], meta.ProbeReply(), lifecycle.clock() + 200_000)
+            )
+            lines = [
+                config.line(config.Section(one | {"lifecycle": "draining"}), town.service.given.names)
+                for one in town.list[:1]
+            ]
             upstream.listed(lines)
             self.assertEqual((await task).ended, Ended.NOT_SENT)
             self.assertEqual(town.came, ["a"])
@@ -316,6 +338,7 @@
 
     def test_a_start_by_an_old_list(self):
         """Where what is told counts from the first moment of a process, nothing is sent by the list before."""
+
         async def scene(town: Held) -> None:
             one = await town.client()
             one.say(read("hit", "a"))
@@ -347,14 +370,17 @@
         entries = [{"instanceId": f"s-{i}", "hostPort": "10.0.0.1:1", "zone": 'a}"{[', "cell": i} for i in range(200)]
         whole, small = {"generation": 4, "reset": True, "instances": entries}, {"generation": 5, "instances": []}
         pair = json.dumps(whole) + "\n" + json.dumps(small, indent=1) + "\n"
-        for text, told in ((pair, [whole, small]), (json.dumps(whole, indent=4) + "\r\n", [whole]),
-                           (json.dumps(small) + json.dumps(small), [small, small]),
-                           (json.dumps(whole, indent="\t").replace("\n", "\n\n") + "\n\n\n", [whole]),
-                           ("\n" + json.dumps(small, indent=2), [small])):
+        for text, told in (
+            (pair, [whole, small]),
+            (json.dumps(whole, indent=4) + "\r\n", [whole]),
+            (json.dumps(small) + json.dumps(small), [small, small]),
+            (json.dumps(whole, indent="\t").replace("\n", "\n\n") + "\n\n\n", [whole]),
+            ("\n" + json.dumps(small, indent=2), [small]),
+        ):
             for cut in 1, 33, 16_384, len(text):
                 pieces, got = Pieces(), []
                 for at in range(0, len(text), cut):
-                    got += [said for said in pieces.feed(text[at:at + cut].encode()) if said is not None]
+                    got += [said for said in pieces.feed(text[at : at + cut].encode()) if said is not None]
                 self.assertEqual(got, told, f"{text[:40]!r} cut by {cut}")
                 self.assertFalse(pieces.began)
         for bad in '{"a\n', "[" * 40 + "\n", "}\n", "hello\n", '{"a": ' + "1" * (3 << 20):
@@ -363,6 +389,7 @@
 
     def ended(self, script, silence: float, chunked: bool = True) -> tuple[list, float]:
         """A watch on a scripted discovery: what it told, and after how many seconds it failed."""
+
         async def run() -> tuple[list, float]:
             async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
                 await reader.readuntil(b"\r\n\r\n")
@@ -402,13 +429,13 @@
     def test_a_list_that_comes_slowly_has_its_time(self):
         text = json.dumps({"generation": 4, "instances": []}, indent=1).encode() + b"\n"
         for chunked in True, False:
-            told, _ = self.ended([b"\n"] * 5 + [text[i:i + 4] for i in range(0, len(text), 4)], 0.6, chunked)
+            told, _ = self.ended([b"\n"] * 5 + [text[i : i + 4] for i in range(0, len(text), 4)], 0.6, chunked)
             self.assertEqual(told, [model.ListKind.CHANGES] * 2 + [model.ListKind.SILENT])
 
     def test_a_reset_between_two_entries(self):
         entries = [{"instanceId": f"s{i}", "hostPort": "127.0.0.1:1", "lifecycle": "up"} for i in range(3)]
         text = json.dumps({"generation": 9, "reset": True, "instances": entries}, indent=1).encode()
-        told, _ = self.ended([b"\n", text[:text.index(b"s1") - 20], None], 2.0)
+        told, _ = self.ended([b"\n", text[: text.index(b"s1") - 20], None], 2.0)
         self.assertEqual(told, [model.ListKind.CHANGES, model.ListKind.FAILED])  # the empty line, and the end
 
     def test_a_silent_call_after_refusals_is_made_anew_at_once(self):
@@ -467,14 +494,25 @@
             self.assertRegex(town.logged.getvalue(), "code=stopping n=[0-9]+")
             self.assertIn("stopped: clients=0 txs=0", town.logged.getvalue())
 
-        self.play(scene, serve={"linger_ms": 50}, settings=settings(classes=[
-            {"name": "read", "repeat": "idempotent", "aim_ns": 10**9, "deadline_ns": 2 * 10**9}], tenants=[]))
+        self.play(
+            scene,
+            serve={"linger_ms": 50},
+            settings=settings(
+                classes=[{"name": "read", "repeat": "idempotent", "aim_ns": 10**9, "deadline_ns": 2 * 10**9}],
+                tenants=[],
+            ),
+        )
 
     def left(self, rules_before: int, rules_after: int | None, within: float) -> None:
         """A read that hangs is answered before the process ends, which it does in time."""
+
         def limits(ms: int) -> dict:
-            return settings(classes=[{"name": name, "repeat": "idempotent", "aim_ns": ms * 10**6,
-                                      "deadline_ns": ms * 10**6} for name in ("read", "put")])
+            return settings(
+                classes=[
+                    {"name": name, "repeat": "idempotent", "aim_ns": ms * 10**6, "deadline_ns": ms * 10**6}
+                    for name in ("read", "put")
+                ]
+            )
 
         async def scene(town: Held) -> None:
             one, half = await town.client(), await town.client()
@@ -498,6 +536,7 @@
 
     def test_a_half_command_that_does_not_go_on(self):
         """It is owed its error line in time, also when the process has begun to end, and waits for another's answer."""
+
         async def scene(town: Held) -> None:
             one, half = await town.client(), await town.client()
             one.say(read("held", "a"))
@@ -589,14 +628,14 @@
             while not clients.begun:
                 await asyncio.sleep(0.005)
             at_once(one, text[9:])
-            clients.sweep(-10**9)  # it has taken too long, as nobody has looked at the socket yet
+            clients.sweep(-(10**9))  # it has taken too long, as nobody has looked at the socket yet
             self.assertEqual(await answer(one), "VA 3 Oa")
             one.say("mn\r\n")
             self.assertEqual(await answer(one), "MN")
             one.say(text[:9])
             while not clients.begun:
                 await asyncio.sleep(0.005)
-            clients.sweep(-10**9)
+            clients.sweep(-(10**9))
             self.assertIn("not finished", await answer(one))
             self.assertEqual(await answer(one), "")
 
@@ -606,6 +645,7 @@
 class Connections(Case):
     def test_the_second_copy_of_an_answer_that_does_not_say_to_what_it_is_one(self):
         """It comes when the next command is on its way: it must not be taken for that one's."""
+
         async def scene(town: Held) -> None:
             one = await town.client()
             one.say(read("miss-pair", "a"))
@@ -615,8 +655,9 @@
             upstream, ends = town.service.upstream, []
             for key in "pair", "hit":
                 command = meta.parse(read(key, key).strip().encode())
-                got = await upstream.exchange("s1", meta.hop_bytes(command, 900), meta.HopReply(command),
-                                              lifecycle.clock() + 900_000)
+                got = await upstream.exchange(
+                    "s1", meta.hop_bytes(command, 900), meta.HopReply(command), lifecycle.clock() + 900_000
+                )
                 ends.append(got.ended)
             self.assertEqual(ends, [Ended.FULL, Ended.COMMITTED])
 
@@ -624,8 +665,14 @@
 
     def test_answers_that_end_too_soon_or_never(self):
         """Half an answer may have run, a whole one counts though a reset came with it, and each has its end in time."""
-        for key, line in (("half", "SERVER_ERROR failed"), ("head", "SERVER_ERROR failed"), ("whole", "VA 5 Oa"),
-                          ("endless", "SERVER_ERROR failed"), ("wide", "SERVER_ERROR failed")):
+        for key, line in (
+            ("half", "SERVER_ERROR failed"),
+            ("head", "SERVER_ERROR failed"),
+            ("whole", "VA 5 Oa"),
+            ("endless", "SERVER_ERROR failed"),
+            ("wide", "SERVER_ERROR failed"),
+        ):
+
             async def scene(town: Held) -> None:
                 one, began = await town.client(), time.monotonic()
                 one.say(read(key, "a", "once", wait=300))
@@ -638,12 +685,16 @@
 
     def test_a_time_out_and_the_answer_in_one_pass(self):
         """Whatever is told of it, it is not that it never ran; and the connection is not used again."""
+
         async def scene(town: Held) -> None:
             upstream, command = town.service.upstream, meta.parse(read("held", "a").strip().encode())
             upstream.free["s1"] = [await upstream.connect("s1")]
             link = upstream.free["s1"][0]
-            task = asyncio.create_task(upstream.exchange("s1", meta.hop_bytes(command, 900), meta.HopReply(command),
-                                                         lifecycle.clock() + 9_000_000))
+            task = asyncio.create_task(
+                upstream.exchange(
+                    "s1", meta.hop_bytes(command, 900), meta.HopReply(command), lifecycle.clock() + 9_000_000
+                )
+            )
             await town.seen(1)
             town.go.set()
             while link.stream.waiting:  # until the read is over, and its task has not run
@@ -677,14 +728,24 @@
                 one.say(f"mg {key} v Oa Pc=only,d=900\r\n")
                 self.assertEqual(await answer(one), line)
 
-        self.play(scene, settings=settings(azs=[], tenants=[], classes=[
-            {"name": "only", "repeat": "idempotent", "aim_ns": 500 * 10**6, "deadline_ns": 900 * 10**6}]))
+        self.play(
+            scene,
+            settings=settings(
+                azs=[],
+                tenants=[],
+                classes=[{"name": "only", "repeat": "idempotent", "aim_ns": 500 * 10**6, "deadline_ns": 900 * 10**6}],
+            ),
+        )
 
     def test_names_in_any_letters_and_that_begin_alike(self):
         names = ["get", "get-all", "catálogo", "catálogo/alta"]
-        said = settings(classes=[{"name": name, "repeat": "idempotent", "aim_ns": 500 * 10**6,
-                                  "deadline_ns": (900 + i) * 10**6} for i, name in enumerate(names)],
-                        tenants=[{"name": "ñ", "quota_per_s": 100}])
+        said = settings(
+            classes=[
+                {"name": name, "repeat": "idempotent", "aim_ns": 500 * 10**6, "deadline_ns": (900 + i) * 10**6}
+                for i, name in enumerate(names)
+            ],
+            tenants=[{"name": "ñ", "quota_per_s": 100}],
+        )
 
         async def scene(town: Held) -> None:
             one = await town.client()
@@ -706,17 +767,23 @@
             self.assertRegex(await answer(one), "^SERVER_ERROR")
             self.assertLess(time.monotonic() - began, 0.2)
 
-        self.play(scene, settings=settings(classes=[
-            {"name": "read", "repeat": "idempotent", "aim_ns": 15 * 10**6, "deadline_ns": 20 * 10**6}]))
+        self.play(
+            scene,
+            settings=settings(
+                classes=[{"name": "read", "repeat": "idempotent", "aim_ns": 15 * 10**6, "deadline_ns": 20 * 10**6}]
+            ),
+        )
 
     def test_an_effect_that_changes_while_a_transaction_is_open(self):
         """What is under way keeps the effect that it was taken under."""
+
         async def scene(town: Held) -> None:
             one = await town.client()
             one.say(read("held", "a", "once"))
             await town.seen(1)
-            town.said["settings"] = settings(classes=[
-                {"name": "once", "repeat": "idempotent", "aim_ns": 500 * 10**6, "deadline_ns": 10**9}])
+            town.said["settings"] = settings(
+                classes=[{"name": "once", "repeat": "idempotent", "aim_ns": 500 * 10**6, "deadline_ns": 10**9}]
+            )
             town.service.reload()
             town.hang_up()
             self.assertRegex(await answer(one), "^SERVER_ERROR failed")
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -65,8 +65,15 @@
         self.errors = Path(self.folder.name, "stderr")
         with self.errors.open("wb") as stderr:
             node = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "saltmoor", "serve", f"--config={self.file}", preexec_fn=limited,
-                env=os.environ | {"TMPDIR": self.folder.name}, stderr=stderr)
+                sys.executable,
+                "-m",
+                "saltmoor",
+                "serve",
+                f"--config={self.file}",
+                preexec_fn=limited,
+                env=os.environ | {"TMPDIR": self.folder.name},
+                stderr=stderr,
+            )
         self.nodes.append(node)
         while True:
             with contextlib.suppress(OSError):
@@ -96,8 +103,10 @@
 class Descriptors(unittest.TestCase):
     def play(self, sockets: int, kinds: list[str]) -> None:
         async def run() -> None:
-            said = settings(rules={"ask_within_ns": 600 * MS * 1000}, classes=[
-                {"name": "read", "repeat": "idempotent", "aim_ns": 9 * 10**9, "deadline_ns": 10**10}])
+            said = settings(
+                rules={"ask_within_ns": 600 * MS * 1000},
+                classes=[{"name": "read", "repeat": "idempotent", "aim_ns": 9 * 10**9, "deadline_ns": 10**10}],
+            )
             said["permissions"] |= {"connect_timeout_ns": 10**9}
             async with Crowd(sockets, settings=said) as town:
                 node = await town.launch()
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -69,17 +69,29 @@
                 continue
             words = line.split()
             tag = next((one for one in words if one.startswith("O")), "O")
-            writer.write(f"EN {tag}\r\n".encode() if words[1].startswith("miss") else
-                         f"VA {len(words[1])} {tag} h1\r\n{words[1]}\r\n".encode())
+            writer.write(
+                f"EN {tag}\r\n".encode()
+                if words[1].startswith("miss")
+                else f"VA {len(words[1])} {tag} h1\r\n{words[1]}\r\n".encode()
+            )
         writer.close()
 
-    async def launch(self, stderr=asyncio.subprocess.DEVNULL, folder: str | None = None, ready: bool = True,
-                     shell: str = "") -> asyncio.subprocess.Process:
+    async def launch(
+        self, stderr=asyncio.subprocess.DEVNULL, folder: str | None = None, ready: bool = True, shell: str = ""
+    ) -> asyncio.subprocess.Process:
         """A process of the node; `ready`: wait until it serves; `shell`: what starts it, as a line of the shell."""
         env = os.environ | {"TMPDIR": folder or self.folder.name}
         node = await asyncio.create_subprocess_exec(
-            *(["/bin/sh", "-c", shell, "sh"] if shell else []), *PLAIN, sys.executable, "-m", "saltmoor", "serve",
-            f"--config={self.file}", env=env, stderr=stderr)
+            *(["/bin/sh", "-c", shell, "sh"] if shell else []),
+            *PLAIN,
+            sys.executable,
+            "-m",
+            "saltmoor",
+            "serve",
+            f"--config={self.file}",
+            env=env,
+            stderr=stderr,
+        )
         self.nodes.append(node)
         while ready:
             try:
@@ -105,8 +117,17 @@
             reader, writer = await asyncio.open_connection(*self.address)
             writer.write(text.encode())
             got = await asyncio.wait_for(reader.readline(), LIMIT + 3)
-            end = ("committed" if got[:2] in (b"VA", b"HD") else "rolled back" if got.startswith(b"SERVER_ERROR busy")
-                   else "abandoned" if got.startswith(b"SERVER_ERROR") else "lost" if not got else repr(got))
+            end = (
+                "committed"
+                if got[:2] in (b"VA", b"HD")
+                else "rolled back"
+                if got.startswith(b"SERVER_ERROR busy")
+                else "abandoned"
+                if got.startswith(b"SERVER_ERROR")
+                else "lost"
+                if not got
+                else repr(got)
+            )
             writer.close()
         except (OSError, TimeoutError):
             end = "lost"
@@ -121,8 +142,12 @@
         for i in range(600):
             if time.monotonic() > until:
                 break
-            key, profile, write = (("hit", "read", False), (f"w{i}", "put", True), (f"miss{i}", "read", False),
-                                   (f"o{i}", "once", True))[i % 4]
+            key, profile, write = (
+                ("hit", "read", False),
+                (f"w{i}", "put", True),
+                (f"miss{i}", "read", False),
+                (f"o{i}", "once", True),
+            )[i % 4]
             under_way.append(asyncio.create_task(self.one(key, profile, write)))
             await asyncio.sleep(0.01)
         await asyncio.gather(*under_way)
@@ -150,6 +175,7 @@
 
     def test_signals_while_it_starts(self):
         """It should serve on after SIGHUP, and end with 0 after SIGTERM, at whatever moment of its start they come."""
+
         async def scene(town: Drill) -> None:
             early = 0
             for wait in (0, 0.03, 0.06, 0.1, 0.2, 0.3):
@@ -173,6 +199,7 @@
 
     def test_signals_while_it_ends(self):
         """It should end with 0 whatever else is signalled up to its very last moment."""
+
         async def scene(town: Drill) -> None:
             for number in signal.SIGHUP, signal.SIGTERM, signal.SIGINT:
                 node = await town.launch()
@@ -196,8 +223,11 @@
         """Wait until it holds signals back, or has its handlers; whether that was before its libraries were there."""
         for _ in range(2000):
             status = await self.seen(node, "status")
-            if any(int(line.split()[1], 16) >> (signal.SIGHUP - 1) & 1 for line in status.splitlines()
-                   if line.startswith(("SigBlk", "SigCgt"))):
+            if any(
+                int(line.split()[1], 16) >> (signal.SIGHUP - 1) & 1
+                for line in status.splitlines()
+                if line.startswith(("SigBlk", "SigCgt"))
+            ):
                 return "uvloop" not in await self.seen(node, "maps")
             await asyncio.sleep(0.001)
         self.fail("it never took its signals")
@@ -212,6 +242,7 @@
 
     def test_a_log_that_nobody_reads(self):
         """It should serve on, whether the reader stalls (a pipe, a socket), the disk is full, or there is no log."""
+
         async def scene(town: Drill) -> None:
             read_end, pipe = os.pipe()
             stalled, journal = socket.socketpair()
@@ -231,6 +262,7 @@
 
     def test_a_folder_that_cannot_be_used(self):
         """It should serve alone: folder gone, a file, not to be read or written, full of strange things."""
+
         async def scene(town: Drill) -> None:
             with tempfile.TemporaryDirectory() as top:
                 odd = Path(top, "odd")
@@ -252,9 +284,15 @@
 
     def test_a_stranger_at_the_socket_file(self):
         """It should serve alone where something else answers there, with garbage or with nothing."""
+
         async def scene(town: Drill) -> None:
             path = Path(town.folder.name, "saltmoor-127.0.0.1-%d.sock" % town.address[1])
-            for said in (b'{"generation": "x", "list": 7}', b'{"generation": 9, "list": [{"hostPort": 3}]}', b"[]", b"\0"):
+            for said in (
+                b'{"generation": "x", "list": 7}',
+                b'{"generation": 9, "list": [{"hostPort": 3}]}',
+                b"[]",
+                b"\0",
+            ):
                 path.unlink(missing_ok=True)
                 with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as stranger:
                     stranger.bind(str(path))
@@ -278,6 +316,7 @@
 
     def test_a_process_that_stands_still_for_seconds(self):
         """It should answer what waited, hold no server for lost, and serve as before from the next moment on."""
+
         async def scene(town: Drill) -> None:
             node = await town.launch()
             traffic = asyncio.create_task(town.traffic(1.0))
@@ -297,12 +336,19 @@
 
     def test_a_configuration_that_is_half_written(self):
         """It should keep the old one, in traffic, in an upgrade and while it ends, and lose nothing."""
+
         async def scene(town: Drill) -> None:
             node = await town.launch()
             whole = town.file.read_text()
             traffic = asyncio.create_task(town.traffic(1.0))
-            for text in (whole[:len(whole) // 2], "", "[]", whole.replace('"deadline_ns": 1000000000', '"deadline_ns": 0'),
-                         whole.replace('"classes"', '"clasess"'), "[" * 100_000):
+            for text in (
+                whole[: len(whole) // 2],
+                "",
+                "[]",
+                whole.replace('"deadline_ns": 1000000000', '"deadline_ns": 0'),
+                whole.replace('"classes"', '"clasess"'),
+                "[" * 100_000,
+            ):
                 town.file.write_text(text)
                 node.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.1)
@@ -339,6 +385,7 @@
 
     def test_servers_that_fall_silent_and_die(self):
         """It should answer all within their limits, do nothing twice, and serve again once they are back."""
+
         async def scene(town: Drill) -> None:
             node = await town.launch()
             traffic = asyncio.create_task(town.traffic(2.5))
@@ -354,8 +401,10 @@
             await traffic
             held = town.ends["committed"]
             ports = [int(one["hostPort"].rpartition(":")[2]) for one in town.list]
-            town.servers[:2] = [await asyncio.start_server(each, "127.0.0.1", port)
-                                for each, port in zip((town.cache, town.origin), ports)]
+            town.servers[:2] = [
+                await asyncio.start_server(each, "127.0.0.1", port)
+                for each, port in zip((town.cache, town.origin), ports)
+            ]
             await asyncio.sleep(1.5)
             await town.traffic(1.0)
             self.assertGreater(town.ends["committed"], held + 30, town.ends)
@@ -365,11 +414,18 @@
 
     def test_discovery_that_dies_lies_and_returns(self):
         """It should go on with the last list, and follow the next one that can be read."""
+
         async def scene(town: Drill) -> None:
             node = await town.launch()
             await town.traffic(0.2)
-            for news in (b"garbage\n", b'{"instances": 7}\n', b'{"instances": [{"instanceId": ""}, 3]}\n',
-                         b"[" * 50_000 + b"\n", b'{"generation": -1e300}\n', b"\xff\xfe\n"):
+            for news in (
+                b"garbage\n",
+                b'{"instances": 7}\n',
+                b'{"instances": [{"instanceId": ""}, 3]}\n',
+                b"[" * 50_000 + b"\n",
+                b'{"generation": -1e300}\n',
+                b"\xff\xfe\n",
+            ):
                 town.news.put_nowait(news)
                 await town.traffic(0.2)
             town.servers[2].close()
@@ -388,6 +444,7 @@
 
     def test_a_predecessor_that_hangs_and_goes_on(self):
         """Both should stay one node: half of the limits each, until the old one is gone; what waits there is served."""
+
         async def scene(town: Drill) -> None:
             old = await town.launch()
             old.send_signal(signal.SIGSTOP)
@@ -417,6 +474,7 @@
 
     def test_a_queue_counter_that_wraps(self):
         """It should take no notice of the figure, and go on sending there."""
+
         async def scene(town: Drill) -> None:
             node = await town.launch()
             await town.traffic(0.3)
@@ -432,6 +490,7 @@
 
     def test_restarts_in_a_loop_under_load(self):
         """What was open is lost with a kill; what reached the servers is done once, and the next process serves at once."""
+
         async def scene(town: Drill) -> None:
             for _ in range(4):
                 node = await town.launch()
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -80,8 +80,9 @@
     def start(self, name: str, rate: float) -> None:
         claim, voter = self.kinds
         now = self.clock(name, rate)
-        self.sites[name] = Site(claim("d", name, self.names.index(name), self.names, [], LEASE, FLIGHT, next=now),
-                                voter(now, LEASE), rate)
+        self.sites[name] = Site(
+            claim("d", name, self.names.index(name), self.names, [], LEASE, FLIGHT, next=now), voter(now, LEASE), rate
+        )
 
     def clock(self, name: str, rate: float = 0.0) -> Micros:
         return int(self.now * (rate or self.sites[name].rate))
@@ -132,8 +133,9 @@
         self.seen = number
 
     def check(self) -> None:
-        owners = [name for name, site in self.sites.items()
-                  if site.asleep <= self.now and site.claim.owns(self.clock(name))]
+        owners = [
+            name for name, site in self.sites.items() if site.asleep <= self.now and site.claim.owns(self.clock(name))
+        ]
         if len(owners) > 1:
             raise Broken(f"{' and '.join(owners)} own it at one moment")
 
@@ -189,14 +191,18 @@
                 world.drawn(steps)
                 acts += world.acts
                 takes += sum(site.claim.takes for site in world.sites.values())
-            lines.append(f"{count} nodes, {walks} walks of {steps} events: {acts} acts, {takes} times taken, no rule broken")
+            lines.append(
+                f"{count} nodes, {walks} walks of {steps} events: {acts} acts, {takes} times taken, no rule broken"
+            )
             self.assertGreater(acts, walks / 2)
             self.assertGreater(takes, walks / 6)
         self.check("duties-walks", type("Notes", (), {"lines": lines})())
 
     def test_each_planted_fault_is_found(self):
-        lines = [f"{kind.__name__}: found in walk {self.found(600, 400, 3, **{what: kind})}"
-                 for what, kind in (("voter", Forgetful), ("claim", Answerers), ("claim", Hasty), ("claim", Unchecked))]
+        lines = [
+            f"{kind.__name__}: found in walk {self.found(600, 400, 3, **{what: kind})}"
+            for what, kind in (("voter", Forgetful), ("claim", Answerers), ("claim", Hasty), ("claim", Unchecked))
+        ]
         self.assertFalse([line for line in lines if "None" in line], lines)
         self.check("duties-planted", type("Notes", (), {"lines": lines})())
 
@@ -204,13 +210,28 @@
 class Orders(TraceCase):
     def test_all_orders_of_a_few_events(self):
         """Two candidates and three voters: every order of what may happen first, replayed; states are counted once."""
-        events = ("first", "last", "lose", "double", "tick n0", "tick n1", "act n0", "act n1", "later", "over", "forget n2")
+        events = (
+            "first",
+            "last",
+            "lose",
+            "double",
+            "tick n0",
+            "tick n1",
+            "act n0",
+            "act n1",
+            "later",
+            "over",
+            "forget n2",
+        )
         states = set()
 
         def play(path: tuple[str, ...]) -> World:
             world = World(3, 1)
-            world.rng = type("Even", (), {"random": lambda self: 0.5, "choice": lambda self, all: all[0],
-                                          "randrange": lambda self, n: 0})()
+            world.rng = type(
+                "Even",
+                (),
+                {"random": lambda self: 0.5, "choice": lambda self, all: all[0], "randrange": lambda self, n: 0},
+            )()
             # A lease is on its way: n0 has asked and two have promised.
             world.tick("n0")
             for _ in range(4):
@@ -242,7 +263,9 @@
             return world
 
         def mark(world: World) -> int:
-            return crc32(repr((world.now, world.wire, [(site.claim, site.voter) for site in world.sites.values()])).encode())
+            return crc32(
+                repr((world.now, world.wire, [(site.claim, site.voter) for site in world.sites.values()])).encode()
+            )
 
         edge = [()]
         for depth in range(5):
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -14,8 +14,9 @@
         told = node.hop_ended
         node.hop_ended = lambda now, end: (self.note(f"  told hop {end.hop} {end.ended.value[0]}"), told(now, end))
         known = [model.Member(one, 0, 0, 0, model.Readiness.READY, 1.0, 0) for one in (1, 2)]
-        self.door = facade.Facade(node, known, columns=["queue"], clock=lambda: self.now,
-                                  nudge=lambda: None, log=self.note)
+        self.door = facade.Facade(
+            node, known, columns=["queue"], clock=lambda: self.now, nudge=lambda: None, log=self.note
+        )
 
     def note(self, text: str) -> None:
         self.lines.append(f"{self.now // MS:5} {text}")
@@ -48,6 +49,7 @@
 
     def test_steps_of_transactions(self):
         """Guards against a hop stopped at its time's end that would teach nothing of its server."""
+
         async def scene() -> None:
             tx, hop = await self.begun()
             self.door.report(hop, Ended.ERROR)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -18,8 +18,15 @@
 class Fleet:
     """Times are in microseconds. A server has four places for work; what finds none waits its turn."""
 
-    def __init__(self, nodes: int, servers: int, told: int | None = None, rate: int = 25, price: float = 0.08,
-                 lines: list[str] | None = None) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        servers: int,
+        told: int | None = None,
+        rate: int = 25,
+        price: float = 0.08,
+        lines: list[str] | None = None,
+    ) -> None:
         self.lines = [] if lines is None else lines  # one trace may tell of several fleets
         self.now, self.order, self.heap, self.ids = 0, count(), [], count(1)
         self.sums: dict[str, int] = {}
@@ -42,13 +49,22 @@
         self.copies.setdefault(server, set())
 
     def start(self, i: int) -> Node:
-        node = Node(i + 1, self.now, **{
-            "profiles": [model.Profile(GOAL, LIMIT, Repeat.IDEMPOTENT)], "quotas": [],
-            "permits": model.Permits(hops=3, copies=True, cancel=True, probes=True, longest_hint=MS * 1000),
-            "prices": model.Prices(0.16, 0.12, self.price),
-            "cold": model.ColdStart(0.14, 23_000 * MS, 4.0, 1000 * MS),
-            "listing": model.Listing(True, 10_000 * MS), "place": model.Place(i % 2, self.told),
-            "origin_kind": 1, "columns": ["queue"], "tick": MS})
+        node = Node(
+            i + 1,
+            self.now,
+            **{
+                "profiles": [model.Profile(GOAL, LIMIT, Repeat.IDEMPOTENT)],
+                "quotas": [],
+                "permits": model.Permits(hops=3, copies=True, cancel=True, probes=True, longest_hint=MS * 1000),
+                "prices": model.Prices(0.16, 0.12, self.price),
+                "cold": model.ColdStart(0.14, 23_000 * MS, 4.0, 1000 * MS),
+                "listing": model.Listing(True, 10_000 * MS),
+                "place": model.Place(i % 2, self.told),
+                "origin_kind": 1,
+                "columns": ["queue"],
+                "tick": MS,
+            },
+        )
         node.listed(self.now, ListKind.REMEMBERED, list(self.members.values()))
         self.carry_out(node)
         return node
@@ -84,8 +100,14 @@
     def tell(self) -> None:
         """A change of the list reaches all nodes, in half a second, one after the other."""
         for i, node in enumerate(self.nodes):
-            self.at(self.now + i * 500 * MS // len(self.nodes), self.event, node, Node.listed, ListKind.FULL,
-                    list(self.members.values()))
+            self.at(
+                self.now + i * 500 * MS // len(self.nodes),
+                self.event,
+                node,
+                Node.listed,
+                ListKind.FULL,
+                list(self.members.values()),
+            )
 
     def listen(self, node: Node) -> None:
         """The list comes at once, unless a test says otherwise."""
@@ -121,15 +143,28 @@
         closed = ended is Ended.COMMITTED
         if closed and done <= node.txs[tx].goal:
             self.at(done, self.count, "in time")
-        self.at(done, self.event, node, Node.hop_ended,
-                model.HopEnd(tx, number, server, ended, done - self.now, closed, note))
+        self.at(
+            done,
+            self.event,
+            node,
+            Node.hop_ended,
+            model.HopEnd(tx, number, server, ended, done - self.now, closed, note),
+        )
 
     def probe(self, node: Node, server: int, until: int) -> None:
         self.count("probes")
         waits = sum(max(0, free - self.now) for free in self.busy.get(server, ())) / (80 * MS)
         ended = Ended.NO_CONNECTION if server in self.dead else Ended.COMMITTED
-        self.at(self.now + MS, self.event, node, Node.probed, server, ended, MS,
-                (max(0.0, waits - 4),) if ended is Ended.COMMITTED else ())
+        self.at(
+            self.now + MS,
+            self.event,
+            node,
+            Node.probed,
+            server,
+            ended,
+            MS,
+            (max(0.0, waits - 4),) if ended is Ended.COMMITTED else (),
+        )
 
     def come(self, i: int) -> None:
         """Clients ask, evenly, keys of unlike popularity."""
@@ -173,7 +208,6 @@
         self.check("fleet-probes", fleet)
 
 
-
 class Zones(TraceCase):
     def test_a_large_zone_prefers_its_own_servers_and_a_small_one_all(self):
         """Guards against paying for half of all hops to cross, and against halving a small fleet's caches."""
@@ -184,8 +218,7 @@
             fleet.dead.add(server)
             fleet.busy.pop(server, None)
         fleet.run(2)
-        fleet.say("a zone is dead and the list does not say so, 2 s", "crossings", "dead hops", "in time",
-                  "given up")
+        fleet.say("a zone is dead and the list does not say so, 2 s", "crossings", "dead hops", "in time", "given up")
         lost = {server: fleet.members.pop(server) for server in fleet.dead}
         fleet.tell()
         fleet.run(2)
@@ -217,9 +250,13 @@
             fleet.tell()
             fleet.sums, fleet.worst = {}, 0.0
             fleet.run(2)
-            fleet.say(f"{nodes} nodes, told {told}, {nodes * rate} tx a second, {len(old)} of"
-                      f" {len(fleet.members) - 1} new: worst window {100 * fleet.worst:.0f}% of the rule",
-                      "hops", "in time", "given up")
+            fleet.say(
+                f"{nodes} nodes, told {told}, {nodes * rate} tx a second, {len(old)} of"
+                f" {len(fleet.members) - 1} new: worst window {100 * fleet.worst:.0f}% of the rule",
+                "hops",
+                "in time",
+                "given up",
+            )
         self.check("fleet-cold", fleet)
 
 
@@ -236,12 +273,14 @@
         fleet = Unlisted(nodes=20, servers=40, told=0)
         whole = dict(fleet.members)
         half = [one for one in whole.values() if one.server == ORIGIN or one.server % 4 < 2]
-        gone = [model.Member(one.server, one.zone, one.kind, 0, Readiness.GONE, -1.0, 0)
-                for one in whole.values()]
+        gone = [model.Member(one.server, one.zone, one.kind, 0, Readiness.GONE, -1.0, 0) for one in whole.values()]
         for title, kind, said in (
-                ("never a list", None, []), ("half of it, every entry twice", ListKind.FULL, half * 2),
-                ("empty", ListKind.FULL, []), ("all are gone", ListKind.CHANGES, gone),
-                ("the truth", ListKind.FULL, list(whole.values()))):
+            ("never a list", None, []),
+            ("half of it, every entry twice", ListKind.FULL, half * 2),
+            ("empty", ListKind.FULL, []),
+            ("all are gone", ListKind.CHANGES, gone),
+            ("the truth", ListKind.FULL, list(whole.values())),
+        ):
             for node in fleet.nodes if kind else ():
                 fleet.event(node, Node.listed, kind, said)
             fleet.sums = {}
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -29,11 +29,12 @@
             if pause and pieces % 40 == 0:
                 await asyncio.sleep(pause)
         whole = got == VALUE + b"\r\n"
-        begun = VALUE.startswith(got) or got[:len(VALUE)] == VALUE
+        begun = VALUE.startswith(got) or got[: len(VALUE)] == VALUE
         caller.town.note(f"hears {head!r}, whole: {whole}, all that came as made: {begun}")
 
     def test_a_large_value_is_passed_on_in_pieces(self):
         """Guards against values held whole, and against a broken one that its client takes for whole."""
+
         async def scene(town: Town) -> None:
             one = await town.client()
             await self.take(one, "big", "1")
@@ -61,6 +62,7 @@
 
     def test_large_writes_wait_for_memory_and_small_ones_do_not(self):
         """Guards against memory over the limit, and against small writes that wait behind large ones."""
+
         async def scene(town: Town) -> None:
             many = [await town.client() for _ in range(8)]
             town.note = lambda text: None
@@ -68,7 +70,7 @@
             async def put(i: int, one: Caller) -> bytes:
                 one.writer.write(b"ms farm %d O%d Pc=put,t=acme,d=900,k=77\r\n" % (len(VALUE), i))
                 for at in range(0, len(VALUE), 299_993):
-                    one.writer.write(VALUE[at:at + 299_993])
+                    one.writer.write(VALUE[at : at + 299_993])
                     await one.writer.drain()
                     await asyncio.sleep(0.01)
                 one.writer.write(b"\r\n")
@@ -101,8 +103,15 @@
 
         async def run() -> None:
             budget = Budget(1_000_000)
-            asked = {name: asyncio.create_task(budget.take(size)) for name, size in (
-                ("large 1", 700_000), ("large 2", 300_000), ("large 3", 100_000), ("small 1", 60_000))}
+            asked = {
+                name: asyncio.create_task(budget.take(size))
+                for name, size in (
+                    ("large 1", 700_000),
+                    ("large 2", 300_000),
+                    ("large 3", 100_000),
+                    ("small 1", 60_000),
+                )
+            }
 
             async def show(what: str) -> None:
                 await asyncio.sleep(0)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -32,9 +32,12 @@
 
 def patient(**permissions) -> dict:
     """Settings under which nothing is over while the test forces its order, however busy the machine is."""
-    return may(connect_timeout_ns=4 * 10**9, **permissions) | {"classes": [
-        {"name": name, "repeat": repeat, "aim_ns": 4 * 10**9, "deadline_ns": 5 * 10**9, "key_ttl_ns": 10**9}
-        for name, repeat in (("read", "idempotent"), ("put", "deduplicated"))]}
+    return may(connect_timeout_ns=4 * 10**9, **permissions) | {
+        "classes": [
+            {"name": name, "repeat": repeat, "aim_ns": 4 * 10**9, "deadline_ns": 5 * 10**9, "key_ttl_ns": 10**9}
+            for name, repeat in (("read", "idempotent"), ("put", "deduplicated"))
+        ]
+    }
 
 
 def ask(key: str, tag: str) -> str:
@@ -127,10 +130,14 @@
     def owed(self) -> dict[str, object]:
         """What is still held for anybody."""
         node, upstream = self.service.door.node, self.service.upstream
-        return {"requests": (self.service.door.txs, node.txs, self.service.clients.open_ids), "fetches": node.fetches,
-                "out": [one for server in node.servers.values() for one in server.out],
-                "memory": self.service.budget.used, "unsent": upstream.unsent,
-                "links": upstream.open - sum(map(len, upstream.free.values()))}
+        return {
+            "requests": (self.service.door.txs, node.txs, self.service.clients.open_ids),
+            "fetches": node.fetches,
+            "out": [one for server in node.servers.values() for one in server.out],
+            "memory": self.service.budget.used,
+            "unsent": upstream.unsent,
+            "links": upstream.open - sum(map(len, upstream.free.values())),
+        }
 
     NOTHING = {"requests": ({}, {}, set()), "fetches": {}, "out": [], "memory": 0, "unsent": set(), "links": 0}
 
@@ -153,6 +160,7 @@
 
     def test_while_it_waits_for_a_connection(self):
         for how in "close", "half", "reset":
+
             async def scene(town: Waiting) -> None:
                 with town.connects():
                     sock = town.caller(ask("hit", "a"))
@@ -165,6 +173,7 @@
 
     def test_while_it_waits_for_a_probe(self):
         for how in "close", "half", "reset":
+
             async def scene(town: Waiting) -> None:
                 town.service.door.node.probe_wait = 10_000_000
                 with town.probes():
@@ -178,6 +187,7 @@
 
     def test_between_an_attempt_and_its_retry(self):
         for how in "close", "half", "reset":
+
             async def scene(town: Waiting) -> None:
                 with town.ends():
                     sock = town.caller(ask("fail", "a"))
@@ -200,6 +210,7 @@
 
     def test_before_the_second_copy(self):
         """The time for it has come while the node stood still."""
+
         async def scene(town: Waiting) -> None:
             sock = town.caller(read("held", "a"))
             await town.seen(1)
@@ -241,6 +252,7 @@
 
     def test_those_who_left_keep_nobody_from_the_line_for_the_origin(self):
         """How long the line is decides who is turned away at once: who has left is in it no more."""
+
         async def scene(town: Waiting) -> None:
             node = town.service.door.node
             node.room.free = lambda now, out: out < 1
@@ -271,6 +283,7 @@
 
     def test_pipelined(self):
         """As many as may be open, and more that stand in the socket."""
+
         async def scene(town: Waiting) -> None:
             with town.connects():
                 sock = town.caller("".join(ask("hit", f"a{i}") for i in range(100)))
@@ -282,6 +295,7 @@
 
     def test_pipelined_and_never_read_to_the_end(self):
         """The node does not read from it, so it sees the end only where it asks for it."""
+
         async def scene(town: Waiting) -> None:
             clients = town.service.clients
             with town.connects():
@@ -298,6 +312,7 @@
 
     def test_before_it_was_accepted(self):
         """What it asked stands in its socket, more of it than is read at once, and nothing tells how long."""
+
         async def scene(town: Waiting) -> None:
             await (await town.client()).ask(read("hit", "first"))
             upstream, clients = town.service.upstream, town.service.clients
@@ -317,6 +332,7 @@
 
     def test_two_hundred_in_one_instant(self):
         for where in "connects", "probes":
+
             async def scene(town: Waiting) -> None:
                 node = town.service.door.node
                 node.probe_wait, node.expected = 10_000_000, lambda server, now: 1.0  # all of them wait
@@ -362,6 +378,7 @@
     def test_while_the_origin_is_full(self):
         """The fetch that was left takes the only place until its end has come."""
         for cancel in True, False:
+
             async def scene(town: Held) -> None:
                 node = town.service.door.node
                 node.room.free = lambda now, out: out < 1
@@ -429,7 +446,7 @@
 
     async def origin(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
-        while (await reader.readline()):
+        while await reader.readline():
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             self.tags.append("O" + re.search("X-Request-ID: (.*)", head)[1].strip())
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade")
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -42,8 +42,10 @@
 
     def test_goals_of_next_to_nothing(self):
         """Guards against a loop of overdue hops that never ends, and a division by the goal."""
-        script = Script(profiles=[model.Profile(3, 1000 * MS, model.Repeat.IDEMPOTENT)],
-                        permits=Permits(hops=3, copies=True, probes=True))
+        script = Script(
+            profiles=[model.Profile(3, 1000 * MS, model.Repeat.IDEMPOTENT)],
+            permits=Permits(hops=3, copies=True, probes=True),
+        )
         script.tx(1)
         script.wait(2000)
         gate = Admission(target=0, revenues=[1.0], quotas=[], longest_hint=0, seed=1, now=0)
@@ -110,8 +112,9 @@
     def door(self, **changed) -> facade.Facade:
         node = Script(servers=2, **changed).node
         known = [Member(one, 0, 0, 0, Readiness.READY, 1.0, 0) for one in (1, 2)]
-        return facade.Facade(node, known, columns=["queue"], clock=lambda: self.now, nudge=lambda: None,
-                             log=self.logged.append)
+        return facade.Facade(
+            node, known, columns=["queue"], clock=lambda: self.now, nudge=lambda: None, log=self.logged.append
+        )
 
     def play(self, scene) -> None:
         asyncio.run(asyncio.wait_for(scene(), 5))
@@ -143,6 +146,7 @@
 
     def test_a_transaction_left_half_moved_is_answered_at_its_limit(self):
         """Guards against a client that waits for ever for what a fault has left in between."""
+
         async def scene() -> None:
             door = self.door()
             tx, _ = await self.sent(door)
@@ -156,6 +160,7 @@
 
     def test_each_end_is_taken_once(self):
         """Guards against a second word on a hop that contradicts the first, and carries on what is over."""
+
         async def scene() -> None:
             door = self.door()
             tx, hop = await self.sent(door)
@@ -170,15 +175,28 @@
 
     def test_a_reload_between_reading_and_picking(self):
         """Guards against a transaction that goes by the rules of another profile, of the new settings."""
+
         async def scene() -> None:
             door = self.door()
             tx = facade.Tx(2, None, 7, self.now + 900 * MS, True)
             door.arrive(tx)
             profiles = door.node.profiles[::-1]
             node = door.node
-            door.configure({"profiles": profiles, "quotas": [], "permits": node.permits, "prices": node.prices,
-                            "cold": node.cold, "listing": node.listing, "place": node.place,
-                            "origin_kind": None, "columns": ["queue"], "tick": MS}, ["queue"])
+            door.configure(
+                {
+                    "profiles": profiles,
+                    "quotas": [],
+                    "permits": node.permits,
+                    "prices": node.prices,
+                    "cold": node.cold,
+                    "listing": node.listing,
+                    "place": node.place,
+                    "origin_kind": None,
+                    "columns": ["queue"],
+                    "tick": MS,
+                },
+                ["queue"],
+            )
             for errand in door.tick()[0]:
                 if isinstance(errand, facade.Probe):
                     door.report(errand, Ended.COMMITTED, load={"queue": 0.0})
@@ -198,8 +216,9 @@
         def door(seed: int, **part: float) -> facade.Facade:
             node = Script(servers=0, quotas=[100.0], budget=budget).node
             node.seed = seed.to_bytes(8, "little")
-            return facade.Facade(node, cold, columns=[], clock=lambda: now, nudge=lambda: None,
-                                 log=lambda line: None, **part)
+            return facade.Facade(
+                node, cold, columns=[], clock=lambda: now, nudge=lambda: None, log=lambda line: None, **part
+            )
 
         old = door(1)
         saved = sum(one.allowed for one in old.node.servers.values())
@@ -259,11 +278,24 @@
         script.wait(5_000)
         node = script.node
         known = [Member(i, 0, 0, 0, Readiness.READY, 1.0, 1 * MS) for i in (1, 2)]
-        door = facade.Facade(node, known, columns=["queue"], clock=lambda: script.now * MS,
-                             nudge=lambda: None, log=print)
-        door.configure({"profiles": node.profiles, "quotas": [], "permits": node.permits, "prices": node.prices,
-                        "cold": model.ColdStart(0.5, 10_000 * MS, 4.0), "listing": node.listing, "place": node.place,
-                        "origin_kind": None, "columns": ["queue"], "tick": MS}, ["queue"])
+        door = facade.Facade(
+            node, known, columns=["queue"], clock=lambda: script.now * MS, nudge=lambda: None, log=print
+        )
+        door.configure(
+            {
+                "profiles": node.profiles,
+                "quotas": [],
+                "permits": node.permits,
+                "prices": node.prices,
+                "cold": model.ColdStart(0.5, 10_000 * MS, 4.0),
+                "listing": node.listing,
+                "place": node.place,
+                "origin_kind": None,
+                "columns": ["queue"],
+                "tick": MS,
+            },
+            ["queue"],
+        )
         for _ in range(40):
             script.now += 250
             node.woken(script.now * MS, TICK)
@@ -271,13 +303,27 @@
 
     def test_each_number_at_its_edges(self):
         """Each is refused with its key, or a node with it answers, ends in time and says nothing of a fault."""
-        rules = {"ask_within_ns": 9 * 10**9, "cold_from": 0.25, "cold_ns": 10**10, "overload_factor": 4.0,
-                 "fall_ns": 10**9, "free_resends": 5, "resend_ratio": 0.1, "budget_window_ns": 10**9}
-        whole = {"settings": settings(
-            rules=rules, locality=0, fleet_size=4, tick_ns=10**6,
-            prices={"cross_zone": 0.1, "waste": 0.1, "probe": 0.01, "origin": 0.01}),
+        rules = {
+            "ask_within_ns": 9 * 10**9,
+            "cold_from": 0.25,
+            "cold_ns": 10**10,
+            "overload_factor": 4.0,
+            "fall_ns": 10**9,
+            "free_resends": 5,
+            "resend_ratio": 0.1,
+            "budget_window_ns": 10**9,
+        }
+        whole = {
+            "settings": settings(
+                rules=rules,
+                locality=0,
+                fleet_size=4,
+                tick_ns=10**6,
+                prices={"cross_zone": 0.1, "waste": 0.1, "probe": 0.01, "origin": 0.01},
+            ),
             "limits": {"memory_mb": 192, "sockets": 1024},
-            "serve": {"linger_ms": 50, "unfinished_ms": 2400, "log_lines_per_s": 50}}
+            "serve": {"linger_ms": 50, "unfinished_ms": 2400, "log_lines_per_s": 50},
+        }
         whole["settings"]["classes"][0] |= {"worth": 2.0, "late_worth": 0.1}
         whole["settings"]["permissions"] |= {"retry_after": True, "max_retry_after_ns": 10**9}
 
@@ -311,9 +357,10 @@
         """Guards against units that were mixed up, and a stop that never ends."""
         base = {"settings": settings()}
         for said, key in (
-                ({"settings": settings(classes=[{"name": "a", "aim_ns": 500, "deadline_ns": 900}])}, "deadline_ns"),
-                ({"settings": settings(classes=[{"name": "a"}])}, "deadline_ns"),
-                (base | {"serve": {"linger_ms": 1e15}}, "serve.linger_ms")):
+            ({"settings": settings(classes=[{"name": "a", "aim_ns": 500, "deadline_ns": 900}])}, "deadline_ns"),
+            ({"settings": settings(classes=[{"name": "a"}])}, "deadline_ns"),
+            (base | {"serve": {"linger_ms": 1e15}}, "serve.linger_ms"),
+        ):
             with self.assertRaisesRegex(config.Faulty, key):
                 config.parse(said, {})
 
@@ -334,6 +381,7 @@
 
     def test_a_watch_that_cannot_begin_is_told_as_failed(self):
         """Guards against a node that is deaf to the list for good, as there was no descriptor in one moment."""
+
         async def scene(town: Town) -> None:
             real, tries = discovery.family, []
 
@@ -353,6 +401,7 @@
 
     def test_a_list_without_end(self):
         """Guards against a list whose one line takes more memory than the node has."""
+
         async def scene(town: Town) -> None:
             town.asked.clear()
             town.news.put_nowait(b"[" + b"[]," * 1_000_000)
@@ -363,6 +412,7 @@
 
     def test_places_in_the_lists_do_not_move(self):
         """Guards against a reload that turns a cache server into an origin, as its kind's place means another now."""
+
         async def scene(town: Town) -> None:
             town.said["settings"] = settings(kinds=["origin", "m1"], family_info={"mode": "aside", "origin_kind": 0})
             town.service.reload()
@@ -376,6 +426,7 @@
 
     def test_settings_of_next_to_nothing_leave_the_node_its_time(self):
         """Guards against a sweep without a pause, where connections may stand idle for a microsecond."""
+
         async def scene(town: Town) -> None:
             self.assertGreaterEqual(town.service.sweep, 0.01)
 
@@ -384,6 +435,7 @@
 
     def test_a_fault_in_the_pacing_does_not_end_it(self):
         """Guards against reads that stay paced for good."""
+
         async def scene(town: Town) -> None:
             looks = []
             with mock.patch.object(town.service.door, "ran", side_effect=ZeroDivisionError):
@@ -396,6 +448,7 @@
 
     def test_a_drain_that_comes_while_a_connection_is_made(self):
         """Guards against bytes written to a draining server long after the decision, as connecting took so long."""
+
         async def scene(town: Town) -> None:
             made = town.service.upstream.connect
 
