--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -32,8 +32,14 @@
                 (top / "tests" / f"{name}.py").write_text(text)
             if red is not None:
                 (top / "KNOWN-RED.txt").write_text(red)
-            done = subprocess.run([sys.executable, "-P", runner.__file__, *words], cwd=top, text=True, timeout=60,
-                                  stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+            done = subprocess.run(
+                [sys.executable, "-P", runner.__file__, *words],
+                cwd=top,
+                text=True,
+                timeout=60,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+            )
         return done.returncode, done.stdout.splitlines()
 
     def ends(self, said: tuple[int, list[str]], status: int, *last: str) -> None:
@@ -41,7 +47,7 @@
         text = "\n".join(said[1])
         self.assertEqual((said[0], said[1][-1]), (status, last[-1]), text)
         at = next(i for i, line in enumerate(said[1]) if " modules in " in line)
-        summary = said[1][at + 2:-1]
+        summary = said[1][at + 2 : -1]
         self.assertEqual(len(summary), len(last) - 1, text)
         for line, start in zip(summary, last):
             self.assertTrue(line.startswith(start), f"{start!r} in\n{text}")
@@ -61,48 +67,104 @@
 
     def test_another_failure_beside_it(self):
         other = TWO.replace("Two", "Other")
-        self.ends(self.run_on(RED.format(BAD), test_two=TWO, test_other=other), 1, f"KNOWN RED {BAD}",
-                  "FAILED tests.test_other.Other.test_bad", "2 passed, 1 failed")
+        self.ends(
+            self.run_on(RED.format(BAD), test_two=TWO, test_other=other),
+            1,
+            f"KNOWN RED {BAD}",
+            "FAILED tests.test_other.Other.test_bad",
+            "2 passed, 1 failed",
+        )
 
     def test_one_that_passes_by_now(self):
-        self.ends(self.run_on(RED.format(BAD) + RED.format(GOOD), test_two=TWO), 1, f"KNOWN RED {BAD}",
-                  f"FAILED KNOWN-RED.txt: {GOOD} passed by now", "1 passed, 1 failed")
+        self.ends(
+            self.run_on(RED.format(BAD) + RED.format(GOOD), test_two=TWO),
+            1,
+            f"KNOWN RED {BAD}",
+            f"FAILED KNOWN-RED.txt: {GOOD} passed by now",
+            "1 passed, 1 failed",
+        )
 
     def test_one_that_is_skipped(self):
         skips = TWO.replace('self.fail("on purpose")', 'self.skipTest("")')
-        self.ends(self.run_on(RED.format(BAD), test_two=skips), 1, f"FAILED KNOWN-RED.txt: {BAD} skipped by now",
-                  "1 passed, 1 failed, 1 skipped")
+        self.ends(
+            self.run_on(RED.format(BAD), test_two=skips),
+            1,
+            f"FAILED KNOWN-RED.txt: {BAD} skipped by now",
+            "1 passed, 1 failed, 1 skipped",
+        )
 
     def test_one_that_does_not_come_to_its_end(self):
         dies = TWO.replace('self.fail("on purpose")', "__import__('os')._exit(0)")
-        self.ends(self.run_on(RED.format(BAD), test_two=dies), 1, f"FAILED {BAD}: its process",
-                  f"FAILED {GOOD}: its process", "0 passed, 2 failed")
+        self.ends(
+            self.run_on(RED.format(BAD), test_two=dies),
+            1,
+            f"FAILED {BAD}: its process",
+            f"FAILED {GOOD}: its process",
+            "0 passed, 2 failed",
+        )
 
     def test_one_that_does_not_exist(self):
         names = "tests.test_two.Two.test_bat", "tests.test_two.Two", "test_two.Two.test_bad"
-        self.ends(self.run_on("".join(map(RED.format, names)), test_two=TWO), 1, f"FAILED {BAD}",
-                  *(f"FAILED KNOWN-RED.txt: there is no test {name}" for name in names), "1 passed, 4 failed")
+        self.ends(
+            self.run_on("".join(map(RED.format, names)), test_two=TWO),
+            1,
+            f"FAILED {BAD}",
+            *(f"FAILED KNOWN-RED.txt: there is no test {name}" for name in names),
+            "1 passed, 4 failed",
+        )
 
     def test_more_than_three_lines(self):
-        many = "import unittest\nclass Two(unittest.TestCase): pass\nfor i in range(4):\n" \
-               "    setattr(Two, f'test_{i}', lambda self: self.fail())\n"
+        many = (
+            "import unittest\nclass Two(unittest.TestCase): pass\nfor i in range(4):\n"
+            "    setattr(Two, f'test_{i}', lambda self: self.fail())\n"
+        )
         names = [f"tests.test_two.Two.test_{i}" for i in range(4)]
         three = "".join(map(RED.format, names[:3]))
-        self.ends(self.run_on(three, test_two=many), 1, *(f"KNOWN RED {name}" for name in names[:3]),
-                  f"FAILED {names[3]}", "0 passed, 1 failed")
-        self.ends(self.run_on(three + RED.format(names[3]), test_two=many), 1, *(f"KNOWN RED {name}" for name in names),
-                  "FAILED KNOWN-RED.txt: 4 lines, 3 at most", "0 passed, 1 failed")
+        self.ends(
+            self.run_on(three, test_two=many),
+            1,
+            *(f"KNOWN RED {name}" for name in names[:3]),
+            f"FAILED {names[3]}",
+            "0 passed, 1 failed",
+        )
+        self.ends(
+            self.run_on(three + RED.format(names[3]), test_two=many),
+            1,
+            *(f"KNOWN RED {name}" for name in names),
+            "FAILED KNOWN-RED.txt: 4 lines, 3 at most",
+            "0 passed, 1 failed",
+        )
 
     def test_lines_in_another_form(self):
-        for line in (BAD, f"{BAD}, cause", f"{BAD}, issue 7", f"{BAD}, , issue 7", f"{BAD}, cause, issue", "",
-                     "# a comment", f"{BAD}, cause, issue 0", f" {BAD}, cause, issue 7", f"{BAD}, cause, 7",
-                     f"{BAD}; cause; issue 7"):
+        for line in (
+            BAD,
+            f"{BAD}, cause",
+            f"{BAD}, issue 7",
+            f"{BAD}, , issue 7",
+            f"{BAD}, cause, issue",
+            "",
+            "# a comment",
+            f"{BAD}, cause, issue 0",
+            f" {BAD}, cause, issue 7",
+            f"{BAD}, cause, 7",
+            f"{BAD}; cause; issue 7",
+        ):
             reds, wrong = runner.known_red(line + "\n")
             self.assertEqual((reds, len(wrong)), ([], 1), line)
-        self.ends(self.run_on(BAD + "\n", test_two=TWO), 1, f"FAILED {BAD}", "FAILED KNOWN-RED.txt:1: not",
-                  "1 passed, 2 failed")
-        self.ends(self.run_on(RED.format(BAD) * 2, test_two=TWO), 1, f"KNOWN RED {BAD}",
-                  f"FAILED KNOWN-RED.txt:2: {BAD} is named twice", "1 passed, 1 failed")
+        self.ends(
+            self.run_on(BAD + "\n", test_two=TWO),
+            1,
+            f"FAILED {BAD}",
+            "FAILED KNOWN-RED.txt:1: not",
+            "1 passed, 2 failed",
+        )
+        self.ends(
+            self.run_on(RED.format(BAD) * 2, test_two=TWO),
+            1,
+            f"KNOWN RED {BAD}",
+            f"FAILED KNOWN-RED.txt:2: {BAD} is named twice",
+            "1 passed, 1 failed",
+        )
 
 
 class Modules(Case):
@@ -115,16 +177,22 @@
         for module in "abcd":  # each with its whole output in one piece
             at = next(i for i, line in enumerate(said[1]) if line.startswith(f"== tests.test_{module}: 2 tests"))
             self.assertIn("said", said[1][at + 1])
-            self.assertIn("OK", said[1][at:at + 7])
+            self.assertIn("OK", said[1][at : at + 7])
 
     def test_what_ends_without_a_result(self):
         start = "import os, signal, time, unittest\n"
-        failing = {"test_no_import": "import nothing_of_this_name\n", "test_empty": "",
-                   "test_leaves": "raise SystemExit(0)\n", 
-                   "test_absent": "import unittest\nraise unittest.SkipTest('')\n"}
-        for name, line in {"exits": "os._exit(0)", "killed": "os.kill(os.getpid(), signal.SIGKILL)",
-                           "hangs": "time.sleep(60)",
-                           "set_up": "pass\n    @classmethod\n    def setUpClass(cls): raise KeyError"}.items():
+        failing = {
+            "test_no_import": "import nothing_of_this_name\n",
+            "test_empty": "",
+            "test_leaves": "raise SystemExit(0)\n",
+            "test_absent": "import unittest\nraise unittest.SkipTest('')\n",
+        }
+        for name, line in {
+            "exits": "os._exit(0)",
+            "killed": "os.kill(os.getpid(), signal.SIGKILL)",
+            "hangs": "time.sleep(60)",
+            "set_up": "pass\n    @classmethod\n    def setUpClass(cls): raise KeyError",
+        }.items():
             failing[f"test_{name}"] = f"{start}class One(unittest.TestCase):\n    def test_it(self): {line}\n"
         status, lines = self.run_on(None, "--limit=8", test_two=TWO.replace("self.fail", "print"), **failing)
         self.assertEqual((status, lines[-1]), (1, "2 passed, 9 failed"), "\n".join(lines))
@@ -146,9 +214,13 @@
     def test_good(self): pass
 def tearDownModule(): raise KeyError
 """
-        self.ends(self.run_on(None, test_two=text), 1, "FAILED tearDownModule (tests.test_two)", *(
-            f"FAILED tests.test_two.Parts.test_{name}" for name in ("error", "expected", "part", "unexpected")),
-            "1 passed, 5 failed")
+        self.ends(
+            self.run_on(None, test_two=text),
+            1,
+            "FAILED tearDownModule (tests.test_two)",
+            *(f"FAILED tests.test_two.Parts.test_{name}" for name in ("error", "expected", "part", "unexpected")),
+            "1 passed, 5 failed",
+        )
 
     def test_a_run_that_is_ended_ends_what_it_started(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -159,7 +231,8 @@
                 "import os, subprocess, time, unittest\nfrom pathlib import Path\nclass Long(unittest.TestCase):\n"
                 "    def test_long(self):\n        child = subprocess.Popen(['sleep', '60'])\n"
                 "        Path('new').write_text(f'{os.getpid()} {child.pid}')\n        os.rename('new', 'pids')\n"
-                "        time.sleep(60)\n")
+                "        time.sleep(60)\n"
+            )
             run = subprocess.Popen([sys.executable, "-P", runner.__file__], cwd=top, stdout=subprocess.DEVNULL)
             until = time.monotonic() + 30
             while not (top / "pids").exists() and time.monotonic() < until:
@@ -181,10 +254,15 @@
 
     def test_a_module_that_is_dealt_out(self):
         """Each of its tests is run once, and one that fails or dies is found in whichever part it is."""
-        many = "import os, unittest\nclass Many(unittest.TestCase): pass\nfor i in range(8):\n" \
-               "    setattr(Many, f'test_{i}', lambda self, i=i: [print, self.assertFalse, os._exit][%s](i))\n"
-        for fails, status, last in (("0", 0, "8 passed, 0 failed"), ("i == 4", 1, "7 passed, 1 failed"),
-                                    ("2 * (i == 7)", 1, "5 passed, 3 failed")):  # 1, 4 and 7 are in one process
+        many = (
+            "import os, unittest\nclass Many(unittest.TestCase): pass\nfor i in range(8):\n"
+            "    setattr(Many, f'test_{i}', lambda self, i=i: [print, self.assertFalse, os._exit][%s](i))\n"
+        )
+        for fails, status, last in (
+            ("0", 0, "8 passed, 0 failed"),
+            ("i == 4", 1, "7 passed, 1 failed"),
+            ("2 * (i == 7)", 1, "5 passed, 3 failed"),
+        ):  # 1, 4 and 7 are in one process
             code, lines = self.run_on(None, test_orders=many % fails)
             self.assertEqual((code, sum(line.startswith("== ") for line in lines)), (status, 3), "\n".join(lines))
             self.assertEqual(lines[-1], last, "\n".join(lines))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -34,13 +34,12 @@
         station.offer(rng.expovariate(1 / mean), lambda: None)
     line.run(int(at) + 10**9)
     offered = load * cores
-    tail = offered ** cores / factorial(cores) / (1 - load)
-    queue = tail / (sum(offered ** k / factorial(k) for k in range(cores)) + tail)
+    tail = offered**cores / factorial(cores) / (1 - load)
+    queue = tail / (sum(offered**k / factorial(k) for k in range(cores)) + tail)
     return station.waits / station.begun / mean, queue / (cores - offered)
 
 
 class LabCase(TraceCase):
-
     def compare(self, name: str, lines: list[str]) -> None:
         self.lines = lines
         self.check(name, self)
@@ -80,8 +79,7 @@
         copies.put(b"a", "a", 60, 0)
         copies.put(b"b", "b", 60, 10)
         copies.put(b"c", "c", 101, 20)
-        lines = [f"{key} at {now}: {copies.get(key, now)}" for now in (20, 59, 60)
-                 for key in (b"a", b"b", b"c")]
+        lines = [f"{key} at {now}: {copies.get(key, now)}" for now in (20, 59, 60) for key in (b"a", b"b", b"c")]
         self.compare("lab-copies", [*lines, f"bytes {copies.used}"])
 
     def test_a_cold_server_is_pushed_over(self):
@@ -125,11 +123,19 @@
                 arrivals.replay(path, scenario)
 
     def test_arrivals_follow_shape_popularity_scans_and_hot_keys(self):
-        said = SMALL | {"length_s": 20, "load": {
-            "rate": 1000, "keys": 100, "zipf": 1.0, "offset": 0, "shape": [[0, 1], [10, 1], [10.01, 3]],
-            "burst": [{"every_s": 5, "for_s": 1, "times": 2}],
-            "scan": [{"from_s": 2, "for_s": 2, "share": 0.5}],
-            "hot": [{"from_s": 12, "for_s": 2, "share": 0.5}]}}
+        said = SMALL | {
+            "length_s": 20,
+            "load": {
+                "rate": 1000,
+                "keys": 100,
+                "zipf": 1.0,
+                "offset": 0,
+                "shape": [[0, 1], [10, 1], [10.01, 3]],
+                "burst": [{"every_s": 5, "for_s": 1, "times": 2}],
+                "scan": [{"from_s": 2, "for_s": 2, "share": 0.5}],
+                "hot": [{"from_s": 12, "for_s": 2, "share": 0.5}],
+            },
+        }
         came = arrivals.draw(plan.check(said), 3)
         second, counts = came["at"] // 1_000_000, []
         read = came["profile"] == 0
@@ -147,11 +153,21 @@
     def test_the_ledger_finds_what_was_planted(self):
         """Through real sockets: a node that does one thing wrong, by the tx and the rule it breaks."""
         lines = []
-        for plant in ("none", "dropped", "swapped", "doubled", "made-up", "cut", "late-repeat", "repeated",
-                      "refused", "drained", "flooded"):
+        for plant in (
+            "none",
+            "dropped",
+            "swapped",
+            "doubled",
+            "made-up",
+            "cut",
+            "late-repeat",
+            "repeated",
+            "refused",
+            "drained",
+            "flooded",
+        ):
             ledger = asyncio.run(planted(plant))
-            kinds = sorted({f"rule {one.rule}: {re.sub('[0-9]+', '..', one.what)}"
-                            for one in ledger.breaches})
+            kinds = sorted({f"rule {one.rule}: {re.sub('[0-9]+', '..', one.what)}" for one in ledger.breaches})
             named = all(one.tx in ledger.asked or one.rule == 4 for one in ledger.breaches)
             lines += [f"{plant}: {'each named' if named else 'not named'}", *(f"   {kind}" for kind in kinds)]
         self.compare("lab-planted", lines)
@@ -159,16 +175,18 @@
     def test_what_a_killed_node_held_is_its_clients_to_ask_again(self):
         """The same rows with the kill and without it: no breach, and each rule that is broken then."""
         scenario, lines = plan.check(SMALL), []
-        rows = [["node", 0, 0, "ready", 0],
-                ["ask", 100_000, "a1", 0, 0, 7, "ms", "k", "once", "", 500_000],
-                ["got", 101_000, 101_000, "origin", 0, "a1", "PUT", "k", "", 1],
-                ["ran", 105_000, "origin", "a1", "", "k"],
-                ["end", 110_000, "a1", 7, 3],
-                ["ask", 111_000, "a1", 0, 1, 8, "ms", "k", "once", "", 500_000],
-                ["got", 112_000, 112_000, "origin", 1, "a1", "PUT", "k", "", 2],
-                ["ran", 116_000, "origin", "a1", "", "k"],
-                ["told", 117_000, "origin", "a1", "receipt", 5],
-                ["reply", 118_000, "a1", "served", 5, 2, 0]]
+        rows = [
+            ["node", 0, 0, "ready", 0],
+            ["ask", 100_000, "a1", 0, 0, 7, "ms", "k", "once", "", 500_000],
+            ["got", 101_000, 101_000, "origin", 0, "a1", "PUT", "k", "", 1],
+            ["ran", 105_000, "origin", "a1", "", "k"],
+            ["end", 110_000, "a1", 7, 3],
+            ["ask", 111_000, "a1", 0, 1, 8, "ms", "k", "once", "", 500_000],
+            ["got", 112_000, 112_000, "origin", 1, "a1", "PUT", "k", "", 2],
+            ["ran", 116_000, "origin", "a1", "", "k"],
+            ["told", 117_000, "origin", "a1", "receipt", 5],
+            ["reply", 118_000, "a1", "served", 5, 2, 0],
+        ]
         for what, more in (("killed", [["node", 109_000, 0, "killed", 9]]), ("not killed", [])):
             lines.append(what)
             lines += [f"   {one}" for one in Ledger(scenario, rows + more).check()]
@@ -176,15 +194,21 @@
 
     def test_faulty_scenarios_name_the_key(self):
         lines = []
-        for path, value in (("fleet.servers", 0), ("fleet.colour", 1),
-                            ("fault", [{"kind": "melt", "at_s": 0.5}]),
-                            ("fault", [{"kind": "crash", "at_s": 9}]),
-                            ("fault", [{"kind": "crash", "at_s": 0.5, "which": [3]}]), ("profile", []),
-                            ("bounds", {"in_time": {}}), ("load.rate", "many"),
-                            ("load.shape", [[2, 1], [1, 1]]), ("settle_s", 5),
-                            ("fault", [{"kind": "delay", "on": "link", "at_s": 0.5, "sites": ["x"]}]),
-                            ("profile", [{**SMALL["profile"][1], "window_ms": 0}]),
-                            ("profile", [{**SMALL["profile"][0], "goal_ms": 900}])):
+        for path, value in (
+            ("fleet.servers", 0),
+            ("fleet.colour", 1),
+            ("fault", [{"kind": "melt", "at_s": 0.5}]),
+            ("fault", [{"kind": "crash", "at_s": 9}]),
+            ("fault", [{"kind": "crash", "at_s": 0.5, "which": [3]}]),
+            ("profile", []),
+            ("bounds", {"in_time": {}}),
+            ("load.rate", "many"),
+            ("load.shape", [[2, 1], [1, 1]]),
+            ("settle_s", 5),
+            ("fault", [{"kind": "delay", "on": "link", "at_s": 0.5, "sites": ["x"]}]),
+            ("profile", [{**SMALL["profile"][1], "window_ms": 0}]),
+            ("profile", [{**SMALL["profile"][0], "goal_ms": 900}]),
+        ):
             said = json.loads(json.dumps(SMALL))
             *top, last = path.split(".")
             inner = said[top[0]] if top else said
@@ -208,17 +232,22 @@
     def test_a_run_from_start_to_end(self):
         """A real node against stand-ins: bounds held, a report written, the same arrivals again."""
         said = json.loads(json.dumps(SMALL)) | {
-            "length_s": 2.5, "settle_s": 0.5, "bounds": {"in_time": {"at_least": 0.8}},
-            "fault": [{"kind": "hup", "on": "node", "at_s": 1.2}, {"kind": "crash", "at_s": 1, "for_s": 0.5}]}
+            "length_s": 2.5,
+            "settle_s": 0.5,
+            "bounds": {"in_time": {"at_least": 0.8}},
+            "fault": [{"kind": "hup", "on": "node", "at_s": 1.2}, {"kind": "crash", "at_s": 1, "for_s": 0.5}],
+        }
         with tempfile.TemporaryDirectory() as folder:
             kept = Path(folder)
             result = experiment.run(plan.check(said), 7, keep=kept / "run", capture=kept / "arrivals.npz")
             self.assertEqual([], result.breaches)
             self.assertEqual([], result.void)
             self.assertTrue(result.held, result.bounds)
-            self.assertTrue((arrivals.draw(plan.check(said), 7) == arrivals.replay(
-                kept / "arrivals.npz", plan.check(said))).all())
+            self.assertTrue(
+                (arrivals.draw(plan.check(said), 7) == arrivals.replay(kept / "arrivals.npz", plan.check(said))).all()
+            )
             import msgspec
+
             (kept / "one.json").write_bytes(msgspec.json.encode(result))
             with contextlib.redirect_stdout(io.StringIO()):
                 self.assertEqual(report.write([kept / "one.json"], kept / "page.html"), 0)
@@ -228,12 +257,14 @@
             late = Book()
             late.rows = [*rows, *[("late", 90_000)] * len(rows)]
             late.save(kept / "run" / "load0.book")
-            again = experiment.judge(plan.check(said), 7, Build("x", kept), kept / "run",
-                                     arrivals.draw(plan.check(said), 7), 0, [])
+            again = experiment.judge(
+                plan.check(said), 7, Build("x", kept), kept / "run", arrivals.draw(plan.check(said), 7), 0, []
+            )
             self.assertRegex(again.void[0], "the load fell behind its arrivals: load0")
             self.assertEqual(again.figures, {})
             self.assertFalse(again.held)
 
     def test_percentiles_are_the_histograms(self):
-        self.assertEqual(figures.percentiles([1000] * 99 + [50_000]),
-                         {"p50_ms": 1.0, "p90_ms": 1.0, "p99_ms": 1.0, "p999_ms": 50.02})
+        self.assertEqual(
+            figures.percentiles([1000] * 99 + [50_000]), {"p50_ms": 1.0, "p90_ms": 1.0, "p99_ms": 1.0, "p999_ms": 50.02}
+        )
--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -80,17 +80,32 @@
     def __init__(self, cap: int = 16) -> None:
         self.ahead, self.cap = 0, cap
         self.pool = upstream.Upstream(
-            Buffers(16), Log(), lambda: lifecycle.clock() + self.ahead, budget=Budget(1 << 20), cap=lambda: self.cap,
-            make_room=lambda: False, idle=30_000 * MS, connect_wait=WAIT, figures=True)
+            Buffers(16),
+            Log(),
+            lambda: lifecycle.clock() + self.ahead,
+            budget=Budget(1 << 20),
+            cap=lambda: self.cap,
+            make_room=lambda: False,
+            idle=30_000 * MS,
+            connect_wait=WAIT,
+            figures=True,
+        )
 
     def list(self, *houses: Held, state: Readiness = Readiness.READY) -> None:
-        self.pool.listed([config.Line(model.Member(f"s{number}", 0, 0, 0, state, 1.0, 0), house.address)
-                          for number, house in enumerate(houses, 1)])
+        self.pool.listed(
+            [
+                config.Line(model.Member(f"s{number}", 0, 0, 0, state, 1.0, 0), house.address)
+                for number, house in enumerate(houses, 1)
+            ]
+        )
 
     def ask(self, tag: str, server: str = "s1") -> asyncio.Task[meta.Reply]:
         command = meta.parse(read("hit", tag).strip().encode())
-        return asyncio.create_task(self.pool.exchange(
-            server, meta.hop_bytes(command, 900), meta.HopReply(command), self.pool.clock() + 4_000_000))
+        return asyncio.create_task(
+            self.pool.exchange(
+                server, meta.hop_bytes(command, 900), meta.HopReply(command), self.pool.clock() + 4_000_000
+            )
+        )
 
     async def up(self, count: int = 1, server: str = "s1") -> None:
         """Wait until as many stand free."""
@@ -126,6 +141,7 @@
 class Late(Case):
     def test_the_next_attempt_has_it(self):
         """The attempt ends in the stated time and is never sent; what it waited for is paid for once."""
+
         async def scene(house: Held, bench: Bench) -> None:
             begun = lifecycle.clock()
             self.assertEqual((await bench.ask("a")).ended, Ended.NO_CONNECTION)
@@ -162,6 +178,7 @@
 
     def test_a_stop_that_crosses_the_handing_over(self):
         """Who waited for another one is stopped when it was handed over and has not run since."""
+
         async def scene(house: Held, bench: Bench) -> None:
             await bench.ask("a")
             dial = bench.late()[0]
@@ -169,7 +186,7 @@
             one = bench.ask("b")
             while not bench.pool.waiting:
                 await asyncio.sleep(0)
-            other, = bench.pool.waiting["s1"]
+            (other,) = bench.pool.waiting["s1"]
             dial.end()  # as the loop does
             while not other.done():
                 await asyncio.sleep(0)
@@ -219,6 +236,7 @@
     def test_a_drain_closes_it(self):
         """While it is on its way, in the moment when it is up, and as it comes up after the news."""
         for moment in "before", "between", "moved":
+
             async def scene(house: Held, bench: Bench) -> None:
                 await bench.ask("a")
                 dial, before = bench.late()[0], descriptors()
@@ -242,6 +260,7 @@
 
     def test_a_drain_while_it_is_waited_for(self):
         """Given up after the news: it is not kept at all."""
+
         async def scene(house: Held, bench: Bench) -> None:
             one = bench.ask("a")
             await asyncio.sleep(0.01)
@@ -253,6 +272,7 @@
 
     def test_the_descriptors_cap_holds(self):
         """Whoever needs the descriptor has it at once, and the one on its way longest makes room."""
+
         async def scene(house: Held, bench: Bench) -> None:
             other = Held()
             try:
@@ -286,6 +306,7 @@
 
     def test_one_that_never_comes_up(self):
         """Its descriptor comes back, and not before its time."""
+
         async def scene(house: Held, bench: Bench) -> None:
             before = descriptors()
             await bench.ask("a")
@@ -335,6 +356,7 @@
 
     def test_most_come_up_after_all(self):
         """There is room for them: closing what is free would only cost new ones that are late again."""
+
         async def scene(house: Held, bench: Bench) -> None:
             self.assertTrue(await self.given_back(house, bench))
             await self.late_ones(bench, 8, 500 * MS)
@@ -367,6 +389,7 @@
 
     def test_a_dead_one_is_no_crowd(self):
         """It counts once until a connection there comes up."""
+
         async def scene(house: Held, bench: Bench) -> None:
             await self.late_ones(bench, 12, 500 * MS)
             dead = Held()
@@ -382,6 +405,7 @@
 class Whole(unittest.TestCase):
     def test_a_node_whose_cache_server_comes_up_late(self):
         """From the client's side: what comes next is served there, over what was begun before."""
+
         async def run() -> None:
             house = Held()
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -37,19 +37,21 @@
             self.late.append(self.waits / self.part)
             if line := self.gate.ran(self.now, int(self.waits / self.part)):
                 self.modes.append(line.split(":")[0])
-        half = sorted(self.late[len(self.late) // 2:])
+        half = sorted(self.late[len(self.late) // 2 :])
         shares = " ".join(f"{self.done[kind] / max(1, came[kind]):.1f}" for kind in kinds)
-        return f"{sum(self.done.values()) / seconds / 100:3.0f}00/s taken, shares {shares}, " \
-               f"late {'long' if half[len(half) // 2] > 15_000 else 'short'}"
+        return (
+            f"{sum(self.done.values()) / seconds / 100:3.0f}00/s taken, shares {shares}, "
+            f"late {'long' if half[len(half) // 2] > 15_000 else 'short'}"
+        )
 
 
 def gate(**changed) -> Admission:
-    return Admission(**{"target": 3_750, "revenues": [2.0, 8.0], "quotas": [], "longest_hint": SECOND, "seed": 1,
-                        "now": 0} | changed)
+    return Admission(
+        **{"target": 3_750, "revenues": [2.0, 8.0], "quotas": [], "longest_hint": SECOND, "seed": 1, "now": 0} | changed
+    )
 
 
 class Limits(TraceCase):
-
     def told(self, name: str, lines: list[str]) -> None:
         self.lines = lines
         self.check(name, self)
@@ -100,5 +102,10 @@
         core.play(3, 8000)
         before = core.gate.limit
         core.gate.configure(core.now, 3_750, [2.0, 8.0], [10.0], 0)
-        self.told("limits-change", [f"limited {before > 0}, kept {core.gate.limit == before}",
-                                    core.play(2, 8000, ((0, 0, False), (0, None, False)))])
+        self.told(
+            "limits-change",
+            [
+                f"limited {before > 0}, kept {core.gate.limit == before}",
+                core.play(2, 8000, ((0, 0, False), (0, None, False))),
+            ],
+        )
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -53,14 +53,26 @@
 
     def test_bad_input_harms_nobody(self):
         """Guards against a node that stops, or loses its place, at what no client should send."""
+
         async def scene(town: Town) -> None:
             one = await town.client()
-            for bad in ("hello\r\n", "\r\n", "mg\r\n", f"mg {'k' * 251} v O1 Pc=read\r\n",
-                        "mg k\x01 v O1 Pc=read\r\n",
-                        "mg k v Pc=read\r\n", "mg k v O1 Pc=other\r\n", "mg k v O1 Pc=read,d=\r\n",
-                        "mg k v O1 Pc=read,d=-5\r\n", f"mg k v O1 Pc=read,d={'9' * 23}\r\n",
-                        "mg k v O1 Pc=put,k=77\r\n", "mg k v q O1 Pc=read\r\n", "mg k v O1 Pc=read,c=put\r\n",
-                        f"ms k 4200000 O1 Pc=put\r\n{'x' * 4200000}\r\n", read("hit")):
+            for bad in (
+                "hello\r\n",
+                "\r\n",
+                "mg\r\n",
+                f"mg {'k' * 251} v O1 Pc=read\r\n",
+                "mg k\x01 v O1 Pc=read\r\n",
+                "mg k v Pc=read\r\n",
+                "mg k v O1 Pc=other\r\n",
+                "mg k v O1 Pc=read,d=\r\n",
+                "mg k v O1 Pc=read,d=-5\r\n",
+                f"mg k v O1 Pc=read,d={'9' * 23}\r\n",
+                "mg k v O1 Pc=put,k=77\r\n",
+                "mg k v q O1 Pc=read\r\n",
+                "mg k v O1 Pc=read,c=put\r\n",
+                f"ms k 4200000 O1 Pc=put\r\n{'x' * 4200000}\r\n",
+                read("hit"),
+            ):
                 await one.ask(bad)
             for bad in ("ms k five O1 Pc=put\r\n", "ms k 3 O1 Pc=put\r\ntoolong\r\n", "m" * 3000, "quit\r\n"):
                 other = await town.client()
@@ -81,6 +93,7 @@
 
     def test_a_command_that_does_not_go_on_is_cut(self):
         """Guards against a client that waits inside a command: it is owed an error, and its descriptor is."""
+
         async def scene(town: Town) -> None:
             one, two = await town.client(), await town.client()
             one.say(read("slow"))
@@ -94,6 +107,7 @@
 
     def test_one_timer_runs_what_is_due(self):
         """Guards against timers that nobody can cancel: each lives on, and they add up."""
+
         async def scene(town: Town) -> None:
             await (await town.client()).ask(read("hit"))
             await asyncio.sleep(0.3)  # the last tick came by the timer
@@ -103,11 +117,17 @@
 
     def test_new_settings_are_taken_while_serving(self):
         """Guards against a signal that ends the node, a faulty file taken, a list followed no more."""
+
         async def scene(town: Town) -> None:
             one, two = await town.client(), await town.second_discovery()
             one.say(read("slow", "1"))
-            for change in ({"limits": {"sockets": 3}}, {"discovery": two, "settings": settings(
-                    classes=settings()["classes"] + [{"name": "extra", "deadline_ns": 10**9}])}):
+            for change in (
+                {"limits": {"sockets": 3}},
+                {
+                    "discovery": two,
+                    "settings": settings(classes=settings()["classes"] + [{"name": "extra", "deadline_ns": 10**9}]),
+                },
+            ):
                 town.said = town.said | change
                 os.kill(os.getpid(), signal.SIGHUP)
                 await asyncio.sleep(0.03)
@@ -138,6 +158,7 @@
 
     def test_a_stop_answers_all_that_was_taken(self):
         """Guards against losing what is open, still comes, or is half written when the signal comes."""
+
         async def scene(town: Town) -> None:
             idle, slow, split = await town.client(), await town.client(), await town.client()
             await idle.ask("mn\r\n")
@@ -158,6 +179,7 @@
 
     def test_idle_clients_make_room_at_the_cap(self):
         """Guards against clients that sit on every descriptor, and their answers, and shut others out."""
+
         async def scene(town: Town) -> None:
             many = [await town.client() for _ in range(60)]
             await asyncio.sleep(0.05)
@@ -172,6 +194,7 @@
 
     def test_clients_that_ask_once_do_not_hold_all_connections(self):
         """Guards against connections kept for good: their number is limited, and none is left to ask on."""
+
         async def scene(town: Town) -> None:
             many = [await town.client() for _ in range(13)]
             for one in many:
@@ -186,6 +209,7 @@
 
     def test_a_crowded_node_turns_away_before_any_hop(self):
         """Guards against work done for what cannot be served: no hop, an answer at once, other commands go on."""
+
         async def scene(town: Town) -> None:
             one, gate = await town.client(), town.service.door.gate
             await one.ask(read("hit"))
@@ -200,6 +224,7 @@
 
     def test_paced_connections_take_turns(self):
         """Guards against a core that only reads: who may not be read from yet keeps what it said, in order."""
+
         async def scene(town: Town) -> None:
             first, second, clients = await town.client(), await town.client(), town.service.clients
             await first.ask("mn\r\n")
@@ -221,6 +246,7 @@
 
     def test_a_command_that_stood_unread_is_told_so(self):
         """Guards against work for a client whose time went by in the socket, as the kernel can tell."""
+
         async def scene(town: Town) -> None:
             one, gate, clients = await town.client(), town.service.door.gate, town.service.clients
             await one.ask(read("hit"))
@@ -237,6 +263,7 @@
 
     def test_a_connection_that_its_server_closed_is_not_used(self):
         """Guards against writing to a connection closed while idle: a reset that may have run."""
+
         async def scene(town: Town) -> None:
             one = await town.client()
             await one.ask(read("hit", "1", "once"))
@@ -249,6 +276,7 @@
 
     def test_what_the_decisions_give_back_is_closed_and_what_the_list_calls_gone_is_reached(self):
         """Guards against idle connections kept where others are refused, and addresses lost to a wrong list."""
+
         async def scene(town: Town) -> None:
             one, door = await town.client(), town.service.door
             await one.ask(read("hit", "1"))
@@ -262,8 +290,12 @@
             await asyncio.sleep(0.6)
             await one.ask(read("hit", "2"))
             await one.ask(read("miss", "3"))
-            town.news.put_nowait(json.dumps({"generation": 11, "instances": [
-                line | {"lifecycle": "draining"} for line in town.list[:1]]}).encode() + b"\n")
+            town.news.put_nowait(
+                json.dumps(
+                    {"generation": 11, "instances": [line | {"lifecycle": "draining"} for line in town.list[:1]]}
+                ).encode()
+                + b"\n"
+            )
             await asyncio.sleep(0.05)
             await one.ask(read("hit", "4"))
 
@@ -272,6 +304,7 @@
 
     def test_a_connection_left_by_a_fault_is_not_used(self):
         """Guards against an exchange that fails in our own code and leaves its answer to the next one."""
+
         class Broken(meta.ProbeReply):
             def feed(self, data: bytes) -> bool:
                 raise LookupError("a fault of our own")
@@ -287,6 +320,7 @@
 
     def test_the_list_is_followed(self):
         """Guards against a watch that ends or holds a bad line: the list held before stays in use."""
+
         async def scene(town: Town) -> None:
             one = await town.client()
             await asyncio.sleep(0.02)
@@ -317,27 +351,41 @@
         for byte in write("farm", "a\r\nb", "9").encode():
             commands.feed(bytes([byte]))
             if command := commands.next():
-                self.assertEqual(b"".join(meta.hop_bytes(command, 5)),
-                                 b"ms farm 4 O9 Pc=put,t=acme,d=5,k=77\r\na\r\nb\r\n")
+                self.assertEqual(
+                    b"".join(meta.hop_bytes(command, 5)), b"ms farm 4 O9 Pc=put,t=acme,d=5,k=77\r\na\r\nb\r\n"
+                )
                 return
         self.fail("no command")
 
     def test_answers_are_read_however_they_are_cut(self):
         """Guards against answers that are none to this command, or not whole, or hold no numbers."""
         get, put, self.lines = meta.parse(read("k").strip().encode()), meta.parse(b"ms k 1 O1 Pc=put"), []
-        cases = [(get, "VA 4 O1 h0 Z\r\na\r\nb\r\n"), (get, "VA 1 O1 h1 Lqueue=2,util=0.5\r\nx\r\n"),
-                 (get, "EN O1\r\n"), (get, "SERVER_ERROR busy\r\n"), (get, "SERVER_ERROR failed\r\n"),
-                 (get, "CLIENT_ERROR what\r\n"),
-                 (get, "VA 1 O2\r\nx\r\n"), (get, "VA 1 O1\r\nxyz\r\n"), (get, "VA many O1\r\n"),
-                 (get, "HD O1 cx\r\n"), (put, "HD O1 cx\r\n"), (get, "VA 3 O1\r\nx"), (get, "hello\r\n"),
-                 (get, "h" * 3000),
-                 (None, "STAT queue 3\r\nSTAT util nan\r\nSTAT x inf\r\nEND\r\n"), (None, "MN\r\n"),
-                 (None, "SERVER_ERROR busy\r\n"), (None, "ERROR\r\n"), (None, "MN\r\nMN\r\n")]
+        cases = [
+            (get, "VA 4 O1 h0 Z\r\na\r\nb\r\n"),
+            (get, "VA 1 O1 h1 Lqueue=2,util=0.5\r\nx\r\n"),
+            (get, "EN O1\r\n"),
+            (get, "SERVER_ERROR busy\r\n"),
+            (get, "SERVER_ERROR failed\r\n"),
+            (get, "CLIENT_ERROR what\r\n"),
+            (get, "VA 1 O2\r\nx\r\n"),
+            (get, "VA 1 O1\r\nxyz\r\n"),
+            (get, "VA many O1\r\n"),
+            (get, "HD O1 cx\r\n"),
+            (put, "HD O1 cx\r\n"),
+            (get, "VA 3 O1\r\nx"),
+            (get, "hello\r\n"),
+            (get, "h" * 3000),
+            (None, "STAT queue 3\r\nSTAT util nan\r\nSTAT x inf\r\nEND\r\n"),
+            (None, "MN\r\n"),
+            (None, "SERVER_ERROR busy\r\n"),
+            (None, "ERROR\r\n"),
+            (None, "MN\r\nMN\r\n"),
+        ]
         for command, text in cases:
             reader, whole = meta.HopReply(command) if command else meta.ProbeReply(), False
             try:
                 for at in range(0, len(text), 2):
-                    whole = whole or reader.feed(text[at:at + 2].encode())
+                    whole = whole or reader.feed(text[at : at + 2].encode())
                 got = reader.reply
                 what = f"{got.ended.value[0]} {got.body!r} note {got.note} {got.load}"
                 what = what if whole else "not whole yet"
@@ -355,12 +403,19 @@
         """Guards against a value that holds its second copy, and a good answer lost for noise behind."""
         head, self.lines = "HTTP/1.1 200 OK\r\nContent-Length: ", []
         good, early = head + "4\r\n\r\nmade", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
-        for text in (good, good + good, good + "\x01noise\r\n\r\n", early + good, early * 9 + good,
-                     head + "3\r\nContent-Length: 4\r\n\r\nmade", head + "3000000000\r\n\r\n"):
+        for text in (
+            good,
+            good + good,
+            good + "\x01noise\r\n\r\n",
+            early + good,
+            early * 9 + good,
+            head + "3\r\nContent-Length: 4\r\n\r\nmade",
+            head + "3000000000\r\n\r\n",
+        ):
             for cut in (1, len(text)):
                 reader, at = origin.OriginReply(), 0
                 try:
-                    while at < len(text) and not reader.feed(text[at:at + cut].encode()):
+                    while at < len(text) and not reader.feed(text[at : at + cut].encode()):
                         at += cut
                     what = f"{reader.reply.ended.value[0]} {reader.reply.body!r}, clean: {reader.clean}"
                 except http.Garbled as error:
@@ -390,16 +445,25 @@
 
     def test_faulty_keys_are_named(self):
         good = {"settings": settings()}
-        bad = [5, {}, {"listen": "here"}, {"seed": "no"}, {"limits": {"memory_mb": "much"}},
-               {"limits": {"sockets": 9}},
-               {"known": {"instances": [{"instanceId": "s", "hostPort": "x"}]}},
-               {"settings": settings(azs="a")}, {"settings": settings(permissions={"cancel": "yes"})},
-               {"settings": settings(classes=[{"name": "p", "deadline_ns": -1}])},
-               {"settings": settings(classes=[{"group": "town"}])}, {"settings": settings(fleet_size="many")},
-               {"settings": settings(rules={"resend_ratio": -0.1})},
-               {"settings": settings(rules={"budget_window_ns": "2 s"})},
-               {"settings": settings(rules={"soft_removal": 1.5})}, {"admin_addr": "here"},
-               {"listen": "127.0.0.1:5", "admin_addr": "127.0.0.1:5"}]
+        bad = [
+            5,
+            {},
+            {"listen": "here"},
+            {"seed": "no"},
+            {"limits": {"memory_mb": "much"}},
+            {"limits": {"sockets": 9}},
+            {"known": {"instances": [{"instanceId": "s", "hostPort": "x"}]}},
+            {"settings": settings(azs="a")},
+            {"settings": settings(permissions={"cancel": "yes"})},
+            {"settings": settings(classes=[{"name": "p", "deadline_ns": -1}])},
+            {"settings": settings(classes=[{"group": "town"}])},
+            {"settings": settings(fleet_size="many")},
+            {"settings": settings(rules={"resend_ratio": -0.1})},
+            {"settings": settings(rules={"budget_window_ns": "2 s"})},
+            {"settings": settings(rules={"soft_removal": 1.5})},
+            {"admin_addr": "here"},
+            {"listen": "127.0.0.1:5", "admin_addr": "127.0.0.1:5"},
+        ]
         self.lines = []
         for change in bad:
             try:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -44,12 +44,12 @@
                 await scene(town)
             return town
 
-        with mock.patch.object(clients, "DRAIN", (500_000, 100_000)), \
-                mock.patch.object(clients, "STRAY", 50_000):
+        with mock.patch.object(clients, "DRAIN", (500_000, 100_000)), mock.patch.object(clients, "STRAY", 50_000):
             self.check(name, uvloop.run(asyncio.wait_for(run(), 20)))
 
     def test_calls_are_answered_whatever_others_do(self):
         """Guards against callers that finish nothing, calls that cannot be read, and clients' reads held back."""
+
         async def scene(town: Operated) -> None:
             address = town.service.admin.listener.getsockname()[:2]
             stuck = [await asyncio.open_connection(*address) for _ in range(12)]
@@ -57,9 +57,14 @@
                 writer.write(b"GET /_re")
             town.service.door.ran = lambda late, passed: 0.0  # no client is read from
             await asyncio.sleep(0.02)
-            for text in ("GET /_ready HTTP/1.1\r\nHost: n\r\n\r\n", "POST /_ready HTTP/1.1\r\nHost: n\r\n\r\n",
-                         "GET /_lameduck/on HTTP/1.1\r\n\r\n", "GET /other HTTP/1.1\r\n\r\n", "what\r\n\r\n",
-                         "GET /_ready HTTP/1.1\r\nX: " + "x" * 9000):
+            for text in (
+                "GET /_ready HTTP/1.1\r\nHost: n\r\n\r\n",
+                "POST /_ready HTTP/1.1\r\nHost: n\r\n\r\n",
+                "GET /_lameduck/on HTTP/1.1\r\n\r\n",
+                "GET /other HTTP/1.1\r\n\r\n",
+                "what\r\n\r\n",
+                "GET /_ready HTTP/1.1\r\nX: " + "x" * 9000,
+            ):
                 await town.call(text)
             town.note(f"calls open: {len(town.service.admin.calls) <= 8}")
             ended = [reader for reader, _ in stuck if reader.at_eof()]
@@ -71,6 +76,7 @@
 
     def test_a_drained_node_sends_its_clients_away_and_loses_nothing(self):
         """Guards against a drain that goes on taking clients, holds them idle, or cuts what is open."""
+
         async def scene(town: Operated) -> None:
             # In which order the cache server gets what several connections asked is left open.
             town.note = lambda text: text.startswith("  cache") or town.lines.append(text)
@@ -102,6 +108,7 @@
 
     def test_a_crowd_makes_room_and_who_is_in_the_middle_of_a_command_stays(self):
         """Guards against connections that say nothing, or have asked once, shutting out those that ask."""
+
         async def scene(town: Operated) -> None:
             half = [await town.client() for _ in range(6)]
             for i, one in enumerate(half):
@@ -168,8 +175,14 @@
         address = self.reserved[-1].getsockname()
         env = os.environ | {"TMPDIR": self.folder.name, "ROUTER_ADMIN_ADDR": "%s:%d" % address}
         node = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "saltmoor", "serve", f"--config={self.file}", env=env,
-            stderr=asyncio.subprocess.DEVNULL)
+            sys.executable,
+            "-m",
+            "saltmoor",
+            "serve",
+            f"--config={self.file}",
+            env=env,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
         self.nodes.append(node)
         while True:
             try:
@@ -221,6 +234,7 @@
 
     def test_a_successor_takes_over_and_no_client_notices(self):
         """Guards against connections refused, reset or left unread while the program is replaced."""
+
         async def scene(town: Twins, note) -> None:
             node = await town.start()
             loads = [asyncio.create_task(town.load(i + 1, keep=i % 2 == 0)) for i in range(16)]
@@ -240,6 +254,7 @@
 
     def test_the_one_that_is_left_serves_alone(self):
         """Guards against a successor that dies, a predecessor that dies or hangs, and files left behind."""
+
         async def scene(town: Twins, note) -> None:
             meeting = Path(town.folder.name, "saltmoor-127.0.0.1-%d.sock" % town.address[1])
             meeting.write_text("not a socket")
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,47 +13,119 @@
 from tests.explorer import MS, ONCE, ORIGIN, PUT, READ, START, Plan, World, explore, member
 
 FEW = [Ended.COMMITTED, Ended.RESET]
-ALL = [Ended.COMMITTED, Ended.ERROR, Ended.FULL, Ended.RESET, Ended.NO_CONNECTION, Ended.TIMED_OUT, Ended.UNKNOWN,
-       Ended.CANCELLED, Ended.NOT_SENT, Ended.MALFORMED, Ended.MISS]
+ALL = [
+    Ended.COMMITTED,
+    Ended.ERROR,
+    Ended.FULL,
+    Ended.RESET,
+    Ended.NO_CONNECTION,
+    Ended.TIMED_OUT,
+    Ended.UNKNOWN,
+    Ended.CANCELLED,
+    Ended.NOT_SENT,
+    Ended.MALFORMED,
+    Ended.MISS,
+]
 ONE, TWO = [member(1)], [member(1), member(2)]
 FRESH = member(2, started=START - 1)
 
 PLANS = {
     "every end at one server": Plan(6, ONE, [(READ, 7, False), (ONCE, 7, True)], ALL, [0.0, None], odd=True),
-    "writes of all profiles": Plan(7, TWO, [(ONCE, 7, True), (PUT, 8, True)],
-                                   [Ended.RESET, Ended.NO_CONNECTION, Ended.COMMITTED], stopped=True),
-    "two zones": Plan(7, [member(1), member(2, zone=1)], [(PUT, 7, True), (READ, 7, False)],
-                      [Ended.RESET, Ended.FULL], stopped=True),
-    "the list changes": Plan(6, TWO, [(READ, 7, False), (PUT, 8, True)], FEW, rate=5.0, news=[
-        (ListKind.CHANGES, [member(1, Readiness.DRAINING)]), (ListKind.FULL, [member(2)]),
-        (ListKind.CHANGES, [member(1, started=START)]), (ListKind.CHANGES, [member(2, Readiness.GONE)])]),
-    "the origin": Plan(6, [member(1), member(ORIGIN)], [(READ, 7, False), (READ, 7, False), (PUT, 7, True)],
-                       [Ended.MISS, Ended.ERROR, Ended.COMMITTED], odd=True),
-    "odd figures": Plan(6, TWO, [(READ, 7, False), (READ, 7, False)], FEW, [2.0**64 - 1, float("inf"), float("nan"), -5.0],
-                        stopped=True),
-    "a cold server, two nodes": Plan(6, [member(1), FRESH, member(3)], [(READ, 7, False)] * 3, [Ended.NO_CONNECTION, Ended.COMMITTED],
-                                     nodes=2, rate=8.0, news=[(ListKind.CHANGES, [member(2, started=START + MS)])]),
-    "two processes, a budget": Plan(7, TWO, [(READ, 7, False)] * 3, [Ended.RESET], processes=2, settings={
-        "budget": model.HopBudget(2.0, 0.0, 1_000 * MS), "permits": model.Permits(hops=4, cancel=True)}),
-    "new settings": Plan(7, TWO, [(PUT, 7, True), (ONCE, 8, True)], FEW, later={
-        "permits": model.Permits(hops=1), "columns": [], "cold": model.ColdStart(0.0, 0, 0.0)}),
-    "a cold server, two processes": Plan(6, [FRESH], [(READ, 7, False)] * 3, [Ended.NO_CONNECTION, Ended.COMMITTED],
-                                         processes=2, rate=2.0),
-    "lists that are wrong": Plan(6, TWO, [(READ, 7, False), (ONCE, 8, True)], FEW, [0.0, None], news=[
-        (ListKind.FULL, []), (ListKind.CHANGES, [member(1, Readiness.DRAINING)]), (ListKind.FULL, TWO)], settings={
-        "listing": model.Listing(True, 3_000 * MS, soft=True),
-        "permits": model.Permits(hops=2, copies=True, cancel=True, probes=True)}),
-    "edges": Plan(7, [member(1, started=START + 1_000_000 * MS), FRESH], [(READ, 7, False)] * 2, FEW, news=[
-        (ListKind.FULL, [])], settings={"cold": model.ColdStart(0.0, 0, 4.0, 1_000 * MS)}),
+    "writes of all profiles": Plan(
+        7, TWO, [(ONCE, 7, True), (PUT, 8, True)], [Ended.RESET, Ended.NO_CONNECTION, Ended.COMMITTED], stopped=True
+    ),
+    "two zones": Plan(
+        7, [member(1), member(2, zone=1)], [(PUT, 7, True), (READ, 7, False)], [Ended.RESET, Ended.FULL], stopped=True
+    ),
+    "the list changes": Plan(
+        6,
+        TWO,
+        [(READ, 7, False), (PUT, 8, True)],
+        FEW,
+        rate=5.0,
+        news=[
+            (ListKind.CHANGES, [member(1, Readiness.DRAINING)]),
+            (ListKind.FULL, [member(2)]),
+            (ListKind.CHANGES, [member(1, started=START)]),
+            (ListKind.CHANGES, [member(2, Readiness.GONE)]),
+        ],
+    ),
+    "the origin": Plan(
+        6,
+        [member(1), member(ORIGIN)],
+        [(READ, 7, False), (READ, 7, False), (PUT, 7, True)],
+        [Ended.MISS, Ended.ERROR, Ended.COMMITTED],
+        odd=True,
+    ),
+    "odd figures": Plan(
+        6, TWO, [(READ, 7, False), (READ, 7, False)], FEW, [2.0**64 - 1, float("inf"), float("nan"), -5.0], stopped=True
+    ),
+    "a cold server, two nodes": Plan(
+        6,
+        [member(1), FRESH, member(3)],
+        [(READ, 7, False)] * 3,
+        [Ended.NO_CONNECTION, Ended.COMMITTED],
+        nodes=2,
+        rate=8.0,
+        news=[(ListKind.CHANGES, [member(2, started=START + MS)])],
+    ),
+    "two processes, a budget": Plan(
+        7,
+        TWO,
+        [(READ, 7, False)] * 3,
+        [Ended.RESET],
+        processes=2,
+        settings={"budget": model.HopBudget(2.0, 0.0, 1_000 * MS), "permits": model.Permits(hops=4, cancel=True)},
+    ),
+    "new settings": Plan(
+        7,
+        TWO,
+        [(PUT, 7, True), (ONCE, 8, True)],
+        FEW,
+        later={"permits": model.Permits(hops=1), "columns": [], "cold": model.ColdStart(0.0, 0, 0.0)},
+    ),
+    "a cold server, two processes": Plan(
+        6, [FRESH], [(READ, 7, False)] * 3, [Ended.NO_CONNECTION, Ended.COMMITTED], processes=2, rate=2.0
+    ),
+    "lists that are wrong": Plan(
+        6,
+        TWO,
+        [(READ, 7, False), (ONCE, 8, True)],
+        FEW,
+        [0.0, None],
+        news=[(ListKind.FULL, []), (ListKind.CHANGES, [member(1, Readiness.DRAINING)]), (ListKind.FULL, TWO)],
+        settings={
+            "listing": model.Listing(True, 3_000 * MS, soft=True),
+            "permits": model.Permits(hops=2, copies=True, cancel=True, probes=True),
+        },
+    ),
+    "edges": Plan(
+        7,
+        [member(1, started=START + 1_000_000 * MS), FRESH],
+        [(READ, 7, False)] * 2,
+        FEW,
+        news=[(ListKind.FULL, [])],
+        settings={"cold": model.ColdStart(0.0, 0, 4.0, 1_000 * MS)},
+    ),
 }
 
 
 TRIED = 20851  # orders in which a step raises
 # How many orders there are of each: with one less, something may not come any more that could.
 ORDERS = {
-    "every end at one server": 28472, "writes of all profiles": 9021, "two zones": 6713, "the list changes": 21371,
-    "the origin": 7571, "odd figures": 11746, "a cold server, two nodes": 16515, "two processes, a budget": 12477,
-    "new settings": 6434, "a cold server, two processes": 1252, "lists that are wrong": 18272, "edges": 4831}
+    "every end at one server": 28472,
+    "writes of all profiles": 9021,
+    "two zones": 6713,
+    "the list changes": 21371,
+    "the origin": 7571,
+    "odd figures": 11746,
+    "a cold server, two nodes": 16515,
+    "two processes, a budget": 12477,
+    "new settings": 6434,
+    "a cold server, two processes": 1252,
+    "lists that are wrong": 18272,
+    "edges": 4831,
+}
 
 
 def searched(plan: Plan, depth: int | None = None) -> tuple[int, list | None, str]:
@@ -150,8 +222,15 @@
         listed = choice.Node.listed
 
         def deaf(node, now, kind, members):
-            listed(node, now, kind, [model.Member(one.server, one.zone, one.kind, one.cell, Readiness.READY, one.size,
-                                                  one.started) for one in members])
+            listed(
+                node,
+                now,
+                kind,
+                [
+                    model.Member(one.server, one.zone, one.kind, one.cell, Readiness.READY, one.size, one.started)
+                    for one in members
+                ],
+            )
 
         with self.planted(choice.Node, "listed", deaf):
             self.found("the list changes", "3: sent to what the list has")
@@ -236,8 +315,9 @@
 
         with contextlib.ExitStack() as stack:
             for table in choice.TABLE, choice.ANYWHERE:
-                stack.enter_context(mock.patch.dict(table, {
-                    row: (state, broken(effect)) for row, (state, effect) in table.items()}))
+                stack.enter_context(
+                    mock.patch.dict(table, {row: (state, broken(effect)) for row, (state, effect) in table.items()})
+                )
             for name in self.STEPS:
                 stack.enter_context(mock.patch.object(choice.Node, name, broken(getattr(choice.Node, name))))
             stack.enter_context(mock.patch.object(World, "__init__", fresh))
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -36,17 +36,30 @@
     def test_a_row_that_is_void_has_no_figures(self) -> None:
         full, late = self.row(0.95, 0.0, 1900), self.row(0.9, 0.2, 100)
         self.assertEqual(passing.counted([late], 1.0), [])
-        self.assertEqual([one["value"] for one in passing.counted([late, full], 1.0)],
-                         [1900.0, round(1900 * SIZE / 1e6, 1), 500.0, 9.0])
+        self.assertEqual(
+            [one["value"] for one in passing.counted([late, full], 1.0)],
+            [1900.0, round(1900 * SIZE / 1e6, 1), 500.0, 9.0],
+        )
 
     def row(self, ran: float, waited: float, served: int) -> dict:
         """The figures of a node that ran and waited so long, out of one second."""
-        part = mock.Mock(**{"stdout.readline.return_value": "1", "poll.return_value": 0, "communicate.return_value":
-                            (json.dumps({"served": served, "other": 0, "bytes": served * SIZE}), "")})
-        with (mock.patch.object(passing, "part", return_value=part), mock.patch.object(passing, "ASKERS", 1),
-              mock.patch.object(passing, "serve", return_value=(part, 1)), mock.patch.object(passing.time, "sleep"),
-              mock.patch.object(passing, "used", side_effect=[(5.0, 1.0, 1_000_000), (5.0 + ran, 1.0 + waited, 9_000_000)]),
-              mock.patch.object(passing.time, "monotonic", side_effect=[10.0, 11.0])):
+        part = mock.Mock(
+            **{
+                "stdout.readline.return_value": "1",
+                "poll.return_value": 0,
+                "communicate.return_value": (json.dumps({"served": served, "other": 0, "bytes": served * SIZE}), ""),
+            }
+        )
+        with (
+            mock.patch.object(passing, "part", return_value=part),
+            mock.patch.object(passing, "ASKERS", 1),
+            mock.patch.object(passing, "serve", return_value=(part, 1)),
+            mock.patch.object(passing.time, "sleep"),
+            mock.patch.object(
+                passing, "used", side_effect=[(5.0, 1.0, 1_000_000), (5.0 + ran, 1.0 + waited, 9_000_000)]
+            ),
+            mock.patch.object(passing.time, "monotonic", side_effect=[10.0, 11.0]),
+        ):
             return passing.measure(SIZE, 1.0)
 
     def test_a_node_that_waited_for_a_core_makes_its_row_void(self) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -29,13 +29,23 @@
 
 NOW = 10_000 * SECOND
 
-ITEMS = st.lists(st.builds(
-    Item.made, st.sampled_from(["drain", "start", "word", "evidence", "of-later"]), st.sampled_from(["a", "b|c", "d"]),
-    st.integers(0, 3), st.sampled_from([b"", b"x", b"y"]), st.integers(0, 20 * SECOND)), max_size=12)
+ITEMS = st.lists(
+    st.builds(
+        Item.made,
+        st.sampled_from(["drain", "start", "word", "evidence", "of-later"]),
+        st.sampled_from(["a", "b|c", "d"]),
+        st.integers(0, 3),
+        st.sampled_from([b"", b"x", b"y"]),
+        st.integers(0, 20 * SECOND),
+    ),
+    max_size=12,
+)
 
 
 def held(store: Store) -> dict:
-    return {(kind, key): (kept.version, kept.body) for kind, table in store.kinds.items() for key, kept in table.items()}
+    return {
+        (kind, key): (kept.version, kept.body) for kind, table in store.kinds.items() for key, kept in table.items()
+    }
 
 
 class Merges(unittest.TestCase):
@@ -96,10 +106,15 @@
         for item in late.since(after, 0):  # one that slept speaks first
             self.assertFalse(store.put(after, item))
         item = Item.made("word", "empty|n1", 7, True)
-        for wrong in (Item("word", "empty|n2", 7, item.body, 0, item.check), Item("word", "empty|n1", 8, item.body, 0, item.check),
-                      Item("word", "empty|n1", 7, item.body + b"x", 0, item.check), Item.made("x" * 17, "k", 1, b""),
-                      Item.made("k", "x" * 401, 1, b""), Item.made("k", "x", 1, b"x" * (513 << 10)),
-                      Item.made("k", "x", 1, b"", -5)):
+        for wrong in (
+            Item("word", "empty|n2", 7, item.body, 0, item.check),
+            Item("word", "empty|n1", 8, item.body, 0, item.check),
+            Item("word", "empty|n1", 7, item.body + b"x", 0, item.check),
+            Item.made("x" * 17, "k", 1, b""),
+            Item.made("k", "x" * 401, 1, b""),
+            Item.made("k", "x", 1, b"x" * (513 << 10)),
+            Item.made("k", "x", 1, b"", -5),
+        ):
             self.assertFalse(store.put(after, wrong))
         self.assertEqual((store.refused, store.count(), store.root), ({"old": 1, "check": 3, "size": 4}, 0, 0))
 
@@ -186,9 +201,11 @@
                 self.worst[which] = now
 
     def found(self) -> bool:
-        return all(one.there() == sorted(set(self.nodes) - {name}) and all(
-            other.run == self.nodes[other.name].me.run for other in one.others.values())
-            for name, one in self.nodes.items())
+        return all(
+            one.there() == sorted(set(self.nodes) - {name})
+            and all(other.run == self.nodes[other.name].me.run for other in one.others.values())
+            for name, one in self.nodes.items()
+        )
 
     def settle(self) -> None:
         """A calm network from here on, until all have found each other and stay so for a while."""
@@ -265,8 +282,10 @@
                 false = town.false
                 town.kill(1)
                 town.run(15)
-                notes.note(f"{nodes} members, loss {loss:.0%}: false {false}, death known to the first after "
-                           f"{town.first_s:.1f} s, to all after {town.all_s:.1f} s, {town.bytes_per_s:.0f} B/s a node")
+                notes.note(
+                    f"{nodes} members, loss {loss:.0%}: false {false}, death known to the first after "
+                    f"{town.first_s:.1f} s, to all after {town.all_s:.1f} s, {town.bytes_per_s:.0f} B/s a node"
+                )
                 self.assertEqual(false, 0)
                 self.assertLess(town.all_s, 8)
                 self.assertLess(town.bytes_per_s, 3000)
@@ -303,8 +322,11 @@
 
     def pull(self, pull, stores: dict[str, Store], me: str, exchange: Exchange, now: int) -> int:
         giver = stores[pull.name]
-        items = list(giver.ranges(now, pull.ranges) if pull.ranges
-                     else giver.since(now, pull.seq if pull.epoch == giver.epoch else 0))
+        items = list(
+            giver.ranges(now, pull.ranges)
+            if pull.ranges
+            else giver.since(now, pull.seq if pull.epoch == giver.epoch else 0)
+        )
         seq, digests = giver.seq, {kind: list(kept) for kind, kept in giver.digests.items()}
         for item in items:
             stores[me].put(now, item)
@@ -386,7 +408,9 @@
                     words = [turns.ask(now, 7, how, asks, 100 * MS)]
                 elif what in ("done", "failed") and how < len(numbers):
                     words = turns.done(now, 7, numbers[how], "s1" if what == "done" else "")
-                    valid = {} if what == "done" else {who: kept for who, kept in valid.items() if kept[0] != numbers[how]}
+                    valid = (
+                        {} if what == "done" else {who: kept for who, kept in valid.items() if kept[0] != numbers[how]}
+                    )
                 elif what == "void":
                     valid = {}
                     words = turns.void(now, 7)
@@ -410,7 +434,19 @@
 class Sums(unittest.TestCase):
     """Three nodes' parts of one sum over all orders of a few events: together never more than the whole."""
 
-    EVENTS = ("ask", "ask other", "deliver", "double", "late", "lose", "back", "wait", "long", "restart", "restart lender")
+    EVENTS = (
+        "ask",
+        "ask other",
+        "deliver",
+        "double",
+        "late",
+        "lose",
+        "back",
+        "wait",
+        "long",
+        "restart",
+        "restart lender",
+    )
 
     def play(self, path: tuple[str, ...]) -> None:
         now = NOW
@@ -486,14 +522,16 @@
         self.assertEqual(frames.content(frames.decode(data, "c"), Ping).news, [news])
         rng = Random(1)
         wrong = [data[:i] for i in range(len(data))]
-        wrong += [data[:i] + bytes([data[i] ^ 1 << bit]) + data[i + 1:] for i in range(len(data)) for bit in range(8)]
+        wrong += [data[:i] + bytes([data[i] ^ 1 << bit]) + data[i + 1 :] for i in range(len(data)) for bit in range(8)]
         wrong += [rng.randbytes(rng.randrange(200)) for _ in range(300)]
         for one in wrong:
             with self.assertRaises(Strange):
                 frames.decode(one, "c")
-        for said, why in ((frames.encode("d", Speaker("n1", 5, 6, 7), "ping", 1), "cluster"),
-                          (frames.encode("c", Speaker("", 5, 6, 7), "ping", 1), "speaker"),
-                          (frames.encode("c", Speaker("n", -5, 6, 7), "ping", 1), "speaker")):
+        for said, why in (
+            (frames.encode("d", Speaker("n1", 5, 6, 7), "ping", 1), "cluster"),
+            (frames.encode("c", Speaker("", 5, 6, 7), "ping", 1), "speaker"),
+            (frames.encode("c", Speaker("n", -5, 6, 7), "ping", 1), "speaker"),
+        ):
             with self.assertRaisesRegex(Strange, why):
                 frames.decode(said, "c")
 
@@ -523,18 +561,42 @@
     def test_the_operators_file_names_its_faulty_key(self):
         notes = Notes()
         good = "cluster = 'c'\nlisten = '127.0.0.1:7'\n"
-        peers = ["", "cluster = 'a b'", "cluster = 'c'", "cluster = 'c'\nlisten = 'here:7'",
-                 "cluster = 'c'\nlisten = '0.0.0.0:7'", good + "seeds = ['x:1']", good + "seeds = 'x'",
-                 good + "period_ms = 1", good + "use = ['drain']", good + "colour = 1", good + "site = 7",
-                 good + "[peers.via]\nn1 = 'there'", good + "[peers.via]\nn1 = 7", good + "seeds = ['127.0.0.1:7']"]
-        duties = ["", "voters = []", "voters = ['a', 'b']", "voters = ['a', 'a', 'b']", "voters = ['a', 'b', 'c d']",
-                  "voters = ['a', 'b', 'c']\nlease_ms = 100", "voters = ['a', 'b', 'c']\nlease_ms = 1000\nflight_ms = 400",
-                  "voters = ['a', 'b', 'c']\nuse = ['probe']", "voters = ['a', 'b', 'c']\nuse = ['snapshot']",
-                  "voters = ['a', 'b', 'c']\nvoters_before = ['a', 'b']", "voters = ['a']"]
+        peers = [
+            "",
+            "cluster = 'a b'",
+            "cluster = 'c'",
+            "cluster = 'c'\nlisten = 'here:7'",
+            "cluster = 'c'\nlisten = '0.0.0.0:7'",
+            good + "seeds = ['x:1']",
+            good + "seeds = 'x'",
+            good + "period_ms = 1",
+            good + "use = ['drain']",
+            good + "colour = 1",
+            good + "site = 7",
+            good + "[peers.via]\nn1 = 'there'",
+            good + "[peers.via]\nn1 = 7",
+            good + "seeds = ['127.0.0.1:7']",
+        ]
+        duties = [
+            "",
+            "voters = []",
+            "voters = ['a', 'b']",
+            "voters = ['a', 'a', 'b']",
+            "voters = ['a', 'b', 'c d']",
+            "voters = ['a', 'b', 'c']\nlease_ms = 100",
+            "voters = ['a', 'b', 'c']\nlease_ms = 1000\nflight_ms = 400",
+            "voters = ['a', 'b', 'c']\nuse = ['probe']",
+            "voters = ['a', 'b', 'c']\nuse = ['snapshot']",
+            "voters = ['a', 'b', 'c']\nvoters_before = ['a', 'b']",
+            "voters = ['a']",
+        ]
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "operators.toml"
-            for table in ["[peers]\n" + text for text in peers] + [
-                    f"[peers]\n{good}[duties]\n{text}" for text in duties] + ["[duties]\nvoters = ['a']"]:
+            for table in (
+                ["[peers]\n" + text for text in peers]
+                + [f"[peers]\n{good}[duties]\n{text}" for text in duties]
+                + ["[duties]\nvoters = ['a']"]
+            ):
                 path.write_text(table)
                 try:
                     said = "taken" if config.operators(str(path)) else ""
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -34,8 +34,13 @@
     clients.paced = clients.closing = clients.late = clients.asked = False
     clients.reads, clients.missed_at, clients.stir, clients.profile_of = 0.0, 1, None, {}
     clients.clock = lambda: 0
-    one = SimpleNamespace(loop=Loop(), clients=clients, idle=0, looked=time.monotonic(),
-                          door=SimpleNamespace(ran=lambda late, passed: limit))
+    one = SimpleNamespace(
+        loop=Loop(),
+        clients=clients,
+        idle=0,
+        looked=time.monotonic(),
+        door=SimpleNamespace(ran=lambda late, passed: limit),
+    )
     one.look = lambda due: lifecycle.Service.look(one, due)
     one.stir = lambda: lifecycle.Service.stir(one)
     return one
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -34,12 +34,19 @@
     @classmethod
     def setUpClass(cls):
         cls.kept = scale.read(DOCS / "capacity" / "short.json")
-        cls.rows = [scale_town.play(scale_town.Plan(one.members, one.changes_per_s, one.event, one.span_s, one.seed),
-                                    scale.ways()[one.mechanism]) for one in cls.kept.rows]
+        cls.rows = [
+            scale_town.play(
+                scale_town.Plan(one.members, one.changes_per_s, one.event, one.span_s, one.seed),
+                scale.ways()[one.mechanism],
+            )
+            for one in cls.kept.rows
+        ]
 
     def test_both_mechanisms_and_sizes_are_kept(self):
-        self.assertEqual({(one.mechanism, one.members) for one in self.kept.rows},
-                         {(mechanism, size) for mechanism in ("peers", "log") for size in (30, 60)})
+        self.assertEqual(
+            {(one.mechanism, one.members) for one in self.kept.rows},
+            {(mechanism, size) for mechanism in ("peers", "log") for size in (30, 60)},
+        )
 
     def test_slopes_are_as_kept(self):
         """Figures and slopes within a twentieth of the kept ones."""
@@ -136,8 +143,11 @@
         fit = fits["bytes_per_s"]
         self.assertEqual((fit.at_none, fit.slope, fit.worst_residual), (100, 3, 0))
         self.assertEqual(scale_fit.grown(fit, 480), (1540, 4))
-        bent = next(fit for fit in scale_fit.fits([row(size, size * size) for size in (30, 60, 120)])
-                    if fit.figure == "bytes_per_s")
+        bent = next(
+            fit
+            for fit in scale_fit.fits([row(size, size * size) for size in (30, 60, 120)])
+            if fit.figure == "bytes_per_s"
+        )
         self.assertGreater(bent.worst_residual, 0.2)
         self.assertEqual(len(bent.residuals), 3)
 
@@ -159,8 +169,9 @@
         told = scale_rows.spread(1, [0.1] * 998, 2)
         self.assertEqual((told.p50_s, told.p99_s, told.p999_s, told.worst_s), (0.1, 0.1, None, None))
         broken = Row("scripted", "log", "", 10, 1.0, 1, 1.0, {"node": role(1.0)}, told)
-        self.assertEqual([one.name.split(": ")[1] for one in scale_rows.bounds(broken) if not one.held],
-                         ["p999_s", "missed"])
+        self.assertEqual(
+            [one.name.split(": ")[1] for one in scale_rows.bounds(broken) if not one.held], ["p999_s", "missed"]
+        )
 
 
 class CommandCase(unittest.TestCase):
@@ -171,10 +182,17 @@
         return code, out.getvalue()
 
     def test_faulty_options_are_named(self):
-        for words, key in ((["--size=3"], "--size"), (["--size=many"], "--size"), (["--changes=-1"], "--changes"),
-                           (["--event=flood"], "--event"), (["--mechanism=carrier"], "--mechanism"),
-                           (["--span=0"], "--span"), (["--loss=2"], "--loss"),
-                           (["--live", "--mechanism=log"], "--live"), (["--live", "--event=cut"], "--live")):
+        for words, key in (
+            (["--size=3"], "--size"),
+            (["--size=many"], "--size"),
+            (["--changes=-1"], "--changes"),
+            (["--event=flood"], "--event"),
+            (["--mechanism=carrier"], "--mechanism"),
+            (["--span=0"], "--span"),
+            (["--loss=2"], "--loss"),
+            (["--live", "--mechanism=log"], "--live"),
+            (["--live", "--event=cut"], "--live"),
+        ):
             code, said = self.status(*words)
             self.assertEqual(code, 2, said)
             self.assertIn(key, said)
@@ -188,8 +206,9 @@
     def test_bounds_held_and_broken_make_the_status(self):
         with tempfile.TemporaryDirectory() as folder:
             path, picture = Path(folder) / "out.json", Path(folder) / "out.png"
-            code, said = self.status("--mechanism=log", "--size=8", "--changes=3.9", "--span=2", f"--json={path}",
-                                     f"--plot={picture}")
+            code, said = self.status(
+                "--mechanism=log", "--size=8", "--changes=3.9", "--span=2", f"--json={path}", f"--plot={picture}"
+            )
             self.assertEqual(code, 0, said)
             sheet = scale.read(path)
             self.assertEqual([one.members for one in sheet.rows], [8])
@@ -203,8 +222,11 @@
 class LiveCase(unittest.TestCase):
     def test_a_late_machine_makes_a_row_void(self):
         one = Row("real", "peers", "", 30, 3.9, 1, 8.0)
-        late = msgspec.convert({name: 0 for name in scale_live.Report.__struct_fields__} | {
-            "given": {}, "seen": {}, "late_p99_ms": scale_live.LATE_P99_MS + 1}, scale_live.Report)
+        late = msgspec.convert(
+            {name: 0 for name in scale_live.Report.__struct_fields__}
+            | {"given": {}, "seen": {}, "late_p99_ms": scale_live.LATE_P99_MS + 1},
+            scale_live.Report,
+        )
         fleet = scale_live.Fleet(10.0, DOCS)
         fleet.result = type("Result", (), {"void": [], "figures": {}, "breaches": []})()
         scale_live.fill(one, scale_town.Plan(30, 3.9), [], [late], [], [], fleet)
@@ -228,8 +250,10 @@
 
     def test_tables_are_those_that_the_data_give(self):
         for match in scale_page.BLOCK.finditer(self.text):
-            self.assertTrue(match[0] == scale_page.render(match[0], self.data),
-                            f"table {match['name']}: saltmoor lab scale --page=docs/CAPACITY.md")
+            self.assertTrue(
+                match[0] == scale_page.render(match[0], self.data),
+                f"table {match['name']}: saltmoor lab scale --page=docs/CAPACITY.md",
+            )
         self.assertEqual({match["name"] for match in scale_page.BLOCK.finditer(self.text)}, set(scale_page.TABLES))
 
     def test_prose_names_no_figure_but_the_plans(self):
@@ -258,8 +282,10 @@
     def test_counts_that_no_clock_moves_are_as_kept(self):
         """Sums over all nodes come from the code alone."""
         for count in (8, 60):
-            kept = [self.data.count(f"cold server: attempts of {count} nodes in its first {span}")
-                    for span in ("10 ms", "second")]
+            kept = [
+                self.data.count(f"cold server: attempts of {count} nodes in its first {span}")
+                for span in ("10 ms", "second")
+            ]
             self.assertEqual(list(scale_counts.cold_attempts(count)), kept)
 
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -26,9 +26,13 @@
 
 def patient(**permissions) -> dict:
     """Settings under which nothing is over while the test forces its order, however busy the machine is."""
-    return may(probes=False, connect_timeout_ns=4 * 10**9, **permissions) | {"tenants": [], "classes": [
-        {"name": name, "repeat": repeat, "aim_ns": 4 * 10**9, "deadline_ns": 5 * 10**9, "key_ttl_ns": 10**9}
-        for name, repeat in (("read", "idempotent"), ("put", "deduplicated"), ("once", "at_most_once"))]}
+    return may(probes=False, connect_timeout_ns=4 * 10**9, **permissions) | {
+        "tenants": [],
+        "classes": [
+            {"name": name, "repeat": repeat, "aim_ns": 4 * 10**9, "deadline_ns": 5 * 10**9, "key_ttl_ns": 10**9}
+            for name, repeat in (("read", "idempotent"), ("put", "deduplicated"), ("once", "at_most_once"))
+        ],
+    }
 
 
 def ask(key: str, tag: str, name: str = "read") -> str:
@@ -68,6 +72,7 @@
 class CutAnswers(unittest.TestCase):
     def told(self, text: str, head: str, body: bytes, how: str) -> tuple[str, int]:
         """What the client is told, and how many attempts the origin saw."""
+
         async def run() -> tuple[str, int]:
             async with Cut(head, body, how, settings=patient(), serve=QUICK) as town:
                 one = await town.client()
@@ -88,8 +93,10 @@
             with self.subTest(how=how, verb="PUT"):
                 said, count = self.told(write("a", "v", "a", "once"), plain, b"done", how)
                 self.assertEqual((said.partition(" ")[0], count), ("SERVER_ERROR", 1))
-            for head in ("HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n",
-                         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"):
+            for head in (
+                "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            ):
                 with self.subTest(how=how, head=head):
                     body = b"4\r\nhalf\r\n" if "chunked" in head else b"half"
                     said, count = self.told(ask("miss-a", "a", "once"), head, body, how)
@@ -117,6 +124,7 @@
 class TimeTold(Case):
     def test_what_an_attempt_tells_is_left_when_it_is_written(self):
         """Connecting takes its part of the time: the cache server is told what is left behind that."""
+
         async def scene(town: Held) -> None:
             made, told = town.service.upstream.connect, []
 
@@ -142,6 +150,7 @@
 
     def test_what_a_fetch_tells_is_left_when_it_is_written(self):
         """A miss that took its time: the origin is told what is left behind it, for reads and for writes."""
+
         async def scene(town: Held) -> None:
             connect, told = town.service.upstream.connect, []
             write = Stream.write
@@ -173,6 +182,7 @@
 
     def test_nothing_is_sent_on_behind_a_shutdown(self):
         """What comes behind the node's end is neither sent on nor answered; the answers before it are whole."""
+
         async def scene(town: Held) -> None:
             one = await town.client()
             one.say(ask("hit", "a") + "ms x notanumber O1\r\nzz\r\n")
@@ -190,6 +200,7 @@
 
     def test_a_close_over_unread_bytes_takes_no_answer_along(self):
         """What was answered before the connection is closed comes whole, though more stands unread."""
+
         async def scene(town: Held) -> None:
             for i in range(5):
                 one = await town.client()
@@ -219,20 +230,28 @@
 
     def test_half_a_line_from_a_server(self):
         """On a resting connection, or in the moment in which it is written to: it is no answer, nor a part of one."""
+
         async def scene(town: Held) -> None:
             one, upstream = await town.client(), town.service.upstream
             await one.ask(ask("hit", "a"))
-            for i, half in enumerate((b"VA 3 O", b"VA 2 O", b"VA 30 O", b"EN", b"VA 3 Oc4\r\nhi", b"HD Oc5 c",
-                                      b"\r\n", b"SERVER")):
+            for i, half in enumerate(
+                (b"VA 3 O", b"VA 2 O", b"VA 30 O", b"EN", b"VA 3 Oc4\r\nhi", b"HD Oc5 c", b"\r\n", b"SERVER")
+            ):
                 link = upstream.free["s1"][-1]
-                server = next(writer for writer in town.writers if not writer.is_closing()
-                              and writer.get_extra_info("peername") == link.stream.sock.getsockname())
+                server = next(
+                    writer
+                    for writer in town.writers
+                    if not writer.is_closing() and writer.get_extra_info("peername") == link.stream.sock.getsockname()
+                )
                 server.write(half)
                 one.say(ask("hit", f"b{i}", "once"))  # right behind it
                 self.assertEqual(await answer(one), f"VA 3 Ob{i}")
                 link = upstream.free["s1"][-1]
-                server = next(writer for writer in town.writers if not writer.is_closing()
-                              and writer.get_extra_info("peername") == link.stream.sock.getsockname())
+                server = next(
+                    writer
+                    for writer in town.writers
+                    if not writer.is_closing() and writer.get_extra_info("peername") == link.stream.sock.getsockname()
+                )
                 write = link.stream.write
 
                 async def crossed(data: bytes) -> None:
@@ -254,6 +273,7 @@
 class Floods(Case):
     def test_a_client_that_sends_much_at_once_and_resets(self):
         """All of it has come, and the reset as well, before the node looks: nothing of it is sent on."""
+
         async def scene(town: Held) -> None:
             first = await town.client()
             await first.ask("mn\r\n")
@@ -276,8 +296,9 @@
         for effect, ttl, count in ("idempotent", None, 4), ("deduplicated", 300, 4), ("never", None, 1):
             given = patient(max_attempts=4)
             window = {"key_ttl_ns": ttl * 1_000_000, "group": "all"} if ttl else {}
-            given["classes"] = [one | {"repeat": effect} | window
-                                if one["name"] == "read" else one for one in given["classes"]]
+            given["classes"] = [
+                one | {"repeat": effect} | window if one["name"] == "read" else one for one in given["classes"]
+            ]
 
             async def scene(town: Held) -> None:
                 one = await town.client()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -27,11 +27,20 @@
 READY, LONGEST = 10.0, 30.0  # seconds: nine in ten, and all
 SERVERS = 200
 # A disk that does not answer: the read of the snapshot hangs, in the thread that the program gives it.
-SLOW = ("import sys, time\nfrom saltmoor.state import file\nfile.read = lambda path, most: time.sleep(60)\n"
-        "from saltmoor.__main__ import main\nsys.exit(main())")
-TROUBLES = ("down", "subscribe", False), ("mute", "subscribe", True), ("half", "subscribe", False), \
-    ("turns", "subscribe", True), ("down", "automatic", True), ("mute", "automatic", False), \
-    ("half", "automatic", True), ("turns", "automatic", False)  # discovery, how the list comes, a disk that hangs
+SLOW = (
+    "import sys, time\nfrom saltmoor.state import file\nfile.read = lambda path, most: time.sleep(60)\n"
+    "from saltmoor.__main__ import main\nsys.exit(main())"
+)
+TROUBLES = (
+    ("down", "subscribe", False),
+    ("mute", "subscribe", True),
+    ("half", "subscribe", False),
+    ("turns", "subscribe", True),
+    ("down", "automatic", True),
+    ("mute", "automatic", False),
+    ("half", "automatic", True),
+    ("turns", "automatic", False),
+)  # discovery, how the list comes, a disk that hangs
 
 
 class Starts(Town):
@@ -91,17 +100,32 @@
         listen, admin = free(), free()
         name = f"n{number}"
         path, ours = Path(self.folder.name, name), Path(self.folder.name, f"{name}.toml")
-        path.write_text(json.dumps(self.said | {
-            "name": name, "listen": "%s:%d" % listen, "admin_addr": "%s:%d" % admin, "discovery": self.places[trouble],
-            "known": {"generation": 7, "instances": self.list},
-            "settings": settings(membership_mode=mode, rules={"stop_sending_within_ns": 700 * MS * 1000})}))
+        path.write_text(
+            json.dumps(
+                self.said
+                | {
+                    "name": name,
+                    "listen": "%s:%d" % listen,
+                    "admin_addr": "%s:%d" % admin,
+                    "discovery": self.places[trouble],
+                    "known": {"generation": 7, "instances": self.list},
+                    "settings": settings(membership_mode=mode, rules={"stop_sending_within_ns": 700 * MS * 1000}),
+                }
+            )
+        )
         state = Path(self.folder.name, f"{name}.state")
         state.mkdir()
         ours.write_text(f'[state]\nfolder = "{state}"\n')
         began = time.monotonic()
         node = await asyncio.create_subprocess_exec(
-            sys.executable, *(("-c", SLOW) if slow else ("-m", "saltmoor")), "serve", f"--config={path}",
-            f"--operators={ours}", env=os.environ | {"TMPDIR": self.folder.name}, stderr=asyncio.subprocess.DEVNULL)
+            sys.executable,
+            *(("-c", SLOW) if slow else ("-m", "saltmoor")),
+            "serve",
+            f"--config={path}",
+            f"--operators={ours}",
+            env=os.environ | {"TMPDIR": self.folder.name},
+            stderr=asyncio.subprocess.DEVNULL,
+        )
         self.nodes.append(node)
         while not await ready(admin):
             if node.returncode is not None:
@@ -158,6 +182,7 @@
 
     def test_a_disk_that_does_not_answer(self):
         """Whatever of it hangs, the start goes on without the snapshot."""
+
         async def load(folder: str, what: str) -> float:
             loop = asyncio.get_running_loop()
             began = loop.time()
@@ -180,9 +205,14 @@
 
     def test_never_ready_before_the_first_news_or_its_time_is_over(self):
         """Where the list is pushed; and no client is taken before it is ready."""
+
         async def run() -> list[bool]:
-            said = {"listen": "127.0.0.1:0", "seed": "1", "settings": settings(membership_mode="automatic", rules={}),
-                    "serve": {"linger_ms": 0}}
+            said = {
+                "listen": "127.0.0.1:0",
+                "seed": "1",
+                "settings": settings(membership_mode="automatic", rules={}),
+                "serve": {"linger_ms": 0},
+            }
             held = await asyncio.start_server(lambda reader, writer: reader.read(), "127.0.0.1", 0)
             said["discovery"] = "127.0.0.1:%d" % held.sockets[0].getsockname()[1]
             service = lifecycle.Service(config.parse(said, {}), lambda: config.parse(said, {}), Log(0))
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -106,30 +106,43 @@
                 if town.peer:
                     town.peer.end()
             return town
+
         return uvloop.run(run())
 
     def test_strangers_and_hostile_peers_cost_nothing(self):
         """Guards against whatever comes at these sockets: the node serves on, counts it, and forgets it."""
+
         async def scene(town: Known) -> None:
             node = await town.started()
             host, port = town.place.rsplit(":", 1)
             place = host, int(port)
             speaker = Speaker("x", 1, 2, 3)
-            words = [b"", b"x" * 1400, os.urandom(900), frames.encode("other", speaker, "ping", [1, "", []]),
-                     frames.encode(CLUSTER, speaker, "items", [["drain"] * 6]),
-                     frames.encode(CLUSTER, speaker, "ping", ["x"] * 3),
-                     frames.encode(CLUSTER, speaker, "ping", [1, "", [[None] * 7] * 9]),
-                     frames.encode(CLUSTER, Speaker("n1", 1 << 60, 2, 3), "ping", [1, "", []]),
-                     frames.encode(CLUSTER, speaker, "turned", [1, 2, 3, 4, 5, "s"]),
-                     frames.encode(CLUSTER, speaker, "nothing", {})]
+            words = [
+                b"",
+                b"x" * 1400,
+                os.urandom(900),
+                frames.encode("other", speaker, "ping", [1, "", []]),
+                frames.encode(CLUSTER, speaker, "items", [["drain"] * 6]),
+                frames.encode(CLUSTER, speaker, "ping", ["x"] * 3),
+                frames.encode(CLUSTER, speaker, "ping", [1, "", [[None] * 7] * 9]),
+                frames.encode(CLUSTER, Speaker("n1", 1 << 60, 2, 3), "ping", [1, "", []]),
+                frames.encode(CLUSTER, speaker, "turned", [1, 2, 3, 4, 5, "s"]),
+                frames.encode(CLUSTER, speaker, "nothing", {}),
+            ]
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
                 for _ in range(20):
                     for word in words:
                         udp.sendto(word, place)
                     await asyncio.sleep(0.005)
-            bulk = [b"", b"\xff\xff\xff\xff", b"\0\0\0\1x", b"\0\0\1\0" + b"x" * 256, os.urandom(5000),
-                    *(len(word).to_bytes(4, "big") + word for word in words),
-                    (len(words[1]) * 2).to_bytes(4, "big") + words[1]]
+            bulk = [
+                b"",
+                b"\xff\xff\xff\xff",
+                b"\0\0\0\1x",
+                b"\0\0\1\0" + b"x" * 256,
+                os.urandom(5000),
+                *(len(word).to_bytes(4, "big") + word for word in words),
+                (len(words[1]) * 2).to_bytes(4, "big") + words[1],
+            ]
             stuck = [await asyncio.open_connection(*place) for _ in range(6)]  # that say nothing
             for data in bulk:
                 reader, writer = await asyncio.open_connection(*place)
@@ -157,11 +170,16 @@
 
     def test_a_peer_without_end_is_cut_off(self):
         """A peer that answers a pull without end, and one that says nothing: dropped, and the node serves."""
+
         async def scene(town: Known) -> None:
             async def endless(reader, writer) -> None:
                 try:
-                    chunk = frames.encode(CLUSTER, Speaker("endless", 5, 6, 7), "items",
-                                          [Item.made("word", f"a|{i}", 1, b"x" * 500) for i in range(60)])
+                    chunk = frames.encode(
+                        CLUSTER,
+                        Speaker("endless", 5, 6, 7),
+                        "items",
+                        [Item.made("word", f"a|{i}", 1, b"x" * 500) for i in range(60)],
+                    )
                     while True:
                         writer.write(len(chunk).to_bytes(4, "big") + chunk)
                         await writer.drain()
@@ -191,6 +209,7 @@
 
     def test_returns_to_ten_thousand_items_and_takes_what_its_peers_know(self):
         """Caught up soon, by a drain told which stops new hops, a list from a peer, and a word that empties it."""
+
         async def scene(town: Known) -> None:
             peer = town.join()
             for i in range(10_000):
@@ -208,8 +227,9 @@
             self.assertEqual(await town.one("hit"), "committed")
             # Its only cache server takes nothing new, as another has heard.
             known = town.said["known"]["instances"][0]
-            peer.store.put(clock(), Item.made(
-                "drain", f"src|{known['instanceId']}|{known.get('startedAtMs', 0)}", 1 << 40, b""))
+            peer.store.put(
+                clock(), Item.made("drain", f"src|{known['instanceId']}|{known.get('startedAtMs', 0)}", 1 << 40, b"")
+            )
 
             async def refuses() -> bool:
                 return await town.one("hit") == "rolled back"
@@ -279,22 +299,35 @@
 
     def test_parted_and_healed_with_drains_on_both_sides(self):
         self.run_once(
-            [{"kind": "cut", "on": "peers", "at_s": 2, "for_s": 4, "from_nodes": [0, 1], "to_nodes": [2, 3, 4],
-              "both": True},
-             {"kind": "drain", "at_s": 3, "which": [1], "ms": 7000},
-             {"kind": "kill", "on": "node", "at_s": 4, "for_s": 0.3, "which": [3]}],
-            {"peers_agree_s": {"at_most": 3}, "stale": {"at_most": 0}})
+            [
+                {
+                    "kind": "cut",
+                    "on": "peers",
+                    "at_s": 2,
+                    "for_s": 4,
+                    "from_nodes": [0, 1],
+                    "to_nodes": [2, 3, 4],
+                    "both": True,
+                },
+                {"kind": "drain", "at_s": 3, "which": [1], "ms": 7000},
+                {"kind": "kill", "on": "node", "at_s": 4, "for_s": 0.3, "which": [3]},
+            ],
+            {"peers_agree_s": {"at_most": 3}, "stale": {"at_most": 0}},
+        )
 
     def test_bad_links_and_one_that_stands_still(self):
         figures = self.run_once(
-            [{"kind": "loss", "on": "peers", "at_s": 0, "share": 0.1},
-             {"kind": "double", "on": "peers", "at_s": 0, "share": 0.2},
-             {"kind": "reorder", "on": "peers", "at_s": 0, "ms": 30},
-             {"kind": "corrupt", "on": "peers", "at_s": 0, "share": 0.05},
-             {"kind": "pause", "on": "node", "at_s": 3, "for_s": 0.8, "which": [2]},
-             {"kind": "drain", "at_s": 5, "which": [0], "ms": 9000}],
+            [
+                {"kind": "loss", "on": "peers", "at_s": 0, "share": 0.1},
+                {"kind": "double", "on": "peers", "at_s": 0, "share": 0.2},
+                {"kind": "reorder", "on": "peers", "at_s": 0, "ms": 30},
+                {"kind": "corrupt", "on": "peers", "at_s": 0, "share": 0.05},
+                {"kind": "pause", "on": "node", "at_s": 3, "for_s": 0.8, "which": [2]},
+                {"kind": "drain", "at_s": 5, "which": [0], "ms": 9000},
+            ],
             {"peers_agree_s": {"at_most": 4}, "peers_false": {"at_most": 0}, "drain_last_hop_s": {"at_most": 1.0}},
-            use=["drains", "starts", "evidence", "fetches"])
+            use=["drains", "starts", "evidence", "fetches"],
+        )
         self.assertGreater(figures["peers_items"], 0)
 
 
@@ -313,15 +346,27 @@
 
     def start(self, name: str) -> None:
         settings = {"classes": [{"name": "read", "aim_ns": 10**8, "deadline_ns": 10**9, "repeat": "idempotent"}]}
-        (self.root / f"{name}.json").write_text(json.dumps({"name": name, "listen": "127.0.0.1:0", "settings": settings}))
+        (self.root / f"{name}.json").write_text(
+            json.dumps({"name": name, "listen": "127.0.0.1:0", "settings": settings})
+        )
         (self.root / f"{name}.toml").write_text(
             f'[peers]\ncluster = "{CLUSTER}"\nlisten = "{self.places[name]}"\nseeds = {json.dumps(list(self.places.values()))}\n'
-            f'[duties]\nvoters = {json.dumps(list(self.places))}\nlease_ms = {self.LEASE}\nflight_ms = 60\n'
-            f'use = ["snapshot"]\nfolder = "{self.root}/kept"\nevery_ms = 100\n')
+            f"[duties]\nvoters = {json.dumps(list(self.places))}\nlease_ms = {self.LEASE}\nflight_ms = 60\n"
+            f'use = ["snapshot"]\nfolder = "{self.root}/kept"\nevery_ms = 100\n'
+        )
         with (self.root / f"{name}.log").open("ab") as log:
             self.nodes[name] = subprocess.Popen(
-                [sys.executable, "-m", "saltmoor", "serve", f"--config={self.root}/{name}.json",
-                 f"--operators={self.root}/{name}.toml"], stderr=log, env=os.environ | {"TMPDIR": "/nonexistent"})
+                [
+                    sys.executable,
+                    "-m",
+                    "saltmoor",
+                    "serve",
+                    f"--config={self.root}/{name}.json",
+                    f"--operators={self.root}/{name}.toml",
+                ],
+                stderr=log,
+                env=os.environ | {"TMPDIR": "/nonexistent"},
+            )
 
     def look(self) -> str | None:
         """Who holds it now, by those who answer; two of them, or a number that falls, fails."""
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -76,8 +76,9 @@
     up is worked on all the same. A late call keeps its turn beside the next one, as in `Turn` below.
     """
 
-    def __init__(self, nodes: int, asked: Micros, work: Micros, most: Micros = 0, room: int = 0,
-                 back: Micros = 7 * S) -> None:
+    def __init__(
+        self, nodes: int, asked: Micros, work: Micros, most: Micros = 0, room: int = 0, back: Micros = 7 * S
+    ) -> None:
         self.work, self.most, self.room, self.back = work, most, room, back
         self.events: list[tuple[Micros, int, Callable[..., None], tuple]] = []
         self.order, self.queue, self.busy = 0, deque(), False
@@ -214,7 +215,7 @@
         elif act in ("half", "reset"):
             text = json.dumps({"generation": 9, "reset": True, "instances": self.list}, indent=1).encode()
             if act == "half":
-                writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + text[:text.index(b'"o"')])
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + text[: text.index(b'"o"')])
                 await writer.drain()
                 await asyncio.sleep(0.01)
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -264,6 +265,7 @@
 
     def test_refused_cut_and_half_a_list_then_news(self):
         """However many calls fail, the next one comes within the longest back-off."""
+
         async def scene(town: Scripted) -> None:
             for act in "503", "reset", "half", "503":
                 self.assertEqual((await town.next(2.5))[1], act)
@@ -272,8 +274,7 @@
             town.tell(port, lifecycle="draining")
             await town.told(1)
 
-        self.play(scene, "503", "reset", "half", "503",
-                  settings=settings(rules={"ask_within_ns": 60 * S * 1000}))
+        self.play(scene, "503", "reset", "half", "503", settings=settings(rules={"ask_within_ns": 60 * S * 1000}))
 
     def test_a_start_in_the_outage_and_a_return_for_a_moment(self):
         async def scene(town: Scripted) -> None:
@@ -295,6 +296,7 @@
 
     def test_the_old_address_has_news_when_the_new_one_has_refused(self):
         """Guards against a watch that is being left and passes for the new one: nobody would call that any more."""
+
         async def scene(town: Scripted) -> None:
             old = (await town.next())[0]
             town.script = ["503"]
@@ -335,6 +337,7 @@
 
     def test_a_list_that_has_begun_and_falls_silent(self):
         """It is given up soon: the call after it has to bring what it misses."""
+
         async def run() -> float:
             async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
                 await reader.readuntil(b"\r\n\r\n")
@@ -345,8 +348,9 @@
                 writer.close()
 
             server, over, told = await asyncio.start_server(serve, "127.0.0.1", 0), asyncio.Event(), []
-            watch = Discovery(server.sockets[0].getsockname(), lifecycle.Buffers(keep=4), Log(0), names=given().names,
-                              generation=3)
+            watch = Discovery(
+                server.sockets[0].getsockname(), lifecycle.Buffers(keep=4), Log(0), names=given().names, generation=3
+            )
             began = asyncio.get_running_loop().time()
             watch.watch(3 * S // 2, lambda news: (told.append(news.kind), over.set()))
             await asyncio.wait_for(over.wait(), 8)
@@ -373,8 +377,9 @@
                 writer.close()
 
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
-            self.watch = Discovery(server.sockets[0].getsockname(), lifecycle.Buffers(keep=4), Log(0),
-                                   names=given().names, generation=3)
+            self.watch = Discovery(
+                server.sockets[0].getsockname(), lifecycle.Buffers(keep=4), Log(0), names=given().names, generation=3
+            )
             with mock.patch.object(discovery, "TURN", 0.0):
                 self.call()
                 await scene()
@@ -425,6 +430,7 @@
 
     def test_none_is_answered(self):
         """Two are open at most, and each is told as silent once."""
+
         async def scene() -> None:
             for late in range(1, 5):
                 await self.until(lambda: len(self.told) == late)
@@ -482,8 +488,9 @@
     async def play(self) -> bool:
         """Whether the list is followed at the address named last once calls are answered again."""
         loop = asyncio.get_running_loop()
-        servers = [await asyncio.start_server(functools.partial(self.serve, number), "127.0.0.1", 0)
-                   for number in (8, 9)]
+        servers = [
+            await asyncio.start_server(functools.partial(self.serve, number), "127.0.0.1", 0) for number in (8, 9)
+        ]
         places = [server.sockets[0].getsockname() for server in servers]
         self.watch = Discovery(places[0], lifecycle.Buffers(keep=4), Log(0), names=given().names, generation=3)
         self.ask()
@@ -496,8 +503,15 @@
         while loop.time() < until:
             await asyncio.sleep(0.2)  # it is followed, and stays so
             running = self.watch.running
-            if (self.watching and running and running.heard and not running.task.done() and not self.watch.leaving
-                    and loop.time() - self.last < 0.1 and self.watch.generation == 8 + self.at):
+            if (
+                self.watching
+                and running
+                and running.heard
+                and not running.task.done()
+                and not self.watch.leaving
+                and loop.time() - self.last < 0.1
+                and self.watch.generation == 8 + self.at
+            ):
                 break
         followed = loop.time() < until
         self.watch.stop("stopping")
@@ -510,6 +524,7 @@
 class Orders(unittest.TestCase):
     def test_in_any_order_the_list_is_followed_in_the_end(self):
         """Calls that end in eight ways, late ones and moves, in drawn orders."""
+
         async def run() -> list[bool]:
             return await asyncio.gather(*(Mixed(seed).play() for seed in range(60)))
 
