A listener in trouble pauses and closes nobody; one table of system calls' errors

Cause: Clients.accept answered every error by closing a client (evict), once a pass of the loop, on a level-triggered listener; take_rest closed the listener on all errors but EMFILE, ENFILE, ENOBUFS, ENOMEM, ECONNABORTED. Ruled out: the client's own life: its log code is evicted, its age under 10 ms, and nothing stood unread. Lines: Clients.accept and take_rest of net/clients.py; the same loop stood in net/admin.py, net/peers.py, net/streams.py (there any error ended the pass, and the next one came at once). Change: net/errors.py says by call and errno whose fault it is and what follows; net/acceptor.py acts on it for all four listeners: an error of one connection passes to the next, a shortage pauses 5 to 100 ms, EMFILE alone sheds a client. A stopping process waits for its queue as long as for its clients. Tests that poked at the listener use the acceptor.

--- /dev/null
+++ b/saltmoor/net/acceptor.py
@@ -0,0 +1,138 @@
+"""Takes connections off one listening socket, and waits where that fails for a moment.
+
+The system call's errors are weighed in `errors`; trouble pauses the listener for a bounded time on the monotonic clock
+and ends no other connection, but for `shed` where the process has no descriptor left. It must never answer anybody, or
+close the listener while connections wait in its queue that could still be taken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections.abc import Callable
+from enum import Enum, auto
+
+from saltmoor.net.errors import Call, Then, verdict
+
+AT_ONCE = 64  # connections taken in one go, so that others get their turn
+RETRIES = 16  # in a row that fail for a connection's own reason before the listener pauses
+SHORTEST_PAUSE = 0.005  # seconds; each pause in a row is twice as long
+LONGEST_PAUSE = 0.1  # seconds: well under what a client may have to wait
+EPISODE = 1.0  # seconds without a failure after which the trouble is over, for the log
+
+Welcome = Callable[[socket.socket, tuple], None]
+
+
+class Taken(Enum):
+    """Why no more connections are taken just now."""
+
+    EMPTY = auto()  # nobody waits
+    ENOUGH = auto()  # it is others' turn
+    NO_ROOM = auto()
+    TROUBLE = auto()  # the call failed
+
+
+class Acceptor:
+    """One listening socket.
+
+    `welcome` gets each connection; `has_room` is asked before each; `shed` gives up a descriptor of the process where
+    none is left, and says whether it did.
+    """
+
+    def __init__(
+        self,
+        listener: socket.socket,
+        welcome: Welcome,
+        log: Callable[[str], None],
+        *,
+        has_room: Callable[[], bool] = lambda: True,
+        shed: Callable[[], bool] = lambda: False,
+        at_once: int = AT_ONCE,
+    ) -> None:
+        self.listener, self.welcome, self.log = listener, welcome, log
+        self.has_room, self.shed, self.at_once = has_room, shed, at_once
+        self.loop = asyncio.get_running_loop()
+        self.listening = self.stopped = False
+        self.pause: asyncio.TimerHandle | None = None
+        self.next_pause = SHORTEST_PAUSE
+        self.failures = 0  # of this episode
+        self.failed_at = 0.0
+
+    def listen(self) -> None:
+        """Take connections as they come; a pause goes on, and after `stop` none are."""
+        if not (self.listening or self.stopped or self.pause):
+            self.listening = True
+            self.loop.add_reader(self.listener, self._ready)
+
+    def hold(self) -> None:
+        """Take none until `listen` is called."""
+        if self.listening:
+            self.listening = False
+            self.loop.remove_reader(self.listener)
+
+    def stop(self) -> None:
+        """Take none as they come any more; `take` still does, and the socket stays open."""
+        self.hold()
+        self.stopped = True
+        if self.pause:
+            self.pause.cancel()
+            self.pause = None
+
+    def close(self) -> None:
+        """Stop, and close the socket: who still waits in its queue is reset."""
+        self.stop()
+        self.listener.close()
+
+    def waits(self) -> bool:
+        """Whether anybody waits in the queue, as the kernel knows it."""
+        poll = select.poll()
+        poll.register(self.listener.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def take(self, most: int) -> Taken:
+        """Take so many connections at most; why no more."""
+        in_a_row = 0
+        for _ in range(most):
+            if not self.has_room():
+                return Taken.NO_ROOM
+            try:
+                sock, peer = self.listener.accept()
+            except BlockingIOError:
+                return Taken.EMPTY
+            except OSError as error:
+                then = verdict(Call.ACCEPT, error).then
+                self._failed(error)
+                in_a_row += 1
+                if then is Then.RETRY_NOW and in_a_row < RETRIES:
+                    continue
+                if then is Then.SHED:
+                    self.shed()
+                return Taken.TROUBLE
+            in_a_row, self.next_pause = 0, SHORTEST_PAUSE
+            self._recovered()
+            self.welcome(sock, peer)
+        return Taken.ENOUGH
+
+    def _ready(self) -> None:
+        taken = self.take(self.at_once)
+        if taken in (Taken.NO_ROOM, Taken.TROUBLE):
+            self.hold()
+        if taken is Taken.TROUBLE and not self.stopped:
+            self.pause = self.loop.call_later(self.next_pause, self._resume)
+            self.next_pause = min(LONGEST_PAUSE, 2 * self.next_pause)
+
+    def _resume(self) -> None:
+        self.pause = None
+        self.listen()
+
+    def _failed(self, error: OSError) -> None:
+        if not self.failures:
+            self.log(f"accept failing: {error}")
+        self.failures += 1
+        self.failed_at = self.loop.time()
+
+    def _recovered(self) -> None:
+        if self.failures and self.loop.time() - self.failed_at > EPISODE:
+            self.log(f"accept recovered: failures={self.failures}")
+            self.failures = 0
--- a/saltmoor/net/admin.py
+++ b/saltmoor/net/admin.py
@@ -12,6 +12,7 @@
 
 from saltmoor.config import CALLS
 from saltmoor.net import http
+from saltmoor.net.acceptor import Acceptor
 from saltmoor.net.buffers import Buffers, Stream, listener
 from saltmoor.net.log import Log
 
@@ -37,21 +38,18 @@
         self.buffers, self.log, self.table = buffers, log, table
         self.calls: dict[asyncio.Task, None] = {}  # the one open longest first
         self.listener = listener("admin_addr", address)
-        asyncio.get_running_loop().add_reader(self.listener, self.accept)
+        self.acceptor = Acceptor(self.listener, self.welcome, log, at_once=CALLS)
+        self.acceptor.listen()
 
-    def accept(self) -> None:
-        for _ in range(CALLS):
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:  # none is left, or the caller has given up
-                return
-            if len(self.calls) >= CALLS:
-                oldest = next(iter(self.calls))
-                del self.calls[oldest]
-                oldest.cancel()
-            call = asyncio.create_task(self.answer(sock))
-            self.calls[call] = None
-            call.add_done_callback(lambda done: self.calls.pop(done, None))
+    def welcome(self, sock: socket.socket, _peer: tuple) -> None:
+        """Answer one more call; where there are too many, the one open longest goes."""
+        if len(self.calls) >= CALLS:
+            oldest = next(iter(self.calls))
+            del self.calls[oldest]
+            oldest.cancel()
+        call = asyncio.create_task(self.answer(sock))
+        self.calls[call] = None
+        call.add_done_callback(lambda done: self.calls.pop(done, None))
 
     async def answer(self, sock: socket.socket) -> None:
         try:
@@ -92,5 +90,4 @@
 
     def stop(self) -> None:
         """Take no more calls; those under way get their answers."""
-        asyncio.get_running_loop().remove_reader(self.listener)
-        self.listener.close()
+        self.acceptor.close()
--- a/saltmoor/net/changes.py
+++ b/saltmoor/net/changes.py
@@ -56,7 +56,7 @@
         self.anew: deque[Any] = deque()  # who waited for a fetch of before a purge
         self.leases: deque[int] = deque()  # fetch leases to be voided
         self.working = False
-        self.door = Door(self.wire, len(nodes) + SPARE, self.serve)
+        self.door = Door(self.wire, len(nodes) + SPARE, self.serve, self.log)
         self.timer: asyncio.TimerHandle | None = None
         self.ticked = now
         self.opened, self.resigned, self.ended = True, False, False
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -22,6 +21,7 @@
 from saltmoor.config import BUFFER
 from saltmoor.model import Ended, Micros, Profile
 from saltmoor.net import http, meta, origin
+from saltmoor.net.acceptor import AT_ONCE, Acceptor, Taken
 from saltmoor.net.buffers import Buffers, Stream, ended
 from saltmoor.net.flow import STILL, Broken, Budget, Flow
 from saltmoor.net.log import Log
@@ -31,7 +31,6 @@
 DRAINING = b"SERVER_ERROR draining\r\n"  # to `mn` while the node is emptied
 SLOWEST = 32_768  # bytes a second: a value that comes more slowly is held to have stopped
 PIPELINE = 64  # commands of one connection that may wait for their answers; then it is not read from
-ACCEPTS = 64  # connections taken in one go, so that others get their turn
 DRAIN = 400_000, 1_800_000  # of a drain: from when on connections end, and over how long they are spread
 STRAY = 300_000  # how long a connection that comes late in a drain stays without a word
 KEPT = 500_000  # how long a connection stays free at least, unless there is no room for another
@@ -39,7 +38,6 @@
 LEAVE = 40_000  # how long a client that has said more may take to see the end of a connection that is not read any more
 MISSED = 50_000  # how often clients that are not read from are looked at
 SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
-SHORT = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM  # there is no room for a connection just now
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
 HALF = 30_000  # how long a client may be in the middle of a command while no server can be reached for want of room
 
@@ -274,8 +272,7 @@
             self.house.dismiss(self)
         elif self.idle and (self.ending or self.leaves and self.leaves <= self.house.clock()):
             self.close("draining")
-        if not self.house.listening:
-            self.house.listen()  # this one may make room now
+        self.house.listen()  # this one may make room now
 
     async def pass_on(self, answer: Passing) -> None:
         """Write a large value as it comes: no more is read of it than the client has taken."""
@@ -365,8 +362,7 @@
         self.closing = self.late = self.paced = False  # late: the loop is, so that commands wait in their sockets
         self.turns: deque[asyncio.Future] = deque()  # connections that wait to be read from, while it is paced
         self.reads = 0.0
-        self.listener: socket.socket | None = None
-        self.listening = False
+        self.acceptor: Acceptor | None = None  # none before the node serves, and once its queue is empty at its end
         self.heir: Sibling | None = None  # the process that takes this one's place, once it takes clients
         self.drawn = 0
         self.lame: Micros = 0  # since when the node is emptied; 0: it takes clients
@@ -409,27 +405,20 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
+    def open_to(self, listener: socket.socket) -> None:
+        """Connections come from that socket; they are taken from the first `listen` on."""
+        self.acceptor = Acceptor(
+            listener,
+            self.welcome,
+            self.log,
+            has_room=self.has_room,
+            shed=lambda: self.evict() or self.upstream.evict(),
+        )
+
     def listen(self) -> None:
-        """Take connections, unless the cap is reached."""
-        if self.listener and not self.listening:
-            self.listening = True
-            asyncio.get_running_loop().add_reader(self.listener, self.accept)
-
-    def accept(self) -> None:
-        for _ in range(ACCEPTS):
-            if not self.has_room():  # the rest wait with the kernel until one ends
-                self.listening = False
-                asyncio.get_running_loop().remove_reader(self.listener)
-                return
-            try:
-                sock, peer = self.listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:  # the other side gave up, or descriptors ran out all the same
-                self.log(f"accept: {error}")
-                self.evict()
-                return
-            self.welcome(sock, peer)
+        """There may be room again: take connections, unless the cap is reached."""
+        if self.acceptor:
+            self.acceptor.listen()
 
     def welcome(self, sock: socket.socket, peer: tuple) -> None:
         try:
@@ -698,8 +687,7 @@
     def settle_down(self) -> None:
         """Stop: take what the machine has accepted already, then end each connection between transactions."""
         self.closing, self.reads_until = True, self.clock() + READS_ON
-        asyncio.get_running_loop().remove_reader(self.listener)
-        self.listening = True  # nobody is to begin that again
+        self.acceptor.stop()
         self.pace(None)
         self.release()
 
@@ -709,21 +697,18 @@
         Guards against closing it on connections that wait in its queue while descriptors are short: they would be
         reset with what they have asked.
         """
-        while not (self.heir and self.heir.shares):  # who takes this one's place accepts from the same queue
-            if not self.has_room():
+        if not (self.heir and self.heir.shares):  # else who takes this one's place accepts from the same queue
+            while (taken := self.acceptor.take(AT_ONCE)) is Taken.ENOUGH:
+                pass
+            if taken is not Taken.EMPTY and self.acceptor.waits():
                 return
-            try:
-                self.welcome(*self.listener.accept())
-            except BlockingIOError:
-                break
-            except OSError as error:
-                self.log(f"accept: {error}")
-                if error.errno in SHORT and (self.upstream.evict() or self.evict() or self.clients):
-                    return
-                if error.errno != errno.ECONNABORTED:  # that is one whose other side gave up
-                    break
-        self.listener.close()
-        self.listener = None
+        self.acceptor.close()
+        self.acceptor = None
+
+    @property
+    def owing(self) -> bool:
+        """While the process stops: whether anybody is connected, or waits to be taken off the listener's queue."""
+        return bool(self.clients or self.acceptor)
 
     def release(self, last: bool = False) -> None:
         """End what may end by now; `last`: read nothing more from anybody.
@@ -731,7 +716,7 @@
         Guards against clients that go on without a pause: after a moment what they asked is answered, and what they
         say from then on they have to say to another.
         """
-        if self.listener:
+        if self.acceptor:
             self.take_rest()
         for client in list(self.clients):
             if client.idle:
--- a/saltmoor/net/control.py
+++ b/saltmoor/net/control.py
@@ -48,7 +48,7 @@
         self.wire = Wire(given.cluster, given.me, MACHINE)
         self.links: dict[str, Stream] = {}  # to the other machines: what is said to them goes there
         self.streams: dict[str, Stream] = {}  # from nodes and tools: answers go back there
-        self.door = Door(self.wire, STREAMS, self.serve)
+        self.door = Door(self.wire, STREAMS, self.serve, self.log)
         self.tasks: list[asyncio.Task] = []
         self.handed = (0, 0, 0)
         self.ended = False
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -487,7 +487,7 @@
             # Guards against sending by the list held before what the news, which count already, have drained.
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.heard.wait(), FIRST_NEWS)
-        self.clients.listener = self.listener
+        self.clients.open_to(self.listener)
         self.clients.listen()
         self.ready = True
         if self.sibling:
@@ -528,7 +528,7 @@
         await asyncio.sleep(linger)
         self.ready = False
         self.clients.settle_down()
-        while self.clients.clients and clock() < self.clients.until:
+        while self.clients.owing and clock() < self.clients.until:
             self.hand_on()
             await asyncio.sleep(0.02)
             self.clients.sweep(self.given.unfinished)
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -23,6 +23,7 @@
 from saltmoor import config
 from saltmoor.config import Talking
 from saltmoor.model import Micros
+from saltmoor.net.acceptor import Acceptor
 from saltmoor.net.buffers import family
 from saltmoor.net.log import Log
 from saltmoor.peers import frames
@@ -161,6 +162,7 @@
         self.waits = 0
         self.socks: list[socket.socket] = []
         self.udp: socket.socket | None = None
+        self.acceptor: Acceptor | None = None
         self.tasks: set[asyncio.Task] = set()
         self.streams = 0
         self.timer: asyncio.TimerHandle | None = None
@@ -198,7 +200,8 @@
             return
         self.opened, self.socks, self.udp = True, socks, socks[0]
         self.loop.add_reader(socks[0], self.read)
-        self.loop.add_reader(socks[1], self.accept)
+        self.acceptor = Acceptor(socks[1], self.welcome, self.log, at_once=STREAMS)
+        self.acceptor.listen()
         self.log(f"peers: {self.name} of {self.given.cluster} at {host}:{port}, life={self.members.me.life}")
 
     def again(self) -> None:
@@ -248,9 +251,10 @@
             self.timer.cancel()
         if left and self.udp:
             self.send_all(self.members.leave())
-        for sock in self.socks:
-            self.loop.remove_reader(sock)
-            sock.close()
+        if self.socks:
+            self.loop.remove_reader(self.udp)
+            self.udp.close()
+            self.acceptor.close()
         self.socks, self.udp = [], None
         for task in self.tasks:
             task.cancel()
@@ -446,18 +450,13 @@
 
     # Streams.
 
-    def accept(self) -> None:
-        for _ in range(4):
-            try:
-                sock, _ = self.socks[1].accept()
-            except (OSError, IndexError):
-                return
-            if self.streams >= STREAMS:
-                self.drop("busy")
-                sock.close()
-                continue
-            self.streams += 1
-            self.spawn(self.answer(sock))
+    def welcome(self, sock: socket.socket, _peer: tuple) -> None:
+        if self.streams >= STREAMS:
+            self.drop("busy")
+            sock.close()
+            return
+        self.streams += 1
+        self.spawn(self.answer(sock))
 
     async def answer(self, sock: socket.socket) -> None:
         try:
--- a/saltmoor/net/streams.py
+++ b/saltmoor/net/streams.py
@@ -22,6 +22,7 @@
 
 from saltmoor.changes import messages
 from saltmoor.config import BUFFER
+from saltmoor.net.acceptor import Acceptor
 from saltmoor.net.buffers import family
 from saltmoor.peers import frames
 from saltmoor.peers.frames import Speaker, Strange
@@ -265,8 +266,9 @@
 class Door:
     """A listening socket: whoever says in time that it is of the cluster is handed on, the rest is counted."""
 
-    def __init__(self, wire: Wire, most: int, serve: Callable[[Stream], object]) -> None:
-        self.wire, self.most, self.serve = wire, most, serve
+    def __init__(self, wire: Wire, most: int, serve: Callable[[Stream], object], log: Callable[[str], None]) -> None:
+        self.wire, self.most, self.serve, self.log = wire, most, serve, log
+        self.acceptor: Acceptor | None = None
         self.sock: socket.socket | None = None
         self.calls: dict[asyncio.Task, bool] = {}  # whether it has said who it is; the one open longest first
         self.loop = asyncio.get_running_loop()
@@ -275,28 +277,25 @@
         """OSError where the address can't be had."""
         self.sock = socket.create_server(address, backlog=256, family=family(address[0]))
         self.sock.setblocking(False)
-        self.loop.add_reader(self.sock, self.accept)
-
-    def accept(self) -> None:
-        for _ in range(16):
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
+        self.acceptor = Acceptor(self.sock, self.welcome, self.log, at_once=16)
+        self.acceptor.listen()
+
+    def welcome(self, sock: socket.socket, _peer: tuple) -> None:
+        """One more call; where all places are taken by calls that are known, it is closed."""
+        if len(self.calls) >= self.most:
+            # Guards against strangers who hold all places: whoever has not said its name goes first.
+            stranger = next((call for call, known in self.calls.items() if not known), None)
+            if stranger is None:
+                self.wire.drop("full")
+                sock.close()
                 return
-            if len(self.calls) >= self.most:
-                # Guards against strangers who hold all places: whoever has not said its name goes first.
-                stranger = next((call for call, known in self.calls.items() if not known), None)
-                if stranger is None:
-                    self.wire.drop("full")
-                    sock.close()
-                    continue
-                self.wire.drop("made room")
-                del self.calls[stranger]
-                stranger.cancel()
-            stream = Stream(sock, self.wire)
-            call = asyncio.create_task(self.answer(stream))
-            self.calls[call] = False
-            call.add_done_callback(partial(self.over, stream))
+            self.wire.drop("made room")
+            del self.calls[stranger]
+            stranger.cancel()
+        stream = Stream(sock, self.wire)
+        call = asyncio.create_task(self.answer(stream))
+        self.calls[call] = False
+        call.add_done_callback(partial(self.over, stream))
 
     def over(self, stream: Stream, call: asyncio.Task) -> None:
         """Guards against a call that was ended before it had begun: its socket goes all the same."""
@@ -317,8 +316,7 @@
 
     def close(self) -> None:
         if self.sock:
-            self.loop.remove_reader(self.sock)
-            self.sock.close()
+            self.acceptor.close()
             self.sock = None
         for call in self.calls:
             call.cancel()
--- a/tests/test_changes_net.py
+++ b/tests/test_changes_net.py
@@ -438,7 +438,7 @@
                 finally:
                     served.append("over")
 
-            door = Door(self.wire, 4, serve)
+            door = Door(self.wire, 4, serve, print)
             door.open(("127.0.0.1", 0))
             address = door.sock.getsockname()
             try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -591,7 +591,7 @@
             first = await town.client()
             await first.ask("mn\r\n")
             clients = town.service.clients
-            asyncio.get_running_loop().remove_reader(town.service.listener)  # nothing is accepted for a moment
+            clients.acceptor.hold()  # nothing is accepted for a moment
             waiting = [await town.client() for _ in range(3)]
             for i, one in enumerate(waiting):
                 one.say(read("hit", f"a{i}"))
@@ -612,7 +612,7 @@
                         raise OSError(errno.EMFILE, "too many open files")
                     return self.sock.accept()
 
-            clients.listener = Short(clients.listener)
+            clients.acceptor.listener = Short(clients.acceptor.listener)
             await self.stop(town)
             for i, one in enumerate(waiting):
                 self.assertRegex(await answer(one), f"^VA .* Oa{i}$")
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -317,11 +317,10 @@
             await (await town.client()).ask(read("hit", "first"))
             upstream, clients = town.service.upstream, town.service.clients
             upstream.free["o"] = [await upstream.connect("o")]  # so that nothing else is waited for
-            asyncio.get_running_loop().remove_reader(clients.listener)
+            clients.acceptor.hold()
             sock = town.caller("".join(write("k", "v" * (BUFFER * 2 // 3), tag) for tag in "ab"))
             left(sock, "close")
             await asyncio.sleep(0.02)
-            clients.listening = False
             clients.listen()
             while "end client" not in town.logged.getvalue():
                 await asyncio.sleep(0.002)
