Failing tests: our own trouble at socket and connect counts against servers

Seen with the preloaded library, one node, one cache server, 16 closed-loop clients: connect fails with EADDRNOTAVAIL in 40% of the calls of the first 1.2 s: 316 of 550 requests get an error. After 2 s of EADDRNOTAVAIL or ENOBUFS throughout, all 226 and 242 requests of the next second get one; a socket() that fails 40% of the time ends in a time-out of the test. Cause, to be mended next: Dial takes any OSError for a refusal, and a probe that was never sent for silence.

--- a/tests/test_syscalls.py
+++ b/tests/test_syscalls.py
@@ -201,6 +201,60 @@
 
                 self.play(scene)
 
+    def test_connect_that_fails_for_want_of_ports_is_made_again(self):
+        """Guards against a shortage of our own that counts against the servers."""
+
+        async def scene(town: Shimmed) -> None:
+            town.shim.fail(Call.CONNECT, 0.4, errno.EADDRNOTAVAIL)
+            await town.launch()
+            clients = town.begin()
+            await asyncio.sleep(LASTS)
+            self.assertGreater(town.shim.struck(Call.CONNECT), 0)
+            self.assert_all_served(town.since_last(), 50)
+            town.stopping = True
+            await asyncio.gather(*clients)
+
+        self.play(scene)
+
+    def test_all_is_served_soon_after_there_was_no_route(self):
+        """Guards against servers that are held to be down for what was our own trouble."""
+        for error, lasts in (errno.ENETUNREACH, 6.0), (errno.EADDRNOTAVAIL, 2.0), (errno.ENOBUFS, 2.0):
+            with self.subTest(errno.errorcode[error]):
+
+                async def scene(town: Shimmed, error: int = error, lasts: float = lasts) -> None:
+                    town.shim.fail(Call.CONNECT, shim.ALWAYS, error)
+                    node = await town.launch()
+                    clients = town.begin()
+                    used = town.cpu(node)
+                    await asyncio.sleep(lasts)
+                    self.assertLess((town.cpu(node) - used) / lasts, HALF_A_CORE)
+                    ends = town.since_last()
+                    self.assertEqual(set(ends), {"error"}, ends)  # each is told so, and in time
+                    town.shim.relieve(Call.CONNECT)
+                    await asyncio.sleep(SETTLED)
+                    town.since_last()
+                    await asyncio.sleep(0.5)
+                    self.assert_all_served(town.since_last(), 50)
+                    town.stopping = True
+                    await asyncio.gather(*clients)
+
+                self.play(scene)
+
+    def test_no_sockets_for_a_moment(self):
+        """A socket that cannot be had is asked for again."""
+
+        async def scene(town: Shimmed) -> None:
+            town.shim.fail(Call.SOCKET, 0.4, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+            await town.launch()
+            clients = town.begin()
+            await asyncio.sleep(LASTS)
+            self.assertGreater(town.shim.struck(Call.SOCKET), 0)
+            self.assert_all_served(town.since_last(), 50)
+            town.stopping = True
+            await asyncio.gather(*clients)
+
+        self.play(scene)
+
     def test_short_reads_and_writes_and_interrupted_waits(self):
         async def scene(town: Shimmed) -> None:
             await town.launch()
