Trouble of our own at socket and connect is waited out and blames no server

Cause: Dial took any OSError of connect for a refusal; a failed socket() ended the attempt at once; a probe that was never sent counted as silence, with a back-off that doubles; a fetch that was never sent halved the limit at the origin; discovery's watch backed off up to 1.5 s for a call that never came there. Ruled out: the retry budget and admission: both were as at rest when the errors went on. Lines: net/upstream.py Dial.__init__, Dial.end, connect; choice.py probed, hop_ended; net/discovery.py follow. Change: connect asks the table; for our own trouble it tries again after 2 to 10 ms within connect_timeout_ns, fails at once while the trouble lasts over 0.15 s (net/trouble.py), and ends as not sent. A way that fails for one server alone for a second, while others work, is held against it. The listening socket is asked for again at a start.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -571,7 +571,7 @@
         del server.out[hop]
         hop.open, hop.ended = False, ended
         if server.kind == self.origin_kind:
-            if ended not in (Ended.CANCELLED, Ended.MALFORMED):
+            if ended not in (Ended.CANCELLED, Ended.MALFORMED, Ended.NOT_SENT):
                 self.room.learn(now, end.elapsed, ended is Ended.COMMITTED, self.goal)
                 if ended is Ended.COMMITTED and not hop.tx.write:
                     self.recovery.answered()
@@ -710,7 +710,10 @@
         if server is None or server.asked < 0 and ended is not Ended.COMMITTED:
             return  # forgotten meanwhile, or told before
         server.asked = -1
-        if ended is Ended.COMMITTED:
+        if ended is Ended.NOT_SENT:
+            # Guards against servers that are held to be silent for our own trouble: soon the next one may ask.
+            server.again_at = max(server.again_at, now + self.goal // 8)
+        elif ended is Ended.COMMITTED:
             before, server.answered, server.heard = server.answered, now, now
             server.unanswered, server.again_at, server.full, server.wary = 0, 0, server.full // 2, False
             if self.column is not None and len(load) > self.column and 0 <= load[self.column] < WRAPPED:
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -10,10 +10,14 @@
 import select
 import socket
 import sys
+import time
 from collections.abc import Coroutine, Generator, Iterable
 from typing import Any
 
 from saltmoor.config import BUFFER as SIZE
+from saltmoor.net.errors import Call, Fault, verdict
+
+START_PATIENCE, START_PAUSE = 2.0, 0.01  # seconds: a listening socket is asked for again while there is a shortage
 
 
 def family(host: str) -> socket.AddressFamily:
@@ -22,10 +26,16 @@
 
 def listener(key: str, address: tuple[str, int]) -> socket.socket:
     """A listening socket that a second process of this node may share; where it can't be had the error names it."""
-    try:
-        sock = socket.create_server(address, backlog=1024, family=family(address[0]), reuse_port=True)
-    except OSError as error:
-        raise OSError(f"{key} {address[0]}:{address[1]}: {error.strerror or error}") from None
+    until = time.monotonic() + START_PATIENCE
+    while True:
+        try:
+            sock = socket.create_server(address, backlog=1024, family=family(address[0]), reuse_port=True)
+            break
+        except OSError as error:
+            ours = verdict(Call.SOCKET, error).fault is Fault.OURS
+            if not ours or time.monotonic() > until:
+                raise OSError(f"{key} {address[0]}:{address[1]}: {error.strerror or error}") from None
+            time.sleep(START_PAUSE)  # nothing is served yet that this could hold up
     sock.setblocking(False)
     return sock
 
--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -10,14 +10,16 @@
 import json
 import re
 import socket
+import sys
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from saltmoor import config
 from saltmoor.model import ListKind, Micros
-from saltmoor.net import http
+from saltmoor.net import errors, http
 from saltmoor.net.buffers import Buffers, Stream, family
 from saltmoor.net.log import Log
+from saltmoor.net.trouble import Pauses
 
 LONGEST = 2 << 20  # bytes of one piece of news, ten thousand servers: read, it takes many times as much memory
 AGENT = 1.0  # seconds: where the list is pushed its agent is near, and answers a call at once
@@ -25,6 +27,7 @@
 DEEPEST = 32  # brackets of news inside of each other; a list needs three
 CONNECT = 1.0  # seconds: a connection that has not come up by then is begun anew
 BEGUN = 1.0  # seconds more for news that has begun: behind it the call after it has to bring what is told after 6 s
+OWN_TROUBLE_PAUSE: Micros = 100_000  # the longest between two tries to connect while that fails for our own reasons
 DECODER = json.JSONDecoder()
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
@@ -150,12 +153,35 @@
                 watch.stop(code)
         self.running = self.leaving = None
 
+    async def dial(self, address: tuple[str, int], within: float) -> Stream:
+        """A connection to discovery. Raises OSError, or TimeoutError where it is not up after so many seconds.
+
+        Trouble of our own is waited out here: such a call never came to discovery, which needs no rest from it.
+        """
+        pauses, told = Pauses(sys.maxsize, OWN_TROUBLE_PAUSE), False
+        while True:
+            call, sock = errors.Call.SOCKET, None
+            try:
+                sock = socket.socket(family(address[0]), socket.SOCK_STREAM)
+                stream, call = Stream(sock, self.buffers), errors.Call.CONNECT
+                async with asyncio.timeout(within):
+                    await stream.loop.sock_connect(sock, address)
+                return stream
+            except BaseException as error:
+                if sock:
+                    sock.close()
+                if not isinstance(error, OSError) or errors.verdict(call, error).fault is not errors.Fault.OURS:
+                    raise
+                if not told:
+                    self.log(f"discovery: failing for a reason of our own: {error}")
+                told = True
+            await asyncio.sleep(pauses.next(0) / 1_000_000)
+
     async def follow(self, watch: Watch, silence: float, tell: Callable[[News], None]) -> None:
         host, port = watch.address
         code, sock, timer, began_at = "", None, None, asyncio.get_running_loop().time()
         try:
-            sock = socket.socket(family(host), socket.SOCK_STREAM)
-            stream, pieces = Stream(sock, self.buffers), Pieces()
+            pieces = Pieces()
 
             def each(data: bytes) -> None:
                 for said in pieces.feed(data):
@@ -179,8 +205,9 @@
             response = http.Response(65_536, each)
             path = f"/v1/servers?stream=1&index={self.generation}"
             code = "no-connection"
+            stream = await self.dial((host, port), min(silence, CONNECT))
+            sock, began_at = stream.sock, stream.loop.time()
             async with asyncio.timeout(min(silence, CONNECT)):
-                await stream.loop.sock_connect(sock, (host, port))
                 accept = {"Accept": "application/json"}
                 await stream.write(http.request("GET", path, f"{host}:{port}", accept))
             code = ""
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -8,17 +8,20 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections.abc import Callable, Container
+from enum import Enum, auto
 from typing import Protocol
 
 from saltmoor import config
 from saltmoor.config import LONGEST_HELD
 from saltmoor.model import Ended, Micros, Readiness, ServerId
-from saltmoor.net import http, meta
+from saltmoor.net import errors, http, meta
 from saltmoor.net.buffers import Buffers, Stream, family
 from saltmoor.net.flow import Budget, Flow, Kept
 from saltmoor.net.log import Log
+from saltmoor.net.trouble import LocalTrouble, Pauses
 
 
 STEP = 1 << 18  # bytes: how memory is asked for where a value's length is not known
@@ -28,6 +31,7 @@
 MEMORY = 10_000_000  # what was learnt of connections is worth half after so long
 LATEST = 2_000_000  # a connection that is not up so long after it was begun is let go: the time-out for those
 # who wait for it is shorter, and what nobody waits for may not keep a descriptor for ever
+REFUSED, OWN_TROUBLE = "refused", "own-trouble"  # why a connection has not come up: codes for the log
 LATE_ONES = 4  # as many may be on their way to one server with nobody waiting: it bears only so many
 
 
@@ -70,8 +74,8 @@
             sock.connect(link.address)
         except BlockingIOError:
             link.stream.loop.add_writer(sock, self.end)
-        except OSError:
-            self.over.set_result("refused")
+        except OSError as error:
+            self.over.set_result(self.code_of(error))
         else:
             self.over.set_result("")
 
@@ -79,7 +83,19 @@
         """The kernel is done with it; or it is let go, with that code."""
         sock = self.link.stream.sock
         self.link.stream.loop.remove_writer(sock)
-        self.over.set_result(code or ("refused" if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) else ""))
+        number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self.over.set_result(code or (self.code_of(OSError(number, os.strerror(number))) if number else ""))
+
+    @staticmethod
+    def code_of(error: OSError) -> str:
+        return OWN_TROUBLE if errors.verdict(errors.Call.CONNECT, error).fault is errors.Fault.OURS else REFUSED
+
+
+class Unmade(Enum):
+    """Why there is no connection."""
+
+    THEIRS = auto()  # the server, or the way to it: it refused, or was not up in time
+    OURS = auto()
 
 
 class Ages:
@@ -132,6 +148,7 @@
         self.waiting: dict[ServerId, list[asyncio.Future]] = {}  # for a connection, if one should stand free first
         self.lateness = 0.0  # of connections that were not up in time, lately: the share that came up after all
         self.never: set[ServerId] = set()  # where the last one of them did not; each counts once until one does
+        self.trouble = LocalTrouble()
         self.unsent: set[asyncio.Task] = set()  # exchanges of which no server can have the last byte
         self.open = 0
 
@@ -149,6 +166,7 @@
             if self.address.get(server) != stay.get(server):
                 self.address.pop(server, None)
                 self.never.discard(server)
+                self.trouble.forget(server)
                 for link in self.free.pop(server, []):
                     self.close(link, "left-list")
         self.address |= stay
@@ -260,7 +278,8 @@
                 code = "stopped"
                 raise
             code = "gave-up"
-            if not written and self.clock() < until:
+            ours = link is None and self.trouble.since is not None  # it waited for our own trouble to pass
+            if not written and (self.clock() < until or ours):
                 return meta.Reply(Ended.NOT_SENT)  # its window is over: no word on the server
             return meta.Reply(Ended.TIMED_OUT if written else Ended.NO_CONNECTION)
         except OSError:
@@ -325,12 +344,35 @@
     async def connect(self, server: ServerId) -> Link | Ended:
         if server not in self.address:
             return Ended.NO_CONNECTION
+        pauses = Pauses(self.clock() + self.connect_wait)
+        while True:
+            made = await self.connect_once(server)
+            now = self.clock()
+            if isinstance(made, Link):
+                return made
+            if made is Unmade.THEIRS or self.trouble.alone(server, now):
+                return Ended.NO_CONNECTION
+            pause = pauses.next(now) if self.trouble.passing(now) else None
+            if pause is None:
+                return Ended.NOT_SENT
+            await asyncio.sleep(pause / 1_000_000)
+            if server not in self.address or not await self.room():
+                return Ended.NOT_SENT
+
+    def failed_here(self, server: ServerId, why: object) -> Unmade:
+        """Our own trouble: it says nothing of the server."""
+        if self.trouble.failed(server, self.clock()):
+            self.log(f"connect failing for a reason of our own: {why}")
+        return Unmade.OURS
+
+    async def connect_once(self, server: ServerId) -> Link | Unmade:
         host, port = self.address[server]
         try:
             stream = Stream(socket.socket(family(host), socket.SOCK_STREAM), self.buffers)
-        except OSError as error:  # no descriptor: that says nothing of the server
-            self.log(f"connect: {error}")
-            return Ended.NOT_SENT
+        except OSError as error:
+            if errors.verdict(errors.Call.SOCKET, error).then is errors.Then.SHED:
+                self.evict()
+            return self.failed_here(server, error)
         self.open += 1
         loop = asyncio.get_running_loop()
         dial = Dial(Link(server, (host, port), stream, self.clock()))
@@ -349,13 +391,19 @@
                 self.goes_on(dial)
             if link is None and other.done():  # stopped in the moment in which it was handed over
                 self.leave(other.result(), "")
-        if link is dial.link and (code := dial.over.result()):
+        if link is None:
+            return Unmade.THEIRS
+        code = dial.over.result() if link is dial.link else ""
+        if code == OWN_TROUBLE:
+            self.close(link, code)
+            return self.failed_here(server, f"{host}:{port}")
+        self.trouble.worked(server, self.clock())
+        if code:
             self.learn(server, False)
             self.close(link, code)
-            link = None
-        if link:
-            self.never.discard(server)
-        return link or Ended.NO_CONNECTION
+            return Unmade.THEIRS
+        self.never.discard(server)
+        return link
 
     def goes_on(self, dial: Dial) -> None:
         """Nobody waits for it any more.
@@ -380,7 +428,7 @@
         now = self.clock()
         if not code:
             link.used = now
-        if now >= link.since + self.connect_wait or dial.over.result():
+        if code != OWN_TROUBLE and (now >= link.since + self.connect_wait or dial.over.result()):
             self.learn(link.server, not dial.over.result())
         other = next((one for one in self.waiting.get(link.server, []) if not one.done()), None)
         if other and not code:
