A send or receive that is short of buffers is made again where it stopped

Cause: ENOBUFS and ENOMEM of send and recv ended the connection like a reset; where that was a server's, nothing had been written, which counts as no connection, puts the server down and makes the next requests fail too. Ruled out: partial writes: the kernel had taken none of the bytes in the calls that failed. Lines: Stream.read, Stream.write of net/buffers.py; the time-out branch of Upstream.exchange. Change: the table says that such an error is ours; the same call is made again after 5 ms from the byte at which the kernel stopped (CountedSocket). A time-out in such a pause says nothing of the server.

--- a/saltmoor/net/admin.py
+++ b/saltmoor/net/admin.py
@@ -54,6 +54,7 @@
     async def answer(self, sock: socket.socket) -> None:
         try:
             stream, request = Stream(sock, self.buffers), http.Request(LONGEST)
+            sock = stream.sock
             async with asyncio.timeout(PATIENCE):
                 try:
                     while not request.feed(data := await stream.read()):
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -17,6 +17,7 @@
 from saltmoor.config import BUFFER as SIZE
 from saltmoor.net.errors import Call, Fault, verdict
 
+SHORTAGE_PAUSE = 0.005  # seconds until a call that failed for a shortage of our own is made again
 START_PATIENCE, START_PAUSE = 2.0, 0.01  # seconds: a listening socket is asked for again while there is a shortage
 
 
@@ -99,18 +100,51 @@
         return bool(self.waits and self.waits.done() and not self.waits.cancelled() and not self.waits.exception())
 
 
+class CountedSocket(socket.socket):
+    """Counts the bytes that the kernel has taken, so that a write which fails in its middle can go on from there."""
+
+    __slots__ = ("sent",)
+
+    @classmethod
+    def of(cls, sock: socket.socket) -> CountedSocket:
+        """The same connection; the socket that is given holds it no longer."""
+        family, kind, protocol = sock.family, sock.type, sock.proto
+        counted = cls(family, kind, protocol, fileno=sock.detach())
+        counted.sent = 0
+        return counted
+
+    def send(self, data: bytes | memoryview, flags: int = 0) -> int:
+        """As socket.send; whole bytes. Raises OSError where the kernel has taken none of them."""
+        count = super().send(data, flags)
+        self.sent += count
+        return count
+
+
 class Stream:
-    """One connected socket."""
+    """One connected socket, which it holds from now on. Calls that fail for a shortage of our own are made again."""
 
     def __init__(self, sock: socket.socket, buffers: Buffers) -> None:
+        sock = CountedSocket.of(sock)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.buffers, self.loop = sock, buffers, asyncio.get_running_loop()
         self.reading: Step | None = None
+        self.short = False  # a call has failed for a shortage of our own, and is made again in a moment
+        self.woken = False  # in such a moment
         self.sent = False  # the last byte of the last write, known also where that was cut short
 
     async def read(self) -> bytes | None:
-        """What has come; empty at the end of the stream, None where `wake` ended the wait."""
+        """What has come; empty at the end of the stream, None where `wake` ended the wait. Raises OSError."""
+        while True:
+            try:
+                return await self._read_once()
+            except OSError as error:
+                await self._wait_out(Call.RECEIVE, error)
+            if self.woken:
+                self.woken = False
+                return None
+
+    async def _read_once(self) -> bytes | None:
         buffer = self.buffers.borrow()
         self.reading = Step(self.loop.sock_recv_into(self.sock, buffer))
         try:
@@ -128,14 +162,30 @@
 
     async def write(self, data: bytes) -> None:
         """Returns when the last byte was written; raises when it was not, or when it was cut short: see `sent`."""
-        self.sent, step = False, Step(self.loop.sock_sendall(self.sock, data))
-        try:
-            await step
-        except asyncio.CancelledError:
-            self.sent = step.done
-            raise
+        self.sent, end = False, self.sock.sent + len(data)
+        while True:
+            step = Step(self.loop.sock_sendall(self.sock, data))
+            try:
+                await step
+                break
+            except asyncio.CancelledError:
+                self.sent = step.done
+                raise
+            except OSError as error:
+                await self._wait_out(Call.SEND, error)
+                data = memoryview(data)[len(data) - (end - self.sock.sent) :]
         self.sent = True
 
+    async def _wait_out(self, call: Call, error: OSError) -> None:
+        """A moment's pause where the error is a shortage of our own; else it is raised again."""
+        if verdict(call, error).fault is not Fault.OURS:
+            raise error
+        self.short = True
+        try:
+            await asyncio.sleep(SHORTAGE_PAUSE)
+        finally:
+            self.short = False
+
     @property
     def waiting(self) -> bool:
         """It is read from, and nothing has come."""
@@ -145,6 +195,8 @@
         """End a read under which nothing has come; no byte is lost by it."""
         if self.waiting:
             self.reading.waits.cancel()
+        elif self.short:
+            self.woken = True
 
     def left(self) -> bool:
         """The other side has ended its sending or the connection, whatever of it is still unread."""
--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -164,6 +164,7 @@
             try:
                 sock = socket.socket(family(address[0]), socket.SOCK_STREAM)
                 stream, call = Stream(sock, self.buffers), errors.Call.CONNECT
+                sock = stream.sock
                 async with asyncio.timeout(within):
                     await stream.loop.sock_connect(sock, address)
                 return stream
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -278,7 +278,8 @@
                 code = "stopped"
                 raise
             code = "gave-up"
-            ours = link is None and self.trouble.since is not None  # it waited for our own trouble to pass
+            # It waited for our own trouble to pass.
+            ours = self.trouble.since is not None if link is None else link.stream.short
             if not written and (self.clock() < until or ours):
                 return meta.Reply(Ended.NOT_SENT)  # its window is over: no word on the server
             return meta.Reply(Ended.TIMED_OUT if written else Ended.NO_CONNECTION)
