Soak: real nodes under drawn, overlapping troubles, judged from outside

Cause: no test drew two or three troubles at once on many real processes; the lab's faults were each thought of. Change: saltmoor lab soak (saltmoor/lab/soak): a plan drawn from the seed (a scenario like any other), a proxy between clients and nodes, system calls, wall clock and disk through the preloaded library, upgrades, clients that leave early; an oracle apart from the program, with the stricter terms; pages of failures, replay, shrinking, planted faults.

--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -4,7 +4,7 @@
 
     ask     t id tx node conn verb key profile mark wait    a client's try, its last byte written
     reply   t id how crc length hint                        its answer: served, refused, failed, odd
-    spoilt  t id                                            an answer that ended before it was whole
+    spoilt  t id bytes                                          an answer that ended before it was whole
     end     t id conn sent                                  its connection ended with no answer to it
     left    t id                                            its client gave up and closed the connection
     extra   t id node bytes                                 bytes behind that answer, with nothing open
@@ -16,6 +16,7 @@
     bad     t server node text                              a command that no client sends so
     life    t server what                                   up, down, fell
     node    t node what code                                ready, killed, termed, hup, exited
+    call    t node what                                     its system calls fail so from now on; "" as ever again
     shared  t node count                                    so many sockets listen at its port
     believes t node what                                what a node says of the others, asked four times a second
     way     t node node count bytes                     what one told the other
--- a/saltmoor/lab/cache.py
+++ b/saltmoor/lab/cache.py
@@ -25,8 +25,15 @@
 
     def make_station(self, cold: bool) -> Station:
         kind, rule = self.kind, self.stage.scenario.cold
+        profiles = self.stage.scenario.profile
+        mean = sum(one.share * one.work_ms for one in profiles) / sum(one.share for one in profiles) * 1000
         warming = Warming(
-            rule.share, int(rule.warm_s * 1e6), rule.by == "work", rule.multiple, int(rule.window_s * 1e6)
+            rule.share,
+            int(rule.warm_s * 1e6),
+            rule.by == "work",
+            rule.multiple,
+            int(rule.window_s * 1e6),
+            mean * rule.calls,
         )
         return Station(
             self.stage.line,
@@ -180,6 +187,7 @@
             key.decode("latin-1"),
             mark,
             self.number,
+            int(pairs.get(b"d", b"0")) * 1000,
         )
         kind = server.spoilt_by(("errors", "full"))
         if kind == "errors" or server.rng.random() < server.kind.error_rate:
--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -13,6 +13,8 @@
   saltmoor lab scale [--live] [--mechanism=M]... [--size=N]... [--changes=R]... [--event=E]... [--span=S]
                      [--loss=P] [--seed=N] [--json=FILE] [--plot=FILE]
   saltmoor lab scale (--page=FILE | --counts=FILE)
+  saltmoor lab soak [--seed=N] [--seeds=K] [--minutes=M] [--processes=P] [--jobs=J] [--keep=DIR] [--json=FILE]
+                    [--plant=FAULT] [--plan=FILE] [--shrink]
   saltmoor lab (-h | --help)
 
 SCENARIO is the name of one that comes with saltmoor, or a TOML file. A and B are checkouts of saltmoor, or
@@ -45,6 +47,14 @@
   --counts=FILE   count on the cores what grows with nodes, and write it there
   --page=FILE     write the tables of that page anew from the kept data
 
+  --seeds=K       so many seeds, from --seed on [default: 1]
+  --minutes=M     length of each run [default: 1]
+  --processes=P   processes of each run, 10 to 40: nodes, stand-ins, load, a proxy [default: 12]
+  --jobs=J        runs at once [default: 1]
+  --plant=FAULT   build a known fault into the nodes: resend, close, after-leave, slow-start or stale-deadline
+  --plan=FILE     play this plan, as a failure has left it, instead of a drawn one
+  --shrink        leave troubles out of a plan that fails as long as it still does
+
 The exit status is 0 if every bound held, 1 if one did not or the run was void, 2 for a faulty scenario
 or option.
 """
@@ -217,6 +227,10 @@
             from saltmoor.lab import scale
 
             return scale.run(said, argv)
+        if said["soak"]:
+            from saltmoor.lab.soak import command
+
+            return command.main(said)
         if said["toy"]:
             from saltmoor.lab import toy
 
--- a/saltmoor/lab/clients.py
+++ b/saltmoor/lab/clients.py
@@ -19,17 +19,16 @@
 from saltmoor.lab.wire import Driver
 
 REFUSED = 20_000  # who is refused a connection tries again after so long, at another node if there is one
-MARGIN = 100_000  # an answer that comes so long after the client's wait is still written down
 
 
 class Tx:
     """One transaction of a client: a few tries, one after the other."""
 
-    __slots__ = ("key", "mark", "number", "profile", "seed", "size", "tenant", "tries", "work")
+    __slots__ = ("begun", "key", "mark", "number", "profile", "seed", "size", "tenant", "tries", "work")
 
     def __init__(self, number: int, row: tuple, begun: str) -> None:
         _, self.profile, self.tenant, key, self.work, self.size, chance = row
-        self.number, self.key, self.tries = number, arrivals.key_text(key), 0
+        self.number, self.key, self.tries, self.begun = number, arrivals.key_text(key), 0, 0
         self.seed, self.mark = int(chance * 2**52), f"k{begun}{number:x}"
 
     def chance(self) -> float:
@@ -137,6 +136,11 @@
             self.last = asked.id
             self.house.answered(self, asked, words, body)
 
+    def announced(self) -> int:
+        """How many bytes of a value the answer that has begun is to have."""
+        words = bytes(self.held[:40]).split()
+        return int(words[1]) if len(words) > 1 and words[0] == b"VA" and words[1].isdigit() else 0
+
     def leave(self) -> None:
         """The client closes it; whatever is open on it is given up."""
         self.over = True
@@ -208,7 +212,11 @@
         asked = Try(tx, f"{self.tag}{self.part:02x}{self.made:010x}", wait)
         self.tries.add(asked)
         asked.until = self.driver.clock() + wait
-        asked.due = self.driver.line.at(asked.until + MARGIN, self._over, asked)
+        tx.begun = tx.begun or self.driver.clock()
+        over = asked.until + int(self.scenario.load.margin_ms * 1000)
+        if self.scenario.load.leave and tx.chance() < self.scenario.load.leave:
+            over = asked.until - int(wait * tx.chance())
+        asked.due = self.driver.line.at(over, self._over, asked)
         self._place(asked)
 
     def _place(self, asked: Try) -> None:
@@ -272,8 +280,11 @@
         wait = load.backoff_ms * 1000 * 2 ** (tx.tries - 1) * (0.5 + tx.chance())
         if hint and tx.chance() < load.honour:
             wait = max(wait, hint)
+        profile, now = self.scenario.profile[tx.profile], self.driver.clock()
+        if profile.repeat == "journalled" and now + wait > tx.begun + profile.window_ms * 1000:
+            return  # servers drop its repeats no longer: such a request is reissued within its window alone
         self.coming += 1
-        self.driver.line.at(self.driver.clock() + wait, self._try_again, tx)
+        self.driver.line.at(now + wait, self._try_again, tx)
 
     def _try_again(self, tx: Tx) -> None:
         self.coming -= 1
@@ -300,7 +311,7 @@
             if how == "refused" or not line.asked:  # nothing was written: another node takes it
                 self.driver.line.at(self.driver.clock() + REFUSED, self._place_again, asked)
             elif line.held:
-                self.book.note("spoilt", self.driver.clock(), asked.id)
+                self.book.note("spoilt", self.driver.clock(), asked.id, line.announced())
                 self._settle(asked)
                 self._retry(asked.tx, 0)
             else:
--- a/saltmoor/lab/experiment.py
+++ b/saltmoor/lab/experiment.py
@@ -4,11 +4,13 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -116,9 +118,49 @@
         return play(scenario, seed, build, place, capture, progress)
 
 
+@dataclass(slots=True, frozen=True)
+class Performance:
+    """A run that was played to its end; its books and logs lie in its folder."""
+
+    rows: Any  # the arrivals
+    begin: int  # microseconds, on the machine's monotonic clock
+    nodes: list[Node]
+
+
 def play(
     scenario: plan.Scenario, seed: int, build: Build, place: Path, capture: Path | None, progress: Callable[[str], None]
 ) -> Result:
+    played = perform(scenario, seed, build, place, capture=capture, progress=progress)
+    return judge(scenario, seed, build, place, played.rows, played.begin, played.nodes)
+
+
+def proxied(scenario: plan.Scenario) -> bool:
+    """Whether something happens on the way between clients and nodes, so that it leads over a proxy."""
+    return any(fault.on == "clients" and fault.kind != "rude" for fault in scenario.fault)
+
+
+def reserved_ports(count: int) -> list[socket.socket]:
+    """Sockets that keep a port each for a listener of this run, and never listen themselves."""
+    held = []
+    for _ in range(count):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((HOST, 0))
+        held.append(sock)
+    return held
+
+
+def perform(
+    scenario: plan.Scenario,
+    seed: int,
+    build: Build,
+    place: Path,
+    *,
+    capture: Path | None = None,
+    progress: Callable[[str], None] = lambda line: None,
+    prepare: Callable[[Node], None] = lambda node: None,
+) -> Performance:
+    """Play it; `prepare` sees each node before it starts. Raises `Broken` where a process of the lab fails."""
     replayed = scenario.load.replay
     rows = arrivals.replay(Path(replayed), scenario) if replayed else arrivals.draw(scenario, seed)
     arrivals.save(place / "arrivals.npz", rows, scenario)
@@ -126,7 +168,10 @@
         arrivals.save(capture, rows, scenario)
     book, crew = Book(), Crew(place)
     nodes = [Node(i, scenario, build, place, book, seed) for i in range(scenario.nodes.count)]
-    plan_file = Plan(scenario, seed, [(HOST, node.port) for node in nodes], f"{seed % 65536:04x}")
+    held = reserved_ports(len(nodes) if proxied(scenario) else 0)
+    targets = [(HOST, node.port) for node in nodes]
+    doors = [(HOST, sock.getsockname()[1]) for sock in held] or targets
+    plan_file = Plan(scenario, seed, doors, f"{seed % 65536:04x}", targets)
     (place / "plan.json").write_bytes(msgspec.json.encode(plan_file))
     keeper = None
     try:
@@ -135,6 +180,7 @@
         if any(fault.kind == "rude" for fault in scenario.fault):
             loads.append(crew.start("rude"))
         links = crew.start("links") if scenario.nodes.peers else None
+        proxy = crew.start("proxy") if held else None
         for process in crew.members:
             crew.ready(process)
         if links:
@@ -146,6 +192,7 @@
             return json.loads((place / "known.json").read_text())[number]
 
         for node, discovery, list_ in zip(nodes, told["discovery"], told["known"]):
+            prepare(node)
             node.configure(discovery, list_)
             node.start()
         for node in nodes:
@@ -163,7 +210,7 @@
             gone = (clock() - begin) / 1e6
             progress(f"{scenario.name}: {max(0.0, gone):.0f} of {scenario.length_s:.0f} s")
         keeper.stop()
-        for process in (stage, links):
+        for process in (stage, links, proxy):
             if process:
                 crew.say(process, "end")
                 process.wait(20)
@@ -173,8 +220,10 @@
         for node in nodes:
             node.end()
         crew.end()
+        for sock in held:
+            sock.close()
     book.save(place / "nodes.book")
-    return judge(scenario, seed, build, place, rows, begin, nodes)
+    return Performance(rows, begin, nodes)
 
 
 def judge(scenario: plan.Scenario, seed: int, build: Build, place: Path, rows, begin: int, nodes: list[Node]) -> Result:
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -35,6 +35,7 @@
     node: int
     write: bool
     mark: str
+    wait: int = 0  # how long its client still waits, as the server was told
     told: str = ""
     told_at: int = 0
 
@@ -57,14 +58,17 @@
     times: int = 1  # written so often: once more where its connection was closed in between
     replies: list[tuple[int, str, int, int, int]] = field(default_factory=list)
     sent: list[int] = field(default_factory=list)  # when it was written, each time
+    waits: list[int] = field(default_factory=list)  # how long its client would wait then, each time
+    conns: list[tuple[int, int]] = field(default_factory=list)  # that ended with no answer: requests asked on it
     ended: list[int] = field(default_factory=list)  # when its connection ended with no answer, each time
     nodes: list[int] = field(default_factory=list)  # whom it was sent to, each time
     spoilt: int = 0
+    announced: int = 0  # bytes that the value of a spoilt answer was to have
     left: int = 0
     gots: list[Got] = field(default_factory=list)
 
 
-SKIPPED = ("late", "rude", "shared", "true", "believes", "way")  # rows that others read
+SKIPPED = ("late", "rude", "shared", "true", "believes", "way", "call")  # rows that others read
 
 
 class Ledger:
@@ -96,19 +100,21 @@
             self.asked[ident].times += 1  # on a new connection, as the one before was closed unread
             self.asked[ident].at, self.asked[ident].wait = at, wait
             self.asked[ident].sent.append(at)
+            self.asked[ident].waits.append(wait)
             self.asked[ident].nodes.append(node)
         else:
-            self.asked[ident] = Asked(ident, at, tx, node, profile, mark, wait, sent=[at], nodes=[node])
+            self.asked[ident] = Asked(ident, at, tx, node, profile, mark, wait, sent=[at], nodes=[node], waits=[wait])
 
     def _reply(self, at, ident, how, crc, length, hint) -> None:
         self.asked[ident].replies.append((at, how, crc, length, hint))
 
-    def _spoilt(self, at, ident) -> None:
-        self.asked[ident].spoilt = at
+    def _spoilt(self, at, ident, size=0) -> None:
+        self.asked[ident].spoilt, self.asked[ident].announced = at, size
 
     def _end(self, at, ident, conn, sent) -> None:
         if ident in self.asked:
             self.asked[ident].ended.append(at)
+            self.asked[ident].conns.append((at, sent))
 
     def _left(self, at, ident) -> None:
         if ident in self.asked:
@@ -117,8 +123,8 @@
     def _extra(self, at, ident, node, size) -> None:
         self.extra.append((at, ident, size))
 
-    def _got(self, first, last, server, node, ident, verb, key, mark, conn) -> None:
-        self.gots[ident].append(Got(first, last, server, node, verb in ("ms", "PUT"), mark))
+    def _got(self, first, last, server, node, ident, verb, key, mark, conn, wait=0) -> None:
+        self.gots[ident].append(Got(first, last, server, node, verb in ("ms", "PUT"), mark, wait))
 
     def _told(self, at, server, ident, what, crc) -> None:
         self.told[ident].add((what, crc))
--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -21,6 +21,8 @@
 
 from saltmoor.lab import links, scenario as plan
 from saltmoor.lab.book import Book, clock
+from saltmoor.lab.soak import calls, shim
+from saltmoor.lab.soak.shim import Shim
 from saltmoor.lab.wire import HOST
 
 READY_WITHIN = 15.0
@@ -134,6 +136,12 @@
         self.before: tuple[float, float] | None = None  # CPU seconds, and when; `window`: a second ago
         self.window = (0.0, 0.0)
         self.turn = threading.Lock()  # faults on one node come one after the other
+        self.shim: Shim | None = None
+        if scenario.nodes.shim:
+            self.shim = Shim(shim.build(run), run / f"shim{number}", seed=seed * 1000 + number)
+        self.command = ["-m", "saltmoor"]  # of the interpreter
+        self.folder = run / f"tmp{number}"
+        self.strict = False  # whether the program raises where it finds a rule violated
 
     def configure(self, discovery: str, known: dict[str, Any]) -> None:
         limits = self.scenario.nodes
@@ -152,16 +160,20 @@
     def start(self) -> None:
         self.starts += 1
         self.before = None
-        words = [sys.executable, "-B", "-m", "saltmoor", "serve", f"--config={self.file}"]
+        words = [sys.executable, "-B", *self.command, "serve", f"--config={self.file}"]
         if ours := self.operators():
             file = self.run / f"node{self.number}.toml"
             file.write_text(ours)
             words.append(f"--operators={file}")
+        self.folder.mkdir(exist_ok=True)
+        env = os.environ | {"PYTHONPATH": str(self.build.folder), "TMPDIR": str(self.folder)}
+        env |= self.shim.environment() if self.shim else {}
+        env |= {"SALTMOOR_STRICT": "1"} if self.strict else {}
         log = (self.run / f"node{self.number}.log").open("ab")
         self.process = subprocess.Popen(
             words,
             cwd=self.build.folder,
-            env=os.environ | {"PYTHONPATH": str(self.build.folder)},
+            env=env,
             stdout=log,
             stderr=log,
             stdin=subprocess.DEVNULL,
@@ -236,6 +248,8 @@
         with self.turn:
             if how == "pause":
                 self.pause(lasts)
+            elif how == "upgrade":
+                self.upgrade(known)
             else:
                 self.restart(how, lasts, known)
 
@@ -269,6 +283,38 @@
         else:
             self.book.note("node", clock(), self.number, "crashed", 0)
 
+    def upgrade(self, known) -> None:
+        """A second process starts beside it; once that serves the first one is asked to end."""
+        before, log = self.process, self.run / f"node{self.number}.log"
+        if before.poll() is not None:
+            return
+        served = log.read_text().count("serving at")
+        said = json.loads(self.file.read_text())
+        self.configure(said["discovery"], known(self.number))
+        self.start()
+        end = time.monotonic() + READY_WITHIN
+        while log.read_text().count("serving at") <= served and time.monotonic() < end:
+            if self.process.poll() is not None:
+                break
+            time.sleep(0.02)
+        self.book.note("node", clock(), self.number, "successor", self.process.poll() or 0)
+        before.terminate()
+        try:
+            code = before.wait(20)
+            self.book.note("node", clock(), self.number, "replaced" if code == 0 else "crashed", code)
+        except subprocess.TimeoutExpired:
+            self.book.note("node", clock(), self.number, "crashed", 0)
+            before.kill()
+            before.wait()
+
+    def trouble_calls(self, fault: plan.Fault, on: bool) -> None:
+        """Its system calls fail from now on, or go through again."""
+        if on:
+            calls.strike(self.shim, fault)
+        else:
+            calls.relieve(self.shim, fault)
+        self.book.note("call", clock(), self.number, fault.kind if on else "")
+
     def spoil(self, kind: str, fault: plan.Fault, other: Path) -> None:
         """Something happens to its saved state; `other`: another node's."""
         self.book.note("node", clock(), self.number, f"state-{kind}", 0)
@@ -325,7 +371,9 @@
     def __init__(self, nodes: list[Node], faults: list[plan.Fault], begin: int, known) -> None:
         super().__init__(daemon=True)
         self.nodes, self.begin, self.known, self.over = nodes, begin, known, threading.Event()
-        self.due = sorted((fault for fault in faults if fault.on in ("node", "state")), key=lambda fault: fault.at_s)
+        self.due = sorted(
+            (fault for fault in faults if fault.on in ("node", "state", "calls")), key=lambda fault: fault.at_s
+        )
         self.threads: list[threading.Thread] = []
 
     def run(self) -> None:
@@ -344,6 +392,14 @@
         if fault.on == "state":
             node.spoil(fault.kind, fault, self.nodes[node.number - 1].snapshot)
             return
+        if fault.on == "calls":
+            node.trouble_calls(fault, True)
+            if fault.for_s:
+                timer = threading.Timer(fault.for_s, node.trouble_calls, (fault, False))
+                timer.daemon = True
+                self.threads.append(timer)
+                timer.start()
+            return
         if fault.kind == "hup":
             node.reload()
             return
--- a/saltmoor/lab/origin.py
+++ b/saltmoor/lab/origin.py
@@ -48,9 +48,11 @@
         if not self.running:
             return
 
+        came = self.stage.line.now
+
         def ended() -> None:
             if write:
-                done("done", self.effect(ident, key, pairs))
+                done("done", self.effect(ident, key, pairs, came))
                 return
             self.fetching[key] -= 1
             copy = (self.versions.get(key, 0), int(pairs.get(b"z", b"100")))
@@ -70,16 +72,17 @@
         most, self.held_most = max(self.held_most, self.station.held), 0
         return most
 
-    def effect(self, ident: str, key: bytes, pairs: dict[bytes, bytes]) -> bytes:
-        """A write happens, unless it is a journalled one that is still remembered."""
+    def effect(self, ident: str, key: bytes, pairs: dict[bytes, bytes], came: int) -> bytes:
+        """A write happens, unless it is a journalled one that is still remembered: by when both came, however long
+        either waited here for its turn."""
         now, mark = self.stage.line.now, pairs.get(b"k", b"").decode("latin-1")
         window = self.stage.windows.get(pairs.get(b"c", b""), 0)
         remembered = self.stage.journal.get(mark) if mark else None
-        if remembered and now < remembered[0] + window:
+        if remembered and came < remembered[0] + window:
             return remembered[1]
         self.writes += 1
         receipt = b"r%d" % self.writes
-        self.stage.journal[mark or ident] = (now, receipt)
+        self.stage.journal[mark or ident] = (came, receipt)
         self.versions[key] = self.versions.get(key, 0) + 1
         self.stage.void(key)
         self.stage.book.note("ran", now, self.name, ident, mark, key.decode("latin-1"))
@@ -197,6 +200,7 @@
             key.decode("latin-1"),
             pairs.get(b"k", b"").decode("latin-1"),
             self.number,
+            int(pairs.get(b"d", b"0")) * 1000,
         )
         kind = server.spoilt_by(("errors", "full"))
         if kind == "errors":
--- a/saltmoor/lab/scenario.py
+++ b/saltmoor/lab/scenario.py
@@ -45,6 +45,7 @@
         default_factory=lambda: ["drains", "starts", "evidence", "words"]
     )  # what they use it for
     told: int = 0  # how many nodes each is told that there are; 0: as many as there are
+    shim: bool = False  # whether system calls can be made to fail, and the wall clock be stepped
 
 
 class Kind(Part, kw_only=True):
@@ -89,6 +90,7 @@
     by: Literal["time", "work"] = "time"
     multiple: Positive = 4.0
     window_s: Positive = 1.0
+    calls: bool = False  # N requests of mean work, and what chance adds to them, instead of the work alone
 
 
 class Origin(Part, kw_only=True):
@@ -169,6 +171,8 @@
     honour: Share = 0.7  # of the clients that follow a stay-away hint
     connections: Count = 500  # of all clients of a worker together
     notice_s: NotNegative = 1.0  # how long clients go on trying a dead node first
+    margin_ms: NotNegative = 100.0  # an answer that comes so long after the client's wait is still written down
+    leave: Share = 0.0  # of the tries whose client goes away at some moment of its wait
     replay: str = ""  # a captured run's arrivals instead of drawn ones
 
 
@@ -189,10 +193,11 @@
 ON_SERVERS = (*ON_BOTH, "foreign", "surplus", "half-open", "drain", "replace", "deploy", "grow", "shrink")
 ON_DISCOVERY = ("outage", "late", "gap")
 ON_LINKS = ("delay", "loss", "silence")
-ON_NODES = ("kill", "term", "hup", "pause")
+ON_NODES = ("kill", "term", "hup", "pause", "upgrade")
+ON_CALLS = ("accept", "socket", "connect", "send", "recv", "interrupted", "short", "disk", "clock")
 ON_STATE = ("lost", "old", "cut", "flipped", "foreign", "blocked")
 ON_PEERS = ("cut", "loss", "delay", "double", "reorder", "corrupt", "slow")
-ON_CLIENTS = ("rude",)
+ON_CLIENTS = ("rude", "delay", "stall", "pieces")
 PLACES = {
     "server": ON_SERVERS,
     "origin": ON_BOTH,
@@ -202,6 +207,7 @@
     "state": ON_STATE,
     "peers": ON_PEERS,
     "clients": ON_CLIENTS,
+    "calls": ON_CALLS,
 }
 
 
@@ -209,7 +215,7 @@
     """One thing that goes wrong. Which members it strikes: those numbered in `which`, else `part` of them."""
 
     kind: str
-    on: Literal["server", "origin", "discovery", "link", "node", "state", "peers", "clients"] = "server"
+    on: Literal["server", "origin", "discovery", "link", "node", "state", "peers", "clients", "calls"] = "server"
     at_s: NotNegative
     for_s: NotNegative = 0.0  # how long it lasts; a crashed process is back then. 0: to the end
     which: list[int] = []
@@ -223,6 +229,7 @@
     new_address: bool = False
     count: Count = 1  # servers that a grow adds
     rate: Positive = 20.0  # rude connections a second
+    step_s: float = 0.0  # the wall clock is set so far ahead, or back
     spread_s: NotNegative = 0.0  # a fault on nodes strikes them evenly over so long, not at one instant
     sites: list[Name] = []  # a link fault: between these two sites
     from_nodes: list[int] = []  # a fault between nodes: on what these say; none: all
@@ -282,14 +289,17 @@
             raise Faulty(f"fault[{i}].sites: names a site that fleet.sites lacks")
         if fault.on == "state" and not scenario.nodes.state:
             raise Faulty(f"fault[{i}].on: nodes.state is off, so there is none")
+        if fault.on == "calls" and not scenario.nodes.shim:
+            raise Faulty(f"fault[{i}].on: nodes.shim is off, so no call can be made to fail")
         if fault.on == "peers" and not scenario.nodes.peers:
             raise Faulty(f"fault[{i}].on: nodes.peers is off, so they say nothing")
         for key in ("from_nodes", "to_nodes"):
             if any(not 0 <= one < scenario.nodes.count for one in getattr(fault, key)):
                 raise Faulty(f"fault[{i}].{key}: numbers from 0 to {scenario.nodes.count - 1}")
-        most = {"server": scenario.fleet.servers, "node": scenario.nodes.count, "state": scenario.nodes.count}.get(
-            fault.on, 1
-        )
+        most = {
+            "server": scenario.fleet.servers,
+            **dict.fromkeys(("node", "state", "calls", "clients"), scenario.nodes.count),
+        }.get(fault.on, 1)
         if any(not 0 <= one < most for one in fault.which):
             raise Faulty(f"fault[{i}].which: numbers from 0 to {most - 1}")
     for name, bound in scenario.bounds.items():
--- /dev/null
+++ b/saltmoor/lab/soak/oracle.py
@@ -0,0 +1,203 @@
+"""Judges a soak from outside: the ledger's rules, and the stricter terms of the operators' standing test.
+
+It reads what clients and stand-ins wrote down and what the nodes logged, knows nothing of how a node decides, and takes
+no counter of the program for an answer; it says where the program's own checks and its own findings differ.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+
+from saltmoor.lab.ledger import SLACK, Asked, Got, Ledger
+from saltmoor.lab.scenario import Scenario
+
+GONE_AFTER = 100_000  # microseconds: an attempt that begins so long after its client left is a lost request
+DEADLINE_SLACK = 150_000  # a server may be told so much more than its client has left
+LATEST_ANSWER = 500_000  # an answer later than that behind its time is none
+TOLD_SHARE = 2 / 3  # of what pushed a cold server over, from nodes that were told of its start
+LARGEST_HELD = 65_536  # bytes: a larger value is passed on as it comes
+BROKEN_OFF = "its answer ended before it was whole"  # the ledger's words
+FAULT = re.compile(r"(?:violation|fault in|Traceback|internal)")
+VIOLATION = re.compile(r"violation rule=(\S+)")
+
+
+class Rule(Enum):
+    """What was broken, in the field's terms."""
+
+    PROTOCOL = "protocol"
+    LOST = "lost"
+    DUPLICATE = "duplicate"
+    DRAIN = "drain"
+    SLOW_START = "slow-start"
+    DEADLINE = "deadline"
+    CLIENT_GONE = "client-gone"
+    CRASH = "crash"
+    PROGRAM = "program"  # the program's own check, or a fault that it logged
+
+
+@dataclass(slots=True, frozen=True)
+class Find:
+    """One violation: of which rule, by which request or server, and what was seen."""
+
+    rule: Rule
+    subject: str
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.rule.value} {self.subject}: {self.what}"
+
+
+BY_NUMBER = {0: Rule.PROTOCOL, 1: Rule.LOST, 2: Rule.DUPLICATE, 3: Rule.DRAIN, 4: Rule.SLOW_START}
+
+
+class Oracle:
+    """The verdict on one run."""
+
+    def __init__(self, scenario: Scenario, ledger: Ledger, rows: list[list], begin: int, logs: list[Path]) -> None:
+        self.scenario, self.ledger, self.begin, self.logs = scenario, ledger, begin, logs
+        self.rows = rows
+        self.finds: list[Find] = []
+        self.counts: Counter[str] = Counter()
+
+    def judge(self) -> list[Find]:
+        """All violations that can be seen."""
+        for breach in self.ledger.check():
+            rule = BY_NUMBER[breach.rule]
+            if rule is Rule.SLOW_START:
+                continue  # judged below, by who was told
+            if breach.what == BROKEN_OFF and self.streamed(breach.tx):
+                self.counts["large answers broken off"] += 1  # failed, as no node can finish what its server cut off
+                continue
+            self.find(Rule.CRASH if "ended by itself" in breach.what else rule, breach.tx, breach.what)
+        for asked in self.ledger.asked.values():
+            self.counts["requests"] += 1
+            self.answered(asked)
+            self.closed(asked)
+            for got in asked.gots:
+                self.counts["attempts"] += 1
+                self.gone(asked, got)
+                self.deadline(asked, got)
+        self.slow_start()
+        self.logged()
+        return self.finds
+
+    def find(self, rule: Rule, subject: str, what: str) -> None:
+        self.finds.append(Find(rule, subject, what))
+
+    def held_up(self, node: int, since: int, until: int) -> int:
+        """How long the way between a node and its clients, or the node itself, was held up by the plan; microseconds."""
+        most = 0
+        for fault in self.scenario.fault:
+            at = self.begin + int(fault.at_s * 1e6)
+            ends = at + int(fault.for_s * 1e6) + SLACK
+            if fault.on == "clients" and fault.kind in ("delay", "stall") and node in (fault.which or (node,)):
+                if at - SLACK <= until and ends + 1_000_000 >= since:
+                    most += int(fault.ms * 1000) if fault.kind == "delay" else int(fault.for_s * 1e6)
+        return most + (2_000_000 if self.ledger.paused(node, since, until) else 0)
+
+    def streamed(self, ident: str) -> bool:
+        asked = self.ledger.asked.get(ident)
+        return asked is not None and asked.announced > LARGEST_HELD
+
+    def ending(self, node: int, since: int, until: int, *kinds: str) -> bool:
+        """Whether the node was killed, or asked to end, about then, and not there again."""
+        begun = 0
+        for at, what in self.ledger.nodes[node]:
+            if what in (kinds or ("killed", "termed", "successor")):
+                begun = begun or at
+            elif what in ("ready", "replaced") and begun:
+                if begun - SLACK <= until and at + SLACK >= since:
+                    return True
+                begun = 0
+        return bool(begun) and begun - SLACK <= until
+
+    def answered(self, asked: Asked) -> None:
+        """One final answer, at the latest half a second behind its time, whatever happens to servers and others."""
+        if asked.replies:
+            at = asked.replies[0][0]
+            late = at - (asked.at + asked.wait) - self.ledger.read_late(at)
+            if late > LATEST_ANSWER + SLACK and not self.held_up(asked.node, asked.at, at):
+                self.find(Rule.LOST, asked.id, f"answered {late // 1000} ms behind its time")
+            return
+        if asked.ended:  # judged by `closed`
+            return
+        patient = asked.left >= asked.at + asked.wait + LATEST_ANSWER
+        if not asked.left:
+            self.counts["open at the end"] += 1
+        elif patient and not self.ending(asked.node, asked.at, asked.left, "killed"):
+            if not self.held_up(asked.node, asked.at, asked.left):
+                self.find(Rule.LOST, asked.id, f"node {asked.node} gave no answer in its time and half a second")
+
+    def closed(self, asked: Asked) -> None:
+        """A request on a new connection that was closed with no answer, at a node that was not about to end."""
+        for (at, requests), sent, node in zip(asked.conns, asked.sent, asked.nodes):
+            if requests > 1:
+                self.counts["closed at rest"] += 1  # the node's own end of a resting connection crossed it
+            elif self.ending(node, sent, at):
+                self.counts["closed by a stop"] += 1
+            elif self.failing(node, sent, at, "recv"):
+                self.counts["closed by a broken connection"] += 1
+            else:
+                self.find(Rule.LOST, asked.id, f"node {node} closed a new connection with no answer")
+
+    def failing(self, node: int, since: int, until: int, kind: str) -> bool:
+        """Whether calls of that kind were made to fail at the node about then."""
+        for fault in self.scenario.fault:
+            at = self.begin + int(fault.at_s * 1e6)
+            if fault.on == "calls" and fault.kind == kind and node in fault.which:
+                if at - SLACK <= until and at + int(fault.for_s * 1e6) + 1_000_000 >= since:
+                    return True
+        return False
+
+    def gone(self, asked: Asked, got: Got) -> None:
+        late = got.first - asked.left
+        if asked.left and late > GONE_AFTER + SLACK + self.held_up(asked.node, asked.left, got.first):
+            self.find(Rule.CLIENT_GONE, asked.id, f"sent to {got.server} {late // 1000} ms after its client left")
+
+    def deadline(self, asked: Asked, got: Got) -> None:
+        before = [(at, wait) for at, wait in zip(asked.sent, asked.waits) if at <= got.first]
+        if not before or not got.wait:
+            return
+        at, wait = before[-1]
+        over = got.wait - (at + wait - got.first)
+        if over > DEADLINE_SLACK + SLACK + self.held_up(asked.node, at, got.first):
+            self.find(Rule.DEADLINE, asked.id, f"{got.server} was told {over // 1000} ms more than its client had left")
+
+    def slow_start(self) -> None:
+        """A server that was pushed over while cold, mostly by nodes that had been told of its start."""
+        window = int(self.scenario.cold.window_s * 1e6)
+        starts = {}
+        for at, server, what in self.ledger.life:
+            if what == "up":
+                starts[server] = at
+            elif what == "fell":
+                self.counts["servers pushed over"] += 1
+                nodes = [
+                    got.node
+                    for gots in self.ledger.gots.values()
+                    for got in gots
+                    if got.server == server and at - window <= got.first <= at
+                ]
+                told = sum(self.told(node, server, starts.get(server, 0), at) for node in nodes)
+                if nodes and told > TOLD_SHARE * len(nodes):
+                    self.find(Rule.SLOW_START, server, f"pushed over by {len(nodes)} requests, {told} by nodes told")
+
+    def told(self, node: int, server: str, started: int, until: int) -> bool:
+        listed = any(
+            started <= at <= until and one == node and name == server and state == "up"
+            for at, one, name, state in self.ledger.listed
+        )
+        return listed or any(what == "ready" and started <= at <= until for at, what in self.ledger.nodes[node])
+
+    def logged(self) -> None:
+        """What the nodes' own checks found, and faults that they logged."""
+        for path in self.logs:
+            for line in path.read_text(errors="replace").splitlines():
+                if FAULT.search(line):
+                    self.find(Rule.PROGRAM, path.stem, line[:200])
+                if own := VIOLATION.search(line):
+                    self.counts[f"own check {own[1]}"] += 1
--- /dev/null
+++ b/saltmoor/lab/soak/plan.py
@@ -0,0 +1,217 @@
+"""Draws a soak's plan from its seed: a fleet, a load, and troubles of which two or three always overlap.
+
+A plan is a scenario like any other of the lab: it can be written down, played again, and shrunk by leaving troubles out.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from saltmoor.lab import scenario as lab
+from saltmoor.lab.scenario import Scenario
+
+SETTLE_S = 2.0  # before the first trouble
+CALM_S = 6.0  # behind the last one: what was taken on is still owed
+LENGTHS_S = 1.0, 4.0  # of a trouble
+TRACKS = 3  # troubles one after the other on each of so many tracks, which overlap
+SHORTEST_GAP_S, LONGEST_GAP_S = 0.1, 0.8  # between two on one track
+HELPERS = 3  # processes beside the nodes: stand-ins, load, proxy
+CALL_SHARES = 0.05, 0.4
+CLOCK_STEPS_S = -3600.0, -5.0, 5.0, 3600.0
+
+# Kind and place of each trouble, and how often it is drawn.
+TROUBLES: list[tuple[str, str, int]] = [
+    ("kill", "node", 3),
+    ("term", "node", 4),
+    ("upgrade", "node", 3),
+    ("hup", "node", 3),
+    ("pause", "node", 3),
+    ("crash", "server", 3),
+    ("drain", "server", 4),
+    ("replace", "server", 3),
+    ("hang", "server", 2),
+    ("silence", "server", 2),
+    ("slow", "server", 2),
+    ("reset", "server", 2),
+    ("cut", "server", 1),
+    ("garbled", "server", 1),
+    ("surplus", "server", 1),
+    ("half-open", "server", 1),
+    ("hand-back", "server", 1),
+    ("full", "server", 1),
+    ("errors", "server", 1),
+    ("crash", "origin", 1),
+    ("slow", "origin", 2),
+    ("silence", "origin", 1),
+    ("outage", "discovery", 3),
+    ("gap", "discovery", 1),
+    ("late", "discovery", 1),
+    ("rude", "clients", 1),
+    ("delay", "clients", 2),
+    ("stall", "clients", 1),
+    ("pieces", "clients", 2),
+    ("accept", "calls", 3),
+    ("socket", "calls", 1),
+    ("connect", "calls", 3),
+    ("send", "calls", 1),
+    ("recv", "calls", 1),
+    ("short", "calls", 1),
+    ("interrupted", "calls", 1),
+    ("clock", "calls", 3),
+    ("disk", "calls", 2),
+]
+OF_STATE = "disk", "lost", "cut", "flipped"
+
+
+def draw(seed: int, *, seconds: float, processes: int, calls: bool = True) -> Scenario:
+    """The plan of that seed: so many seconds, so many processes in all; `calls`: whether system calls can fail."""
+    rng = Random(f"{seed} soak")
+    nodes, servers = max(2, processes - HELPERS), rng.randrange(6, 13)
+    said: dict[str, Any] = {
+        "name": f"soak-{seed}",
+        "about": "drawn troubles that overlap",
+        "length_s": seconds,
+        "settle_s": 1.0,
+        "nodes": _nodes(rng, nodes, calls),
+        "fleet": _fleet(rng, servers),
+        "cold": _cold(rng),
+        "origin": {"cores": 8, "work_ms": rng.choice([10, 25])},
+        "discovery": {"grace_ms": 2000, "late_ms": [50, 600], "within_s": rng.choice([3, 10])},
+        "profile": _profiles(rng),
+        "load": _load(rng, nodes),
+    }
+    said["fault"] = _troubles(rng, seconds, nodes, servers, said["nodes"])
+    return lab.check(said)
+
+
+def _nodes(rng: Random, count: int, calls: bool) -> dict[str, Any]:
+    return {
+        "count": count,
+        "memory_mb": rng.choice([64, 192]),
+        "sockets": rng.choice([256, 512]),
+        "hops": rng.choice([2, 3, 4]),
+        "copies": rng.random() < 0.6,
+        "cancel": rng.random() < 0.7,
+        "probes": rng.random() < 0.85,
+        "hint_ms": rng.choice([0, 800]),
+        "linger_ms": rng.choice([50, 300, 500]),
+        "state": rng.random() < 0.5,
+        "shim": calls,
+    }
+
+
+def _fleet(rng: Random, servers: int) -> dict[str, Any]:
+    return {
+        "servers": servers,
+        "sites": rng.choice([["home"], ["north", "south"]]),
+        "start": rng.choice(["warm", "warm", "empty"]),
+        "idle_s": rng.choice([1, 5, 15]),
+        "connections": rng.choice([60, 600]),
+    }
+
+
+def _cold(rng: Random) -> dict[str, Any]:
+    return {
+        "share": rng.choice([0.05, 0.2]),
+        "warm_s": rng.choice([4, 10]),
+        "multiple": rng.choice([2, 4]),
+        "window_s": 1,
+        "calls": True,
+    }
+
+
+def _profiles(rng: Random) -> list[dict[str, Any]]:
+    quick = rng.choice([0.5, 1.0])  # short deadlines on some plans
+    return [
+        {"name": "read", "share": 0.8, "work_ms": 5, "goal_ms": 200 * quick, "limit_ms": 800 * quick},
+        {"name": "bulk", "share": 0.02, "work_ms": 8, "goal_ms": 500, "limit_ms": 2000, "value_bytes": 600_000},
+        {
+            "name": "put",
+            "share": 0.12,
+            "work_ms": 8,
+            "goal_ms": 300 * quick,
+            "limit_ms": 1000 * quick,
+            "repeat": "journalled",
+            "window_ms": rng.choice([150, 600]),
+            "write": True,
+            "revenue": 4,
+        },
+        {
+            "name": "once",
+            "share": 0.06,
+            "work_ms": 8,
+            "goal_ms": 300 * quick,
+            "limit_ms": 1000 * quick,
+            "repeat": "non-idempotent",
+            "write": True,
+            "revenue": 3,
+        },
+    ]
+
+
+def _load(rng: Random, nodes: int) -> dict[str, Any]:
+    return {
+        "rate": 6.0 * nodes,
+        "keys": 500,
+        "zipf": 0.9,
+        "retries": 1,
+        "connections": 400,
+        "margin_ms": 550,
+        "leave": rng.choice([0.02, 0.1]),
+    }
+
+
+def _troubles(rng: Random, seconds: float, nodes: int, servers: int, settings: dict[str, Any]) -> list[dict[str, Any]]:
+    fit = [
+        one
+        for one in TROUBLES
+        if (one[1] != "calls" or settings["shim"]) and (one[0] not in OF_STATE or settings["state"])
+    ]
+    kinds, weights = [one[:2] for one in fit], [one[2] for one in fit]
+    faults, crashed = [], 0
+    for _ in range(TRACKS):
+        at = SETTLE_S + rng.random()
+        while at < seconds - CALM_S:
+            kind, place = rng.choices(kinds, weights)[0]
+            lasts = rng.uniform(*LENGTHS_S)
+            if place == "server" and kind in ("crash", "drain", "replace"):
+                crashed += 1
+                if crashed > servers // 3:  # some are left to serve
+                    continue
+            faults.append(_trouble(rng, kind, place, round(at, 2), round(lasts, 2), nodes, servers))
+            at += lasts + rng.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
+    return sorted(faults, key=lambda fault: fault["at_s"])
+
+
+def _trouble(rng: Random, kind: str, place: str, at: float, lasts: float, nodes: int, servers: int) -> dict[str, Any]:
+    fault: dict[str, Any] = {"kind": kind, "on": place, "at_s": at, "for_s": lasts}
+    match place:
+        case "node" | "calls":
+            fault["which"] = sorted(rng.sample(range(nodes), rng.randrange(1, max(2, nodes // 3))))
+        case "clients":
+            fault["which"] = sorted(rng.sample(range(nodes), rng.randrange(1, nodes)))
+            fault["ms"] = rng.choice([10, 50])
+            fault["for_s"] = min(lasts, 0.3) if kind == "stall" else lasts
+        case "server":
+            fault["which"] = [rng.randrange(servers)]
+    match kind:
+        case "kill" | "term":
+            fault["for_s"] = rng.choice([0.1, 0.5])
+        case "pause":
+            fault["for_s"] = rng.choice([0.05, 0.14, 0.5])
+        case "drain" | "replace":
+            fault |= {"for_s": 0.0, "ms": rng.choice([2500, 5000])}
+        case "slow":
+            fault["times"] = rng.choice([3, 10])
+        case "reset" | "cut" | "garbled" | "surplus" | "half-open" | "hand-back" | "errors" | "full":
+            fault["share"] = rng.choice([0.1, 0.5])
+        case "clock":
+            fault["step_s"] = rng.choice(CLOCK_STEPS_S)
+        case "rude":
+            fault["rate"] = 20.0
+    if place == "calls" and kind != "clock":
+        fault["share"] = round(rng.uniform(*CALL_SHARES), 2) if kind not in ("recv", "send") else 0.03
+        if kind in ("accept", "connect", "disk") and rng.random() < 0.3:
+            fault["share"] = 1.0
+    return fault
--- /dev/null
+++ b/saltmoor/lab/soak/planted.py
@@ -0,0 +1,87 @@
+"""Runs a node with a known fault built in, so that the soak's oracle can be seen to find it.
+
+    python -m saltmoor.lab.soak.planted FAULT serve --config=FILE
+
+It must never be used but by the soak and its tests.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from saltmoor import __main__, choice
+from saltmoor.model import Ended
+from saltmoor.net import clients, meta, upstream
+
+STALE_US = 400_000  # a server is told so much more than is left
+
+
+def resend() -> None:
+    """An attempt that timed out or broke is written once more, whatever its class."""
+    plain = upstream.Upstream.exchange
+
+    async def exchange(self, server, data, reader, until, by=0, wanted=None):
+        reply = await plain(self, server, data, reader, until, by, wanted)
+        if reply.ended is Ended.RESET and wanted is not None:
+            return await plain(self, server, data, type(reader)(*_made_of(reader)), until)
+        return reply
+
+    upstream.Upstream.exchange = exchange
+
+
+def _made_of(reader: object) -> tuple:
+    return (reader.command,) if isinstance(reader, meta.HopReply) else ()
+
+
+def close() -> None:
+    """Every fortieth connection is closed once its request was read, without an answer."""
+    plain = clients.Client.take
+
+    def take(self, command) -> None:
+        self.house.drawn += 1
+        if self.house.drawn % 40 == 0:
+            self.code = "planted"
+            self.reader.cancel()
+            return
+        plain(self, command)
+
+    clients.Client.take = take
+
+
+def after_leave() -> None:
+    """What a client asked goes on after it has left."""
+    clients.Clients.wanted = lambda self, client, tx: not tx.over
+    clients.Client.left = lambda self: None
+    plain = clients.Clients.done
+    clients.Clients.done = lambda self, slot: plain(self, slot) if slot.answer is not None else None
+
+
+def slow_start() -> None:
+    """A cold server gets what a warm one gets."""
+    choice.Node.within_cold_budget = lambda self, server, now: True
+    choice.warmth = lambda server, now, cold: 1.0
+
+
+def stale_deadline() -> None:
+    """A server is told of more time than is left."""
+    plain = meta.hop_bytes
+
+    def hop_bytes(command, wait_ms: int):
+        return plain(command, wait_ms + STALE_US // 1000)
+
+    meta.hop_bytes = hop_bytes
+
+
+PLANTS: dict[str, Callable[[], None]] = {
+    "resend": resend,
+    "close": close,
+    "after-leave": after_leave,
+    "slow-start": slow_start,
+    "stale-deadline": stale_deadline,
+}
+
+
+if __name__ == "__main__":
+    PLANTS[sys.argv[1]]()
+    sys.exit(__main__.main(sys.argv[2:]))
--- a/saltmoor/lab/station.py
+++ b/saltmoor/lab/station.py
@@ -10,10 +10,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from heapq import heappop, heappush
+from math import sqrt
 
 from saltmoor.lab.timeline import Due, Micros, Timeline
 
 
+FEW_REQUESTS = 30  # a server that may get fewer is given more for chance
+
+
 class Job:
     __slots__ = ("begun", "beside", "came", "done", "finish", "wanted", "work")
 
@@ -31,6 +35,15 @@
     by_work: bool = False
     multiple: float = 0.0  # 0: it never falls
     window: Micros = 1_000_000
+    mean_work: float = 0.0  # of a request: then the limit is in requests, with what chance adds; 0: the work alone
+
+    def limit(self, allowed: float) -> float:
+        """How much work within the window pushes it over, where the settings allow so much."""
+        if not self.mean_work:
+            return allowed
+        count = allowed / self.mean_work
+        chance = 3 * sqrt(count) + 3 if count < FEW_REQUESTS else 2 * sqrt(count) + 2
+        return (count + chance) * self.mean_work
 
 
 class Station:
@@ -130,7 +143,7 @@
         if (
             warm.multiple
             and self.fell
-            and (self.offered_sum > warm.multiple * self.capacity() * self.slower * warm.window)
+            and self.offered_sum > warm.limit(warm.multiple * self.capacity() * self.slower * warm.window)
         ):
             fell, self.fell = self.fell, None
             fell()
--- a/saltmoor/lab/worker.py
+++ b/saltmoor/lab/worker.py
@@ -29,6 +29,7 @@
     seed: int
     nodes: list[tuple[str, int]]
     tag: str  # begins every id, so that no two runs share one
+    targets: list[tuple[str, int]] = []  # the nodes themselves, where `nodes` are a proxy's ports
 
 
 async def told() -> int:
@@ -111,6 +112,18 @@
         book.note("late", late)
 
 
+async def proxy(run: Path, plan: Plan, book: Book) -> None:
+    from saltmoor.lab.soak.proxy import Proxy
+
+    driver = Driver()
+    between = Proxy(plan.scenario, plan.seed, [port for _, port in plan.nodes], plan.targets)
+    await between.listen()
+    between.schedule(driver, await told())
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.readline)
+    for late in driver.late:
+        book.note("late", late)
+
+
 def np_load(run: Path):
     import numpy as np
 
@@ -134,6 +147,7 @@
         "load": lambda: load(run, plan, book, int(part)),
         "rude": lambda: rude(run, plan, book),
         "links": lambda: links(run, plan, book),
+        "proxy": lambda: proxy(run, plan, book),
     }[role]
     uvloop.run(work())
     book.save(run / f"{role}{part if role == 'load' else ''}.book")
