--- /dev/null
+++ b/tests/test_stood.py
@@ -0,0 +1,92 @@
+"""Requests whose bytes stood unread for a while: a server is told of no more time than their client has left."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import unittest
+
+import uvloop
+
+from tests.helper import Town, read, settings
+
+STOOD = 0.3  # seconds
+SLACK_MS = 20
+
+
+class Told(Town):
+    """Keeps how much time the cache server was told of."""
+
+    def __init__(self) -> None:
+        said = settings()
+        said["permissions"] |= {"probes": False}
+        super().__init__(settings=said)
+        self.waits: list[int] = []
+
+    def note(self, text: str) -> None:
+        if found := re.search(r"d=(\d+)", text):
+            self.waits.append(int(found[1]))
+
+    async def cache(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        while line := (await reader.readline()).decode():
+            self.note(line)
+            tag = next(word for word in line.split() if word.startswith("O"))
+            writer.write(f"VA 3 {tag} h1\r\nhit\r\n".encode())
+        writer.close()
+
+
+class Stood(unittest.TestCase):
+    def play(self, scene) -> list[int]:
+        async def run() -> list[int]:
+            async with Told() as town:
+                await scene(town)
+                return town.waits
+
+        return uvloop.run(asyncio.wait_for(run(), 20))
+
+    def test_in_the_queue_of_the_listener(self):
+        """Guards against a wait that is counted from accept on, while the client waited long before that."""
+
+        async def scene(town: Told) -> None:
+            first = await town.client()
+            await first.ask("mn\r\n")
+            town.service.clients.acceptor.hold()
+            late = await town.client()
+            late.say(read("hit", "late", wait=900))
+            await asyncio.sleep(STOOD)
+            town.service.clients.listen()
+            await late.hear()
+
+        waits = self.play(scene)
+        self.assertLessEqual(waits[-1], 900 - STOOD * 1000 + SLACK_MS)
+
+    def test_while_nothing_was_read_from_its_connection(self):
+        """Behind so many commands that the connection is not read from for a while."""
+
+        async def scene(town: Told) -> None:
+            one = await town.client()
+            await one.ask(read("hit", "a"))
+            client = next(iter(town.service.clients.clients))
+            held = asyncio.Event()
+            plain = client.flush
+
+            async def flush() -> None:
+                if asyncio.current_task() is client.reader:
+                    await held.wait()
+                await plain()
+
+            client.flush = flush
+            one.say("mn\r\n")
+            await asyncio.sleep(0.02)
+            one.say(read("hit", "late", wait=900))
+            await asyncio.sleep(STOOD)
+            held.set()
+            await one.hear(2)
+
+        waits = self.play(scene)
+        self.assertLessEqual(waits[-1], 900 - STOOD * 1000 + SLACK_MS)
+
+
+if __name__ == "__main__":
+    unittest.main()
