Time that a request stood unread counts against what a server is told

Cause: how long bytes stood in the socket was asked of the kernel only while the loop was late. A connection that waited in the listener's queue (accept failing, no room) or was not read from (answers being written, paced) was taken to have asked in the moment of its read. Ruled out: the decisions and the attempt's own deadline: both follow the limit that the first read sets. Lines: Client.read of net/clients.py (self.waited). Change: the kernel is asked at the first read of each connection, and where a read brings bytes at once after the connection was not read from for over 4 ms; who has left in such a time is noticed before anything is begun.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -37,6 +37,7 @@
 READS_ON = 100_000  # how long a process that stops reads on from those that have something open
 LEAVE = 40_000  # how long a client that has said more may take to see the end of a connection that is not read any more
 MISSED = 50_000  # how often clients that are not read from are looked at
+STOOD = 4_000  # bytes that may have stood unread for longer: the kernel is asked for how long
 SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
 HALF = 30_000  # how long a client may be in the middle of a command while no server can be reached for want of room
@@ -67,6 +68,7 @@
         self.house, self.stream, self.peer, self.since = house, stream, peer, house.clock()
         self.commands, self.slots = meta.Commands(), deque()
         self.used, self.began, self.count, self.code, self.waited = self.since, 0, 0, "", 0
+        self.read_at: Micros = 0  # when bytes were last taken off it; 0: never
         self.ending = ""  # why it is to end once nothing is open
         self.last = False  # nothing more is read from it: it ends once all that was read is answered
         self.gathered = False
@@ -106,19 +108,22 @@
                 return self.ending
             if self.house.paced and not self.ending:
                 await self.deaf(self.house.turn())
+            asked_at = self.house.clock()
             data = b"" if self.gathered else await self.stream.read()
             if data is None:  # woken: what is above has changed
                 continue
             self.used = self.house.clock()
+            stood = self.may_have_stood(asked_at)
+            self.read_at = self.used
             if not data and not self.gathered:
                 return "client-left" if self.slots else self.ending or "client-closed"
-            if (self.house.late or self.house.paced or len(data) == BUFFER) and self.stream.left():
+            if (stood or self.house.paced or len(data) == BUFFER) and self.stream.left():
                 return "client-left"  # while its bytes stood in the socket; there may be more than were read
             self.gathered = False
             self.house.fresh.pop(self, None)
             self.commands.feed(data)
             # Guards against work for clients that have gone on waiting while their bytes stood in the socket.
-            self.waited = self.stream.waited() if self.house.late else 0
+            self.waited = self.stream.waited() if stood else 0
             try:
                 self.progress(len(data))
                 while (command := self.commands.next()) is not None:
@@ -144,6 +149,18 @@
                 return "framing-lost"
             self.track()
 
+    def may_have_stood(self, asked_at: Micros) -> bool:
+        """Whether what was just read may have stood in the socket: `asked_at` is when it was asked for.
+
+        Guards against time that a client has waited and nobody counts: at the listener, or while its connection was
+        not read from.
+        """
+        if self.house.late:
+            return True
+        if not self.read_at:
+            return self.stream.waited() > STOOD
+        return asked_at - self.read_at > STOOD and self.used - asked_at < STOOD
+
     async def deaf(self, wait: Awaitable[None]) -> None:
         """Wait for something else than what the client says; that it leaves is noticed all the same."""
         self.house.deaf[self] = None
--- a/tests/test_stood.py
+++ b/tests/test_stood.py
@@ -51,10 +51,12 @@
         async def scene(town: Told) -> None:
             first = await town.client()
             await first.ask("mn\r\n")
-            town.service.clients.acceptor.hold()
+            acceptor = town.service.clients.acceptor
+            plain, acceptor.has_room = acceptor.has_room, lambda: False
             late = await town.client()
             late.say(read("hit", "late", wait=900))
             await asyncio.sleep(STOOD)
+            acceptor.has_room = plain
             town.service.clients.listen()
             await late.hear()
 
