A guard decides what may be done now, and counts each violated rule at run time

A repeat whose window ends right before its first byte gave a good connection away with the code internal: it stays free.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -14,8 +14,11 @@
 
 from saltmoor import model
 from saltmoor.agenda import PERIOD, Agenda, salt, spot
-from saltmoor.hops import Allowance, Patience
-from saltmoor.model import Ended, Group, Hop, In, Micros, Readiness, Repeat, Server, State, Tx
+from saltmoor.guard.attempts import may_attempt, may_refuse
+from saltmoor.guard.retry_budget import RetryBudget
+from saltmoor.guard.slow_start import warmth
+from saltmoor.hops import Patience
+from saltmoor.model import Ended, Hop, In, Micros, Readiness, Server, State, Tx
 from saltmoor.recovery.phase import Phase, Recovery
 from saltmoor.recovery.room import Room
 
@@ -31,39 +34,6 @@
 LATE_SHARE = 0.1  # of admitted hops: above it a node turns away sooner, below it later
 
 
-def may_send(tx: Tx, server: Server, now: Micros, permits: model.Permits) -> bool:
-    """Rule 2, the one place: whether another hop of this transaction may go to this server now."""
-    if now >= tx.limit or len(tx.hops) >= permits.hops or tx.open_hops() and not permits.copies:
-        return False
-    ran = tx.maybe_ran()
-    if not ran or tx.profile.repeat is Repeat.IDEMPOTENT:
-        return True
-    if tx.profile.repeat is Repeat.NON_IDEMPOTENT or now >= ran[0].sent + tx.profile.window:
-        return False
-    group = tx.profile.group
-    return group is Group.ALL or all(
-        hop.server.zone == server.zone and (group is Group.ZONE or hop.server.cell == server.cell) for hop in ran
-    )
-
-
-def may_roll_back(tx: Tx) -> bool:
-    """Rule 2 again: whether the client may be told that trying again is harmless, and not in vain."""
-    repeat, ends = tx.profile.repeat, [hop.ended for hop in tx.hops]
-    return Ended.MALFORMED not in ends and (
-        repeat is Repeat.IDEMPOTENT
-        or not tx.maybe_ran()
-        or (repeat is Repeat.JOURNALLED and tx.profile.group is Group.ALL)
-    )
-
-
-def warmth(server: Server, now: Micros, cold: model.ColdStart) -> float:
-    """The share of its capacity that a server surely has: it warms no slower than evenly."""
-    age = max(0, now - server.started)  # what lies in the future has just started
-    if server.started <= 0 or age >= cold.warm_after:
-        return 1.0
-    return cold.share + (1 - cold.share) * age / cold.warm_after
-
-
 class Node(Agenda):
     def __init__(self, seed: int, now: Micros, **settings) -> None:
         super().__init__(seed, now)
@@ -76,7 +46,7 @@
         self.capacity = self.full_size = 1.0  # of all cache servers: as they are, and were they warm
         self.zoned = False  # whether a key's preferred server is one of the own zone
         self.room, self.queued = Room(self.place.nodes), []  # at the origin; who waits for it
-        self.recovery, self.patience, self.allowance = Recovery(now), Patience(), Allowance()
+        self.recovery, self.patience, self.retry_budget = Recovery(now), Patience(), RetryBudget()
         self.fetching, self.stored = 1.0, {}  # share taken of reads of unknown keys; those that hit lately
         self.refused, self.squeezed = 0.0, False  # share of connections that living servers refuse; many do
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
@@ -219,14 +189,8 @@
         Guards against a floor that counts once a node: all add up to their rates, as each starts, also
         anew, evenly between two hops. Half a window's is saved: under one hop a chance, which then lapses.
         """
-        if (share := warmth(server, now, self.cold)) >= 1.0:
+        if (own := self.cold_rate(server, now)) is None:
             return True
-        # Half the multiple of what a warm peer gets, but where hardly one is left to measure by, no more than
-        # three quarters of the multiple of what it would get were all warm. Or of this node's part of one
-        # core's work, where it is told how many nodes there are, give or take three. All nodes do alike.
-        usual = self.rate * server.size * min(0.5 / self.capacity, 0.75 / self.full_size)
-        core = self.usual and self.place.nodes and 0.5e6 / self.usual / (self.place.nodes + 3)
-        own = self.part * self.cold.multiple * max(usual, core) * share
         saved = own * self.cold.window / 2e6
         level = server.allowed + own * (now - server.allowed_at) / 1e6
         if level > 1 + saved:
@@ -234,6 +198,17 @@
         server.allowed, server.allowed_at = level, now
         return level >= 1
 
+    def cold_rate(self, server: Server, now: Micros) -> float | None:
+        """How many requests a second this node may send there while it is cold; None where it is warm."""
+        if (share := warmth(server, now, self.cold)) >= 1.0:
+            return None
+        # Half the multiple of what a warm peer gets, but where hardly one is left to measure by, no more than
+        # three quarters of the multiple of what it would get were all warm. Or of this node's part of one
+        # core's work, where it is told how many nodes there are, give or take three. All nodes do alike.
+        usual = self.rate * server.size * min(0.5 / self.capacity, 0.75 / self.full_size)
+        core = self.usual and self.place.nodes and 0.5e6 / self.usual / (self.place.nodes + 3)
+        return self.part * self.cold.multiple * max(usual, core) * share
+
     def first_turn(self, member: model.Member) -> float:
         return self.chance() * self.part if member.started > 0 else 0.0
 
@@ -241,7 +216,7 @@
         fit = (
             server
             for server in self.ranked(tx.key)
-            if server not in tx.tried and self.usable(server, now) and may_send(tx, server, now, self.permits)
+            if server not in tx.tried and self.usable(server, now) and may_attempt(tx, server, now, self.permits)
         )
         return islice(fit, tx.reach)
 
@@ -351,10 +326,10 @@
 
     def send(self, tx: Tx, now: Micros) -> In | None:
         server = tx.choice
-        if not may_send(tx, server, now, self.permits) or not self.allowed(tx, now):
+        if not may_attempt(tx, server, now, self.permits) or not self.allowed(tx, now):
             return In.NOBODY
         if self.budget and self.further(tx):
-            self.allowance.further.append(now)
+            self.retry_budget.further.append(now)
         tx.hops.append(Hop(tx, len(tx.hops), server, now, self.queue(server)))
         tx.tried.add(server)
         server.out[tx.hops[-1]] = None
@@ -377,7 +352,7 @@
         if not self.budget or not self.further(tx):
             return True
         kept = 0.5 * self.budget.free * (1 - tx.profile.revenue / self.dearest)
-        return self.allowance.left(now, self.budget, self.part) >= 1 + kept
+        return self.retry_budget.left(now, self.budget, self.part) >= 1 + kept
 
     def overdue(self, now: Micros, hop: Hop) -> None:
         """Guards against answers that get lost: what was sent half a hit's time later is answered."""
@@ -481,7 +456,7 @@
     def give_up(self, tx: Tx, now: Micros) -> In | None:
         """The final answer at once; harmless to try again only where rule 2 says so."""
         hint = min(self.permits.longest_hint, self.recovery.stay_away(now, int(self.usual), self.chance))
-        self.effects.append(model.RollBack(tx.id, hint) if may_roll_back(tx) else model.Abandon(tx.id))
+        self.effects.append(model.RollBack(tx.id, hint) if may_refuse(tx) else model.Abandon(tx.id))
         tx.failed = True
         return self.finish(tx, now)
 
@@ -517,7 +492,7 @@
         )
         self.txs[tx.id] = tx
         if self.budget:
-            self.allowance.taken.append(now)
+            self.retry_budget.taken.append(now)
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
         if came.write and self.origin_kind is not None:
             self.feed(now, tx, In.ORIGIN)
@@ -755,7 +730,7 @@
             if self.recovery.phase is Phase.STEADY:  # guards against turning away as while copies were lost
                 self.strict = max(self.strict, 1.0)
         if self.budget:
-            self.allowance.left(now, self.budget, self.part)  # what has left the window is not kept
+            self.retry_budget.left(now, self.budget, self.part)  # what has left the window is not kept
         if len(self.stored) > 5_000 or now % 5_000_000 < PERIOD:
             self.stored = {key: kept for key, kept in self.stored.items() if kept[0] > now - 30_000_000}
         self.missing = {key: until for key, until in self.missing.items() if until > now}
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -17,6 +17,7 @@
 from saltmoor import model
 from saltmoor.agenda import PERIOD
 from saltmoor.choice import Node
+from saltmoor.guard.checks import Target
 from saltmoor.limits import shares
 from saltmoor.limits.admission import Admission
 from saltmoor.model import Ended, ListKind, Micros
@@ -51,6 +52,7 @@
     by: Micros  # its last byte may not be written later
     since: Micros
     told: bool = False  # how it ended
+    target: Target | None = None  # what the guard has to know of its server
 
 
 @dataclass(slots=True)
@@ -359,9 +361,10 @@
                     if tx is None:  # guards the effects behind it, timers among them
                         self.log(f"fault: a hop for what is over, to {known.name}: not sent")
                         continue
-                    self._hand(
-                        tx, Send(tx, tx.hops, server, known.kind == self.node.origin_kind, until, by or until, now)
-                    )
+                    origin = known.kind == self.node.origin_kind
+                    rate = None if origin else self.node.cold_rate(known, now)
+                    target = Target(server, known.zone, known.cell, rate)
+                    self._hand(tx, Send(tx, tx.hops, server, origin, until, by or until, now, target=target))
                     tx.hops += 1
                 case model.RollBack(tx_id, stay_away):
                     finals[tx_id] = RollBack(stay_away)
--- /dev/null
+++ b/saltmoor/guard/connections.py
@@ -0,0 +1,60 @@
+"""Says whether a request may be started, and a client's connection taken or ended. No I/O; the clock is passed in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from saltmoor.guard.verdicts import ALLOWED, DENIED, Reason, Verdict
+from saltmoor.model import Micros
+
+
+@dataclass(slots=True, frozen=True)
+class Occupancy:
+    """What a node's connections come to, and what they may come to."""
+
+    clients: int
+    leaving: int  # of those, on their way out: their descriptors are in the reserve
+    upstreams: int
+    most_clients: int
+    most_upstreams: int
+    most: int
+    reserve: int
+
+
+class Room(Enum):
+    """Whether one more client may be taken, and who makes room for it otherwise."""
+
+    FREE = auto()
+    NONE = auto()
+    NONE_AND_NOBODY_LEAVES = auto()  # the caps have come down
+    BY_UPSTREAM = auto()  # a free connection to a server, else a client that asks nothing
+    BY_CLIENT = auto()  # a client that asks nothing
+
+
+def room_for_client(now: Occupancy) -> Room:
+    """Whether one more client's connection may be taken."""
+    staying = now.clients - now.leaving
+    if now.clients + now.upstreams >= now.most + now.reserve or now.clients >= now.most_clients + now.reserve:
+        return Room.NONE if now.leaving else Room.NONE_AND_NOBODY_LEAVES
+    full = staying + now.upstreams >= now.most
+    if full and now.upstreams > now.most_upstreams:
+        return Room.BY_UPSTREAM if staying < now.most_clients else Room.BY_CLIENT
+    return Room.BY_CLIENT if full or staying >= now.most_clients else Room.FREE
+
+
+def may_start(now: Micros, *, until: Micros, id_open: bool, memory: bool) -> Verdict:
+    """Whether a request that was read may be begun; `until`: when the process ends, 0 where it does not."""
+    if id_open:
+        return DENIED[Reason.ID_OPEN]  # of two answers to one id one would be a stranger's
+    if not memory:
+        return DENIED[Reason.NO_MEMORY]
+    return DENIED[Reason.STOPPING] if until and until <= now else ALLOWED
+
+
+def may_end(*, idle: bool, quiet: bool) -> Verdict:
+    """Whether a connection may be closed from this side: `idle`, nothing that was read is unanswered or unfinished;
+    `quiet`, nothing stands unread."""
+    if not idle:
+        return DENIED[Reason.REQUESTS_OPEN]
+    return ALLOWED if quiet else DENIED[Reason.BYTES_WAIT]
--- a/saltmoor/hops.py
+++ b/saltmoor/hops.py
@@ -1,34 +1,15 @@
-"""Owns what a node counts and learns of its hops: the stated budget of further ones, and how long an answer may take.
+"""Owns what a node learns of its attempts: how long an answer may take.
 
 It must never send, choose a server, or read a clock.
 """
 
 from __future__ import annotations
 
-from collections import deque
-
-from saltmoor import model
 from saltmoor.model import Hop, Micros
 
 LATE_ANSWERS = 0.005  # of the answers that come: after them an answer counts as lost
 
 
-class Allowance:
-    """Rule 5, where it is stated: hops beyond each transaction's first, counted in a window that slides."""
-
-    def __init__(self) -> None:
-        self.taken: deque[Micros] = deque()
-        self.further: deque[Micros] = deque()
-
-    def left(self, now: Micros, budget: model.HopBudget, part: float) -> float:
-        edge = now - budget.window
-        while self.taken and self.taken[0] <= edge:
-            self.taken.popleft()
-        while self.further and self.further[0] < edge:
-            self.further.popleft()
-        return budget.free * part + budget.share * len(self.taken) - len(self.further)
-
-
 class Patience:
     """How often its expected delay a hop is given before its answer counts as lost.
 
--- a/saltmoor/lab/soak/command.py
+++ b/saltmoor/lab/soak/command.py
@@ -12,6 +12,7 @@
 from saltmoor.lab import scenario as lab
 from saltmoor.lab.soak import run
 from saltmoor.lab.soak.planted import PLANTS
+from saltmoor.lab.soak.processes import end_with_children
 from saltmoor.lab.soak.run import Options, Verdict
 
 FEWEST, MOST = 4, 40  # processes of one run
@@ -57,6 +58,7 @@
         keep=Path(said["--keep"]) if said["--keep"] else None,
         plant=said["--plant"] or "",
     )
+    end_with_children()
     first = int(_number(said, "--seed", 0, 1 << 30))
     if said["--plan"]:
         verdicts = [_play_plan(Path(said["--plan"]), first, options, said["--shrink"])]
--- a/saltmoor/lab/soak/oracle.py
+++ b/saltmoor/lab/soak/oracle.py
@@ -94,9 +94,10 @@
         for fault in self.scenario.fault:
             at = self.begin + int(fault.at_s * 1e6)
             ends = at + int(fault.for_s * 1e6) + SLACK
-            if fault.on == "clients" and fault.kind in ("delay", "stall") and node in (fault.which or (node,)):
-                if at - SLACK <= until and ends + 1_000_000 >= since:
-                    most += int(fault.ms * 1000) if fault.kind == "delay" else int(fault.for_s * 1e6)
+            if fault.on != "clients" or fault.kind not in ("delay", "stall") or node not in (fault.which or (node,)):
+                continue
+            if at - SLACK <= until and ends + 1_000_000 >= since:
+                most += int(fault.ms * 1000) if fault.kind == "delay" else int(fault.for_s * 1e6)
         return most + (2_000_000 if self.ledger.paused(node, since, until) else 0)
 
     def streamed(self, ident: str) -> bool:
@@ -128,9 +129,12 @@
         patient = asked.left >= asked.at + asked.wait + LATEST_ANSWER
         if not asked.left:
             self.counts["open at the end"] += 1
-        elif patient and not self.ending(asked.node, asked.at, asked.left, "killed"):
-            if not self.held_up(asked.node, asked.at, asked.left):
-                self.find(Rule.LOST, asked.id, f"node {asked.node} gave no answer in its time and half a second")
+        elif patient and self.failing(asked.node, asked.at, asked.left, "accept"):
+            self.counts["waited at a listener that could not accept"] += 1
+        elif patient and not (
+            self.ending(asked.node, asked.at, asked.left, "killed") or self.held_up(asked.node, asked.at, asked.left)
+        ):
+            self.find(Rule.LOST, asked.id, f"node {asked.node} gave no answer in its time and half a second")
 
     def closed(self, asked: Asked) -> None:
         """A request on a new connection that was closed with no answer, at a node that was not about to end."""
@@ -148,9 +152,10 @@
         """Whether calls of that kind were made to fail at the node about then."""
         for fault in self.scenario.fault:
             at = self.begin + int(fault.at_s * 1e6)
-            if fault.on == "calls" and fault.kind == kind and node in fault.which:
-                if at - SLACK <= until and at + int(fault.for_s * 1e6) + 1_000_000 >= since:
-                    return True
+            if fault.on != "calls" or fault.kind != kind or node not in fault.which:
+                continue
+            if at - SLACK <= until and at + int(fault.for_s * 1e6) + 1_000_000 >= since:
+                return True
         return False
 
     def gone(self, asked: Asked, got: Got) -> None:
--- a/saltmoor/limits/shares.py
+++ b/saltmoor/limits/shares.py
@@ -19,7 +19,7 @@
     Less: what it saved shrinks alike, as the other one starts with its own part. More, and at a start beside
     another: the other one may have used all of a stated budget in this window, so what is added counts as used.
     """
-    fresh = not node.servers and not node.allowance.taken  # starts beside one that was there before
+    fresh = not node.servers and not node.retry_budget.taken  # starts beside one that was there before
     gained = wanted if fresh else wanted - node.part
     left = min(1.0, wanted / node.part)
     for server in node.servers.values():
@@ -29,5 +29,5 @@
     for quota in gate.buckets:
         quota.level *= left
     if node.budget and gained > 0:
-        node.allowance.further.extend([now] * min(10_000, ceil(gained * node.budget.free)))
+        node.retry_budget.further.extend([now] * min(10_000, ceil(gained * node.budget.free)))
     node.part = gate.part = wanted
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -19,6 +20,9 @@
 import saltmoor
 from saltmoor import config, facade
 from saltmoor.config import BUFFER
+from saltmoor.guard.checks import Checker, Record, Violation
+from saltmoor.guard.connections import Occupancy, Room, may_end, may_start, room_for_client
+from saltmoor.guard.verdicts import Reason
 from saltmoor.model import Ended, Micros, Profile
 from saltmoor.net import http, meta, origin
 from saltmoor.net.acceptor import AT_ONCE, Acceptor, Taken
@@ -46,10 +50,11 @@
 class Slot:
     """One command's place in the order of answers."""
 
-    __slots__ = ("answer", "id", "task", "tx")
+    __slots__ = ("answer", "id", "record", "task", "tx")
 
     def __init__(self, answer: bytes | None = None) -> None:
         self.answer, self.id, self.task, self.tx = answer, b"", None, None
+        self.record: Record | None = None  # of a request that was begun
 
 
 class Passing:
@@ -104,7 +109,7 @@
                 if not self.stream.quiet():
                     await self.take_leave()
                 return self.ending
-            if self.ending and self.idle and self.stream.quiet():
+            if self.ending and may_end(idle=self.idle, quiet=self.idle and self.stream.quiet()):
                 return self.ending
             if self.house.paced and not self.ending:
                 await self.deaf(self.house.turn())
@@ -272,7 +277,10 @@
             while self.slots and self.slots[0].answer is not None:
                 answer = self.slots[0].answer
                 await (self.pass_on(answer) if isinstance(answer, Passing) else self.stream.write(answer))
-                self.house.done(self.slots.popleft())
+                slot = self.slots.popleft()
+                self.house.done(slot)
+                if slot.record:
+                    self.house.answered(slot.record)
                 self.used = self.house.clock()
                 self.room.set()
             if not self.slots:
@@ -334,6 +342,8 @@
             if isinstance(slot.answer, Passing):
                 slot.answer.flow.drop()
             self.house.done(slot)
+            if slot.record:
+                self.house.unanswered(slot.record, self.code)
         self.forget()
         self.house.begun.pop(self, None)
         self.stream.close()
@@ -361,7 +371,9 @@
         profiles: list[Profile],
         caps: config.Caps,
         budget: Budget,
+        checker: Checker,
     ) -> None:
+        self.checker = checker
         self.door, self.upstream, self.buffers, self.log, self.clock = door, upstream, buffers, log, clock
         self.configure(names, profiles, caps)
         self.clients: set[Client] = set()
@@ -474,18 +486,28 @@
         Guards against crowds that come again as soon as they are shut: each would cost a connection to a server, and
         all that are on their way out at once. What is never taken by clients is kept, and half of the reserve.
         """
-        staying = len(self.clients) - self.leaving
-        if len(self.clients) + self.upstream.open >= self.caps.connections + EVICTIONS // 2 or (
-            len(self.clients) >= self.caps.clients + EVICTIONS // 2
-        ):
-            if not self.leaving:  # the caps have come down
+        caps = self.caps
+        room = room_for_client(
+            Occupancy(
+                clients=len(self.clients),
+                leaving=self.leaving,
+                upstreams=self.upstream.open,
+                most_clients=caps.clients,
+                most_upstreams=caps.upstreams,
+                most=caps.connections,
+                reserve=EVICTIONS // 2,
+            )
+        )
+        match room:
+            case Room.FREE:
+                return True
+            case Room.BY_UPSTREAM:
+                return self.upstream.evict() or self.evict()
+            case Room.BY_CLIENT:
+                return self.evict()
+            case Room.NONE_AND_NOBODY_LEAVES:
                 self.evict()
-            return False
-        if staying + self.upstream.open >= self.caps.connections and self.upstream.open > self.caps.upstreams:
-            return staying < self.caps.clients and self.upstream.evict() or self.evict()
-        if staying >= self.caps.clients or staying + self.upstream.open >= self.caps.connections:
-            return self.evict()
-        return True
+        return False
 
     def make_room(self) -> bool:
         """For a connection to a server, which goes before clients that ask nothing: whether there may be room soon."""
@@ -596,11 +618,13 @@
         if profile is None:
             command.fault = "unknown profile"
             return
-        if command.id in self.open_ids:  # guards against two answers to one id, of which one is a stranger's
+        id_open = command.id in self.open_ids
+        memory = id_open or len(self.open_ids) < self.caps.txs or self.drop_stalled()
+        verdict = may_start(self.clock(), until=self.until, id_open=id_open, memory=memory)
+        if verdict.reason is Reason.ID_OPEN:
             command.fault = "this id is open"
             return
-        if len(self.open_ids) >= self.caps.txs and not self.drop_stalled():
-            # No memory to hold it. Nothing was sent, so trying again is harmless.
+        if not verdict:  # nothing was sent, so trying again is harmless
             slot.answer = meta.rolled_back(0)
             return
         wait = command.attrs.get(b"d", b"")
@@ -613,10 +637,9 @@
         key = int.from_bytes(blake2b(command.key, digest_size=8).digest())  # the same at every node
         limit = self.clock() + max(1000, given - client.waited)
         if self.until:  # guards against what is still being served when the process ends
-            if self.until <= self.clock():
-                slot.answer = meta.rolled_back(0)
-                return
             limit = min(limit, self.until)
+        slot.record = Record(command.id.decode("latin-1"), self.profiles[profile], limit)
+        self.checker.taken(slot.record)
         slot.tx = facade.Tx(profile, tenant, key, limit, command.write, again=again)
         slot.id = command.id
         self.open_ids.add(command.id)
@@ -624,7 +647,7 @@
         slot.task = asyncio.create_task(self.conduct(client, slot, slot.tx, command))
 
     def done(self, slot: Slot) -> None:
-        """The answer was written, or its client has gone."""
+        """Its answer was written, or it needs none any more."""
         if slot.tx:
             self.open_ids.discard(slot.id)
             self.door.leave(slot.tx)
@@ -636,7 +659,7 @@
         answer = meta.ABANDONED
         try:
             while isinstance(step := await self.door.pick(tx), facade.Send):
-                hops[step.hop] = asyncio.create_task(self.hop(step, command, client))
+                hops[step.hop] = asyncio.create_task(self.hop(step, command, client, slot.record))
                 self.upstream.unsent.add(hops[step.hop])
                 hops[step.hop].add_done_callback(lambda task, step=step: self.hop_done(step, task))
             for number, task in hops.items():
@@ -662,18 +685,46 @@
             answer.flow.drop()
         await client.flush()
 
-    async def hop(self, step: facade.Send, command: meta.Command, client: Client) -> meta.Reply:
+    def answered(self, record: Record) -> None:
+        """Its final answer was written."""
+        with contextlib.suppress(Violation):  # counted and logged: the connection goes on
+            self.checker.answered(record)
+
+    def unanswered(self, record: Record, code: str) -> None:
+        """A connection has ended before this one's answer."""
+        with contextlib.suppress(Violation):
+            self.checker.closed(record, code)
+
+    async def hop(self, step: facade.Send, command: meta.Command, client: Client, record: Record) -> meta.Reply:
         kept = replace(command)  # its value stays until the attempt has ended
         host, port = self.upstream.address.get(step.server, ("", 0))
 
         def data() -> list[bytes]:
+            nonlocal attempt
             wait = max(1, (step.until - self.clock()) // 1000)
+            attempt = self.checker.begins(
+                record,
+                step.target,
+                told=wait * 1000,
+                client_left=bool(client.code),
+                draining=step.server in self.upstream.draining,
+                part=self.door.node.part,
+            )
             return origin.hop_bytes(kept, f"{host}:{port}", wait) if step.origin else meta.hop_bytes(kept, wait)
 
         reader = origin.OriginReply() if step.origin else meta.HopReply(command)
-        return await self.upstream.exchange(
-            step.server, data, reader, step.until, step.by, lambda: self.wanted(client, step.tx)
-        )
+        attempt = None
+        try:
+            reply = await self.upstream.exchange(
+                step.server, data, reader, step.until, step.by, lambda: self.wanted(client, step.tx)
+            )
+        except asyncio.CancelledError:
+            if attempt:
+                attempt.ended = Ended.CANCELLED
+            raise
+        if attempt:
+            attempt.ended = reply.ended
+        return reply
 
     def hop_done(self, step: facade.Send, task: asyncio.Task) -> None:
         self.upstream.unsent.discard(task)
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -18,6 +18,7 @@
 
 from saltmoor import config, facade
 from saltmoor.choice import Node
+from saltmoor.guard.checks import Checker
 from saltmoor.model import Ended, ListKind, Micros, Readiness
 from saltmoor.net import meta, sibling
 from saltmoor.net.admin import Admin
@@ -39,6 +40,7 @@
 LAST_WRITES = 100_000  # microseconds between the longest limit and the process's end, for the last answers
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
+STRICT = "SALTMOOR_STRICT"  # in the environment: a violated rule raises, for tests and soaks
 SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
 OFFSET = time.time_ns() // 1000 - time.monotonic_ns() // 1000
 
@@ -135,6 +137,7 @@
             log=self.log,
             part=0.5 if found else 1.0,
         )
+        self.checker = Checker(clock, self.log, strict=bool(os.environ.get(STRICT)))
         self.clients = Clients(
             self.door,
             self.upstream,
@@ -145,6 +148,7 @@
             profiles=given.node["profiles"],
             caps=given.caps,
             budget=self.budget,
+            checker=self.checker,
         )
         self.ready = False
         self.settings(given)
@@ -323,6 +327,7 @@
         return True, "lame duck" if on else "serving"
 
     def settings(self, given: config.Config) -> None:
+        self.checker.configure(given.node["budget"], given.node["cold"].window)
         # So that no connection is found closed for its age; and never so often that the node does nothing else.
         self.sweep = max(HURRY, min(0.5, given.idle / 20_000_000))
         self.linger = given.linger / 1_000_000
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -16,6 +16,8 @@
 
 from saltmoor import config
 from saltmoor.config import LONGEST_HELD
+from saltmoor.guard.attempts import may_write
+from saltmoor.guard.verdicts import Reason
 from saltmoor.model import Ended, Micros, Readiness, ServerId
 from saltmoor.net import errors, http, meta
 from saltmoor.net.buffers import Buffers, Stream, family
@@ -227,16 +229,21 @@
                 if isinstance(made, Ended):
                     return meta.Reply(made)
                 link = made
-            if server in self.draining or self.address.get(server) != link.address:
-                # Guards against a drain that came since it was picked, on the way here or while it connected:
-                # nothing is written, so it did not run.
-                code = "left-list"
-                return meta.Reply(Ended.NOT_SENT)
-            if by and self.clock() >= by:
-                return meta.Reply(Ended.NOT_SENT)
-            if wanted and not wanted():
-                self.free.setdefault(server, []).append(link)  # as it was: nothing was written on it
-                link = None
+            # Guards against a drain that came since it was picked, on the way here or while it connected, against a
+            # repeat that is written behind its window, and against work for a client that has left meanwhile.
+            verdict = may_write(
+                self.clock(),
+                listed=self.address.get(server) == link.address,
+                draining=server in self.draining,
+                by=by,
+                wanted=wanted is None or wanted(),
+            )
+            if not verdict:  # nothing is written, so it did not run
+                if verdict.reason is Reason.SERVER_LEFT:
+                    code = "left-list"
+                else:
+                    self.free.setdefault(server, []).append(link)  # as it was
+                    link = None
                 return meta.Reply(Ended.NOT_SENT)
             parts = data() if callable(data) else data
             left = len(parts)
--- a/saltmoor/state/kinds.py
+++ b/saltmoor/state/kinds.py
@@ -71,7 +71,7 @@
         "spent": {
             "quotas": [[bucket[1], now - bucket[2]] for bucket in node.quotas],
             "gate": [[bucket.level, now - bucket.since] for bucket in gate.buckets],
-            "further": [now - at for at in node.allowance.further],
+            "further": [now - at for at in node.retry_budget.further],
             "spare": round(node.spare, 2),
         },
         "usual": {
@@ -166,7 +166,7 @@
     if node.budget:
         left = [now - gone - int(at) for at in said["further"][-10_000:]]
         counted = sorted(at for at in left if now - node.budget.window < at <= now)
-        node.allowance.further.extendleft(reversed(counted))
+        node.retry_budget.further.extendleft(reversed(counted))
         told["spent"] += len(counted)
 
 
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -170,7 +170,7 @@
         node.usual, node.hits, node.fetch, node.quotas[0][1] = 30_000.0, 900, 80_000.0, 3.0
         node.room.limit, node.room.base, node.room.rounds, node.room.slowed = 20.0, 25_000.0, 50, True
         gate.buckets[0].level, gate.limit = 2.0, 300.0
-        node.allowance.further.extend([self.NOW - 4 * SECOND, self.NOW - SECOND])
+        node.retry_budget.further.extend([self.NOW - 4 * SECOND, self.NOW - SECOND])
         return json.loads(json.dumps(kinds.take(node, gate, self.NOW)))
 
     def test_what_counts_at_which_age(self):
@@ -185,7 +185,7 @@
                 f"{said}: {' '.join(f'{kind}={count}' for kind, count in told.items())}; s0 may get "
                 f"{node.servers['s0'].allowed:.2f}, s3 ready {node.servers['s3'].ready}, s1 delay {s1.delay / MS:.0f} "
                 f"of {s1.hits}, room {node.room.limit:.1f}, quota {node.quotas[0][1]:.0f}, limit {gate.limit:.0f}, "
-                f"further {len(node.allowance.further)}"
+                f"further {len(node.retry_budget.further)}"
             )
         self.check("comeback-kinds", notes)
 
@@ -207,7 +207,7 @@
             self.assertLessEqual(node.quotas[0][1], bare.quotas[0][1])
             self.assertLessEqual(gate.buckets[0].level, bare_gate.buckets[0].level)
             self.assertLessEqual(node.spare, bare.spare)
-            self.assertLessEqual(node.allowance.left(now, budget, 1), bare.allowance.left(now, budget, 1))
+            self.assertLessEqual(node.retry_budget.left(now, budget, 1), bare.retry_budget.left(now, budget, 1))
 
     def test_a_loop_of_kills_draws_no_new_first_turns(self):
         """Guards against a process that is killed again and again, and each time gets hops to a cold server anew."""
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -227,11 +227,11 @@
         both = sum(one.allowed for each in (old, new) for one in each.node.servers.values())
         self.assertLess(both, 1.2 * saved)
         self.assertLessEqual(sum(each.node.quotas[0][1] for each in (old, new)), 101)
-        left = [each.node.allowance.left(now, budget, each.node.part) for each in (old, new)]
+        left = [each.node.retry_budget.left(now, budget, each.node.part) for each in (old, new)]
         self.assertLessEqual(sum(max(0, int(one)) for one in left), 6)
-        old.node.allowance.further.extend([now] * 3)
+        old.node.retry_budget.further.extend([now] * 3)
         old.share(1.0)  # the other one has gone: what it used of this window is not known
-        self.assertLess(old.node.allowance.left(now, budget, old.node.part), 1)
+        self.assertLess(old.node.retry_budget.left(now, budget, old.node.part), 1)
 
 
 class Clock(unittest.TestCase):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -202,20 +202,20 @@
             self.found("the list changes", "1: sent after", 4)
 
     def test_repeats_that_may_have_run(self):
-        with self.planted(choice, "may_send", lambda tx, *_: len(tx.hops) < 3):
+        with self.planted(choice, "may_attempt", lambda tx, *_: len(tx.hops) < 3):
             self.found("writes of all profiles", "2: a non-idempotent one sent again")
 
     def test_repeats_past_the_window_or_outside_the_group(self):
-        plain = choice.may_send
+        plain = choice.may_attempt
 
         def careless(tx, server, now, permits):
             return tx.profile.repeat is model.Repeat.JOURNALLED and len(tx.hops) < 3 or plain(tx, server, now, permits)
 
-        with self.planted(choice, "may_send", careless):
+        with self.planted(choice, "may_attempt", careless):
             self.found("two zones", "2: a journalled one sent again")
 
     def test_a_refusal_that_is_not_harmless(self):
-        with self.planted(choice, "may_roll_back", lambda tx: True):
+        with self.planted(choice, "may_refuse", lambda tx: True):
             self.found("writes of all profiles", "2: told that trying again is harmless")
 
     def test_a_drain_that_is_not_kept(self):
@@ -248,12 +248,12 @@
             self.found("two processes, a budget", "5: more further hops in a window")
 
     def test_more_hops_than_are_permitted(self):
-        plain = choice.may_send
+        plain = choice.may_attempt
 
         def countless(tx, server, now, permits):
             return plain(tx, server, now, model.Permits(hops=9, copies=True))
 
-        with self.planted(choice, "may_send", countless):
+        with self.planted(choice, "may_attempt", countless):
             self.found("lists that are wrong", "5: more hops, or copies")
 
     def test_an_exception(self):
