--- a/saltmoor/lab/clients.py
+++ b/saltmoor/lab/clients.py
@@ -281,7 +281,8 @@
         if hint and tx.chance() < load.honour:
             wait = max(wait, hint)
         profile, now = self.scenario.profile[tx.profile], self.driver.clock()
-        if profile.repeat == "journalled" and now + wait > tx.begun + profile.window_ms * 1000:
+        longest = load.try_share[1] * profile.limit_ms * 1000  # a node may send it on as late as that
+        if profile.repeat == "journalled" and now + wait + longest > tx.begun + profile.window_ms * 1000:
             return  # servers drop its repeats no longer: such a request is reissued within its window alone
         self.coming += 1
         self.driver.line.at(now + wait, self._try_again, tx)
--- a/saltmoor/lab/soak/plan.py
+++ b/saltmoor/lab/soak/plan.py
@@ -133,7 +133,7 @@
             "goal_ms": 300 * quick,
             "limit_ms": 1000 * quick,
             "repeat": "journalled",
-            "window_ms": rng.choice([150, 600]),
+            "window_ms": rng.choice([150, 600, 1500]),
             "write": True,
             "revenue": 4,
         },
--- a/saltmoor/lab/wire.py
+++ b/saltmoor/lab/wire.py
@@ -219,6 +219,8 @@
     def __init__(self, driver: Driver, link: Link, welcome: Callable[[Wire], Peer | None]) -> None:
         self.driver, self.link, self.welcome = driver, link, welcome
         self.number, self.listener, self.task = 0, None, None
+        # Guards against another stand-in that is given this one's port while it is down: bound, and never listening.
+        self.held: socket.socket | None = None
 
     @property
     def address(self) -> str:
@@ -227,11 +229,21 @@
     def open(self, elsewhere: bool = False) -> None:
         if self.listener:
             return
-        self.listener = socket.create_server((HOST, 0 if elsewhere else self.number), backlog=1024)
+        if elsewhere or self.held is None:
+            self._hold(0 if elsewhere else self.number)
+        self.listener = socket.create_server((HOST, self.number), backlog=1024, reuse_port=True)
         self.listener.setblocking(False)
-        self.number = self.listener.getsockname()[1]
         self.task = asyncio.create_task(self._accept(self.listener))
 
+    def _hold(self, number: int) -> None:
+        if self.held:
+            self.held.close()
+        self.held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        for option in socket.SO_REUSEADDR, socket.SO_REUSEPORT:
+            self.held.setsockopt(socket.SOL_SOCKET, option, 1)
+        self.held.bind((HOST, number))
+        self.number = self.held.getsockname()[1]
+
     async def _accept(self, listener: socket.socket) -> None:
         try:
             while True:
