--- a/tests/test_stood.py
+++ b/tests/test_stood.py
@@ -63,6 +63,26 @@
         waits = self.play(scene)
         self.assertLessEqual(waits[-1], 900 - STOOD * 1000 + SLACK_MS)
 
+    def test_longer_than_its_client_waits(self):
+        """Guards against an attempt with a moment left at a request whose time was over when it was read."""
+        heard: list[bytes] = []
+
+        async def scene(town: Told) -> None:
+            first = await town.client()
+            await first.ask("mn\r\n")
+            acceptor = town.service.clients.acceptor
+            plain, acceptor.has_room = acceptor.has_room, lambda: False
+            late = await town.client()
+            late.say(read("hit", "late", wait=200))
+            await asyncio.sleep(STOOD)
+            acceptor.has_room = plain
+            town.service.clients.listen()
+            heard.append(await asyncio.wait_for(late.reader.readline(), 5))
+
+        waits = self.play(scene)
+        self.assertTrue(heard[0].startswith(b"SERVER_ERROR busy"), heard)
+        self.assertEqual(waits, [])
+
     def test_while_nothing_was_read_from_its_connection(self):
         """Behind so many commands that the connection is not read from for a while."""
 
