A request that is over when it is read is refused, not attempted

Cause: Clients.begin gave each request at least 1 ms from its read on, however long it had waited unread. Lines: limit = clock + max(1000, given - waited) in Clients.begin. Change: the guard's may_start is told how long the client still waits and denies where that is nothing: refused at once, nothing sent. The test's own count of what servers are told no longer takes the client's line for one.

--- a/saltmoor/guard/connections.py
+++ b/saltmoor/guard/connections.py
@@ -43,13 +43,18 @@
     return Room.BY_CLIENT if full or staying >= now.most_clients else Room.FREE
 
 
-def may_start(now: Micros, *, until: Micros, id_open: bool, memory: bool) -> Verdict:
-    """Whether a request that was read may be begun; `until`: when the process ends, 0 where it does not."""
+def may_start(now: Micros, *, left: Micros, until: Micros, id_open: bool, memory: bool) -> Verdict:
+    """Whether a request that was read may be begun.
+
+    `left`: how long its client still waits; `until`: when the process ends, 0 where it does not.
+    """
     if id_open:
         return DENIED[Reason.ID_OPEN]  # of two answers to one id one would be a stranger's
     if not memory:
         return DENIED[Reason.NO_MEMORY]
-    return DENIED[Reason.STOPPING] if until and until <= now else ALLOWED
+    if until and until <= now:
+        return DENIED[Reason.STOPPING]
+    return ALLOWED if left > 0 else DENIED[Reason.DEADLINE_PASSED]
 
 
 def may_end(*, idle: bool, quiet: bool) -> Verdict:
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -618,17 +618,17 @@
         if profile is None:
             command.fault = "unknown profile"
             return
+        wait = command.attrs.get(b"d", b"")
+        given = min(int(wait) * 1000 if wait else self.profiles[profile].limit, self.profiles[profile].limit)
         id_open = command.id in self.open_ids
         memory = id_open or len(self.open_ids) < self.caps.txs or self.drop_stalled()
-        verdict = may_start(self.clock(), until=self.until, id_open=id_open, memory=memory)
+        verdict = may_start(self.clock(), left=given - client.waited, until=self.until, id_open=id_open, memory=memory)
         if verdict.reason is Reason.ID_OPEN:
             command.fault = "this id is open"
             return
         if not verdict:  # nothing was sent, so trying again is harmless
             slot.answer = meta.rolled_back(0)
             return
-        wait = command.attrs.get(b"d", b"")
-        given = min(int(wait) * 1000 if wait else self.profiles[profile].limit, self.profiles[profile].limit)
         tenant, again = self.tenant_of.get(command.attrs.get(b"t", b"")), command.attrs.get(b"r") == b"1"
         stay_away = self.door.turned_away(profile, tenant, again, client.waited, given)
         if stay_away is not None:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -83,10 +83,11 @@
                 self.assertEqual(may_write(5, **usual | changed).reason, reason)
 
     def test_whether_a_request_may_start_and_a_connection_end(self):
-        self.assertTrue(may_start(5, until=0, id_open=False, memory=True))
-        self.assertEqual(may_start(5, until=5, id_open=False, memory=True).reason, Reason.STOPPING)
-        self.assertEqual(may_start(5, until=0, id_open=True, memory=True).reason, Reason.ID_OPEN)
-        self.assertEqual(may_start(5, until=0, id_open=False, memory=False).reason, Reason.NO_MEMORY)
+        self.assertTrue(may_start(5, left=1, until=0, id_open=False, memory=True))
+        self.assertEqual(may_start(5, left=1, until=5, id_open=False, memory=True).reason, Reason.STOPPING)
+        self.assertEqual(may_start(5, left=1, until=0, id_open=True, memory=True).reason, Reason.ID_OPEN)
+        self.assertEqual(may_start(5, left=1, until=0, id_open=False, memory=False).reason, Reason.NO_MEMORY)
+        self.assertEqual(may_start(5, left=0, until=0, id_open=False, memory=True).reason, Reason.DEADLINE_PASSED)
         self.assertTrue(may_end(idle=True, quiet=True))
         self.assertEqual(may_end(idle=False, quiet=True).reason, Reason.REQUESTS_OPEN)
         self.assertEqual(may_end(idle=True, quiet=False).reason, Reason.BYTES_WAIT)
--- a/tests/test_stood.py
+++ b/tests/test_stood.py
@@ -24,13 +24,12 @@
         self.waits: list[int] = []
 
     def note(self, text: str) -> None:
-        if found := re.search(r"d=(\d+)", text):
-            self.waits.append(int(found[1]))
+        pass
 
     async def cache(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
         while line := (await reader.readline()).decode():
-            self.note(line)
+            self.waits.append(int(re.search(r"d=(\d+)", line)[1]))
             tag = next(word for word in line.split() if word.startswith("O"))
             writer.write(f"VA 3 {tag} h1\r\nhit\r\n".encode())
         writer.close()
