Requests are logged by id with why they were retried, refused or failed; counts for staff

Cause: the log named connections alone; why a request was turned away or repeated could not be told afterwards.

--- a/saltmoor/changes/log.py
+++ b/saltmoor/changes/log.py
@@ -27,9 +27,11 @@
     Replicate,
     Replicated,
     Standing,
-    State as Floor,
     Subscribe,
 )
+from saltmoor.changes.messages import (
+    State as Floor,
+)
 from saltmoor.changes.relay import Relay
 from saltmoor.changes.store import Broken, Store
 from saltmoor.changes.writer import MS, Out, Writer
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -18,7 +18,7 @@
 from saltmoor.guard.retry_budget import RetryBudget
 from saltmoor.guard.slow_start import warmth
 from saltmoor.hops import Patience
-from saltmoor.model import Ended, Hop, In, Micros, Readiness, Server, State, Tx
+from saltmoor.model import Ended, Hop, In, Micros, Readiness, Server, State, Tx, Why
 from saltmoor.recovery.phase import Phase, Recovery
 from saltmoor.recovery.room import Room
 
@@ -262,7 +262,7 @@
         tx.choice = next(self.candidates(tx, now), None)
         if tx.choice is None or (now >= tx.goal and not tx.profile.late_value):
             self.hops += not (tx.choice or tx.hops)  # it counts: where little may be sent, even less would
-            return In.NOBODY
+            return self.nobody(tx, Why.TOO_LATE if tx.choice else Why.NO_SERVER)
         soft = min(SOFT, self.strict) * (tx.goal - now) * tx.favour
         if not self.known(tx.choice, now) and self.worth_asking(tx, tx.choice, now):
             self.ask(tx.choice, tx, now)
@@ -320,14 +320,15 @@
             return In.BEST
         # A key may be wanted more than its candidates can do, the more so in a large fleet: up to an eighth.
         if len(picked) < tx.reach or tx.reach > len(self.caches) // 8 or self.spare < 1:
-            return In.NOBODY  # paid like a repeat: in an overload, looking further only costs
+            # Paid like a repeat: in an overload, looking further only costs.
+            return self.nobody(tx, Why.QUEUES_LONG if heard else Why.NO_SERVER)
         tx.reach, self.spare = tx.reach + CANDIDATES, self.spare - 1
         return In.OVER
 
     def send(self, tx: Tx, now: Micros) -> In | None:
         server = tx.choice
         if not may_attempt(tx, server, now, self.permits) or not self.allowed(tx, now):
-            return In.NOBODY
+            return self.nobody(tx, Why.NO_RETRY_BUDGET if tx.hops else Why.NO_SERVER)
         if self.budget and self.further(tx):
             self.retry_budget.further.append(now)
         tx.hops.append(Hop(tx, len(tx.hops), server, now, self.queue(server)))
@@ -371,7 +372,7 @@
     def to_origin(self, tx: Tx, now: Micros) -> In | None:
         """Go on to the origin: wait for another's fetch of the key, or for room, or go."""
         if not self.origins:
-            return In.NOBODY
+            return self.nobody(tx, Why.NO_ORIGIN)
         if not tx.write and tx.shared_key:
             if tx.key in self.fetches and not tx.leads:
                 return self.join(tx, now)
@@ -385,7 +386,7 @@
             if now + self.fetch * (1 + (bisect(self.queued, turn) + 1) / self.room.limit) > tx.goal:
                 if not tx.write:
                     self.missing[tx.key] = now + int(self.fetch)
-                return In.NOBODY
+                return self.nobody(tx, Why.NO_ROOM_AT_ORIGIN)
             insort(self.queued, turn)
             if self.room.limit < 1:
                 self.at(self.room.next(now), self.refill)
@@ -429,10 +430,10 @@
     def again(self, tx: Tx, now: Micros) -> In | None:
         # Guards against a storm of repeats: each is paid from what commits left.
         if self.spare < 1 or not self.allowed(tx, now):
-            return In.NOBODY
+            return self.nobody(tx, Why.NO_RETRY_BUDGET)
         # Guards against one failed fetch after the other for a key: the dearest profile is tried again.
         if tx.hops[-1].unfetched and self.fetching < 0.7 and tx.profile.revenue < self.dearest:
-            return In.NOBODY
+            return self.nobody(tx, Why.FETCH_FAILED)
         self.spare -= 1
         # What broke or got lost on its way back has left its copy: the same server may be asked again.
         tx.tried -= {hop.server for hop in tx.hops if hop.ended in (None, Ended.UNKNOWN, Ended.RESET)}
@@ -456,10 +457,25 @@
     def give_up(self, tx: Tx, now: Micros) -> In | None:
         """The final answer at once; harmless to try again only where rule 2 says so."""
         hint = min(self.permits.longest_hint, self.recovery.stay_away(now, int(self.usual), self.chance))
-        self.effects.append(model.RollBack(tx.id, hint) if may_refuse(tx) else model.Abandon(tx.id))
+        why = self.why(tx, now)
+        self.effects.append(model.RollBack(tx.id, hint, why) if may_refuse(tx) else model.Abandon(tx.id, why))
         tx.failed = True
         return self.finish(tx, now)
 
+    @staticmethod
+    def nobody(tx: Tx, why: Why) -> In:
+        """Nothing that could still serve it, and why."""
+        tx.why = why
+        return In.NOBODY
+
+    @staticmethod
+    def why(tx: Tx, now: Micros) -> Why:
+        if Ended.MALFORMED in (hop.ended for hop in tx.hops):
+            return Why.MALFORMED
+        if now >= tx.limit - 1:
+            return Why.DEADLINE
+        return Why.TOO_LATE if tx.why is Why.NONE else tx.why
+
     def unless_out(self, tx: Tx, now: Micros) -> In | None:
         """Nothing more to try: wait for a hop that is still out, else give up."""
         if tx.open_hops():
@@ -497,7 +513,7 @@
         if came.write and self.origin_kind is not None:
             self.feed(now, tx, In.ORIGIN)
         elif self.missing.get(key, now) > now and self.crowded(now) or self.spare_origin(tx):
-            self.feed(now, tx, In.NOBODY)  # just missed, and no room for its fetch: spare the cache server
+            self.feed(now, tx, self.nobody(tx, Why.ORIGIN_SPARED))  # no room for its fetch: spare the cache server
         else:
             self.feed(now, tx, In.SHARED if key in self.fetches and not came.write else In.READ)
 
--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -65,11 +65,13 @@
 class RollBack:
     stay_away: Micros
     stop: list[int] = field(default_factory=list)
+    why: model.Why = model.Why.NONE
 
 
 @dataclass(slots=True)
 class Abandon:
     stop: list[int] = field(default_factory=list)
+    why: model.Why = model.Why.NONE
 
 
 Final = Commit | RollBack | Abandon
@@ -366,10 +368,10 @@
                     target = Target(server, known.zone, known.cell, rate)
                     self._hand(tx, Send(tx, tx.hops, server, origin, until, by or until, now, target=target))
                     tx.hops += 1
-                case model.RollBack(tx_id, stay_away):
-                    finals[tx_id] = RollBack(stay_away)
-                case model.Abandon(tx_id):
-                    finals[tx_id] = Abandon()
+                case model.RollBack(tx_id, stay_away, why):
+                    finals[tx_id] = RollBack(stay_away, why=why)
+                case model.Abandon(tx_id, why):
+                    finals[tx_id] = Abandon(why=why)
                 case model.Cancel():
                     stops.append(effect)
                 case model.Probe(server, until):
--- a/saltmoor/lab/capacity.py
+++ b/saltmoor/lab/capacity.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from saltmoor.lab import arrivals, experiment, figures, scenario as plan
+from saltmoor.lab import arrivals, experiment, figures
+from saltmoor.lab import scenario as plan
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.wire import HOST
 from saltmoor.lab.worker import Plan, told
--- a/saltmoor/lab/clients.py
+++ b/saltmoor/lab/clients.py
@@ -14,8 +14,8 @@
 from zlib import crc32
 
 from saltmoor.lab import arrivals
-from saltmoor.lab.scenario import Scenario
 from saltmoor.lab.book import Book
+from saltmoor.lab.scenario import Scenario
 from saltmoor.lab.wire import Driver
 
 REFUSED = 20_000  # who is refused a connection tries again after so long, at another node if there is one
--- a/saltmoor/lab/experiment.py
+++ b/saltmoor/lab/experiment.py
@@ -16,7 +16,8 @@
 
 import msgspec
 
-from saltmoor.lab import arrivals, comeback, figures, scenario as plan, talk
+from saltmoor.lab import arrivals, comeback, figures, talk
+from saltmoor.lab import scenario as plan
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.nodes import Build, Keeper, Node
--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -19,7 +19,8 @@
 from typing import Any
 from zlib import crc32
 
-from saltmoor.lab import links, scenario as plan
+from saltmoor.lab import links
+from saltmoor.lab import scenario as plan
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.soak import calls, shim
 from saltmoor.lab.soak.shim import Shim
--- a/saltmoor/lab/scale_live.py
+++ b/saltmoor/lab/scale_live.py
@@ -17,7 +17,8 @@
 
 import msgspec
 
-from saltmoor.lab import experiment, links, scale_rows as rows, scenario
+from saltmoor.lab import experiment, links, scenario
+from saltmoor.lab import scale_rows as rows
 from saltmoor.lab.book import clock
 from saltmoor.lab.scale_clock import SEGMENT, SITES, TCP_HEAD, TCP_OPEN, UDP_HEAD
 from saltmoor.lab.scale_town import BODY, Plan
--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -11,7 +11,6 @@
 from math import ceil
 from pathlib import Path
 
-
 from saltmoor.lab import scale_counts, scale_fit, scale_rows
 from saltmoor.lab.scale import Sheet, read
 from saltmoor.lab.scale_fit import Fit
--- a/saltmoor/lab/station.py
+++ b/saltmoor/lab/station.py
@@ -14,7 +14,6 @@
 
 from saltmoor.lab.timeline import Due, Micros, Timeline
 
-
 FEW_REQUESTS = 30  # a server that may get fewer is given more for chance
 
 
--- a/saltmoor/model.py
+++ b/saltmoor/model.py
@@ -173,15 +173,33 @@
     by: Micros = 0  # its last byte may not be written later; 0: as long as it may wait
 
 
+class Why(Enum):
+    """Why a request is given up."""
+
+    NONE = "none"
+    NO_SERVER = "no-server"  # no candidate is usable, or may be sent to
+    TOO_LATE = "too-late"  # nothing could be in time any more
+    QUEUES_LONG = "queues-long"
+    NO_RETRY_BUDGET = "no-retry-budget"
+    NO_ORIGIN = "no-origin"
+    NO_ROOM_AT_ORIGIN = "no-room-at-origin"
+    ORIGIN_SPARED = "origin-spared"
+    FETCH_FAILED = "fetch-failed"
+    MALFORMED = "malformed"
+    DEADLINE = "deadline"
+
+
 @dataclass(slots=True, frozen=True)
 class RollBack:
     tx: TxId
     stay_away: Micros
+    why: Why = Why.NONE
 
 
 @dataclass(slots=True, frozen=True)
 class Abandon:
     tx: TxId
+    why: Why = Why.NONE
 
 
 @dataclass(slots=True, frozen=True)
@@ -337,6 +355,7 @@
     waits: int = 0  # probes that it waits for
     leads: bool = False  # others wait for its fetch
     failed: bool = False  # it was given up, not left by its client
+    why: Why = Why.NONE  # for which reason
 
     def open_hops(self) -> list[Hop]:
         return [hop for hop in self.hops if hop.open]
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -23,10 +24,11 @@
 from saltmoor.guard.checks import Checker, Record, Violation
 from saltmoor.guard.connections import Occupancy, Room, may_end, may_start, room_for_client
 from saltmoor.guard.verdicts import Reason
-from saltmoor.model import Ended, Micros, Profile
+from saltmoor.model import Ended, Micros, Profile, Why
 from saltmoor.net import http, meta, origin
 from saltmoor.net.acceptor import AT_ONCE, Acceptor, Taken
 from saltmoor.net.buffers import Buffers, Stream, ended
+from saltmoor.net.counters import RequestLog
 from saltmoor.net.flow import STILL, Broken, Budget, Flow
 from saltmoor.net.log import Log
 from saltmoor.net.sibling import Sibling
@@ -373,7 +375,8 @@
         budget: Budget,
         checker: Checker,
     ) -> None:
-        self.checker = checker
+        self.checker, self.counters = checker, log.counters
+        self.requests = RequestLog(log, time.monotonic, log.counters)
         self.door, self.upstream, self.buffers, self.log, self.clock = door, upstream, buffers, log, clock
         self.configure(names, profiles, caps)
         self.clients: set[Client] = set()
@@ -628,11 +631,13 @@
             return
         if not verdict:  # nothing was sent, so trying again is harmless
             slot.answer = meta.rolled_back(0)
+            self.requests.note("refused", verdict.reason.value, command.id.decode("latin-1"))
             return
         tenant, again = self.tenant_of.get(command.attrs.get(b"t", b"")), command.attrs.get(b"r") == b"1"
         stay_away = self.door.turned_away(profile, tenant, again, client.waited, given)
         if stay_away is not None:
             slot.answer = meta.rolled_back(stay_away // 1000)
+            self.requests.note("refused", "overload", command.id.decode("latin-1"))
             return
         key = int.from_bytes(blake2b(command.key, digest_size=8).digest())  # the same at every node
         limit = self.clock() + max(1000, given - client.waited)
@@ -659,9 +664,11 @@
         answer = meta.ABANDONED
         try:
             while isinstance(step := await self.door.pick(tx), facade.Send):
+                if step.hop:
+                    self.retried(slot.record, step.server)
                 hops[step.hop] = asyncio.create_task(self.hop(step, command, client, slot.record))
                 self.upstream.unsent.add(hops[step.hop])
-                hops[step.hop].add_done_callback(lambda task, step=step: self.hop_done(step, task))
+                hops[step.hop].add_done_callback(lambda task, step=step: self.hop_done(step, task, slot.record.id))
             for number, task in hops.items():
                 # Guards against sending on what nobody waits for any more: what is not written yet is no hop that
                 # would have to be cancelled, whatever the settings say of that.
@@ -674,8 +681,11 @@
                     answer = meta.committed(command, body)
                 case facade.RollBack(stay_away):
                     answer = meta.rolled_back(stay_away // 1000)
+                    self.given_up("refused", step.why, slot.record)
+                case facade.Abandon() if not client.code:
+                    self.given_up("failed", step.why, slot.record)
         except Exception as error:
-            self.log(f"fault in a transaction: {type(error).__name__}: {error}")
+            self.log(f"fault in a request: request={slot.record.id} {type(error).__name__}: {error}")
         finally:
             if command.paid:
                 command.value = b""
@@ -685,6 +695,17 @@
             answer.flow.drop()
         await client.flush()
 
+    def given_up(self, how: str, why: Why, record: Record) -> None:
+        """A request gets no value: count why, and say so now and then."""
+        ends = ",".join(one.ended.value[0].replace(" ", "-") if one.ended else "open" for one in record.attempts)
+        self.requests.note(how, why.value, record.id, attempts=len(record.attempts), ended=ends or "none")
+
+    def retried(self, record: Record, server: str) -> None:
+        """Another attempt of a request begins: count after which end of the one before."""
+        before = record.attempts[-1].ended if record.attempts else None
+        after = before.value[0].replace(" ", "-") if before else "open" if record.attempts else "not-sent"
+        self.requests.note("retried", after, record.id, server=server, attempt=len(record.attempts) + 1)
+
     def answered(self, record: Record) -> None:
         """Its final answer was written."""
         with contextlib.suppress(Violation):  # counted and logged: the connection goes on
@@ -726,18 +747,18 @@
             attempt.ended = reply.ended
         return reply
 
-    def hop_done(self, step: facade.Send, task: asyncio.Task) -> None:
+    def hop_done(self, step: facade.Send, task: asyncio.Task, number: str) -> None:
         self.upstream.unsent.discard(task)
         # Guards against a hop that was stopped before its first moment and would never be reported.
         if task.cancelled():
             reply = meta.Reply(Ended.CANCELLED)
         elif error := task.exception():
             reply = meta.Reply(Ended.UNKNOWN)
-            self.log(f"fault in a hop: {type(error).__name__}: {error}")
+            self.log(f"fault in an attempt: request={number} {type(error).__name__}: {error}")
         else:
             reply = task.result()
         if reply.ended is Ended.MALFORMED:
-            self.log(f"refused by {step.server}: {reply.body!r}")
+            self.log(f"refused by {step.server}: request={number} {reply.body!r}")
         if reply.flow and step.tx.over:
             reply.flow.drop()  # another hop's answer was there before
         if self.sharing and step.origin:
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -19,6 +19,7 @@
 from saltmoor import config, facade
 from saltmoor.choice import Node
 from saltmoor.guard.checks import Checker
+from saltmoor.guard.verdicts import Rule
 from saltmoor.model import Ended, ListKind, Micros, Readiness
 from saltmoor.net import meta, sibling
 from saltmoor.net.admin import Admin
@@ -176,6 +177,7 @@
             self.log,
             {
                 "/_ready": ("GET", self.say_ready),
+                "/_metrics": ("GET", self.say_counts),
                 "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
                 "/_lameduck/off": ("POST", lambda: self.say_lame(False)),
             },
@@ -317,6 +319,11 @@
         state = "stopping" if self.clients.closing else "lame duck" if self.clients.lame else "serving"
         return self.ready, state if self.ready else "not ready"
 
+    def say_counts(self) -> tuple[bool, str]:
+        """Counts by name and reason; violations by rule."""
+        rules = [f'saltmoor_violations_total{{reason="{rule.value}"}} {self.checker.violations[rule]}' for rule in Rule]
+        return True, "\n".join([self.log.counters.text(), *rules]).strip()
+
     def say_lame(self, on: bool) -> tuple[bool, str]:
         if not self.ready:
             return False, "stopping" if self.clients.closing else "not ready"
--- a/saltmoor/net/log.py
+++ b/saltmoor/net/log.py
@@ -11,11 +11,14 @@
 import sys
 import time
 
+from saltmoor.net.counters import Counters
+
 
 class Log:
     def __init__(self, lines_per_s: float = 50.0, burst: float = 200.0) -> None:
         self.rate, self.burst, self.left, self.since = lines_per_s, burst, burst, time.monotonic()
         self.dropped = 0
+        self.counters = Counters()
         mode = os.fstat(2).st_mode
         if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
             os.set_blocking(2, False)  # a reader that stalls must not stall the node
@@ -36,6 +39,7 @@
             self.dropped += 1
 
     def ended(self, side: str, peer: str, code: str, **figures: object) -> None:
-        """The one line that each connection leaves; docs/oncall.md lists the codes."""
+        """The one line that each connection leaves, and its count; docs/oncall.md lists the codes."""
+        self.counters.add(f"{side}_connections_ended", code)
         rest = "".join(f" {name}={value}" for name, value in figures.items())
         self(f"end {side} {peer} code={code}{rest}")
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -25,7 +25,6 @@
 from saltmoor.net.log import Log
 from saltmoor.net.trouble import LocalTrouble, Pauses
 
-
 STEP = 1 << 18  # bytes: how memory is asked for where a value's length is not known
 REST = 25_000  # how long a connection stands free first after an answer that does not say to what it is one:
 # guards against a second copy of it that comes some milliseconds late, and would be the next one's answer
