--- a/tests/test_syscalls.py
+++ b/tests/test_syscalls.py
@@ -70,7 +70,7 @@
         fields = Path(f"/proc/{node.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / TICKS
 
-    async def client(self, name: int, keep: bool) -> None:
+    async def ask_on(self, name: int, keep: bool) -> None:
         """Ask on and on; each end is counted."""
         reader = writer = None
         count = 0
@@ -105,7 +105,7 @@
 
     def begin(self, keeping: int = 2) -> list[asyncio.Task]:
         """Clients: every one of so many keeps its connection (1: all)."""
-        return [asyncio.create_task(self.client(i + 1, keep=i % keeping == 0)) for i in range(CLIENTS)]
+        return [asyncio.create_task(self.ask_on(i + 1, keep=i % keeping == 0)) for i in range(CLIENTS)]
 
     def since_last(self) -> Counter[str]:
         ends, self.ends = self.ends, Counter()
@@ -167,7 +167,7 @@
                     town.since_last()
                     town.shim.fail(Call.ACCEPT, shim.ALWAYS, error)
                     used = town.cpu(node)
-                    knocking = [asyncio.create_task(town.client(100 + i, keep=False)) for i in range(4)]
+                    knocking = [asyncio.create_task(town.ask_on(100 + i, keep=False)) for i in range(4)]
                     await asyncio.sleep(0.9)  # shorter than the knocking clients' patience
                     self.assertLess((town.cpu(node) - used) / 0.9, HALF_A_CORE)
                     self.assert_all_served(town.since_last(), 50)
