A told start counts as the later of what own and common steps of the clock mean

Cause: Starts.own took every difference between wall and monotonic clock for a step of all machines' clocks and moved a told start by it; where this machine's alone was set ahead, a server that has just started looked as old as the step. Ruled out: deadlines, windows and graces: all on the monotonic clock (two tests with steps of 5 s and 1 h both ways). Lines: min(told + step, now) in Starts.own, net/lifecycle.py. Change: of the told moment and the moved one, the later that is not ahead of now; exact for a step of all clocks or of this one, forwards or back. Open: a process that begins under a wrong wall clock has nothing to tell it by. Before: age_ms=5003 for a server of that moment after a step of 5 s.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -70,7 +70,7 @@
             server, told = line.member.server, line.member.started
             last, own = before.get(server, (0, 0))
             if told > last:
-                own = max(own + 1, min(told + step, now)) if told > 0 else 0
+                own = max(own + 1, self.moment(told, step, now)) if told > 0 else 0
                 last = told
             seen[server] = last, own
         self.seen = seen if whole else before | seen
@@ -81,6 +81,16 @@
             for line in lines
         ]
 
+    @staticmethod
+    def moment(told: Micros, step: Micros, now: Micros) -> Micros:
+        """When a server started, on the node's own clock.
+
+        The clocks of all machines may have been set by `step`, or this one's alone: the later moment that is not ahead
+        counts, as it leaves the server the colder.
+        """
+        moments = [min(one, now) for one in (told, told + step) if one <= now + STEP]
+        return max(moments, default=now)
+
     def told(self, server: str, own: Micros) -> Micros:
         """As the list has it, for the process that takes this one's place."""
         return self.seen.get(server, (own, own))[0]
