--- a/tests/test_syscalls.py
+++ b/tests/test_syscalls.py
@@ -46,10 +46,11 @@
         self.errors = Path(self.folder.name, "stderr")
         self.ends: Counter[str] = Counter()
         self.stopping = False
+        self.words: list[str] = []  # more of the command line
         return self
 
     async def launch(self) -> asyncio.subprocess.Process:
-        """A process with the shim; it is up once it listens."""
+        """A process with the shim, once it listens, or has ended."""
         with self.errors.open("ab") as stderr:
             node = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -57,11 +58,12 @@
                 "saltmoor",
                 "serve",
                 f"--config={self.file}",
+                *self.words,
                 env=os.environ | {"TMPDIR": self.folder.name} | self.shim.environment(),
                 stderr=stderr,
             )
         self.nodes.append(node)
-        while "serving at" not in self.errors.read_text():
+        while "serving at" not in self.errors.read_text() and node.returncode is None:
             await asyncio.sleep(0.02)
         return node
 
