--- a/saltmoor/adapter/codec.py
+++ b/saltmoor/adapter/codec.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import struct
-from typing import BinaryIO, Iterator
+from collections.abc import Iterator
+from typing import BinaryIO
 
 HEAD = struct.Struct("<IIQI")
 REPLY = struct.Struct("<II")
--- a/saltmoor/agenda.py
+++ b/saltmoor/agenda.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import Any, Callable
+from typing import Any
 from zlib import crc32
 
 from saltmoor import model
--- a/saltmoor/changes/log.py
+++ b/saltmoor/changes/log.py
@@ -59,14 +59,17 @@
     OVER = auto()  # the lease is, or it has led to nothing
 
 
-S, I = State, In
 TABLE = {
-    (S.FOLLOWING, I.OWNS): S.FENCING,
-    (S.FENCING, I.BEST): S.LEADING,
-    (S.FENCING, I.BEHIND): S.FETCHING,
-    (S.FETCHING, I.FETCHED): S.LEADING,
-    (S.FETCHING, I.LOST): S.FENCING,
-    **{(state, why): S.FOLLOWING for state in (S.FENCING, S.FETCHING, S.LEADING) for why in (I.OVERTAKEN, I.OVER)},
+    (State.FOLLOWING, In.OWNS): State.FENCING,
+    (State.FENCING, In.BEST): State.LEADING,
+    (State.FENCING, In.BEHIND): State.FETCHING,
+    (State.FETCHING, In.FETCHED): State.LEADING,
+    (State.FETCHING, In.LOST): State.FENCING,
+    **{
+        (state, why): State.FOLLOWING
+        for state in (State.FENCING, State.FETCHING, State.LEADING)
+        for why in (In.OVERTAKEN, In.OVER)
+    },
 }
 
 
@@ -90,7 +93,7 @@
         self.relay = relay or Relay(me, self.store)
         self.voter = Voter(now, lease)
         self.claim = Claim(DUTY, me, self.voters.index(me), self.voters, [], lease, lease // 10, next=now)
-        self.state, self.epoch, self.since = S.FOLLOWING, 0, now
+        self.state, self.epoch, self.since = State.FOLLOWING, 0, now
         self.answers: dict[str, Held] = {}
         self.by_all = False
         self.source: Held | None = None  # the better log, at whom, and what of it has come
@@ -140,7 +143,7 @@
 
     def end(self, now: Micros) -> Out:
         """Give the lease back: the next one need not wait until it runs out."""
-        out = self.step(I.OVER, now)
+        out = self.step(In.OVER, now)
         return [*out, *self.deliver(now, self.claim.leave(now, self.chance()))]
 
     def deliver(self, now: Micros, messages: Out) -> Out:
@@ -211,7 +214,7 @@
         if after is None:
             return []
         self.state, self.since, out = after, now, []
-        if after is S.LEADING:
+        if after is State.LEADING:
             beat = max(self.copy.beat, *(one.beat for one in self.answers.values())) + 1
             lives = {name: one.life for name, one in self.answers.items()}
             self.writer = self.writer_kind(self.copy, self.epoch, self.by_all, lives, now, now + self.ahead, beat)
@@ -224,46 +227,46 @@
             self.lines.append(f"log: leader no more, epoch={self.epoch}: {given.name.lower()} {why}".rstrip())
             out = self.writer.settle(now, "the leader changes")
             self.writer = None
-        if after is not S.FETCHING:
+        if after is not State.FETCHING:
             self.source, self.floor, self.fetched = None, None, []
-        if after is S.FENCING:
+        if after is State.FENCING:
             self.answers = {}
         return out
 
     def checked(self, now: Micros, seen: int = 0) -> Out:
         """Guards against a writer of before: as soon as anybody, here or elsewhere, follows a larger epoch."""
         seen = max(seen, self.copy.promised, self.writer.overtaken if self.writer else 0)
-        if self.state is S.FOLLOWING or seen <= self.epoch:
+        if self.state is State.FOLLOWING or seen <= self.epoch:
             return []
         self.claim.largest = max(self.claim.largest, seen)
         self.claim.next = now  # where the lease is still its own, with a larger number
-        return self.step(I.OVERTAKEN, now, f"by epoch={seen}")
+        return self.step(In.OVERTAKEN, now, f"by epoch={seen}")
 
     def drive(self, now: Micros) -> Out:
         """What the lease and the time ask for."""
         if not self.claim.owns(now):
-            return self.step(I.OVER, now)
-        if self.state is S.FOLLOWING:
+            return self.step(In.OVER, now)
+        if self.state is State.FOLLOWING:
             if self.claim.fence <= self.copy.promised:
                 self.claim.largest, self.claim.next = max(self.claim.largest, self.copy.promised), now
                 return []
             self.epoch = self.claim.fence
-            self.step(I.OWNS, now)
+            self.step(In.OWNS, now)
             self.asked_at = now - AGAIN
         elif self.writer and now - self.writer.confirmed_at > self.lease:
             # Guards against leading those who have all lost their memory: it asks anew, by the rule for that.
-            return self.step(I.OVER, now, "no majority")
-        elif self.state is not S.LEADING and now - self.since > 2 * self.lease:
+            return self.step(In.OVER, now, "no majority")
+        elif self.state is not State.LEADING and now - self.since > 2 * self.lease:
             # Guards against one that holds the lease and can do nothing with it.
-            return [*self.step(I.OVER, now), *self.claim.leave(now, self.chance())]
-        if self.state in (S.FENCING, S.FETCHING) and now - self.asked_at >= AGAIN:
+            return [*self.step(In.OVER, now), *self.claim.leave(now, self.chance())]
+        if self.state in (State.FENCING, State.FETCHING) and now - self.asked_at >= AGAIN:
             return self.ask(now)
         return []
 
     def ask(self, now: Micros) -> Out:
         self.asked_at = now
         copy = self.copy
-        if self.state is S.FETCHING:
+        if self.state is State.FETCHING:
             offset, before = self.fetched_to()
             return [(self.source_name, Fence(self.epoch, copy.life, "fetch", list(copy.lives), offset, before))]
         return [(name, Fence(self.epoch, copy.life, "fence", list(copy.lives))) for name in self.voters]
@@ -276,11 +279,11 @@
         return self.store.committed, self.store.epoch_at(self.store.committed) or 0
 
     def held(self, now: Micros, who: str, said: Held) -> Out:
-        if said.epoch != self.epoch or self.state not in (S.FENCING, S.FETCHING):
+        if said.epoch != self.epoch or self.state not in (State.FENCING, State.FETCHING):
             return []
         if not said.yes:
             return self.checked(now, said.promised)
-        if self.state is S.FETCHING:
+        if self.state is State.FETCHING:
             return self.fetch(now, who, said)
         self.copy.learn(said.lives)
         self.answers[who] = said
@@ -304,11 +307,11 @@
         self.answers = valid
         name = max(choice, key=lambda name: (choice[name].last_epoch, choice[name].last, name == self.me))
         if name == self.me:
-            return self.step(I.BEST, now)
+            return self.step(In.BEST, now)
         self.source_name, self.source = name, choice[name]
         if (self.source.last_epoch, self.source.last) == (self.store.last_epoch, self.store.last):
-            return self.step(I.BEST, now)
-        self.step(I.BEHIND, now)
+            return self.step(In.BEST, now)
+        self.step(In.BEHIND, now)
         self.source = choice[name]
         return self.ask(now)
 
@@ -324,7 +327,7 @@
             source.last_epoch,
         ):
             self.asked_at = now  # and again in a while
-            return self.step(I.LOST, now)
+            return self.step(In.LOST, now)
         offset, _ = self.fetched_to()
         if said.floor:
             if said.floor.offset <= offset and (self.floor or self.fetched):
@@ -337,7 +340,7 @@
         if self.fetched_to() != (source.last, source.last_epoch):
             return self.ask(now)
         self.adopt(now, self.floor, self.fetched)
-        return self.step(I.FETCHED, now)
+        return self.step(In.FETCHED, now)
 
     def adopt(self, now: Micros, floor: Floor | None, entries: list[Entry]) -> None:
         store = self.store
--- a/saltmoor/changes/subscriber.py
+++ b/saltmoor/changes/subscriber.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Any
 from zlib import crc32
@@ -43,15 +42,14 @@
     REFUSED = auto()
 
 
-S, I = Stream, In
 TABLE = {
-    (S.IDLE, I.DUE): S.ASKED,
-    (S.IDLE, I.HEARD): S.LIVE,  # the one that was silent is not
-    (S.ASKED, I.HEARD): S.LIVE,
-    (S.ASKED, I.SILENT): S.IDLE,
-    (S.ASKED, I.REFUSED): S.IDLE,
-    (S.LIVE, I.SILENT): S.IDLE,
-    (S.LIVE, I.REFUSED): S.IDLE,
+    (Stream.IDLE, In.DUE): Stream.ASKED,
+    (Stream.IDLE, In.HEARD): Stream.LIVE,  # the one that was silent is not
+    (Stream.ASKED, In.HEARD): Stream.LIVE,
+    (Stream.ASKED, In.SILENT): Stream.IDLE,
+    (Stream.ASKED, In.REFUSED): Stream.IDLE,
+    (Stream.LIVE, In.SILENT): Stream.IDLE,
+    (Stream.LIVE, In.REFUSED): Stream.IDLE,
 }
 
 
@@ -79,7 +77,7 @@
         self.fresh_at: Micros = NEVER  # when the newest beat that counts came
         self.mark = 0  # committed at the largest beat, as told: for who hands it on
         self.foreign, self.foreign_lives = (0, 0), False  # another generation and its beat, as first seen
-        self.state, self.place, self.failures = S.IDLE, 0, 0
+        self.state, self.place, self.failures = Stream.IDLE, 0, 0
         self.upstream, self.trial = "", ""
         self.quiet_since = self.next = self.lives_at = now
         self.trial_until = self.home_at = self.asked_at = self.moved_at = NEVER
@@ -99,7 +97,7 @@
         if self.upstream in self.order:
             self.place, self.home_at = self.order.index(self.upstream), now + int(HOME * self.chance())
         else:
-            self.step(I.SILENT)
+            self.step(In.SILENT)
             self.upstream, self.place, self.next = "", 0, min(self.next, now)
         if self.trial not in self.order:
             self.trial = ""
@@ -148,7 +146,7 @@
                 self.take_state(message)
             case Refuse() if who == self.trial:
                 self.trial = ""
-            case Refuse() if who == self.upstream and self.step(I.REFUSED):
+            case Refuse() if who == self.upstream and self.step(In.REFUSED):
                 self.another(now, max(0, min(message.retry_us, REST)))
         return []
 
@@ -219,14 +217,14 @@
         if who == self.trial:
             self.upstream, self.trial, self.place = who, "", 0
         if who == self.upstream:
-            self.step(I.HEARD)
+            self.step(In.HEARD)
             self.failures, self.quiet_since = 0, now
 
     def closed(self, now: Micros, who: str) -> None:
         """The connection to that one has ended, or could not be made."""
         if who == self.trial:
             self.trial = ""
-        elif who == self.upstream and self.step(I.SILENT):
+        elif who == self.upstream and self.step(In.SILENT):
             self.another(now, closed=True)
 
     def another(self, now: Micros, wait: Micros = 0, closed: bool = False) -> None:
@@ -248,17 +246,17 @@
         """Every 50 ms or so."""
         self.said(now)
         out: list[tuple[str, Any]] = []
-        if self.state is not S.IDLE and now - self.quiet_since >= self.patience(now) and self.step(I.SILENT):
+        if self.state is not Stream.IDLE and now - self.quiet_since >= self.patience(now) and self.step(In.SILENT):
             self.another(now)
-        if self.state is S.IDLE and now >= self.next and self.order:
+        if self.state is Stream.IDLE and now >= self.next and self.order:
             self.upstream, self.trial, self.quiet_since, self.lives_at = self.order[self.place], "", now, NEVER
-            self.step(I.DUE)
+            self.step(In.DUE)
             return self.ask(now, self.upstream)
-        if self.state is S.IDLE and self.upstream and now - self.asked_at >= REST // 6:
+        if self.state is Stream.IDLE and self.upstream and now - self.asked_at >= REST // 6:
             return self.ask(now, self.upstream)  # it may have forgotten who is with it
         if self.trial and now >= self.trial_until:
             self.trial = ""
-        if self.state is S.LIVE and self.place and now >= self.home_at:
+        if self.state is Stream.LIVE and self.place and now >= self.home_at:
             self.home_at = now + int(HOME * (0.5 + self.chance()))
             self.trial, self.trial_until = self.order[0], now + SILENT
             out = self.ask(now, self.trial)
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -767,29 +767,28 @@
                 self.say(f"{mode} {server.name}", False, "left the list")
 
 
-S, I = State, In
 # (state, input): (next state, effect); an effect may hand the loop the next input.
 TABLE = {
-    (S.NEW, I.READ): (S.CHECKING, Node.check),
-    (S.NEW, I.ORIGIN): (S.FETCHING, Node.to_origin),
-    (S.NEW, I.SHARED): (S.WAITING, Node.join),
-    (S.CHECKING, I.UNDER): (S.OUT, Node.send),
-    (S.CHECKING, I.HEARD): (S.CHECKING, Node.check),
-    (S.POLLING, I.HEARD): (S.POLLING, Node.poll),
-    (S.CHECKING, I.OVER): (S.POLLING, Node.poll),
-    (S.POLLING, I.OVER): (S.POLLING, Node.poll),
-    (S.POLLING, I.BEST): (S.OUT, Node.send),
-    (S.OUT, I.ORIGIN): (S.FETCHING, Node.to_origin),
-    (S.OUT, I.SHARED): (S.WAITING, Node.await_other),
-    (S.OUT, I.BEST): (S.OUT, Node.send),
-    (S.OUT, I.AGAIN): (S.CHECKING, Node.again),
-    (S.FETCHING, I.AGAIN): (S.FETCHING, Node.to_origin),
-    (S.WAITING, I.LATE): (S.DONE, Node.unless_out),
-    (S.WAITING, I.ROOM): (S.FETCHING, Node.to_origin),
-    (S.WAITING, I.FETCHED): (S.CHECKING, Node.reread),
+    (State.NEW, In.READ): (State.CHECKING, Node.check),
+    (State.NEW, In.ORIGIN): (State.FETCHING, Node.to_origin),
+    (State.NEW, In.SHARED): (State.WAITING, Node.join),
+    (State.CHECKING, In.UNDER): (State.OUT, Node.send),
+    (State.CHECKING, In.HEARD): (State.CHECKING, Node.check),
+    (State.POLLING, In.HEARD): (State.POLLING, Node.poll),
+    (State.CHECKING, In.OVER): (State.POLLING, Node.poll),
+    (State.POLLING, In.OVER): (State.POLLING, Node.poll),
+    (State.POLLING, In.BEST): (State.OUT, Node.send),
+    (State.OUT, In.ORIGIN): (State.FETCHING, Node.to_origin),
+    (State.OUT, In.SHARED): (State.WAITING, Node.await_other),
+    (State.OUT, In.BEST): (State.OUT, Node.send),
+    (State.OUT, In.AGAIN): (State.CHECKING, Node.again),
+    (State.FETCHING, In.AGAIN): (State.FETCHING, Node.to_origin),
+    (State.WAITING, In.LATE): (State.DONE, Node.unless_out),
+    (State.WAITING, In.ROOM): (State.FETCHING, Node.to_origin),
+    (State.WAITING, In.FETCHED): (State.CHECKING, Node.reread),
 }
 ANYWHERE = {
-    I.NOBODY: (S.DONE, Node.unless_out),
-    I.LIMIT: (S.DONE, Node.give_up),
-    I.ENDED: (S.DONE, Node.finish),
+    In.NOBODY: (State.DONE, Node.unless_out),
+    In.LIMIT: (State.DONE, Node.give_up),
+    In.ENDED: (State.DONE, Node.finish),
 }
--- a/saltmoor/duties/lease.py
+++ b/saltmoor/duties/lease.py
@@ -110,32 +110,31 @@
     LEAVE = auto()
 
 
-S, I = State, In
 TABLE = {
-    (S.IDLE, I.DUE): S.PREPARING,
-    (S.PREPARING, I.FREE): S.PROPOSING,
-    (S.PREPARING, I.TAKEN): S.IDLE,
-    (S.PREPARING, I.OVERTAKEN): S.IDLE,
-    (S.PREPARING, I.LATE): S.IDLE,
-    (S.PROPOSING, I.GRANTED): S.OWNER,
-    (S.PROPOSING, I.OVERTAKEN): S.IDLE,
-    (S.PROPOSING, I.LATE): S.IDLE,
-    (S.OWNER, I.DUE): S.RENEWING,
-    (S.OWNER, I.OVER): S.IDLE,
-    (S.RENEWING, I.FREE): S.RENEWED,
-    (S.RENEWING, I.TAKEN): S.OWNER,
-    (S.RENEWING, I.OVERTAKEN): S.OWNER,
-    (S.RENEWING, I.LATE): S.OWNER,
-    (S.RENEWING, I.OVER): S.IDLE,
-    (S.RENEWED, I.GRANTED): S.OWNER,
-    (S.RENEWED, I.OVERTAKEN): S.OWNER,
-    (S.RENEWED, I.LATE): S.OWNER,
-    (S.RENEWED, I.OVER): S.IDLE,
-    (S.OWNER, I.LEAVE): S.IDLE,
-    (S.RENEWING, I.LEAVE): S.IDLE,
-    (S.RENEWED, I.LEAVE): S.IDLE,
+    (State.IDLE, In.DUE): State.PREPARING,
+    (State.PREPARING, In.FREE): State.PROPOSING,
+    (State.PREPARING, In.TAKEN): State.IDLE,
+    (State.PREPARING, In.OVERTAKEN): State.IDLE,
+    (State.PREPARING, In.LATE): State.IDLE,
+    (State.PROPOSING, In.GRANTED): State.OWNER,
+    (State.PROPOSING, In.OVERTAKEN): State.IDLE,
+    (State.PROPOSING, In.LATE): State.IDLE,
+    (State.OWNER, In.DUE): State.RENEWING,
+    (State.OWNER, In.OVER): State.IDLE,
+    (State.RENEWING, In.FREE): State.RENEWED,
+    (State.RENEWING, In.TAKEN): State.OWNER,
+    (State.RENEWING, In.OVERTAKEN): State.OWNER,
+    (State.RENEWING, In.LATE): State.OWNER,
+    (State.RENEWING, In.OVER): State.IDLE,
+    (State.RENEWED, In.GRANTED): State.OWNER,
+    (State.RENEWED, In.OVERTAKEN): State.OWNER,
+    (State.RENEWED, In.LATE): State.OWNER,
+    (State.RENEWED, In.OVER): State.IDLE,
+    (State.OWNER, In.LEAVE): State.IDLE,
+    (State.RENEWING, In.LEAVE): State.IDLE,
+    (State.RENEWED, In.LEAVE): State.IDLE,
 }
-HOLDING = {S.OWNER, S.RENEWING, S.RENEWED}
+HOLDING = {State.OWNER, State.RENEWING, State.RENEWED}
 
 
 @dataclass(slots=True)
@@ -202,19 +201,19 @@
     def tick(self, now: Micros, wall: Micros, chance: float) -> list[tuple[str, Ask]]:
         """Words to voters, by name; this node's own vote is one of them, where it is a voter."""
         if self.state in HOLDING and now >= self.until:
-            self.step(I.OVER, now)
+            self.step(In.OVER, now)
             self.answers.clear()
             self.wait(now, chance)
-        if self.state not in (S.IDLE, S.OWNER) and now - self.asked_at > self.lease // 4:
-            self.step(I.LATE, now)
+        if self.state not in (State.IDLE, State.OWNER) and now - self.asked_at > self.lease // 4:
+            self.step(In.LATE, now)
             self.wait(now, chance)
-        if now < self.next or self.state not in (S.IDLE, S.OWNER):
+        if now < self.next or self.state not in (State.IDLE, State.OWNER):
             return []
-        if self.state is S.IDLE and self.holder[1] > now:  # somebody has it: not before it runs out there
+        if self.state is State.IDLE and self.holder[1] > now:  # somebody has it: not before it runs out there
             self.next = self.holder[1] + int(chance * self.lease / 8)
             self.holder = "", 0
             return []
-        self.step(I.DUE, now)
+        self.step(In.DUE, now)
         # Larger than all that were seen, and than those of a time before all lost their memory.
         count = max(self.largest >> BITS, wall // 1000) + 1
         self.number = self.largest = count << BITS | self.place
@@ -229,46 +228,51 @@
         self.largest = max(self.largest, vote.seen)
         if vote.owner and vote.owner != self.me and vote.left:
             self.holder = vote.owner, now + min(vote.left, 2 * self.lease)
-        wanted = {S.PREPARING: "prepare", S.RENEWING: "prepare", S.PROPOSING: "propose", S.RENEWED: "propose"}
+        wanted = {
+            State.PREPARING: "prepare",
+            State.RENEWING: "prepare",
+            State.PROPOSING: "propose",
+            State.RENEWED: "propose",
+        }
         if vote.number != self.number or vote.step != wanted.get(self.state) or who not in {*self.voters, *self.before}:
             return []
         if not vote.yes:
-            self.step(I.OVERTAKEN, now)
+            self.step(In.OVERTAKEN, now)
             self.wait(now, chance)
             return []
         self.answers[who] = vote
         if vote.step == "prepare":
             free = {name for name, one in self.answers.items() if one.owner in ("", self.me)}
             if self.majority(free):
-                self.step(I.FREE, now)
+                self.step(In.FREE, now)
                 # The lease counts from before it was asked for.
                 self.asked_at = self.proposed_at = now
                 self.answers = {}
                 return self.asks("propose")
             if not self.majority({*self.voters, *self.before} - (self.answers.keys() - free)):
-                self.step(I.TAKEN, now)
+                self.step(In.TAKEN, now)
                 self.wait(now, chance)
             return []
         if self.majority(set(self.answers)):
             until = self.proposed_at + int(self.lease * (1 - RATE))
             if now < until:
                 self.fence, self.until = self.number, until
-                self.step(I.GRANTED, now)
+                self.step(In.GRANTED, now)
                 self.next = now + self.lease // 3
             else:
-                self.step(I.LATE, now)
+                self.step(In.LATE, now)
                 self.wait(now, chance)
         return []
 
     def freed(self, now: Micros, chance: float) -> None:
         """Its owner has given it back: nobody need wait until it would have run out."""
-        if self.state is S.IDLE:
+        if self.state is State.IDLE:
             self.holder, self.next = ("", 0), now + int(chance * self.lease / 16)
 
     def leave(self, now: Micros, chance: float) -> list[tuple[str, Ask]]:
         """Give it back: the next one need not wait until it runs out."""
         number, held = self.fence, self.state in HOLDING
-        self.step(I.LEAVE, now)
+        self.step(In.LEAVE, now)
         self.next = now + self.lease
         if not held:
             return []
--- a/saltmoor/lab/talk.py
+++ b/saltmoor/lab/talk.py
@@ -50,7 +50,7 @@
 def agree(believed: dict[int, list], count: int, since: float, end: float) -> float | None:
     """From that moment until all nodes hold all others to be there, with equal digests, read within FRESH."""
     moments = sorted(at for told in believed.values() for at, _ in told if at >= since)
-    place = {node: 0 for node in believed}
+    place = dict.fromkeys(believed, 0)
     for moment in moments:
         seen = []
         for node, told in believed.items():
@@ -104,7 +104,7 @@
             first.setdefault(server, at)
     if not first:
         return {}
-    last = {server: 0.0 for server in first}
+    last = dict.fromkeys(first, 0.0)
     for row in rows:
         if row[0] == "got" and row[3] in first and row[1] > first[row[3]]:
             last[row[3]] = max(last[row[3]], (row[1] - first[row[3]]) / 1e6)
--- a/saltmoor/net/tool.py
+++ b/saltmoor/net/tool.py
@@ -17,8 +17,7 @@
 from saltmoor import config
 from saltmoor.changes import kinds
 from saltmoor.changes.messages import CONTENT, Append, Appended
-from saltmoor.net import streams
-from saltmoor.net.streams import HEAD, MACHINE, MOST, TOOL, Show, Shown, Wire
+from saltmoor.net.streams import HEAD, MOST, TOOL, Show, Shown, Wire
 from saltmoor.peers.frames import Strange
 
 ANSWER = 1.5  # seconds for one answer; the machine itself is asked to say within a second
--- a/saltmoor/state/kinds.py
+++ b/saltmoor/state/kinds.py
@@ -97,7 +97,7 @@
 
 def give(node: Node, gate: Admission, content: dict[str, Any], now: Micros, age: Micros | None) -> dict[str, int]:
     """Remember what counts at that age; how many items of each kind did. Raises where the content is not ours."""
-    told = {kind: 0 for kind in KINDS}
+    told = dict.fromkeys(KINDS, 0)
     for server in node.servers.values():
         if said := content["servers"].get(str(server.id)):
             _server(node, server, said, now, age, told)
--- a/tests/changes_world.py
+++ b/tests/changes_world.py
@@ -13,7 +13,10 @@
 from typing import Any
 from zlib import crc32
 
-from saltmoor.changes import kinds, log as logs, relay as relays, subscriber as subscribers
+from saltmoor.changes import kinds
+from saltmoor.changes import log as logs
+from saltmoor.changes import relay as relays
+from saltmoor.changes import subscriber as subscribers
 from saltmoor.changes.apply import Apply, Install
 from saltmoor.changes.messages import Append, Appended, Entry, State, Subscribe
 from saltmoor.changes.store import Store
--- a/tests/lab_helper.py
+++ b/tests/lab_helper.py
@@ -6,7 +6,8 @@
 import re
 from zlib import crc32
 
-from saltmoor.lab import arrivals, scenario as plan
+from saltmoor.lab import arrivals
+from saltmoor.lab import scenario as plan
 from saltmoor.lab.book import Book
 from saltmoor.lab.clients import Clients
 from saltmoor.lab.ledger import Ledger
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -15,13 +15,13 @@
 from saltmoor.changes.copy import Copy
 from saltmoor.changes.log import Log
 from saltmoor.changes.messages import Append, Appended, Batch, Entry, Held, Refuse, Replicate, State, Subscribe
-from saltmoor.changes.relay import Cursor, Relay
+from saltmoor.changes.relay import Relay
 from saltmoor.changes.store import Store
-from saltmoor.changes.subscriber import Subscriber, relays
+from saltmoor.changes.subscriber import Subscriber
 from saltmoor.changes.writer import Writer
-from saltmoor.peers.frames import Speaker, Strange
 from saltmoor.duties.lease import Voter
-from tests.changes_world import CLIENT, LEASE, SITE, Broken, Generous, Parts, START, World, body
+from saltmoor.peers.frames import Speaker, Strange
+from tests.changes_world import LEASE, START, Broken, Generous, Parts, World
 from tests.helper import MS, Notes, TraceCase
 
 # Planted faults.
@@ -414,7 +414,7 @@
             if "killed" in what:
                 world.kill(*gone)
             else:
-                world.asleep |= {name: world.now + 3_000 * MS for name in gone}
+                world.asleep |= dict.fromkeys(gone, world.now + 3000 * MS)
             world.watched = True
             done = world.purge()
             took = world.until(lambda: world.all_have(done.offset), 3_000)
--- a/tests/test_changes_net.py
+++ b/tests/test_changes_net.py
@@ -875,7 +875,7 @@
         outcome = fleet.purge()
         self.reached(outcome.offset, *(node for node in fleet.nodes if node != relay))
         # Both of the site: a control machine takes their place.
-        for other in {node for node in fleet.sites["a"]} - {one, relay}:
+        for other in set(fleet.sites["a"]) - {one, relay}:
             fleet.kill(other)
         self.reached(fleet.purge().offset, one, *fleet.sites["b"])
         self.assertIn(fleet.show(one)["upstream"], fleet.control)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -346,7 +346,7 @@
         script.tx(0, key=100)
         script.ends(0, 0, script.last, Ended.COMMITTED, note=1)
         for number in range(1, 15):
-            sent, script.last = script.last, None
+            script.last = None
             script.tx(number, key=number)
             if script.last:
                 script.ends(number, 0, script.last, Ended.ERROR, note=2)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -128,18 +128,16 @@
         return Node(
             crc32(self.word, next(self.seeds)),
             self.now,
-            **{
-                "profiles": [model.Profile(400 * MS, 1200 * MS, Repeat.IDEMPOTENT)],
-                "quotas": [],
-                "permits": model.Permits(hops=2, copies=False, cancel=True, probes=False),
-                "prices": model.Prices(),
-                "cold": self.cold,
-                "listing": model.Listing(),
-                "place": self.place,
-                "origin_kind": None,
-                "columns": [],
-                "tick": MS,
-            },
+            profiles=[model.Profile(400 * MS, 1200 * MS, Repeat.IDEMPOTENT)],
+            quotas=[],
+            permits=model.Permits(hops=2, copies=False, cancel=True, probes=False),
+            prices=model.Prices(),
+            cold=self.cold,
+            listing=model.Listing(),
+            place=self.place,
+            origin_kind=None,
+            columns=[],
+            tick=MS,
         )
 
     def start(self, i: int, learnt: bool = False, part: float = 1.0) -> Node:
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -21,7 +21,8 @@
 
 from saltmoor import config, model
 from saltmoor.choice import Node
-from saltmoor.lab import experiment, scenario as plan
+from saltmoor.lab import experiment
+from saltmoor.lab import scenario as plan
 from saltmoor.limits.admission import Admission
 from saltmoor.model import ListKind, Member, Readiness
 from saltmoor.recovery import phase
@@ -40,7 +41,7 @@
     def play(self, notes: Notes, nodes: int, told: int, cores: int, work: int = 25 * MS, goal: int = 150 * MS) -> None:
         rooms, out = [Room(told) for _ in range(nodes)], [0] * nodes
         free, ends, order = [0] * cores, [], itertools.count()
-        most, held, busy, now = 0, 0, 0, 0
+        most, held, now = 0, 0, 0
         seconds = {}
         while now < 4 * SECOND:
             for node in range(nodes):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -27,7 +27,6 @@
 from saltmoor.net.log import Log
 from tests.helper import MS, VALUE, Caller, Town, read, settings, write
 
-
 ENDS = {
     "half": ("VA 5 OTAG\r\nab", True),
     "whole": ("VA 5 OTAG\r\nabcde\r\n", True),
@@ -60,7 +59,7 @@
                 answers.put_nowait(("", b"STAT queue 0\r\nEND\r\n"))
                 continue
             _, key, *flags = line.split()
-            self.came.append((tag := next(flag[1:] for flag in flags if flag[0] == "O")))
+            self.came.append(tag := next(flag[1:] for flag in flags if flag[0] == "O"))
             if key == "big":
                 await self.big(writer, key, f"O{tag}")
                 continue
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,7 +12,6 @@
 import resource
 import sys
 import unittest
-from collections import deque
 from pathlib import Path
 
 import uvloop
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import unittest
 from dataclasses import dataclass, field
 from random import Random
@@ -70,7 +69,7 @@
         self.rng, self.now, self.wire = Random(seed), START, []
         self.names = [f"n{i}" for i in range(count)]
         self.kinds, self.sites, self.history = (claim, voter), {}, []
-        self.wall_off = {name: 0 for name in self.names}
+        self.wall_off = dict.fromkeys(self.names, 0)
         self.seen = 0  # largest number under which the outside has seen an act
         self.acts = self.takes = 0
         for i, name in enumerate(self.names):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -52,18 +52,16 @@
         node = Node(
             i + 1,
             self.now,
-            **{
-                "profiles": [model.Profile(GOAL, LIMIT, Repeat.IDEMPOTENT)],
-                "quotas": [],
-                "permits": model.Permits(hops=3, copies=True, cancel=True, probes=True, longest_hint=MS * 1000),
-                "prices": model.Prices(0.16, 0.12, self.price),
-                "cold": model.ColdStart(0.14, 23_000 * MS, 4.0, 1000 * MS),
-                "listing": model.Listing(True, 10_000 * MS),
-                "place": model.Place(i % 2, self.told),
-                "origin_kind": 1,
-                "columns": ["queue"],
-                "tick": MS,
-            },
+            profiles=[model.Profile(GOAL, LIMIT, Repeat.IDEMPOTENT)],
+            quotas=[],
+            permits=model.Permits(hops=3, copies=True, cancel=True, probes=True, longest_hint=MS * 1000),
+            prices=model.Prices(0.16, 0.12, self.price),
+            cold=model.ColdStart(0.14, 23_000 * MS, 4.0, 1000 * MS),
+            listing=model.Listing(True, 10_000 * MS),
+            place=model.Place(i % 2, self.told),
+            origin_kind=1,
+            columns=["queue"],
+            tick=MS,
         )
         node.listed(self.now, ListKind.REMEMBERED, list(self.members.values()))
         self.carry_out(node)
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -7,7 +7,7 @@
 import uvloop
 
 from saltmoor.net.flow import Budget
-from tests.helper import VALUE, Caller, TraceCase, Town, read
+from tests.helper import VALUE, Caller, Town, TraceCase, read
 
 
 class Large(TraceCase):
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -365,9 +365,8 @@
                 config.parse(said, {})
 
     def test_nested_without_end(self):
-        with mock.patch("pathlib.Path.read_text", lambda _: "[" * 200_000):
-            with self.assertRaises(config.Faulty):
-                config.load("x", {})
+        with mock.patch("pathlib.Path.read_text", lambda _: "[" * 200_000), self.assertRaises(config.Faulty):
+            config.load("x", {})
 
 
 class Sockets(unittest.TestCase):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -12,7 +12,8 @@
 
 import numpy as np
 
-from saltmoor.lab import arrivals, cli, experiment, figures, report, scenario as plan
+from saltmoor.lab import arrivals, cli, experiment, figures, report
+from saltmoor.lab import scenario as plan
 from saltmoor.lab.book import Book
 from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.lru import Lru
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -18,7 +18,7 @@
 
     def play(self, seconds: float, rate: float, kinds=((0, None, False),)) -> str:
         """Arrivals of these kinds (profile, tenant, again), each as often; what was taken and how late it is."""
-        self.done, came, self.late = {kind: 0 for kind in kinds}, dict.fromkeys(kinds, 0), []
+        self.done, came, self.late = dict.fromkeys(kinds, 0), dict.fromkeys(kinds, 0), []
         end = self.now + int(seconds * SECOND)
         step, owed = 5_000, 0.0
         while self.now < end:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 from saltmoor.net import http, lifecycle, meta, origin
 from saltmoor.net.log import Log
 from saltmoor.net.upstream import Ages
-from tests.helper import TraceCase, Town, read, settings, write
+from tests.helper import Town, TraceCase, read, settings, write
 
 
 class Net(TraceCase):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from saltmoor.net import clients
-from tests.helper import TraceCase, Town, read, reserve, write
+from tests.helper import Town, TraceCase, read, reserve, write
 
 
 class Operated(Town):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,8 @@
 from random import Random
 
 import msgspec
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from saltmoor import config, model
 from saltmoor.lab.detect import Town
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -223,7 +223,7 @@
     def test_a_late_machine_makes_a_row_void(self):
         one = Row("real", "peers", "", 30, 3.9, 1, 8.0)
         late = msgspec.convert(
-            {name: 0 for name in scale_live.Report.__struct_fields__}
+            dict.fromkeys(scale_live.Report.__struct_fields__, 0)
             | {"given": {}, "seen": {}, "late_p99_ms": scale_live.LATE_P99_MS + 1},
             scale_live.Report,
         )
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -19,7 +19,8 @@
 import uvloop
 
 from saltmoor import config
-from saltmoor.lab import experiment, scenario as plan
+from saltmoor.lab import experiment
+from saltmoor.lab import scenario as plan
 from saltmoor.net import duties
 from saltmoor.net.peers import Peers
 from saltmoor.peers import ask, frames
