--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import tomllib
 import unittest
@@ -19,6 +20,13 @@
 RUN = tomllib.loads(Path("deploy/balancer.toml").read_text())["run"]
 
 
+def begun(pid: int) -> bool:
+    """Whether the shell has come to the program's line: before that a signal is the shell's."""
+    place = Path(f"/proc/{pid}")
+    ignored = int(re.search(r"SigIgn:\s*(\w+)", (place / "status").read_text())[1], 16)
+    return bool(ignored >> (signal.SIGHUP - 1) & 1) or b"python" in (place / "cmdline").read_bytes().split(b"\0")[0]
+
+
 class Early(unittest.TestCase):
     def ends(self, number: signal.Signals) -> list[tuple[int, int | None]]:
         """The moments, and how each process ended; None where it serves on."""
@@ -33,6 +41,8 @@
                     RUN, env=os.environ | {"ROUTER_CONFIG": str(config)}, stderr=stderr
                 )
             town.nodes.append(node)
+            while not begun(node.pid):
+                await asyncio.sleep(0.001)
             await asyncio.sleep(moment * STEP)
             node.send_signal(number)
             while "serving at" not in errors.read_text() and node.returncode is None:
