--- a/tests/runner.py
+++ b/tests/runner.py
@@ -43,6 +43,13 @@
     f"tests.test_{name}": seconds
     for name, seconds in {
         "orders": 348,
+        "syscalls": 45,
+        "soak": 65,
+        "early_signals": 12,
+        "disk_faults": 13,
+        "wall_clock": 6,
+        "stood": 3,
+        "guard": 1,
         "together": 186,
         "drills": 133,
         "comeback": 126,
@@ -65,7 +72,7 @@
 }
 # They start many processes and judge them by the clock: one of them at a time.
 SPLIT = {"tests.test_orders": 3}  # into so many parts
-CROWDS = {f"tests.test_{name}" for name in ("together", "drills", "comeback", "lab")}
+CROWDS = {f"tests.test_{name}" for name in ("together", "drills", "comeback", "lab", "soak", "syscalls")}
 
 
 class Unit(NamedTuple):
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,112 @@
+"""The soak itself: its plans, its oracle's eyes, and one short run of fixed seeds on real processes."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from saltmoor.lab import scenario as lab
+from saltmoor.lab.ledger import Ledger
+from saltmoor.lab.scenario import Scenario
+from saltmoor.lab.soak import plan, run
+from saltmoor.lab.soak.oracle import Find, Oracle, Rule
+
+MS = 1000
+SECONDS, PROCESSES = 14.0, 7
+SEEDS = 3, 5
+
+
+def overlap(scenario: Scenario) -> int:
+    """The most troubles that are on at one moment."""
+    spans = [(fault.at_s, fault.at_s + max(fault.for_s, 0.05)) for fault in scenario.fault]
+    return max((sum(begin <= at < end for begin, end in spans) for at, _ in spans), default=0)
+
+
+class Plans(unittest.TestCase):
+    def test_a_seed_draws_one_plan_and_troubles_overlap(self):
+        for seed in range(1, 30):
+            with self.subTest(seed):
+                drawn = plan.draw(seed, seconds=60, processes=12)
+                self.assertEqual(drawn, plan.draw(seed, seconds=60, processes=12))
+                self.assertGreaterEqual(overlap(drawn), 2)
+                self.assertEqual(lab.check(msgspec.json.decode(msgspec.json.encode(drawn))), drawn)
+
+    def test_without_a_compiler_no_call_fails(self):
+        for seed in range(1, 30):
+            drawn = plan.draw(seed, seconds=60, processes=12, calls=False)
+            self.assertFalse([fault for fault in drawn.fault if fault.on == "calls"])
+
+
+class Eyes(unittest.TestCase):
+    """What the oracle makes of rows as clients and stand-ins would write them."""
+
+    def finds(self, *rows: tuple, log: str = "", faults: tuple = ()) -> list[Rule]:
+        said = {
+            "name": "eyes",
+            "about": "one request",
+            "profile": [
+                {"name": "read", "share": 1, "work_ms": 5, "goal_ms": 200, "limit_ms": 500},
+            ],
+            "nodes": {"shim": True},
+            "fault": list(faults),
+        }
+        scenario = lab.check(said)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "node0.log")
+            path.write_text(log)
+            listed = [list(row) for row in rows]
+            oracle = Oracle(scenario, Ledger(scenario, listed), listed, 0, [path])
+            found: list[Find] = oracle.judge()
+        return [one.rule for one in found]
+
+    ASK = ("ask", 10 * MS, "a", 1, 0, 1, "mg", "k", "read", "m", 300 * MS)
+
+    def got(self, at: int, wait: int) -> tuple:
+        return ("got", at, at, "s0", 0, "a", "mg", "k", "", 1, wait)
+
+    SERVED = ("told", 20 * MS, "s0", "a", "value", 7), ("reply", 21 * MS, "a", "served", 7, 3, 0)
+
+    def test_a_request_that_was_served(self):
+        self.assertEqual(self.finds(self.ASK, self.got(15 * MS, 295 * MS), *self.SERVED), [])
+
+    def test_a_server_told_too_much(self):
+        self.assertEqual(self.finds(self.ASK, self.got(15 * MS, 600 * MS), *self.SERVED), [Rule.DEADLINE])
+
+    def test_an_attempt_after_its_client_left(self):
+        rows = self.ASK, ("left", 50 * MS, "a"), self.got(250 * MS, 50 * MS)
+        self.assertEqual(self.finds(*rows), [Rule.CLIENT_GONE])
+
+    def test_a_new_connection_closed_with_no_answer(self):
+        self.assertEqual(self.finds(self.ASK, ("end", 30 * MS, "a", 1, 1)), [Rule.LOST])
+
+    def test_no_answer_in_its_time_and_half_a_second(self):
+        self.assertEqual(self.finds(self.ASK, ("left", 870 * MS, "a")), [Rule.LOST])
+
+    def test_a_node_that_was_down_is_no_find(self):
+        down = ("node", 5 * MS, 0, "killed", 9), ("node", 900 * MS, 0, "ready", 0)
+        self.assertEqual(self.finds(self.ASK, *down, ("end", 30 * MS, "a", 1, 1)), [])
+
+    def test_what_the_program_says_of_itself(self):
+        rows = self.ASK, self.got(15 * MS, 295 * MS), *self.SERVED
+        self.assertEqual(self.finds(*rows, log="violation rule=drain request=a path=x reason=y\n"), [Rule.PROGRAM])
+
+
+class Runs(unittest.TestCase):
+    def test_fixed_seeds_break_no_rule(self):
+        for seed in SEEDS:
+            with self.subTest(seed):
+                verdict = run.soak(seed, run.Options(seconds=SECONDS, processes=PROCESSES))
+                self.assertEqual(verdict.finds, [])
+                self.assertGreater(verdict.counts["requests"], 100)
+
+    def test_a_planted_fault_is_found(self):
+        options = run.Options(seconds=SECONDS, processes=PROCESSES, plant="stale-deadline", strict=False)
+        verdict = run.soak(SEEDS[0], options)
+        self.assertTrue([find for find in verdict.finds if find.startswith(Rule.DEADLINE.value)], verdict)
+
+
+if __name__ == "__main__":
+    unittest.main()
