The checks' own counts are bounded

Cause: found by reading: Checker.taken kept the time of each request until the next further attempt, where a budget is stated, and a count for each server that was ever cold. Change: both are let go once they have left their window.

--- a/saltmoor/guard/checks.py
+++ b/saltmoor/guard/checks.py
@@ -77,7 +77,9 @@
     def taken(self, record: Record) -> None:
         """A request is begun."""
         if self.budget:
-            self.retries.taken.append(self.clock())
+            now = self.clock()
+            self.retries.taken.append(now)
+            self.retries.left(now, self.budget, 1.0)  # what has left the window is not kept
 
     def begins(
         self, record: Record, target: Target, *, told: Micros, client_left: bool, draining: bool, part: float
@@ -126,6 +128,9 @@
             self.violated(Rule.RETRY_BUDGET, record.id, "retry", Reason.ATTEMPTS_USED)
 
     def _check_cold(self, record: Record, target: Target, now: Micros) -> None:
+        if target.server not in self.cold:  # guards against counts of every server that ever was cold
+            edge = now - self.cold_window
+            self.cold = {server: times for server, times in self.cold.items() if times[-1] > edge}
         times = self.cold.setdefault(target.server, deque())
         times.append(now)
         while times[0] <= now - self.cold_window:
@@ -151,11 +156,6 @@
         if not record.answered and code not in ENDED_BY_CLIENT:
             self.violated(Rule.LOST, record.id, f"close {code}", Reason.REQUESTS_OPEN)
 
-    def forget(self, servers: set[ServerId]) -> None:
-        """Keep counts of cold servers for these alone."""
-        for server in [one for one in self.cold if one not in servers]:
-            del self.cold[server]
-
     def violated(self, rule: Rule, subject: str, path: str, reason: Reason) -> None:
         """Count one violation. Raises `Violation` in strict mode."""
         self.violations[rule] += 1
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -215,6 +215,16 @@
         self.checker.closed(self.record(), "client-left")
         self.assertFalse(self.checker.violations)
 
+    def test_what_is_kept_is_bounded(self):
+        """Guards against memory that grows with requests taken, or with servers that were ever cold."""
+        for number in range(500):
+            record = self.record()
+            self.checker.taken(record)
+            self.begins(record, number=number, cold_rate=100.0)
+            self.now += 100 * MS
+        self.assertLessEqual(len(self.checker.retries.taken), 11)
+        self.assertLessEqual(len(self.checker.cold), 11)
+
     def test_the_checks_of_a_hit_cost_little(self):
         count = 20_000
         begun = time.process_time()
