--- a/saltmoor/lab/scale_hollow.py
+++ b/saltmoor/lab/scale_hollow.py
@@ -14,7 +14,7 @@
 from saltmoor.config import Dutiful, Talking
 from saltmoor.lab.scale_clock import Network, Place, ScriptedLoop
 from saltmoor.net.duties import Duties
-from saltmoor.net.peers import Bulk, Peers
+from saltmoor.net.peers import STREAMS, Bulk, Peers
 from saltmoor.peers.members import Member, Members, News
 from saltmoor.replica.exchange import Exchange, Known, Phase
 from saltmoor.replica.turns import Turns
@@ -137,7 +137,16 @@
 
     def came_stream(self) -> None:
         if not self.ended:
-            self.spent.of(self.accept)
+            self.spent.of(self.take_streams)
+
+    def take_streams(self) -> None:
+        """What the acceptor does for a real member: each stream that has come is welcomed."""
+        for _ in range(STREAMS):
+            try:
+                sock, peer = self.socks[1].accept()
+            except BlockingIOError:
+                return
+            self.welcome(sock, peer)
 
     def tick(self) -> None:
         if not self.ended:
--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -251,10 +251,12 @@
             self.timer.cancel()
         if left and self.udp:
             self.send_all(self.members.leave())
-        if self.socks:
+        if self.udp:
             self.loop.remove_reader(self.udp)
-            self.udp.close()
+        if self.acceptor:
             self.acceptor.close()
+        for sock in self.socks:
+            sock.close()
         self.socks, self.udp = [], None
         for task in self.tasks:
             task.cancel()
