Failing tests: clients that overlap, take nothing or come late are held past a drain

Real processes on loopback, ten kinds of clients, three of each, 4 s after POST /_lameduck/on. Seen: 3 of 3 clients whose requests overlap and 3 of 3 that take nothing are held in each of five variants; half commands begun 1.7 s into the drain with HUP and pauses; one byte in 30 ms too.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -45,6 +45,7 @@
         "orders": 348,
         "syscalls": 45,
         "soak": 65,
+        "drain_bound": 30,
         "early_signals": 12,
         "disk_faults": 13,
         "wall_clock": 6,
