One bound for ends: a drain or stop holds no client past it, whatever clients do

Cause: a connection that a drain sends away ended only with nothing open on it, and was read without limit until then; a second process began the 2.2 s of the spread anew; half commands, answers that nobody takes and waits for a paced turn were bounded apart, nowhere as a sum. Class: an end that waits for a state of the other side with no time of its own. Open requests past their due time get their final answer; who takes nothing for 1.5 s of an end is reset as stalled. Two new checks at run time: held, read-past-end. A command that becomes whole in a read in which the next one begins no longer counts as unfinished since the first one's begin. A drain is taken during a start.

--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -266,13 +266,19 @@
         self._settle(now)
 
     def end_all(self) -> None:
-        """The process ends: what is open gets its final answer now, as if its hard limit had come."""
+        """The process ends: what is open gets its final answer now, as if its deadline had come."""
+        self.end(list(self.txs.values()))
+
+    def end(self, requests: list[Tx]) -> None:
+        """These get their final answer now, as if their deadline had come."""
         now = self.clock()
-        for tx in [self.node.txs[number] for number in self.txs if number in self.node.txs]:
-            self._tell(self.node.feed, now, tx, model.In.LIMIT)
+        for tx in requests:
+            if tx.id in self.node.txs:
+                self._tell(self.node.feed, now, self.node.txs[tx.id], model.In.LIMIT)
         self._settle(now)
-        for tx in list(self.txs.values()):  # a fault kept it
-            self._give_up(now, tx)
+        for tx in requests:  # a fault kept it
+            if tx.id in self.txs:
+                self._give_up(now, tx)
 
     def report(
         self,
--- a/saltmoor/guard/checks.py
+++ b/saltmoor/guard/checks.py
@@ -156,6 +156,14 @@
         if not record.answered and code not in ENDED_BY_CLIENT:
             self.violated(Rule.LOST, record.id, f"close {code}", Reason.REQUESTS_OPEN)
 
+    def held(self, peer: str, state: str) -> None:
+        """A connection is there past the bound of its end."""
+        self.violated(Rule.HELD, peer, f"connection {state}", Reason.BOUND_OVER)
+
+    def read_past_end(self, peer: str, state: str) -> None:
+        """A connection is read from whose life does not allow it any more."""
+        self.violated(Rule.READ_PAST_END, peer, f"connection {state}", Reason.BOUND_OVER)
+
     def violated(self, rule: Rule, subject: str, path: str, reason: Reason) -> None:
         """Count one violation. Raises `Violation` in strict mode."""
         self.violations[rule] += 1
--- /dev/null
+++ b/saltmoor/guard/ends.py
@@ -0,0 +1,140 @@
+"""Says when a client's connection that a node ends from its side is told so, read no more, and gone. No I/O, no clock.
+
+One rule holds for every reason: a drain, a stop, an upgrade, an eviction, a connection kept for long. A connection is
+told to end at a moment of its own; it is read for `READS_ON` more, so that what crosses is served; then nothing more is
+read from it, it gets what it is owed, and its end. The bounds of a drain and of a stop stand here as one sum, in
+microseconds since the call or signal:
+
+    told_by + READS_ON = reads_until       the last byte of another request is read
+    reads_until + longest <= answers_until  unless a deadline is too long: then what is owed is due by `answers_until`
+    answers_until + CLOSING + HELD_UP = bound  the end is said and seen, also where the process is held up
+
+Source: the operators' pages on drains (4 s) and on planned restarts (the longest deadline, 3 s at most, and 0.7 s), and
+their standing test (a node may be held up for 0.15 s).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from saltmoor.model import Micros
+
+DRAIN_BOUND: Micros = 4_000_000  # from the call until no client's connection may be held
+KILLED_AFTER: Micros = 700_000  # from the signal until the kill, beside the longest deadline
+LONGEST_AWAITED: Micros = 3_000_000  # who ends a node waits for no deadline that is longer
+HELD_UP: Micros = 150_000  # a process may be held up for so long
+CLOSING: Micros = 100_000  # the last answer is written, the end is said, and the client sees it
+
+READS_ON: Micros = 100_000  # how long a connection that was told to end is read on, for what crosses
+SPREAD_FROM: Micros = 400_000  # of a drain: by then the front has seen it, and opens no more connections
+LEAST_READS: Micros = 700_000  # of a drain: reads go on at least so long, however long deadlines are
+MOST_READS: Micros = 1_800_000  # a request from the last 2 s before the bound would break the rule
+MOST_COMMANDS: Micros = 2_400_000  # of a drain: a command that was begun in time has to be whole by then
+LEAST_WORK: Micros = 200_000  # a command that is whole later could not be served before the end
+LEAST_LEFT: Micros = 50_000  # of a stop: what is read last has at least so long
+LONGEST_LINGER: Micros = 450_000  # of a stop: with READS_ON and the longest deadline still within the bound
+STRAY: Micros = 300_000  # how long a connection that comes late in a drain may stay before it is told
+TAKES_NOTHING: Micros = 1_500_000  # a client that is told to end and has taken nothing of its answer for so long
+STILL: Micros = 10_000_000  # the same of a large value at any other time
+
+
+@dataclass(slots=True, frozen=True)
+class EndPlan:
+    """The bounds of one drain or stop, in microseconds since it began."""
+
+    told_from: Micros  # connections are told to end from then on,
+    told_by: Micros  # and by then, spread evenly
+    reads_until: Micros  # nothing more is read, but of a command that was begun before
+    commands_until: Micros  # a command that is unfinished then is answered so
+    answers_until: Micros  # what is owed is due by then
+    bound: Micros  # no connection is held any more
+
+
+def plan_drain(longest: Micros) -> EndPlan:
+    """The bounds of a drain, where requests may be open for `longest`."""
+    answers_until = DRAIN_BOUND - HELD_UP - CLOSING
+    reads_until = max(LEAST_READS, min(MOST_READS, answers_until - longest))
+    told_by = reads_until - READS_ON
+    return EndPlan(min(SPREAD_FROM, told_by), told_by, reads_until, MOST_COMMANDS, answers_until, DRAIN_BOUND)
+
+
+def plan_stop(longest: Micros, linger: Micros) -> EndPlan:
+    """The bounds of a stop: `linger`, how long new connections are still taken."""
+    bound = min(longest, LONGEST_AWAITED) + KILLED_AFTER
+    answers_until = bound - HELD_UP - CLOSING
+    told = min(linger, LONGEST_LINGER, answers_until - READS_ON - LEAST_LEFT)
+    reads_until = told + READS_ON
+    return EndPlan(told, told, reads_until, max(reads_until, answers_until - LEAST_WORK), answers_until, bound)
+
+
+@dataclass(slots=True, frozen=True)
+class ConnectionEnd:
+    """The moments of one connection's end, on the node's clock; `reason`: the code that the log has for it."""
+
+    reason: str
+    told: Micros
+    commands_until: Micros
+    answers_until: Micros  # 0: what it is owed has all of its own time
+    gone_by: Micros  # 0: no bound but its requests' own
+
+    def earlier(self, other: ConnectionEnd | None) -> ConnectionEnd:
+        """Each moment as the stricter of both has it; the reason of the one that is told first."""
+        if other is None:
+            return self
+        first = min(self, other, key=lambda one: one.told)
+        return ConnectionEnd(
+            first.reason,
+            first.told,
+            min(self.commands_until, other.commands_until),
+            min(self.answers_until or other.answers_until, other.answers_until or self.answers_until),
+            min(self.gone_by or other.gone_by, other.gone_by or self.gone_by),
+        )
+
+
+def end_now(reason: str, now: Micros) -> ConnectionEnd:
+    """Of a connection that ends for a reason of its own: it was free for long, or makes room for another."""
+    return ConnectionEnd(reason, now, now + MOST_COMMANDS, 0, 0)
+
+
+def end_of_stop(plan: EndPlan, since: Micros, now: Micros) -> ConnectionEnd:
+    """Of a connection of a process that stops and takes no new ones any more."""
+    return ConnectionEnd("stopping", now, since + plan.commands_until, since + plan.answers_until, since + plan.bound)
+
+
+def end_of_drain(plan: EndPlan, since: Micros, accepted: Micros, share: float) -> ConnectionEnd:
+    """Of a connection of a node that drains; `share`: drawn for it, from 0 to 1.
+
+    One that was accepted once others are told has a moment of its own: the front may not have seen the drain, and nobody
+    holds the node to a bound for it.
+    """
+    if accepted >= since + plan.told_from:
+        told = accepted + STRAY
+        return ConnectionEnd("draining", told, told + MOST_COMMANDS, 0, 0)
+    told = since + plan.told_from + int((plan.told_by - plan.told_from) * share)
+    return ConnectionEnd("draining", told, since + plan.commands_until, since + plan.answers_until, since + plan.bound)
+
+
+class Due(Enum):
+    """What has to be done about a connection that is to end."""
+
+    NOTHING = auto()
+    TELL = auto()  # it ends as soon as nothing is open on it
+    READ_NO_MORE = auto()  # it gets what it is owed, and its end
+    CUT = auto()  # the same, and its unfinished command is answered as such
+
+
+def due(now: Micros, end: ConnectionEnd, begun: Micros) -> Due:
+    """What is due now for a connection with that end; `begun`: since when a command is unfinished, or 0."""
+    if now < end.told:
+        return Due.NOTHING
+    if now < end.told + READS_ON:
+        return Due.TELL
+    if not begun or begun >= end.told + READS_ON:
+        return Due.READ_NO_MORE
+    return Due.CUT if now >= end.commands_until else Due.TELL
+
+
+def takes_nothing(now: Micros, moved: Micros, *, told: bool) -> bool:
+    """Whether a client that has not taken anything of an answer since `moved` is held to have stopped."""
+    return now - moved >= (TAKES_NOTHING if told else STILL)
--- a/saltmoor/guard/verdicts.py
+++ b/saltmoor/guard/verdicts.py
@@ -15,6 +15,8 @@
     SLOW_START = "slow-start"  # no more to a cold server than the settings allow
     RETRY_BUDGET = "retry-budget"  # further attempts within the stated budget
     DEADLINE = "deadline"  # a server is told of no more time than its client has left
+    HELD = "held"  # a client's connection is gone by the bound of a drain or stop
+    READ_PAST_END = "read-past-end"  # nothing is read from a connection that is not read any more
     CLIENT_GONE = "client-gone"  # nothing is begun for a client that has left
 
 
@@ -37,6 +39,7 @@
     NO_ROOM = "no-room"
     REQUESTS_OPEN = "requests-open"
     BYTES_WAIT = "bytes-wait"
+    BOUND_OVER = "bound-over"  # the time in which a connection had to end
 
 
 @dataclass(slots=True, frozen=True)
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -7,10 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
+import struct
 import sys
+import termios
 import time
+from array import array
 from collections.abc import Coroutine, Generator, Iterable
 from typing import Any
 
@@ -207,6 +211,19 @@
         info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
         return int.from_bytes(info[52:56], sys.byteorder) * 1000 if len(info) == 56 else 0
 
+    def backlog(self) -> int:
+        """Bytes that were written and that the other side's machine has not taken; 0 where the kernel does not tell."""
+        count = array("i", [0])
+        try:
+            fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, count)
+        except OSError:
+            return 0
+        return count[0]
+
+    def abandon(self) -> None:
+        """To be closed next: what the other side's machine has not taken is dropped, and the connection reset."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
     def quiet(self) -> bool:
         """Open, with nothing to read: neither data nor the other side's end."""
         try:
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -14,11 +14,14 @@
 
 import saltmoor
 from saltmoor.config import BUFFER
+from saltmoor.guard import ends
 from saltmoor.guard.checks import Record
 from saltmoor.guard.connections import may_end
+from saltmoor.guard.ends import ConnectionEnd
 from saltmoor.model import Micros
 from saltmoor.net import http, meta
 from saltmoor.net.buffers import Stream
+from saltmoor.net.connection_life import Life, State
 from saltmoor.net.flow import Broken, Flow
 
 if TYPE_CHECKING:
@@ -58,15 +61,26 @@
         self.commands, self.slots = meta.Commands(), deque()
         self.used, self.began, self.count, self.code, self.waited = self.since, 0, 0, "", 0
         self.read_at: Micros = 0  # when bytes were last taken off it; 0: never
-        self.ending = ""  # why it is to end once nothing is open
-        self.last = False  # nothing more is read from it: it ends once all that was read is answered
+        self.life = Life(self.since, house.stepped)
+        self.end_due: ConnectionEnd | None = None  # when the node ends it; none: not yet
+        self.tracked = 0  # commands that were whole when its unfinished one was looked at last
+        self.command_since: Micros = 0  # since when the command that is unfinished now has come; 0: none is
+        self.overdue = False  # it is held past its bound, which was counted
+        self.cut_asked = False  # its unfinished command is cut as soon as it is not being read
+        self.taken, self.taken_at = -1, self.since  # bytes of answers that its machine has; since when no more
         self.gathered = False
-        self.leaves = 0  # while the node is emptied: from when on it ends as soon as nothing is open
         self.room = asyncio.Event()
+        self.turn: asyncio.Future[None] | None = None  # to be read from, while reads are paced
+        self.memory: asyncio.Task[None] | None = None  # it waits for that of a large value
         self.writer: asyncio.Task | None = None
         self.reader = asyncio.create_task(self.serve())
         house.fresh[self] = None
 
+    @property
+    def ending(self) -> str:
+        """Why the node is ending it; empty where it is not."""
+        return self.life.reason if self.life.ends else ""
+
     @property
     def idle(self) -> bool:
         return not self.slots and not self.commands.partial
@@ -85,19 +99,21 @@
     async def read(self) -> str:
         """Read until the connection ends; the reason's code."""
         while True:
-            if self.house.heir and self.house.closing and self.idle and not self.ending and self.give():
+            if self.may_be_handed_on() and self.give():
                 return "handed-on"
-            if self.last:
-                await self.deaf(self.flush())
-                await self.deaf(self.answered(0))
-                if not self.stream.quiet():
-                    await self.take_leave()
-                return self.ending
+            if self.cut_asked:
+                self.cut_now()
+            if not self.life.reads:
+                return await self.answer_and_end()
             if self.ending and may_end(idle=self.idle, quiet=self.idle and self.stream.quiet()):
                 return self.ending
             if self.house.paced and not self.ending:
-                await self.deaf(self.house.turn())
+                await self.deaf(self.house.next_turn(self))
+                if self.ending:
+                    continue
             asked_at = self.house.clock()
+            if not self.life.reads:
+                self.house.read_past_end(self)
             data = b"" if self.gathered else await self.stream.read()
             if data is None:  # woken: what is above has changed
                 continue
@@ -127,8 +143,9 @@
                     if len(self.slots) > PIPELINE:
                         await self.deaf(self.answered(PIPELINE))
                 if self.commands.wants:
+                    self.track()
                     await self.deaf(self.gather())
-                    self.gathered = True  # some of it may have come with its head
+                    self.gathered = not self.cut_asked  # some of it may have come with its head
                     continue
             except meta.FramingLost as error:
                 self.slots.append(Slot(b"CLIENT_ERROR %b\r\n" % str(error).encode()))
@@ -138,6 +155,28 @@
                 return "framing-lost"
             self.track()
 
+    async def answer_and_end(self) -> str:
+        """Nothing more is read: what is owed is answered, then the end is said; the reason's code."""
+        if self.slots:
+            self.step(State.ANSWERING)
+        await self.deaf(self.flush())
+        await self.deaf(self.answered(0))
+        if self.may_be_handed_on() and self.give():
+            return "handed-on"
+        self.forget()  # a command that was begun too late
+        if not self.stream.quiet():
+            self.step(State.SAYING_END)
+            await self.take_leave()
+        return self.ending
+
+    def step(self, state: State, reason: str = "") -> bool:
+        """Go on to that state of its life; false where it is there already."""
+        ends = self.life.ends
+        stepped = self.life.step(state, reason or self.life.reason, self.house.clock())
+        if stepped and not ends and state is not State.CLOSED:
+            self.house.leaving += 1
+        return stepped
+
     def may_have_stood(self, asked_at: Micros) -> bool:
         """Whether what was just read may have stood in the socket: `asked_at` is when it was asked for.
 
@@ -159,14 +198,15 @@
             self.house.deaf.pop(self, None)
 
     def track(self) -> None:
-        """Since when a command is unfinished."""
+        """Since when a command is unfinished; that is of the newest one, where others became whole before it."""
         if not self.commands.partial:
-            self.began = 0
+            self.began = self.command_since = 0
             self.house.begun.pop(self, None)
-        elif not self.began:
-            self.began = self.used
+        elif not self.began or self.count > self.tracked:
+            self.began = self.command_since = self.used
             self.house.begun[self] = None
             self.house.free.pop(self, None)
+        self.tracked = self.count
 
     def progress(self, size: int) -> None:
         """A value may take its time as long as it goes on: its bytes buy some."""
@@ -174,10 +214,18 @@
             self.began = min(self.used, self.began + size * 1_000_000 // SLOWEST)
 
     async def gather(self) -> None:
-        """Wait for the memory that a large value needs; its time goes on when there is some."""
+        """Wait for the memory that a large value needs; its time goes on when there is some, unless it is cut."""
         self.began = 0
         self.house.begun.pop(self, None)
-        await self.house.budget.take(self.commands.wants)
+        self.memory = asyncio.create_task(self.house.budget.take(self.commands.wants))
+        try:
+            await self.memory
+        except asyncio.CancelledError:
+            if not self.cut_asked or asyncio.current_task().cancelling():
+                raise
+            return
+        finally:
+            self.memory = None
         self.commands.paid()
         self.began = self.used = self.house.clock()
         self.house.begun[self] = None
@@ -188,14 +236,73 @@
         Guards against a command that is whole in this moment: it would be answered, and refused before.
         """
         if self.stream.waiting and self.stream.quiet():
+            self.cut_now()
+            self.stream.wake()
+
+    def cut_now(self) -> None:
+        """Answer its unfinished command as such, and read nothing more."""
+        self.cut_asked = False
+        if self.commands.partial:
             self.slots.append(Slot(b"CLIENT_ERROR the command is not finished\r\n"))
-            self.finish("unfinished")
+            self.forget()
+        self.step(State.READS_NO_MORE, "unfinished")
+
+    def cut_for_good(self) -> None:
+        """The same, whatever it waits for: its time is over, also where more of it comes all the while."""
+        self.cut_asked = True
+        if self.memory:
+            self.memory.cancel()
+        self.wake()
 
     def finish(self, code: str) -> None:
         """Read nothing more, answer what was read, end."""
-        self.close(code)
-        self.last = True
+        if self.life.reads and not self.code:
+            self.step(State.READS_NO_MORE, code)
+            self.wake()
+
+    def wake(self) -> None:
+        """What it waits for before it reads, and the read itself, give way to what has changed."""
         self.stream.wake()
+        if self.turn and not self.turn.done():
+            self.turn.set_result(None)
+
+    def advance(self, now: Micros) -> None:
+        """Carry out what is due of its end."""
+        if not (end := self.end_due) or self.code:
+            return
+        match ends.due(now, end, self.command_since):
+            case ends.Due.NOTHING:
+                return
+            case ends.Due.TELL:
+                self.tell(end.reason)
+            case ends.Due.READ_NO_MORE:
+                self.finish(end.reason)
+            case ends.Due.CUT:
+                self.cut_for_good()
+        if self.slots and end.answers_until and now >= end.answers_until:
+            self.house.give_up(self)
+        if self.writer and self.stopped_taking(now):
+            self.abort("stalled")
+
+    def tell(self, code: str) -> None:
+        """It is to end: as soon as nothing is open on it, it is closed or handed on."""
+        if not self.house.heir:
+            self.close(code)
+        elif self.idle and asyncio.current_task() is not self.reader:  # that one hands on by itself
+            self.hand_on()
+
+    def stopped_taking(self, now: Micros) -> bool:
+        """Whether its machine has taken nothing of what is written to it for too long."""
+        waits = self.stream.backlog()
+        if self.stream.sock.sent - waits != self.taken or not waits:
+            self.taken, self.taken_at = self.stream.sock.sent - waits, now
+        return ends.takes_nothing(now, self.taken_at, told=True)
+
+    def abort(self, code: str) -> None:
+        """End it at once, and give up what its machine has not taken: the kernel would hold that for long."""
+        self.code = code
+        self.stream.abandon()
+        self.reader.cancel()
 
     def forget(self) -> None:
         """What of a command has come is of no use; guards against its memory never given back."""
@@ -240,7 +347,7 @@
         slot = Slot()
         self.slots.append(slot)
         if command.verb == b"mn":
-            slot.answer = DRAINING if self.house.lame else b"MN\r\n"
+            slot.answer = DRAINING if self.house.drain_since else b"MN\r\n"
         elif command.verb == b"version":
             slot.answer = b"VERSION saltmoor %b\r\n" % saltmoor.__version__.encode()
         elif command.verb not in (b"mg", b"ms"):
@@ -277,10 +384,11 @@
             self.reader.cancel()
         finally:
             self.writer = None
-        if self.house.closing and self.idle:
-            self.house.dismiss(self)
-        elif self.idle and (self.ending or self.leaves and self.leaves <= self.house.clock()):
-            self.close("draining")
+        if self.idle:
+            if self.ending:
+                self.wake()
+            else:
+                self.advance(self.house.clock())
         self.house.listen()  # this one may make room now
 
     async def pass_on(self, answer: Passing) -> None:
@@ -293,9 +401,14 @@
             flow.moved = self.house.clock()
         await self.stream.write(b"\r\n")
 
+    def may_be_handed_on(self) -> bool:
+        """Whether the process that takes this one's place may have it: between two commands, and not told to end."""
+        return bool(self.house.heir and self.house.closing and self.idle and self.ending in ("", "stopping"))
+
     def give(self) -> bool:
         """Pass the connection to the process that takes this one's place; what is unread there goes with it."""
         said = {"client": self.peer, "since": self.since, "used": self.used, "count": self.count}
+        said |= self.house.said_of(self)
         return self.house.heir.say(said, self.stream.sock.fileno())
 
     def hand_on(self) -> None:
@@ -314,10 +427,10 @@
         Guards against losing what came in this moment: all that has come is still read, and answered, before the
         connection is closed. Its reading is not shut down: then the client's own end could not be told any more.
         """
-        if not self.ending and not self.code:
-            self.ending = code
-            self.house.leaving += 1
-        self.stream.wake()
+        if self.life.reads and not self.code:
+            self.step(State.TOLD, code)
+            self.end_due = ends.end_now(code, self.house.clock()).earlier(self.end_due)
+        self.wake()
 
     def end(self) -> None:
         if self.writer and self.writer is not self.reader:
@@ -332,9 +445,12 @@
         self.house.begun.pop(self, None)
         self.stream.close()
         self.house.clients.discard(self)
-        self.house.leaving -= bool(self.ending)
+        self.house.leaving -= self.life.ends
+        told_for = self.life.told_for(self.house.clock())
+        self.step(State.CLOSED, self.code)
         for kept in self.house.free, self.house.fresh, self.house.deaf:
             kept.pop(self, None)
         self.house.listen()
         age = (self.house.clock() - self.since) // 1000
-        self.house.log.ended("client", self.peer, self.code, n=self.count, ms=age)
+        told = {"told_ms": told_for // 1000} if told_for else {}
+        self.house.log.ended("client", self.peer, self.code, n=self.count, ms=age, **told)
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -19,24 +19,24 @@
 from zlib import crc32
 
 from saltmoor import config, facade
+from saltmoor.guard import ends
 from saltmoor.guard.checks import Checker, Record, Violation
 from saltmoor.guard.connections import Occupancy, Room, may_start, room_for_client
+from saltmoor.guard.ends import EndPlan
 from saltmoor.guard.verdicts import Reason
 from saltmoor.model import Ended, Micros, Profile, Why
 from saltmoor.net import meta, origin
 from saltmoor.net.acceptor import AT_ONCE, Acceptor, Taken
 from saltmoor.net.buffers import Buffers, Stream, ended
 from saltmoor.net.client import Client, Passing, Slot
+from saltmoor.net.connection_life import State
 from saltmoor.net.counters import RequestLog
-from saltmoor.net.flow import STILL, Budget, Flow
+from saltmoor.net.flow import Budget, Flow
 from saltmoor.net.log import Log
 from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Upstream
 
-DRAIN = 400_000, 1_800_000  # of a drain: from when on connections end, and over how long they are spread
-STRAY = 300_000  # how long a connection that comes late in a drain stays without a word
 KEPT = 500_000  # how long a connection stays free at least, unless there is no room for another
-READS_ON = 100_000  # how long a process that stops reads on from those that have something open
 MISSED = 50_000  # how often clients that are not read from are looked at
 SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
@@ -71,8 +71,8 @@
         self.begun: dict[Client, None] = {}  # with a command that is unfinished
         self.deaf: dict[Client, None] = {}  # that are not read from, as something else is waited for
         self.missed_at = self.looked_at = 0  # when they are looked at next; when the loop last came round
-        self.reads_until: Micros = 0  # while the process stops: from then on nothing is read behind what is open
-        self.until: Micros = 0  # when the process ends: no answer may come later; 0: not yet
+        self.stop: EndPlan | None = None  # while the process stops: its bounds, and since when
+        self.stop_since: Micros = 0
         self.budget = budget
         self.tasks: set[asyncio.Task] = set()
         self.open_ids: set[bytes] = set()
@@ -82,7 +82,8 @@
         self.acceptor: Acceptor | None = None  # none before the node serves, and once its queue is empty at its end
         self.heir: Sibling | None = None  # the process that takes this one's place, once it takes clients
         self.drawn = 0
-        self.lame: Micros = 0  # since when the node is emptied; 0: it takes clients
+        self.drain_since: Micros = 0  # since when the node drains; 0: it takes clients
+        self.drain = ends.plan_drain(max(profile.limit for profile in profiles))
         self.sharing: Any = None  # with other nodes, where they are asked whose turn a fetch is
         self.asked = False  # whether a command has come since `busy` was last asked
         self.stir: Callable[[], None] | None = None  # told of the first command after a rest
@@ -92,14 +93,17 @@
         self.profile_of = {name.encode(): i for i, name in enumerate(names.profiles)}
         self.tenant_of = {name.encode(): i for i, name in enumerate(names.tenants)}
 
-    async def turn(self) -> None:
-        """Wait until this connection may be read from."""
+    async def next_turn(self, client: Client) -> None:
+        """Wait until this connection may be read from, or is to end."""
         if self.reads >= 1:
             self.reads -= 1
             return
-        turn = asyncio.get_running_loop().create_future()
-        self.turns.append(turn)
-        await turn
+        client.turn = asyncio.get_running_loop().create_future()
+        self.turns.append(client.turn)
+        try:
+            await client.turn
+        finally:
+            client.turn = None
 
     def busy(self) -> bool:
         """Whether anything came since the last time, is open, waits to be read, or is paced."""
@@ -144,29 +148,57 @@
             sock.close()
             return
         self.clients.add(client)
-        if self.lame:
-            self.send_away(client)
+        self.set_end(client)
         self.trim(0)
 
-    def empty(self, on: bool) -> None:
-        """Send the clients away, or take them again. What they ask meanwhile is served in full.
+    def drain_from(self, since: Micros) -> None:
+        """Send the clients away, since that moment, or with 0 take them again. What they ask meanwhile is served.
 
-        Guards against all of them coming to the other nodes in one instant: each connection has a moment of
-        its own, from which on it ends once nothing is open on it.
+        Guards against all of them coming to the other nodes in one instant: each connection has a moment of its own, from
+        which on it ends once nothing is open on it.
         """
-        if on == bool(self.lame):
-            return
-        self.lame = self.clock() if on else 0
+        self.drain_since = since
+        self.drain = ends.plan_drain(max(profile.limit for profile in self.profiles))
         for client in self.clients:
-            client.leaves = 0
-            if on:
-                self.send_away(client)
-        self.log(f"lame duck {'on' if on else 'off'}: clients={len(self.clients)} txs={len(self.open_ids)}")
+            client.end_due = None if client.life.reads and not client.life.ends else client.end_due
+            self.set_end(client)
+        state = f"on: since_ms={(self.clock() - since) // 1000}" if since else "off:"
+        self.log(f"lame duck {state} clients={len(self.clients)} txs={len(self.open_ids)}")
+
+    def set_end(self, client: Client, told_in: Micros | None = None) -> None:
+        """When this connection ends, where the node drains or the process stops; `told_in`: another process has drawn it."""
+        if self.drain_since:
+            self.drawn += 1
+            share = crc32(self.drawn.to_bytes(4, "little")) / 2**32
+            end = ends.end_of_drain(self.drain, self.drain_since, client.since, share)
+            if told_in is not None:
+                end = replace(end, told=self.clock() + told_in)
+            client.end_due = end.earlier(client.end_due)
+        if self.closing:
+            end = ends.end_of_stop(self.stop, self.stop_since, self.clock())
+            client.end_due = end.earlier(client.end_due)
+
+    def said_of(self, client: Client) -> dict[str, int]:
+        """What the process that takes this one's place has to know of a connection's end."""
+        return {"told_in": client.end_due.told - self.clock()} if self.drain_since and client.end_due else {}
+
+    def stepped(self, state: State, reason: str) -> None:
+        """A connection's life has gone on."""
+        self.counters.add("client_connections", f"{state.value}:{reason}")
+
+    def give_up(self, client: Client) -> None:
+        """What is open on this connection gets its final answer now: its time to end is over."""
+        self.door.end([slot.tx for slot in client.slots if slot.tx and slot.answer is None])
+
+    @property
+    def ending(self) -> bool:
+        """Whether connections are to end soon: they are looked at more often then."""
+        return bool(self.drain_since or self.leaving or self.stop)
 
-    def send_away(self, client: Client) -> None:
-        self.drawn += 1
-        first, spread = self.lame + DRAIN[0], DRAIN[1] * crc32(self.drawn.to_bytes(4, "little")) >> 32
-        client.leaves = first + spread if self.clock() < first else self.clock() + STRAY
+    @property
+    def until(self) -> Micros:
+        """When the process ends: no answer may come later; 0: not yet."""
+        return self.stop_since + self.stop.answers_until if self.stop else 0
 
     def has_room(self) -> bool:
         """Whether one more may be taken; at the cap one that is of least use makes room.
@@ -255,17 +287,35 @@
         self.trim(KEPT)
         self.listen()  # guards against waiting for the end of a client where only connections to servers have ended
         now = self.clock()
-        for client in self.clients if self.lame else ():
-            if client.leaves and client.leaves <= now and client.idle:
-                client.close("draining")
         for client in list(self.begun):
-            if client.began and client.began < now - longest and not client.ending:
+            if client.began and client.began < now - longest and client.life.reads:
                 client.cut()
-        for client in self.clients:
+        for client in list(self.clients):
+            client.advance(now)
             answer = client.slots[0].answer if client.slots else None
-            if isinstance(answer, Passing) and answer.flow.moved < now - STILL and not client.code:
+            if isinstance(answer, Passing) and not client.code and self.stands_still(client, answer.flow, now):
                 client.code = "stalled"
                 client.reader.cancel()
+            if client.end_due and client.end_due.gone_by:
+                self.check_bound(client, now)
+
+    @staticmethod
+    def stands_still(client: Client, flow: Flow, now: Micros) -> bool:
+        """Whether a large value has stopped on its way, from its server or to its client."""
+        due = client.end_due.answers_until if client.end_due else 0
+        return ends.takes_nothing(now, flow.moved, told=bool(due and now >= due))
+
+    def read_past_end(self, client: Client) -> None:
+        with contextlib.suppress(Violation):
+            self.checker.read_past_end(client.peer, client.life.state.value)
+
+    def check_bound(self, client: Client, now: Micros) -> None:
+        """Past the bound of its end nothing is held but a large value on its way."""
+        passes = client.slots and isinstance(client.slots[0].answer, Passing)
+        if now >= client.end_due.gone_by and not passes and not client.overdue:
+            client.overdue = True
+            with contextlib.suppress(Violation):
+                self.checker.held(client.peer, client.life.state.value)
 
     def missed(self) -> None:
         """Guards against work for clients that have left while nothing was read from them."""
@@ -310,7 +360,9 @@
         given = min(int(wait) * 1000 if wait else self.profiles[profile].limit, self.profiles[profile].limit)
         id_open = command.id in self.open_ids
         memory = id_open or len(self.open_ids) < self.caps.txs or self.drop_stalled()
-        verdict = may_start(self.clock(), left=given - client.waited, until=self.until, id_open=id_open, memory=memory)
+        until = client.end_due.answers_until if client.end_due else 0
+        until = min(until or self.until, self.until or until)
+        verdict = may_start(self.clock(), left=given - client.waited, until=until, id_open=id_open, memory=memory)
         if verdict.reason is Reason.ID_OPEN:
             command.fault = "this id is open"
             return
@@ -326,8 +378,8 @@
             return
         key = int.from_bytes(blake2b(command.key, digest_size=8).digest())  # the same at every node
         limit = self.clock() + max(1000, given - client.waited)
-        if self.until:  # guards against what is still being served when the process ends
-            limit = min(limit, self.until)
+        if until:  # guards against what is still being served when its connection ends
+            limit = min(limit, until)
         slot.record = Record(command.id.decode("latin-1"), self.profiles[profile], limit)
         self.checker.taken(slot.record)
         slot.tx = facade.Tx(profile, tenant, key, limit, command.write, again=again)
@@ -458,11 +510,17 @@
             step, reply.ended, answer=reply.flow or reply.body, note=reply.note, load=reply.load, copy=copy
         )
 
+    def begin_stop(self, plan: EndPlan) -> None:
+        """The process was told to stop: these are its bounds from now on."""
+        self.stop, self.stop_since = plan, self.clock()
+
     def settle_down(self) -> None:
-        """Stop: take what the machine has accepted already, then end each connection between transactions."""
-        self.closing, self.reads_until = True, self.clock() + READS_ON
+        """Stop: take what the machine has accepted already, then end each connection between requests."""
+        self.closing = True
         self.acceptor.stop()
         self.pace(None)
+        for client in self.clients:
+            self.set_end(client)
         self.release()
 
     def take_rest(self) -> None:
@@ -492,19 +550,12 @@
         """
         if self.acceptor:
             self.take_rest()
+        now = self.clock()
         for client in list(self.clients):
-            if client.idle:
-                self.dismiss(client)
-            elif last or not self.heir and self.clock() >= self.reads_until and not client.commands.partial:
+            client.advance(now)
+            if last:
                 client.finish("stopping")
 
-    def dismiss(self, client: Client) -> None:
-        """The process stops, and nothing is open on this connection."""
-        if not self.heir or client.ending:
-            client.close("stopping")
-        elif asyncio.current_task() is not client.reader:  # that one hands on by itself
-            client.hand_on()
-
     def adopt(self, sock: socket.socket, said: dict) -> None:
         """A client's connection of the process before this one, with nothing open on it."""
         client = Client(self, Stream(sock, self.buffers), str(said["client"]))
@@ -513,5 +564,4 @@
         if client.count:
             self.fresh.pop(client)
             self.rest(client)
-        if self.lame:
-            self.send_away(client)
+        self.set_end(client, said.get("told_in"))
--- a/saltmoor/net/flow.py
+++ b/saltmoor/net/flow.py
@@ -12,8 +12,6 @@
 from saltmoor.config import LONGEST_HELD
 from saltmoor.model import Micros
 
-STILL: Micros = 10_000_000  # a flow in which nothing has moved for so long has ended
-
 
 class Broken(Exception):
     """The rest of this value will not come, or is not what its head said."""
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -19,6 +19,7 @@
 from saltmoor import config, facade
 from saltmoor.choice import Node
 from saltmoor.guard.checks import Checker
+from saltmoor.guard.ends import CLOSING, LONGEST_AWAITED, plan_drain, plan_stop
 from saltmoor.guard.verdicts import Rule
 from saltmoor.model import Ended, ListKind, Micros, Readiness
 from saltmoor.net import meta, sibling
@@ -28,17 +29,17 @@
 from saltmoor.net.discovery import Discovery, News
 from saltmoor.net.flow import Budget
 from saltmoor.net.log import Log
+from saltmoor.net.node_life import NodeLife, Phase
 from saltmoor.net.sibling import Meeting, Message, Sibling
 from saltmoor.net.upstream import Upstream
 
 GRAIN = 2  # milliseconds
-HURRY = 0.05  # seconds between sweeps while the node is emptied
+HURRY = 0.05  # seconds between sweeps while connections are to end
+STOP_EVERY = 0.02  # the same once the process takes no new ones
 LATE_EVERY = 0.005  # seconds: how often the loop's lateness is looked at, and reading is paced
 REST_EVERY = 0.025  # seconds: the same while the node has nothing to do; a look costs 0.1 ms of a core by waking it
 REST_AFTER = 20  # looks in a row that found nothing to do, before they become rarer
-LONGEST_STOP = 3_000_000  # microseconds: who ends a node waits no longer than that and LAST_WRITES, whatever limits say
 FIRST_NEWS = 1.0  # seconds: so long a start waits for the list where what it says counts from the first moment
-LAST_WRITES = 100_000  # microseconds between the longest limit and the process's end, for the last answers
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
 STRICT = "SALTMOOR_STRICT"  # in the environment: a violated rule raises, for tests and soaks
@@ -161,7 +162,7 @@
             budget=self.budget,
             checker=self.checker,
         )
-        self.ready = False
+        self.life = NodeLife(clock)
         self.settings(given)
         self.sharing = None
         if given.peers:
@@ -262,7 +263,8 @@
         self.pair_with(sibling)
         if said.get("state"):
             self.recall({"kinds": said["state"], "age": 0})
-        self.clients.empty(bool(said.get("lame")))
+        if "lame" in said:
+            self.hear_drain(said)
         return shared
 
     def pair_with(self, sibling: Sibling) -> None:
@@ -283,8 +285,7 @@
             return
         self.pair_with(sibling)
         lines = self.lines()
-        said = {
-            "lame": bool(self.clients.lame),
+        said = self.life.said() | {
             "generation": self.discovery.generation if self.discovery else self.given.generation,
         }
         shared = self.listener.fileno()
@@ -303,8 +304,7 @@
         elif "server" in said and fds:
             self.upstream.adopt(socket.socket(fileno=fds.pop(0)), said)
         elif "lame" in said:
-            self.clients.empty(bool(said["lame"]))
-            self.hurry.set()
+            self.hear_drain(said)
         elif "left" in said:  # it ends: what it does not hold any more is there for this one
             self.cap(2, int(said["left"]) or 1)
         for fd in fds:  # a queue that is offered late, by one that hung: guards against holding it and never accepting
@@ -325,9 +325,12 @@
         self.budget.serve()
         self.hurry.set()
 
+    @property
+    def ready(self) -> bool:
+        return self.life.phase is Phase.SERVING
+
     def say_ready(self) -> tuple[bool, str]:
-        state = "stopping" if self.clients.closing else "lame duck" if self.clients.lame else "serving"
-        return self.ready, state if self.ready else "not ready"
+        return self.ready, self.life.words
 
     def say_counts(self) -> tuple[bool, str]:
         """Counts by name and reason; violations by rule."""
@@ -335,21 +338,47 @@
         return True, "\n".join([self.log.counters.text(), *rules]).strip()
 
     def say_lame(self, on: bool) -> tuple[bool, str]:
-        if not self.ready:
-            return False, "stopping" if self.clients.closing else "not ready"
-        self.clients.empty(on)
+        """Staff begin or end a drain: also of a node that is starting; one that stops ends its clients anyway."""
+        if self.life.phase in (Phase.STOPPING, Phase.ENDED):
+            return False, self.life.words
+        before = self.life.drain
+        if self.life.order(on) != before:
+            self.apply_drain()
         if self.sibling:
-            self.sibling.say({"lame": on})
-        self.hurry.set()
+            self.sibling.say(self.life.said())
         return True, "lame duck" if on else "serving"
 
+    def hear_drain(self, said: Message) -> None:
+        """The other process of this node says whether it drains, and since when."""
+        if self.life.hear(said):
+            self.apply_drain()
+
+    def apply_drain(self) -> None:
+        drain = self.life.drain
+        self.clients.drain_from(drain.changed if drain.on else 0)
+        self.hurry.set()
+
     def settings(self, given: config.Config) -> None:
         self.checker.configure(given.node["budget"], given.node["cold"].window)
         # So that no connection is found closed for its age; and never so often that the node does nothing else.
         self.sweep = max(HURRY, min(0.5, given.idle / 20_000_000))
-        self.linger = given.linger / 1_000_000
         # What was taken under earlier settings keeps its time, but at the process's end: whoever ends it knows no other.
-        self.longest = min(LONGEST_STOP, max(profile.limit for profile in given.node["profiles"]))
+        self.longest = max(profile.limit for profile in given.node["profiles"])
+        self.say_caps(given)
+
+    def say_caps(self, given: config.Config) -> None:
+        """Log which settings do not fit into the bounds of a drain or a stop, and what holds instead."""
+        stop, drain = plan_stop(self.longest, given.linger), plan_drain(self.longest)
+        if given.linger > stop.told_from:
+            self.log(
+                f"serve.linger_ms: {given.linger // 1000} does not fit before the kill, {stop.told_from // 1000} holds"
+            )
+        for most, what in (drain.answers_until - drain.reads_until, "drain"), (LONGEST_AWAITED, "stop"):
+            if self.longest > most:
+                self.log(
+                    f"settings.classes: deadline_ns of {self.longest // 1000} ms does not fit into a {what}: "
+                    f"what is open is answered by {(drain if what == 'drain' else stop).answers_until // 1000} ms after it began"
+                )
 
     def reload(self) -> None:
         """Read the configuration again and change over; what is faulty changes nothing.
@@ -511,7 +540,7 @@
                 await asyncio.wait_for(self.heard.wait(), FIRST_NEWS)
         self.clients.open_to(self.listener)
         self.clients.listen()
-        self.ready = True
+        self.life.enter(Phase.SERVING)
         if self.sibling:
             self.sibling.say({"ready": os.getpid(), "shares": self.shares})
         if self.meeting:
@@ -531,36 +560,43 @@
             self.clients.sweep(self.given.unfinished)
             self.hurry.clear()
             try:
-                async with asyncio.timeout(HURRY if self.clients.lame else self.sweep):
+                async with asyncio.timeout(HURRY if self.clients.ending else self.sweep):
                     await self.hurry.wait()
             except TimeoutError:
                 pass
-        linger = 0 if self.sibling and self.sibling.ready else self.linger
-        end = clock() + int(linger * 1_000_000) + self.longest + LAST_WRITES
-        self.clients.until = end - LAST_WRITES // 2
+        await self.stop()
+
+    async def stop(self) -> None:
+        """End with nothing owed, within the bounds of a stop."""
+        followed = bool(self.sibling and self.sibling.ready)
+        plan, since = plan_stop(self.longest, 0 if followed else self.given.linger), clock()
+        self.clients.begin_stop(plan)
+        self.life.enter(Phase.STOPPING)
         self.log(f"stopping: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.meeting:
             self.meeting.close()
-        if self.sibling and self.sibling.ready:
+        if followed:
             self.clients.heir = self.sibling
             if self.sharing:  # the process that takes its place is the same member from now on
                 self.sharing.end(left=False)
             if self.follower:
                 self.follower.resign()
-        await asyncio.sleep(linger)
-        self.ready = False
+        while (left := since + plan.told_from - clock()) > 0:
+            await asyncio.sleep(min(HURRY, left / 1_000_000))
+            self.clients.sweep(self.given.unfinished)
         self.clients.settle_down()
         while self.clients.owing and clock() < self.clients.until:
             self.hand_on()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(STOP_EVERY)
             self.clients.sweep(self.given.unfinished)
             self.clients.release()
         self.hand_on()
         if self.clients.clients:
             self.clients.release(last=True)
             self.door.end_all()
-            while self.clients.clients and clock() < end:
+            while self.clients.clients and clock() < self.clients.until + CLOSING:
                 await asyncio.sleep(0.005)
+        self.life.enter(Phase.ENDED)
         self.log(f"stopped: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.keeper:
             self.keeper.end()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -555,7 +555,7 @@
             one.say(read("held-a", "a"))
             await town.seen(1)
             await self.stop(town)
-            while not any(client.last for client in town.service.clients.clients):
+            while all(client.life.reads for client in town.service.clients.clients):
                 await asyncio.sleep(0.005)
             at_once(one, read("hit", "b"))  # is not read any more: it has to be asked of another node
             town.go.set()
--- a/tests/test_drain_bound.py
+++ b/tests/test_drain_bound.py
@@ -16,6 +16,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import uvloop
 
@@ -29,8 +30,8 @@
 BOUND = 4.0  # seconds after the call: from then on no client's connection may be held
 EACH = 3  # clients of one kind
 LONGEST = 2500  # milliseconds that clients wait for an answer
-LARGE = 400_000  # bytes of a large value
-ESTABLISHED = 1  # the state of a connection of which neither side has ended anything, as the kernel numbers it
+LARGE = 4_000_000  # bytes of a large value
+INODE = 9  # column of /proc/net/tcp; 0 where no process holds the socket
 TAKES = {"hit": 0.003, "long": 1.8, "brief": 0.3}  # seconds that a cache server takes, by the key's first word
 
 
@@ -46,6 +47,11 @@
 
     async def cache(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
+        with contextlib.suppress(ConnectionError):  # the node lets go of a value that its client does not take
+            await self.answer_all(reader, writer)
+        writer.close()
+
+    async def answer_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := (await reader.readline()).decode():
             _, key, *flags = line.split()
             tag = next(flag for flag in flags if flag.startswith("O"))
@@ -55,7 +61,6 @@
                 continue
             await asyncio.sleep(TAKES[key.partition("-")[0]])
             writer.write(f"VA {len(key)} {tag} h1\r\n{key}\r\n".encode())
-        writer.close()
 
     async def begin(self) -> tuple[Process, Address]:
         """A process of the node that serves, and its second address."""
@@ -83,6 +88,15 @@
         return said.startswith(b"HTTP/1.1 200")
 
 
+def held_by_a_process(port: int, client: int) -> bool:
+    """Whether the node's side of a connection belongs to a process, or is with the kernel alone, or gone."""
+    for row in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, local, remote, *_ = words = row.split()
+        if local.endswith(f":{port:04X}") and remote.endswith(f":{client:04X}"):
+            return words[INODE] != "0"
+    return False
+
+
 @dataclass(eq=False)
 class Client:
     """One client's connection, and what came of it."""
@@ -182,15 +196,23 @@
                     await asyncio.sleep(0.03)
 
     async def takes_nothing(self) -> None:
-        """Asks for large values and reads none of them."""
-        self.sock = socket.create_connection(self.town.address)
+        """Asks for large values and reads none of them: its machine takes little, and the node's holds the rest."""
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
+        self.sock.connect(self.town.address)
         for count in range(3):
             self.sock.sendall(read("large", f"{self.number:x}{count}", wait=LONGEST).encode())
 
+    def close(self) -> None:
+        if self.kind == "takes_nothing":
+            self.sock.close()
+        elif self.sock:
+            self.writer.close()
+
     def held(self) -> bool:
-        """The node has ended nothing on this connection."""
+        """A process of the node holds this connection: who reads has seen no end, who does not is looked up."""
         if self.kind == "takes_nothing":
-            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == ESTABLISHED
+            return held_by_a_process(self.town.address[1], self.sock.getsockname()[1])
         return self.sock is not None and not self.ended
 
 
@@ -236,8 +258,7 @@
                 for task in tasks:
                     task.cancel()
                 for one in clients:
-                    if one.sock:
-                        one.sock.close()
+                    one.close()
 
         uvloop.run(asyncio.wait_for(run(), 30))
 
--- /dev/null
+++ b/tests/test_ends.py
@@ -0,0 +1,97 @@
+"""The bounds of an end as one sum, over drawn settings; what is due for a connection, moment by moment."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from saltmoor.guard import ends
+from saltmoor.guard.ends import Due
+
+MS = 1000
+DRAWS = 2000
+SHORTEST, LONGEST = 100 * MS, 30_000 * MS  # deadlines that the node accepts
+HELD_UP = 150 * MS  # what the operators' page says a process may be held up for
+
+
+class Sum(unittest.TestCase):
+    """For all deadlines, and any time to linger."""
+
+    def setUp(self) -> None:
+        self.draw = random.Random(53)
+
+    def deadlines(self):
+        yield from (SHORTEST, 300 * MS, 1434 * MS, 2500 * MS, 3000 * MS, 3145 * MS, LONGEST)
+        for _ in range(DRAWS):
+            yield int(10 ** self.draw.uniform(5, 7.4771))
+
+    def check(self, plan: ends.EndPlan, longest: int, bound: int) -> None:
+        self.assertEqual(plan.bound, bound)
+        self.assertLessEqual(plan.told_from, plan.told_by)
+        self.assertLessEqual(plan.told_by + ends.READS_ON, plan.reads_until)
+        self.assertLessEqual(plan.reads_until, plan.commands_until)
+        self.assertLess(plan.commands_until, plan.answers_until)
+        self.assertLess(plan.answers_until + HELD_UP, bound)
+
+    def test_a_drain_holds_nobody_4_s_later(self):
+        for longest in self.deadlines():
+            with self.subTest(longest=longest):
+                plan = ends.plan_drain(longest)
+                self.check(plan, longest, 4_000 * MS)
+                self.assertLessEqual(plan.reads_until + HELD_UP, 2_000 * MS)  # no request from the last 2 s
+                if longest <= 3_000 * MS:  # what is read in time has its whole time
+                    self.assertLessEqual(plan.reads_until + longest, plan.answers_until)
+                self.assertGreaterEqual(plan.told_by - plan.told_from, 200 * MS)  # not all in one instant
+
+    def test_a_stop_is_over_before_the_kill(self):
+        for longest in self.deadlines():
+            linger = self.draw.choice([0, 50, 400, 500, 60_000]) * MS
+            with self.subTest(longest=longest, linger=linger):
+                plan = ends.plan_stop(longest, linger)
+                self.check(plan, longest, min(longest, 3_000 * MS) + 700 * MS)
+                if longest <= 3_000 * MS:  # who comes until the listener closes has the whole time
+                    self.assertLessEqual(plan.told_by + longest, plan.answers_until)
+
+    def test_every_connection_is_told_in_time_whenever_it_came(self):
+        for longest in self.deadlines():
+            plan, since = ends.plan_drain(longest), 77_000_000
+            accepted = since + self.draw.randrange(-5_000_000, 3_900_000)
+            end = ends.end_of_drain(plan, since, accepted, self.draw.random())
+            with self.subTest(longest=longest, accepted=accepted - since):
+                if accepted < since + plan.told_from:
+                    self.assertTrue(since + plan.told_from <= end.told <= since + plan.told_by)
+                else:
+                    self.assertEqual(end.told - accepted, ends.STRAY)
+
+
+class WhatIsDue(unittest.TestCase):
+    END = ends.ConnectionEnd("draining", 500 * MS, 2_400 * MS, 3_750 * MS, 4_000 * MS)
+
+    def due(self, now: int, begun: int = 0) -> Due:
+        return ends.due(now * MS, self.END, begun * MS)
+
+    def test_a_connection_with_whole_commands(self):
+        self.assertEqual(
+            [self.due(now) for now in (499, 500, 599, 600)], [Due.NOTHING, Due.TELL, Due.TELL, Due.READ_NO_MORE]
+        )
+
+    def test_a_command_that_was_begun_in_time_may_become_whole(self):
+        self.assertEqual([self.due(now, begun=590) for now in (600, 2399, 2400)], [Due.TELL, Due.TELL, Due.CUT])
+
+    def test_a_command_that_was_begun_too_late_is_not_read(self):
+        self.assertEqual(self.due(601, begun=600), Due.READ_NO_MORE)
+
+    def test_of_two_ends_the_stricter_holds(self):
+        stop = ends.end_of_stop(ends.plan_stop(300 * MS, 400 * MS), 0, 400 * MS)
+        both = self.END.earlier(stop)
+        self.assertEqual((both.reason, both.told, both.gone_by), ("stopping", 400 * MS, 1_000 * MS))
+        self.assertEqual(ends.end_now("evicted", 600 * MS).earlier(self.END).answers_until, 3_750 * MS)
+
+    def test_who_takes_nothing(self):
+        self.assertFalse(ends.takes_nothing(1_400 * MS, 0, told=True))
+        self.assertTrue(ends.takes_nothing(1_500 * MS, 0, told=True))
+        self.assertFalse(ends.takes_nothing(9_900 * MS, 0, told=False))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -13,7 +13,7 @@
 
 import uvloop
 
-from saltmoor.net import clients
+from saltmoor.guard import ends
 from tests.helper import Town, TraceCase, read, reserve, write
 
 
@@ -44,7 +44,7 @@
                 await scene(town)
             return town
 
-        with mock.patch.object(clients, "DRAIN", (500_000, 100_000)), mock.patch.object(clients, "STRAY", 50_000):
+        with mock.patch.multiple(ends, SPREAD_FROM=500_000, MOST_READS=700_000, STRAY=50_000):
             self.check(name, uvloop.run(asyncio.wait_for(run(), 20)))
 
     def test_calls_are_answered_whatever_others_do(self):
