--- /dev/null
+++ b/saltmoor/lab/soak/habits.py
@@ -0,0 +1,295 @@
+"""Clients with habits, straight at nodes that are about to be drained or stopped: they use open connections to the end.
+
+Each habit is one connection after the other to one node, in the time round a trouble of that node. What is asked and what
+came of it stands in the book, as from any client; so do connections, and whether `mn` says yes. Like a front they open no
+connection to a node whose last `mn` was a no. It must never judge a node.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from random import Random
+from zlib import crc32
+
+from saltmoor.lab.book import Book, clock
+from saltmoor.lab.scenario import Fault, Profile, Scenario
+
+ROUND = "lame", "term", "series", "upgrade"  # troubles of a node that its clients with habits go on through
+BEFORE_S, AFTER_S = 1.5, 5.5  # of a trouble: from when until when they ask
+ASK_EVERY_S = 0.1  # `mn`, of each node
+MN_WITHIN_S = 0.5  # for its answer
+AGAIN_S = 0.05  # until another connection is opened
+PATIENCE_US = 600_000  # behind the deadline, until a client with an open request leaves
+FIRST_NUMBER = 90_000_000  # of their connections and requests, which are none of the load's
+OVERLAP, BATCH = 2, 10
+WORK_US = 5000  # as the load's reads, in the mean
+LOOP_PAUSE_S, REST_PAUSE_S, BATCH_PAUSE_S, BYTE_PAUSE_S = 0.05, 1.1, 0.5, 0.01
+SLOW_BYTES, SLOW_PAUSE_S = 60_000, 0.05  # a slow reader takes so much at once
+CROWD_EVERY_S = 0.005  # between two idle connections of a crowd
+
+
+class Ended(Exception):
+    """The node has ended this connection."""
+
+
+class Connection:
+    """One connection of a client with a habit: what is open on it, in order."""
+
+    def __init__(self, house: Habits, node: int, number: int) -> None:
+        self.house, self.node, self.number, self.asked = house, node, number, 0
+        self.open: deque[tuple[str, int]] = deque()  # ids, and until when their clients wait
+        self.answered = asyncio.Event()
+        self.over = False
+
+    async def connect(self) -> None:
+        self.reader, self.writer = await asyncio.open_connection(*self.house.nodes[self.node], limit=1 << 21)
+        self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.house.book.note("conn", clock(), self.node, self.number, "up")
+        self.hearing = asyncio.create_task(self.hear())
+
+    def ask(self, profile: Profile, *, head: int | None = None) -> bytes:
+        """Write one request, or its first `head` bytes alone: then the rest is returned and nothing noted."""
+        house = self.house
+        house.made += 1
+        ident, wait = f"{house.tag}{FIRST_NUMBER + house.made:010x}", int(profile.limit_ms) * 1000
+        key = house.keys[house.rng.randrange(len(house.keys))]
+        size = profile.value_bytes
+        data = b"mg %b v O%b Pc=%b,t=main,d=%d,w=%d,z=%d\r\n" % (
+            *(key, ident.encode(), profile.name.encode(), wait // 1000, WORK_US, size),
+        )
+        if head is not None:
+            self.writer.write(data[:head])
+            return data[head:]
+        self.writer.write(data)
+        self.note(ident, profile, key, wait)
+        return b""
+
+    def note(self, ident: str, profile: Profile, key: bytes, wait: int) -> None:
+        self.asked += 1
+        self.open.append((ident, clock() + wait + PATIENCE_US))
+        row = FIRST_NUMBER + self.house.made, self.node, self.number, "mg", key.decode(), profile.name, "", wait
+        self.house.book.note("ask", clock(), ident, *row)
+
+    async def hear(self) -> None:
+        try:
+            while line := await self.reader.readline():
+                await self.heard(line)
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            pass
+        finally:
+            self.end()
+
+    async def heard(self, line: bytes) -> None:
+        words, body, how = line.split(), b"", "failed"
+        if words[0] == b"VA":
+            how, body = "served", (await self.reader.readexactly(int(words[1]) + 2))[:-2]
+        elif words[:2] == [b"SERVER_ERROR", b"busy"]:
+            how = "refused"
+        if not self.open:
+            return  # of a half command
+        ident, _ = self.open.popleft()
+        how = how if how != "served" or b"O" + ident.encode() in words else "odd"
+        self.house.book.note("reply", clock(), ident, how, crc32(body), len(body), 0)
+        self.answered.set()
+
+    def end(self) -> None:
+        if not self.over:
+            self.over = True
+            for ident, _ in self.open:
+                self.house.book.note("end", clock(), ident, self.number, max(2, self.asked))
+            self.open.clear()
+            self.house.book.note("conn", clock(), self.node, self.number, "down")
+            self.answered.set()
+            self.writer.close()
+
+    def leave(self) -> None:
+        """The client closes it."""
+        for ident, _ in self.open:
+            self.house.book.note("left", clock(), ident)
+        self.open.clear()
+        self.hearing.cancel()
+        self.end()
+
+    async def until_open(self, most: int) -> None:
+        """Wait until no more than so many are open. Raises `Ended`, also where the client's own patience is over."""
+        while len(self.open) > most:
+            left = (self.open[0][1] - clock()) / 1e6
+            self.answered.clear()
+            try:
+                async with asyncio.timeout(max(0.0, left)):
+                    await self.answered.wait()
+            except TimeoutError:
+                self.leave()
+            if self.over:
+                raise Ended
+        if self.over:
+            raise Ended
+
+
+class Habits:
+    """All clients with habits of one run."""
+
+    def __init__(
+        self, scenario: Scenario, nodes: list[tuple[str, int]], book: Book, *, seed: int, tag: str, keys: list[bytes]
+    ) -> None:
+        self.scenario, self.nodes, self.book, self.tag, self.keys = scenario, nodes, book, tag, keys
+        self.rng = Random(f"{seed} habits")
+        self.made = self.connections = 0
+        self.welcome = [True] * len(nodes)  # whether the last `mn` was a yes
+        self.profiles = {one.name: one for one in scenario.profile}
+        self.read, self.bulk = self.profiles["read"], self.profiles.get("bulk", self.profiles["read"])
+        self.habits: list[Callable[[Connection], Awaitable[None]]] = [
+            *[self.overlapping] * 4,
+            *[self.closed_loop] * 2,
+            *[self.batches] * 2,
+            self.resting,
+            self.half_commands,
+            self.slow_reader,
+            self.takes_nothing,
+        ]
+
+    async def play(self, begin: int) -> None:
+        """All of them, to the end of the run."""
+        asking = [asyncio.create_task(self.ask_for_mn(node, begin)) for node in range(len(self.nodes))]
+        work = []
+        for fault in self.scenario.fault:
+            if fault.on == "node" and fault.kind in ROUND:
+                for node in fault.which:
+                    for habit in self.rng.sample(self.habits, 2):
+                        work.append(asyncio.create_task(self.live(node, habit, fault, begin)))
+            if fault.kind == "crowd":
+                work += [asyncio.create_task(self.crowd(node, fault, begin)) for node in fault.which]
+        await asyncio.gather(*work)
+        for task in asking:
+            task.cancel()
+
+    async def ask_for_mn(self, node: int, begin: int) -> None:
+        """As the front does: on a new connection each time."""
+        while clock() < begin + int(self.scenario.length_s * 1e6):
+            writer, yes = None, False
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(MN_WITHIN_S):
+                    reader, writer = await asyncio.open_connection(*self.nodes[node])
+                    writer.write(b"mn\r\n")
+                    yes = await reader.readline() == b"MN\r\n"
+            if writer:
+                writer.close()
+            self.welcome[node] = yes
+            self.book.note("mn", clock(), node, yes)
+            await asyncio.sleep(ASK_EVERY_S)
+
+    async def live(self, node: int, habit: Callable[[Connection], Awaitable[None]], fault: Fault, begin: int) -> None:
+        """One connection after the other, round that trouble."""
+        since = begin + int((fault.at_s - BEFORE_S) * 1e6)
+        until = begin + int((fault.at_s + fault.for_s + AFTER_S) * 1e6)
+        await asyncio.sleep(max(0.0, (since - clock()) / 1e6))
+        while (left := (until - clock()) / 1e6) > 0:
+            if self.welcome[node]:
+                self.connections += 1
+                connection = Connection(self, node, FIRST_NUMBER + self.connections)
+                with contextlib.suppress(OSError, TimeoutError, Ended):
+                    await connection.connect()
+                    async with asyncio.timeout(left):
+                        await habit(connection)
+                if hasattr(connection, "hearing"):
+                    await self.close(connection)
+            await asyncio.sleep(AGAIN_S)
+
+    @staticmethod
+    async def close(connection: Connection) -> None:
+        with contextlib.suppress(Ended):
+            await connection.until_open(0)
+        connection.leave()
+
+    async def overlapping(self, connection: Connection) -> None:
+        while True:
+            while len(connection.open) < OVERLAP:
+                connection.ask(self.read)
+            await connection.until_open(OVERLAP - 1)
+
+    async def closed_loop(self, connection: Connection) -> None:
+        while True:
+            connection.ask(self.read)
+            await connection.until_open(0)
+            await asyncio.sleep(LOOP_PAUSE_S)
+
+    async def batches(self, connection: Connection) -> None:
+        while True:
+            for _ in range(BATCH):
+                connection.ask(self.read)
+            await connection.until_open(0)
+            await asyncio.sleep(BATCH_PAUSE_S)
+
+    async def resting(self, connection: Connection) -> None:
+        while True:
+            connection.ask(self.read)
+            await connection.until_open(0)
+            await asyncio.sleep(REST_PAUSE_S)
+            await connection.until_open(0)
+
+    async def half_commands(self, connection: Connection) -> None:
+        """Begun, and gone on with byte by byte; now and then never finished."""
+        while True:
+            connection.ask(self.read)
+            await connection.until_open(0)
+            rest = connection.ask(self.read, head=12)
+            for byte in rest[: self.rng.randrange(len(rest))]:
+                await connection.until_open(0)
+                connection.writer.write(bytes([byte]))
+                await asyncio.sleep(BYTE_PAUSE_S)
+            await connection.hearing  # the node answers that it is not finished, and ends
+            raise Ended
+
+    async def slow_reader(self, connection: Connection) -> None:
+        """Takes a large value piece by piece, by a small window."""
+        sock = connection.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BYTES)
+        transport = connection.writer.transport
+        while True:
+            connection.ask(self.bulk)
+            while connection.open and not connection.over:
+                transport.pause_reading()
+                await asyncio.sleep(SLOW_PAUSE_S)
+                if not connection.over:
+                    transport.resume_reading()
+                await asyncio.sleep(SLOW_PAUSE_S / 5)
+            await connection.until_open(0)
+
+    async def takes_nothing(self, connection: Connection) -> None:
+        """Asks for values on a connection of its own, and reads none; what comes of them is not judged."""
+        sock = socket.socket()
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 13)
+            sock.connect(self.nodes[connection.node])
+            for count in range(4):
+                sock.sendall(
+                    b"mg %b v O%b Pc=%b,t=main,d=%d,w=%d,z=%d\r\n"
+                    % (
+                        self.keys[count],
+                        f"{self.tag}{self.rng.getrandbits(40):010x}nothing".encode(),
+                        self.bulk.name.encode(),
+                        int(self.bulk.limit_ms),
+                        WORK_US,
+                        self.bulk.value_bytes,
+                    )
+                )
+            await asyncio.sleep(AFTER_S)
+        finally:
+            sock.close()
+
+    async def crowd(self, node: int, fault: Fault, begin: int) -> None:
+        """So many clients that connect and say nothing."""
+        since = begin + int(fault.at_s * 1e6)
+        await asyncio.sleep(max(0.0, (since - clock()) / 1e6))
+        idle: list[asyncio.StreamWriter] = []
+        while clock() < since + int(fault.for_s * 1e6):
+            if len(idle) < fault.count:
+                with contextlib.suppress(OSError):
+                    idle.append((await asyncio.open_connection(*self.nodes[node]))[1])
+            await asyncio.sleep(CROWD_EVERY_S)
+        for writer in idle:
+            writer.close()
