Soak: nodes drain, clients with habits use open connections, kills come at their earliest

Cause: the soak never drained a node, had one request a connection, waited 20 s for an end, and its HUP changed a log setting. Change: troubles lame (on, off and on), series (HUP and TERM in rows), settings (deadlines, descriptors), crowd; more goes over a drain; clients that overlap, batch, rest, stop halfway, read slowly or nothing, straight at nodes in trouble; SIGKILL at the longest deadline + 0.7 s is no excuse for what is owed; the oracle judges drains past 4 s, mn that says yes, what was asked before a stop and not answered, what stood unread before a close. A lab process that fails makes the run void.

--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -15,7 +15,9 @@
     true    t server state                                  a line of the list changes, whoever hears of it when
     bad     t server node text                              a command that no client sends so
     life    t server what                                   up, down, fell
-    node    t node what code                                ready, killed, termed, hup, exited
+    node    t node what code                                ready, killed, termed, hup, exited, drained, undrained, shot
+    conn    t node conn what                                up, down: a connection of a client with a habit
+    mn      t node yes                                      whether a node says that it takes clients
     call    t node what                                     its system calls fail so from now on; "" as ever again
     shared  t node count                                    so many sockets listen at its port
     believes t node what                                what a node says of the others, asked four times a second
--- a/saltmoor/lab/experiment.py
+++ b/saltmoor/lab/experiment.py
@@ -21,6 +21,7 @@
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.nodes import Build, Keeper, Node
+from saltmoor.lab.soak.habits import ROUND
 from saltmoor.lab.wire import HOST
 from saltmoor.lab.worker import Plan
 
@@ -137,7 +138,7 @@
 
 def proxied(scenario: plan.Scenario) -> bool:
     """Whether something happens on the way between clients and nodes, so that it leads over a proxy."""
-    return any(fault.on == "clients" and fault.kind != "rude" for fault in scenario.fault)
+    return any(fault.on == "clients" and fault.kind in plan.ON_WAYS for fault in scenario.fault)
 
 
 def reserved_ports(count: int) -> list[socket.socket]:
@@ -180,6 +181,8 @@
         loads = [crew.start("load", str(i)) for i in range(scenario.load.workers)]
         if any(fault.kind == "rude" for fault in scenario.fault):
             loads.append(crew.start("rude"))
+        if any(fault.kind in ROUND for fault in scenario.fault) and scenario.nodes.admin:
+            loads.append(crew.start("habits"))
         links = crew.start("links") if scenario.nodes.peers else None
         proxy = crew.start("proxy") if held else None
         for process in crew.members:
@@ -211,6 +214,8 @@
             gone = (clock() - begin) / 1e6
             progress(f"{scenario.name}: {max(0.0, gone):.0f} of {scenario.length_s:.0f} s")
         keeper.stop()
+        if any(process.returncode for process in loads):
+            raise Broken(crew.words())
         for process in (stage, links, proxy):
             if process:
                 crew.say(process, "end")
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -68,7 +68,7 @@
     gots: list[Got] = field(default_factory=list)
 
 
-SKIPPED = ("late", "rude", "shared", "true", "believes", "way", "call")  # rows that others read
+SKIPPED = ("late", "rude", "shared", "true", "believes", "way", "call", "conn", "mn")  # rows that others read
 
 
 class Ledger:
--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -16,17 +16,25 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 from typing import Any
 from zlib import crc32
 
 from saltmoor.lab import links
 from saltmoor.lab import scenario as plan
 from saltmoor.lab.book import Book, clock
+from saltmoor.lab.second_address import SecondAddress, post
 from saltmoor.lab.soak import calls, shim
 from saltmoor.lab.soak.shim import Shim
 from saltmoor.lab.wire import HOST
 
 READY_WITHIN = 15.0
+IGNORING_HUP = "trap '' HUP; exec \"$@\""
+STARTS_S = 0.05  # until the shell ignores the signal
+ENDS_WITHIN_S = 20  # for a process that was told to end, where no page says less
+KILLED_AFTER_S, LONGEST_AWAITED_S = 0.7, 3.0  # of the page on planned restarts, beside the longest deadline
+AGAIN_SHARE = 0.3  # of the drains that are ended and begun again
+DEADLINE_TIMES, SOCKETS_TIMES = (0.5, 0.75, 1.0), (0.75, 1.0)  # of what a new configuration has
 REPEATS = {"idempotent": "idempotent", "journalled": "deduplicated", "non-idempotent": "at_most_once"}
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -122,7 +130,7 @@
 
     def __init__(self, number: int, scenario: plan.Scenario, build: Build, run: Path, book: Book, seed: int) -> None:
         self.number, self.scenario, self.build, self.run, self.book = number, scenario, build, run, book
-        self.seed, self.starts, self.process, self.wanted = seed, 0, None, True
+        self.seed, self.starts, self.process, self.wanted, self.begun_at = seed, 0, None, True, 0.0
         # Guards against two nodes at one port, each of which would start there: bound to the end of the run, and
         # never listening, it takes no connection from the node but keeps the port from everybody else.
         self.held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -140,6 +148,8 @@
         self.shim: Shim | None = None
         if scenario.nodes.shim:
             self.shim = Shim(shim.build(run), run / f"shim{number}", seed=seed * 1000 + number)
+        self.second = SecondAddress() if scenario.nodes.admin else None
+        self.rng = Random(f"{seed} node {number}")
         self.command = ["-m", "saltmoor"]  # of the interpreter
         self.folder = run / f"tmp{number}"
         self.strict = False  # whether the program raises where it finds a rule violated
@@ -156,6 +166,8 @@
             "serve": {"linger_ms": limits.linger_ms},
             "settings": settings(self.scenario, self.number),
         }
+        if self.second:
+            said["admin_addr"] = self.second.next()
         self.file.write_text(json.dumps(plan.merged(said, self.build.overlay)))
 
     def start(self) -> None:
@@ -171,8 +183,9 @@
         env |= self.shim.environment() if self.shim else {}
         env |= {"SALTMOOR_STRICT": "1"} if self.strict else {}
         log = (self.run / f"node{self.number}.log").open("ab")
+        self.begun_at = time.monotonic()
         self.process = subprocess.Popen(
-            words,
+            ["/bin/sh", "-c", IGNORING_HUP, "sh", *words],  # as deploy/balancer.toml starts it
             cwd=self.build.folder,
             env=env,
             stdout=log,
@@ -246,6 +259,9 @@
 
     def strike(self, how: str, lasts: float, known) -> None:
         """Carry out a fault that lasts so many seconds; runs in a thread of its own."""
+        if how == "lame":  # other troubles go over it
+            self.drain(lasts)
+            return
         with self.turn:
             if how == "pause":
                 self.pause(lasts)
@@ -266,15 +282,11 @@
         self.look()
         if how == "kill":
             self.signal(signal.SIGKILL, "killed")
+        elif how == "series":
+            self.signal_in_series()
         else:
             self.signal(signal.SIGTERM, "termed")
-        try:
-            code = self.process.wait(20)
-            self.book.note("node", clock(), self.number, "exited", code)
-        except subprocess.TimeoutExpired:
-            self.book.note("node", clock(), self.number, "crashed", 0)  # it did not end in time
-            self.process.kill()
-            self.process.wait()
+        self.wait_for_end(self.process, "exited")
         time.sleep(away)
         said = json.loads(self.file.read_text())
         self.configure(said["discovery"], known(self.number))
@@ -284,6 +296,56 @@
         else:
             self.book.note("node", clock(), self.number, "crashed", 0)
 
+    def signal_in_series(self) -> None:
+        """Configurations in a row, the end, and more of both behind it."""
+        for _ in range(self.rng.randrange(3)):
+            self.reload()
+        self.signal(signal.SIGTERM, "termed")
+        for _ in range(self.rng.randrange(1, 4)):
+            time.sleep(self.rng.uniform(0, 0.2))
+            if self.process.poll() is None:
+                self.process.send_signal(self.rng.choice([signal.SIGTERM, signal.SIGHUP]))
+
+    def kill_after_s(self) -> float:
+        """How long a process that was told to end may take: with `kill_early` no longer than the operators' page says."""
+        if not self.scenario.nodes.kill_early:
+            return ENDS_WITHIN_S
+        classes = json.loads(self.file.read_text())["settings"]["classes"]
+        return min(LONGEST_AWAITED_S, max(one["deadline_ns"] for one in classes) / 1e9) + KILLED_AFTER_S
+
+    def wait_for_end(self, process: subprocess.Popen, gone: str) -> None:
+        """Wait for the end of a process that was told so, and kill it when its time is over."""
+        try:
+            code = process.wait(self.kill_after_s())
+            self.book.note("node", clock(), self.number, gone if gone == "exited" or code == 0 else "crashed", code)
+        except subprocess.TimeoutExpired:
+            # What it owes then is lost by its own doing; where it had much time, that it is there at all.
+            self.book.note("node", clock(), self.number, "shot" if self.scenario.nodes.kill_early else "crashed", 0)
+            process.kill()
+            process.wait()
+            self.book.note("node", clock(), self.number, gone, 0)
+
+    def drain(self, lasts: float) -> None:
+        """Staff empty it and take it back, by the second address of whichever process is there."""
+        if not self.post("/_lameduck/on"):
+            return
+        self.book.note("node", clock(), self.number, "drained", 0)
+        if self.rng.random() < AGAIN_SHARE:  # on, off and on again
+            time.sleep(self.rng.uniform(0.1, 1.0))
+            self.book.note("node", clock(), self.number, "undrained", 0)
+            if self.post("/_lameduck/off") and self.post("/_lameduck/on"):
+                self.book.note("node", clock(), self.number, "drained", 0)
+        time.sleep(lasts)
+        self.book.note("node", clock(), self.number, "undrained", 0)
+        self.post("/_lameduck/off")
+
+    def post(self, path: str) -> bool:
+        """At the newest process, or at the one before where that is still there."""
+        addresses = [self.second.now(), self.second.before()]
+        if self.rng.random() < 0.5:
+            addresses.reverse()
+        return any(post(address, path) for address in addresses)
+
     def upgrade(self, known) -> None:
         """A second process starts beside it; once that serves the first one is asked to end."""
         before, log = self.process, self.run / f"node{self.number}.log"
@@ -300,13 +362,7 @@
             time.sleep(0.02)
         self.book.note("node", clock(), self.number, "successor", self.process.poll() or 0)
         before.terminate()
-        try:
-            code = before.wait(20)
-            self.book.note("node", clock(), self.number, "replaced" if code == 0 else "crashed", code)
-        except subprocess.TimeoutExpired:
-            self.book.note("node", clock(), self.number, "crashed", 0)
-            before.kill()
-            before.wait()
+        self.wait_for_end(before, "replaced")
 
     def trouble_calls(self, fault: plan.Fault, on: bool) -> None:
         """Its system calls fail from now on, or go through again."""
@@ -344,11 +400,29 @@
         said = json.loads(self.file.read_text())
         said["serve"]["log_lines_per_s"] = said["serve"].get("log_lines_per_s", 50) + 1
         self.file.write_text(json.dumps(said))
-        self.signal(signal.SIGHUP, "hup")
+        self.hang_up()
+
+    def hang_up(self) -> None:
+        """Tell it that its configuration is a new one; a process that was begun just now ignores it."""
+        time.sleep(max(0.0, self.begun_at + STARTS_S - time.monotonic()))
+        if self.process.poll() is None:
+            self.signal(signal.SIGHUP, "hup")
+
+    def reload_settings(self) -> None:
+        """The same with what matters to what is open: deadlines, and how much the node may hold."""
+        said, given = json.loads(self.file.read_text()), settings(self.scenario, self.number)
+        times = self.rng.choice(DEADLINE_TIMES)
+        for one, plain in zip(said["settings"]["classes"], given["classes"]):
+            one["deadline_ns"] = max(plain["aim_ns"], int(plain["deadline_ns"] * times))
+        said["limits"]["sockets"] = int(self.scenario.nodes.sockets * self.rng.choice(SOCKETS_TIMES))
+        self.file.write_text(json.dumps(said))
+        self.hang_up()
 
     def end(self) -> None:
         self.wanted = False
         self.held.close()
+        if self.second:
+            self.second.close()
         if self.process and self.process.poll() is None:
             self.process.terminate()
             try:
@@ -401,8 +475,8 @@
                 self.threads.append(timer)
                 timer.start()
             return
-        if fault.kind == "hup":
-            node.reload()
+        if fault.kind in ("hup", "settings"):
+            node.reload() if fault.kind == "hup" else node.reload_settings()
             return
         thread = threading.Timer(after, node.strike, (fault.kind, fault.for_s or 0.5, self.known))
         thread.daemon = True
--- a/saltmoor/lab/scenario.py
+++ b/saltmoor/lab/scenario.py
@@ -45,6 +45,8 @@
         default_factory=lambda: ["drains", "starts", "evidence", "words"]
     )  # what they use it for
     told: int = 0  # how many nodes each is told that there are; 0: as many as there are
+    admin: bool = False  # whether each has a second address
+    kill_early: bool = False  # whether who is told to end is killed as soon as the operators' page allows
     shim: bool = False  # whether system calls can be made to fail, and the wall clock be stepped
 
 
@@ -193,11 +195,12 @@
 ON_SERVERS = (*ON_BOTH, "foreign", "surplus", "half-open", "drain", "replace", "deploy", "grow", "shrink")
 ON_DISCOVERY = ("outage", "late", "gap")
 ON_LINKS = ("delay", "loss", "silence")
-ON_NODES = ("kill", "term", "hup", "pause", "upgrade")
+ON_NODES = ("kill", "term", "series", "hup", "settings", "pause", "upgrade", "lame")
 ON_CALLS = ("accept", "socket", "connect", "send", "recv", "interrupted", "short", "disk", "clock")
 ON_STATE = ("lost", "old", "cut", "flipped", "foreign", "blocked")
 ON_PEERS = ("cut", "loss", "delay", "double", "reorder", "corrupt", "slow")
-ON_CLIENTS = ("rude", "delay", "stall", "pieces")
+ON_CLIENTS = ("rude", "delay", "stall", "pieces", "crowd")
+ON_WAYS = ("delay", "stall", "pieces")  # of those, between clients and nodes
 PLACES = {
     "server": ON_SERVERS,
     "origin": ON_BOTH,
@@ -289,6 +292,8 @@
             raise Faulty(f"fault[{i}].sites: names a site that fleet.sites lacks")
         if fault.on == "state" and not scenario.nodes.state:
             raise Faulty(f"fault[{i}].on: nodes.state is off, so there is none")
+        if fault.kind == "lame" and not scenario.nodes.admin:
+            raise Faulty(f"fault[{i}].kind: nodes.admin is off, so they cannot be told to drain")
         if fault.on == "calls" and not scenario.nodes.shim:
             raise Faulty(f"fault[{i}].on: nodes.shim is off, so no call can be made to fail")
         if fault.on == "peers" and not scenario.nodes.peers:
--- a/saltmoor/lab/soak/habits.py
+++ b/saltmoor/lab/soak/habits.py
@@ -29,6 +29,7 @@
 WORK_US = 5000  # as the load's reads, in the mean
 LOOP_PAUSE_S, REST_PAUSE_S, BATCH_PAUSE_S, BYTE_PAUSE_S = 0.05, 1.1, 0.5, 0.01
 SLOW_BYTES, SLOW_PAUSE_S = 60_000, 0.05  # a slow reader takes so much at once
+SMALL_WINDOW, LARGE_ONES = 1 << 13, 4  # bytes of a receive buffer, and how many large values are asked for
 CROWD_EVERY_S = 0.005  # between two idle connections of a crowd
 
 
@@ -44,6 +45,7 @@
         self.open: deque[tuple[str, int]] = deque()  # ids, and until when their clients wait
         self.answered = asyncio.Event()
         self.over = False
+        self.announced = 0  # bytes of the value that is being read
 
     async def connect(self) -> None:
         self.reader, self.writer = await asyncio.open_connection(*self.house.nodes[self.node], limit=1 << 21)
@@ -52,7 +54,12 @@
         self.hearing = asyncio.create_task(self.hear())
 
     def ask(self, profile: Profile, *, head: int | None = None) -> bytes:
-        """Write one request, or its first `head` bytes alone: then the rest is returned and nothing noted."""
+        """Write one request, or its first `head` bytes alone: then the rest is returned and nothing noted.
+
+        Raises `Ended`.
+        """
+        if self.over:
+            raise Ended
         house = self.house
         house.made += 1
         ident, wait = f"{house.tag}{FIRST_NUMBER + house.made:010x}", int(profile.limit_ms) * 1000
@@ -78,7 +85,7 @@
         try:
             while line := await self.reader.readline():
                 await self.heard(line)
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             self.end()
@@ -86,7 +93,9 @@
     async def heard(self, line: bytes) -> None:
         words, body, how = line.split(), b"", "failed"
         if words[0] == b"VA":
-            how, body = "served", (await self.reader.readexactly(int(words[1]) + 2))[:-2]
+            self.announced = int(words[1])
+            how, body = "served", (await self.reader.readexactly(self.announced + 2))[:-2]
+            self.announced = 0
         elif words[:2] == [b"SERVER_ERROR", b"busy"]:
             how = "refused"
         if not self.open:
@@ -99,6 +108,9 @@
     def end(self) -> None:
         if not self.over:
             self.over = True
+            if self.announced and self.open:  # what stands behind an answer that is cut cannot be answered either
+                self.house.book.note("spoilt", clock(), self.open.popleft()[0], self.announced)
+                self.give_up()
             for ident, _ in self.open:
                 self.house.book.note("end", clock(), ident, self.number, max(2, self.asked))
             self.open.clear()
@@ -108,11 +120,15 @@
 
     def leave(self) -> None:
         """The client closes it."""
+        self.announced = 0
+        self.give_up()
+        self.hearing.cancel()
+        self.end()
+
+    def give_up(self) -> None:
         for ident, _ in self.open:
             self.house.book.note("left", clock(), ident)
         self.open.clear()
-        self.hearing.cancel()
-        self.end()
 
     async def until_open(self, most: int) -> None:
         """Wait until no more than so many are open. Raises `Ended`, also where the client's own patience is over."""
@@ -143,9 +159,8 @@
         self.profiles = {one.name: one for one in scenario.profile}
         self.read, self.bulk = self.profiles["read"], self.profiles.get("bulk", self.profiles["read"])
         self.habits: list[Callable[[Connection], Awaitable[None]]] = [
-            *[self.overlapping] * 4,
-            *[self.closed_loop] * 2,
-            *[self.batches] * 2,
+            self.closed_loop,
+            self.batches,
             self.resting,
             self.half_commands,
             self.slow_reader,
@@ -159,7 +174,7 @@
         for fault in self.scenario.fault:
             if fault.on == "node" and fault.kind in ROUND:
                 for node in fault.which:
-                    for habit in self.rng.sample(self.habits, 2):
+                    for habit in (self.overlapping, self.rng.choice(self.habits)):
                         work.append(asyncio.create_task(self.live(node, habit, fault, begin)))
             if fault.kind == "crowd":
                 work += [asyncio.create_task(self.crowd(node, fault, begin)) for node in fault.which]
@@ -245,42 +260,34 @@
             raise Ended
 
     async def slow_reader(self, connection: Connection) -> None:
-        """Takes a large value piece by piece, by a small window."""
-        sock = connection.writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BYTES)
-        transport = connection.writer.transport
-        while True:
-            connection.ask(self.bulk)
-            while connection.open and not connection.over:
-                transport.pause_reading()
+        """Takes large values piece by piece, so that its answers are late by its own doing: they are not judged."""
+        sock = await self.ask_for_large(connection)
+        try:
+            while await asyncio.get_running_loop().sock_recv(sock, SLOW_BYTES):
                 await asyncio.sleep(SLOW_PAUSE_S)
-                if not connection.over:
-                    transport.resume_reading()
-                await asyncio.sleep(SLOW_PAUSE_S / 5)
-            await connection.until_open(0)
+        finally:
+            sock.close()
 
     async def takes_nothing(self, connection: Connection) -> None:
-        """Asks for values on a connection of its own, and reads none; what comes of them is not judged."""
-        sock = socket.socket()
+        """Asks for large values and reads none."""
+        sock = await self.ask_for_large(connection)
         try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 13)
-            sock.connect(self.nodes[connection.node])
-            for count in range(4):
-                sock.sendall(
-                    b"mg %b v O%b Pc=%b,t=main,d=%d,w=%d,z=%d\r\n"
-                    % (
-                        self.keys[count],
-                        f"{self.tag}{self.rng.getrandbits(40):010x}nothing".encode(),
-                        self.bulk.name.encode(),
-                        int(self.bulk.limit_ms),
-                        WORK_US,
-                        self.bulk.value_bytes,
-                    )
-                )
             await asyncio.sleep(AFTER_S)
         finally:
             sock.close()
 
+    async def ask_for_large(self, connection: Connection) -> socket.socket:
+        """A connection of its own, with a small window; what comes of its requests is not judged."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW)
+        await asyncio.get_running_loop().sock_connect(sock, self.nodes[connection.node])
+        for count in range(LARGE_ONES):
+            ident = f"{self.tag}{self.rng.getrandbits(40):010x}large"
+            row = self.keys[count], ident.encode(), self.bulk.name.encode(), int(self.bulk.limit_ms), WORK_US
+            sock.send(b"mg %b v O%b Pc=%b,t=main,d=%d,w=%d,z=%d\r\n" % (*row, self.bulk.value_bytes))
+        return sock
+
     async def crowd(self, node: int, fault: Fault, begin: int) -> None:
         """So many clients that connect and say nothing."""
         since = begin + int(fault.at_s * 1e6)
--- a/saltmoor/lab/soak/oracle.py
+++ b/saltmoor/lab/soak/oracle.py
@@ -18,6 +18,12 @@
 GONE_AFTER = 100_000  # microseconds: an attempt that begins so long after its client left is a lost request
 DEADLINE_SLACK = 150_000  # a server may be told so much more than its client has left
 LATEST_ANSWER = 500_000  # an answer later than that behind its time is none
+DRAIN_BOUND, RECENT = 4_000_000, 2_000_000  # of a drain: the bound, and requests that count as the last ones
+SEEN = 400_000  # by then clients have seen a drain, and open no new connections
+HELD_UP = 150_000  # a node may be held up for so long between two steps
+LEAST_LINGER_MS = 200  # a node that is told to end takes new connections for so long at least, where it is set so
+LONGEST_STOP = 3_700_000  # no stop is longer
+CROSSES = 600_000  # an end crosses what is sent so long before it; the way and an overloaded node take their part
 TOLD_SHARE = 2 / 3  # of what pushed a cold server over, from nodes that were told of its start
 LARGEST_HELD = 65_536  # bytes: a larger value is passed on as it comes
 BROKEN_OFF = "its answer ended before it was whole"  # the ledger's words
@@ -35,6 +41,7 @@
     SLOW_START = "slow-start"
     DEADLINE = "deadline"
     CLIENT_GONE = "client-gone"
+    HELD = "held"  # past the bound of a drain
     CRASH = "crash"
     PROGRAM = "program"  # the program's own check, or a fault that it logged
 
@@ -81,6 +88,7 @@
                 self.counts["attempts"] += 1
                 self.gone(asked, got)
                 self.deadline(asked, got)
+        self.drains_of_nodes()
         self.slow_start()
         self.logged()
         return self.finds
@@ -139,15 +147,108 @@
     def closed(self, asked: Asked) -> None:
         """A request on a new connection that was closed with no answer, at a node that was not about to end."""
         for (at, requests), sent, node in zip(asked.conns, asked.sent, asked.nodes):
-            if requests > 1:
+            if self.owed_by_a_stop(node, sent, at):
+                self.find(Rule.LOST, asked.id, f"node {node} was told to end after this was asked, and gave no answer")
+            elif requests > 1:
                 self.counts["closed at rest"] += 1  # the node's own end of a resting connection crossed it
+                self.crossed(asked, node, sent, at)
             elif self.ending(node, sent, at):
                 self.counts["closed by a stop"] += 1
+            elif self.crowded(node, sent, at):
+                self.counts["closed unread in a crowd"] += 1
             elif self.failing(node, sent, at, "recv"):
                 self.counts["closed by a broken connection"] += 1
             else:
                 self.find(Rule.LOST, asked.id, f"node {node} closed a new connection with no answer")
 
+    def owed_by_a_stop(self, node: int, sent: int, at: int) -> bool:
+        """Whether this was there well before a node that was not held up stopped reading, and its connection ended."""
+        linger = int(min(self.scenario.nodes.linger_ms, LEAST_LINGER_MS) * 1000)
+        for told, what in self.ledger.nodes[node]:
+            if what == "termed" and told <= at <= told + LONGEST_STOP and sent < told + linger - HELD_UP - SLACK:
+                return self.reads(node, sent, at)
+        return False
+
+    def reads(self, node: int, since: int, until: int) -> bool:
+        """Whether the node was there, its calls went through, and nothing held it up in that time."""
+        return not (
+            self.held_up(node, since, until)
+            or self.failing(node, since, until, "recv")
+            or self.failing(node, since, until, "send")
+            or self.ending(node, since, until, "killed", "shot", "successor")
+        )
+
+    def crossed(self, asked: Asked, node: int, sent: int, at: int) -> None:
+        """An end crosses what is sent in its last moment alone: what stood for longer was there to be read."""
+        if at - sent <= CROSSES or self.ending(node, sent, at) or self.draining(node, sent, at):
+            return
+        if self.reads(node, sent, at) and asked.waits and not asked.gots:
+            self.find(Rule.LOST, asked.id, f"node {node} left this unread for {(at - sent) // 1000} ms, then closed")
+
+    def crowded(self, node: int, since: int, until: int) -> bool:
+        """Whether idle clients filled the node's descriptors about then: new connections may be shut unread."""
+        return any(
+            fault.kind == "crowd"
+            and node in fault.which
+            and self.begin + int(fault.at_s * 1e6) <= until
+            and self.begin + int((fault.at_s + fault.for_s + 1) * 1e6) >= since
+            for fault in self.scenario.fault
+        )
+
+    def spans_of_drains(self, node: int) -> list[tuple[int, int]]:
+        """From when until when the node was to drain, as one process or two: a new one after an end knows of none."""
+        spans, since = [], 0
+        for at, what in self.ledger.nodes[node]:
+            if what == "drained":
+                since = since or at
+            elif since and what in ("undrained", "killed", "termed", "shot", "crashed"):
+                spans.append((since, at))
+                since = 0
+        return spans
+
+    def draining(self, node: int, since: int, until: int) -> bool:
+        return any(begun <= until and over + DRAIN_BOUND >= since for begun, over in self.spans_of_drains(node))
+
+    def drains_of_nodes(self) -> None:
+        """4 s after the call `mn` is a no, and no connection is held idle or with a request from the last 2 s."""
+        for node in range(self.scenario.nodes.count):
+            for since, over in self.spans_of_drains(node):
+                due = since + DRAIN_BOUND + SLACK
+                if over < due or self.held_up(node, since, due) > HELD_UP:
+                    continue
+                self.counts["drains past their bound"] += 1
+                self.said_yes(node, due, over)
+                self.held(node, since, due)
+
+    def said_yes(self, node: int, due: int, over: int) -> None:
+        yes = [row[1] for row in self.rows if row[0] == "mn" and row[2] == node and due <= row[1] < over and row[3]]
+        if yes:
+            self.find(Rule.HELD, f"node {node}", f"said yes {len(yes)} times later than 4 s after it was to drain")
+
+    def held(self, node: int, since: int, due: int) -> None:
+        """Connections that were there when the drain had been seen, and are there past its bound."""
+        up: dict[int, int] = {}
+        for row in self.rows:
+            if row[0] == "conn" and row[2] == node and row[1] <= due:
+                if row[4] == "up" and row[1] < since + SEEN:
+                    up[row[3]] = row[1]
+                elif row[4] == "down":
+                    up.pop(row[3], None)
+        last: dict[int, int] = {}
+        for row in self.rows:
+            if row[0] == "ask" and row[5] in up and row[1] <= due:
+                last[row[5]] = max(last.get(row[5], 0), row[1])
+        for number in up:
+            asked = last.get(number, 0)
+            if asked >= due - RECENT or not self.open_on(number, due):
+                what = f"asked last {(due - asked) // 1000} ms before" if asked else "nothing was asked on it"
+                self.find(Rule.HELD, f"node {node}", f"held connection {number} 4 s after it was to drain; {what}")
+
+    def open_on(self, number: int, at: int) -> bool:
+        """Whether an answer was owed on that connection then."""
+        idents = [row[2] for row in self.rows if row[0] == "ask" and row[5] == number and row[1] <= at]
+        return any(not (gots := self.ledger.asked[one].replies) or gots[0][0] > at for one in idents)
+
     def failing(self, node: int, since: int, until: int, kind: str) -> bool:
         """Whether calls of that kind were made to fail at the node about then."""
         for fault in self.scenario.fault:
--- a/saltmoor/lab/soak/plan.py
+++ b/saltmoor/lab/soak/plan.py
@@ -19,12 +19,19 @@
 HELPERS = 3  # processes beside the nodes: stand-ins, load, proxy
 RATE = 18.0  # requests a second for each node: a warm server gets more than a cold one stands
 CALL_SHARES = 0.05, 0.4
+DRAINS_S = 1.0, 4.6, 4.6, 7.0  # most of them are longer than a node's bound
+OVER_DRAIN = "upgrade", "upgrade", "hup", "settings", "pause", "series"
+OVER_DRAIN_SHARE = 0.6
+CROWD = 200  # idle clients
 CLOCK_STEPS_S = -3600.0, -5.0, 5.0, 3600.0
 
 # Kind and place of each trouble, and how often it is drawn.
 TROUBLES: list[tuple[str, str, int]] = [
     ("kill", "node", 3),
-    ("term", "node", 4),
+    ("term", "node", 3),
+    ("series", "node", 3),
+    ("lame", "node", 8),
+    ("settings", "node", 2),
     ("upgrade", "node", 3),
     ("hup", "node", 3),
     ("pause", "node", 3),
@@ -52,6 +59,7 @@
     ("delay", "clients", 2),
     ("stall", "clients", 1),
     ("pieces", "clients", 2),
+    ("crowd", "clients", 1),
     ("accept", "calls", 3),
     ("socket", "calls", 1),
     ("connect", "calls", 3),
@@ -90,7 +98,7 @@
     return {
         "count": count,
         "memory_mb": rng.choice([64, 192]),
-        "sockets": rng.choice([256, 512]),
+        "sockets": rng.choice([160, 256, 512]),
         "hops": rng.choice([2, 3, 4]),
         "copies": rng.random() < 0.6,
         "cancel": rng.random() < 0.7,
@@ -98,6 +106,8 @@
         "hint_ms": rng.choice([0, 800]),
         "linger_ms": rng.choice([50, 300, 500]),
         "state": rng.random() < 0.5,
+        "admin": True,
+        "kill_early": True,
         "shim": calls,
     }
 
@@ -183,24 +193,39 @@
                 if crashed > servers // 3:  # some are left to serve
                     continue
             faults.append(_trouble(rng, kind, place, round(at, 2), round(lasts, 2), nodes, servers))
+            if kind == "lame" and rng.random() < OVER_DRAIN_SHARE:
+                faults.append(_over_drain(rng, faults[-1], seconds))
             at += lasts + rng.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
     return sorted(faults, key=lambda fault: fault["at_s"])
 
 
+def _over_drain(rng: Random, drain: dict[str, Any], seconds: float) -> dict[str, Any]:
+    """What else happens to nodes that are to drain, while they do."""
+    at = round(min(drain["at_s"] + rng.uniform(0.2, 3.0), seconds - CALM_S), 2)
+    fault = {"kind": rng.choice(OVER_DRAIN), "on": "node", "at_s": at, "for_s": 0.0, "which": drain["which"]}
+    if fault["kind"] in ("pause", "series"):
+        fault["for_s"] = 0.14
+    return fault
+
+
 def _trouble(rng: Random, kind: str, place: str, at: float, lasts: float, nodes: int, servers: int) -> dict[str, Any]:
     fault: dict[str, Any] = {"kind": kind, "on": place, "at_s": at, "for_s": lasts}
     match place:
         case "node" | "calls":
             fault["which"] = sorted(rng.sample(range(nodes), rng.randrange(1, max(2, nodes // 3))))
         case "clients":
-            fault["which"] = sorted(rng.sample(range(nodes), rng.randrange(1, nodes)))
+            fault["which"] = sorted(rng.sample(range(nodes), 1 if kind == "crowd" else rng.randrange(1, nodes)))
             fault["ms"] = rng.choice([10, 50])
             fault["for_s"] = min(lasts, 0.3) if kind == "stall" else lasts
         case "server":
             fault["which"] = [rng.randrange(servers)]
     match kind:
-        case "kill" | "term":
+        case "kill" | "term" | "series":
             fault["for_s"] = rng.choice([0.1, 0.5])
+        case "lame":
+            fault["for_s"] = rng.choice(DRAINS_S)
+        case "crowd":
+            fault["count"] = CROWD
         case "pause":
             fault["for_s"] = rng.choice([0.05, 0.14, 0.5])
         case "drain" | "replace":
--- a/saltmoor/lab/soak/planted.py
+++ b/saltmoor/lab/soak/planted.py
@@ -9,11 +9,14 @@
 
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 from saltmoor import __main__, choice
+from saltmoor.guard import ends
 from saltmoor.model import Ended
-from saltmoor.net import clients, meta, upstream
+from saltmoor.net import client, clients, lifecycle, meta, node_life, upstream
 
+LATE_STOP_US = 2_000_000  # a process that is told to end lives so much longer
 STALE_US = 400_000  # a server is told so much more than is left
 
 
@@ -73,12 +76,59 @@
     meta.hop_bytes = hop_bytes
 
 
+def no_bound() -> None:
+    """A connection that is told to end is read from for as long as its client goes on."""
+
+    def due(now: int, end: ends.ConnectionEnd, begun: int) -> ends.Due:
+        return ends.Due.TELL if now >= end.told else ends.Due.NOTHING
+
+    ends.due = due
+    ends.CLOSING = ends.HELD_UP = 0
+
+
+def anew() -> None:
+    """A second process begins the time of a drain anew."""
+
+    def hear(self: node_life.NodeLife, message) -> bool:
+        before = self.drain
+        self.drain = node_life.Drain(bool(message["lame"]), self.clock())
+        return before.on != self.drain.on
+
+    node_life.NodeLife.hear = hear
+
+
+def late_kill() -> None:
+    """A process that is told to end goes on serving past the moment in which it is killed."""
+    plain = ends.plan_stop
+
+    def plan_stop(longest: int, linger: int) -> ends.EndPlan:
+        plan = plain(longest + LATE_STOP_US, linger)
+        return replace(plan, told_from=longest + LATE_STOP_US, told_by=longest + LATE_STOP_US)
+
+    lifecycle.plan_stop = plan_stop
+
+
+def reset() -> None:
+    """Who is not read from any more is reset over what is owed."""
+    client.Client.finish = lambda self, code: self.abort("planted")
+
+
+def yes() -> None:
+    """A node that drains says that it takes clients."""
+    client.DRAINING = b"MN\r\n"
+
+
 PLANTS: dict[str, Callable[[], None]] = {
     "resend": resend,
     "close": close,
     "after-leave": after_leave,
     "slow-start": slow_start,
     "stale-deadline": stale_deadline,
+    "no-bound": no_bound,
+    "anew": anew,
+    "late-kill": late_kill,
+    "reset": reset,
+    "yes": yes,
 }
 
 
--- a/saltmoor/lab/soak/proxy.py
+++ b/saltmoor/lab/soak/proxy.py
@@ -9,7 +9,7 @@
 import socket
 from random import Random
 
-from saltmoor.lab.scenario import Scenario
+from saltmoor.lab.scenario import ON_WAYS, Scenario
 from saltmoor.lab.wire import HOST, Driver
 
 CHUNK = 65_536
@@ -47,7 +47,7 @@
     def schedule(self, driver: Driver, begin: int) -> None:
         """Put the faults on clients' ways into the timeline."""
         for fault in self.scenario.fault:
-            if fault.on == "clients" and fault.kind != "rude":
+            if fault.on == "clients" and fault.kind in ON_WAYS:
                 at = begin + int(fault.at_s * 1e6)
                 for node in fault.which or range(len(self.ways)):
                     driver.line.at(at, self._strike, node, fault.kind, fault.ms / 1000, True)
--- a/saltmoor/lab/worker.py
+++ b/saltmoor/lab/worker.py
@@ -21,6 +21,8 @@
 from saltmoor.lab.stage import Stage
 from saltmoor.lab.wire import Driver
 
+HABITS_KEYS = 200  # the most popular ones, which clients with habits ask for
+
 
 class Plan(msgspec.Struct):
     """What a run's processes need to know."""
@@ -99,6 +101,17 @@
     book.note("rude", crowd.asked, crowd.heard)
 
 
+async def habits(run: Path, plan: Plan, book: Book) -> None:
+    from saltmoor.lab.soak.habits import Habits
+
+    driver = Driver()
+    keys = [key for key, _ in zip(*arrivals.warm_keys(plan.scenario, plan.seed))]
+    clients = Habits(plan.scenario, plan.targets, book, seed=plan.seed, tag=plan.tag, keys=keys[-HABITS_KEYS:])
+    await clients.play(await told())
+    for at, late in driver.behind:
+        book.note("behind", at, late)
+
+
 async def links(run: Path, plan: Plan, book: Book) -> None:
     from saltmoor.lab.links import Links
 
@@ -146,6 +159,7 @@
         "stage": lambda: stage(run, plan, book),
         "load": lambda: load(run, plan, book, int(part)),
         "rude": lambda: rude(run, plan, book),
+        "habits": lambda: habits(run, plan, book),
         "links": lambda: links(run, plan, book),
         "proxy": lambda: proxy(run, plan, book),
     }[role]
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -395,12 +395,20 @@
         """Write a large value as it comes: no more is read of it than the client has taken."""
         flow = answer.flow
         await self.stream.write(answer.head)
-        while piece := await flow.piece():
+        while piece := await self.next_piece(flow):
             flow.moved = self.used = self.house.clock()
             await self.stream.write(piece)
             flow.moved = self.house.clock()
         await self.stream.write(b"\r\n")
 
+    @staticmethod
+    async def next_piece(flow: Flow) -> bytes:
+        """What comes next of a large value. Raises `Broken`, also where its server's connection fails."""
+        try:
+            return await flow.piece()
+        except OSError as error:
+            raise Broken(f"the server's connection: {error}") from error
+
     def may_be_handed_on(self) -> bool:
         """Whether the process that takes this one's place may have it: between two commands, and not told to end."""
         return bool(self.house.heir and self.house.closing and self.idle and self.ending in ("", "stopping"))
