A batch on a resting connection is not held to have stood since its last read

Cause, by reading: where the loop is late, a batch that came on a connection that was waited on counted, but for its last command, since the last bytes before it, seconds ago: such requests would be refused as over. Change: a socket that was waited on held nothing up to the pass before, so the loop's lateness and one look bound the time. test_stood has the case (an error on the code before: nothing was sent on).

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -31,6 +31,7 @@
 SLOWEST = 32_768  # bytes a second: a value that comes more slowly is held to have stopped
 PIPELINE = 64  # commands of one connection that may wait for their answers; then it is not read from
 LEAVE = 40_000  # how long a client that has said more may take to see the end of a connection that is not read any more
+PASS = 25_000  # between two looks at the loop's lateness at the most
 STOOD = 4_000  # bytes that may have stood unread for longer: the kernel is asked for how long
 
 
@@ -132,7 +133,7 @@
             self.commands.feed(data)
             # Guards against work for clients that have gone on waiting while their bytes stood in the socket.
             last_waited = self.stream.waited() if stood else 0
-            self.waited = self.stood_for(last_waited) if stood else 0
+            self.waited = self.stood_for(last_waited, asked_at) if stood else 0
             self.empty_at = self.empty_at if len(data) == BUFFER else self.used
             try:
                 self.progress(len(data))
@@ -197,13 +198,19 @@
             return bool(handed_on_with_bytes) or self.stream.waited() > STOOD
         return asked_at - self.read_at > STOOD and self.used - asked_at < STOOD
 
-    def stood_for(self, last: Micros) -> Micros:
+    def stood_for(self, last: Micros, asked_at: Micros) -> Micros:
         """How long what was just read may have stood in the socket; `last`: its last bytes, as the kernel knows it.
 
         Where several commands are read at once, those before the last one may have come at any time since the socket
-        was empty: guards against servers told of time that their client has not.
+        was empty: guards against servers told of time that their client has not. A socket that was waited on had
+        nothing up to the pass of the loop before this one.
         """
-        return max(last, self.used - self.empty_at) if self.empty_at else last
+        if not self.empty_at:
+            return last
+        most = self.used - self.empty_at
+        if self.used - asked_at >= STOOD:
+            most = min(most, self.house.late_by + PASS)
+        return max(last, most)
 
     async def deaf(self, wait: Awaitable[None]) -> None:
         """Wait for something else than what the client says; that it leaves is noticed all the same."""
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -77,6 +77,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.open_ids: set[bytes] = set()
         self.closing = self.late = self.paced = False  # late: the loop is, so that commands wait in their sockets
+        self.late_by: Micros = 0  # how late the loop was when that was looked at last
         self.turns: deque[asyncio.Future] = deque()  # connections that wait to be read from, while it is paced
         self.reads = 0.0
         self.acceptor: Acceptor | None = None  # none before the node serves, and once its queue is empty at its end
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -487,7 +487,7 @@
         # First of all: guards against a fault below that would leave the reads paced for ever.
         self.looking = self.loop.call_later(every, self.look, now + every)
         late = max(0, int((now - due) * 1_000_000))
-        self.clients.late = late > LATE_FROM
+        self.clients.late, self.clients.late_by = late > LATE_FROM, late
         self.clients.pace(self.door.ran(late, int((now - self.looked) * 1_000_000)))
         self.looked = now
         self.clients.missed()
--- a/tests/test_stood.py
+++ b/tests/test_stood.py
@@ -139,6 +139,23 @@
         self.assertLessEqual(late, 900 - STOOD * 1000 + SLACK_MS)
         self.assertGreater(last, 900 - SLACK_MS - 20)  # the kernel knows the last one's
 
+    def test_a_batch_on_a_connection_that_rested_while_the_loop_is_late(self):
+        """Guards against the time for which it rested being counted as if the batch had stood unread."""
+
+        async def scene(town: Told) -> None:
+            one = await town.client()
+            await one.ask(read("hit", "a"))
+            await asyncio.sleep(3 * STOOD)
+            clients = town.service.clients
+            town.service.looking.cancel()
+            clients.late, clients.late_by = True, 5_000
+            one.say(read("hit", "b", wait=900) + read("hit", "c", wait=900))
+            await one.hear(2)
+
+        _, first, last = self.play(scene)
+        self.assertGreater(first, 900 - 60)
+        self.assertGreater(last, 900 - 60)
+
 
 if __name__ == "__main__":
     unittest.main()
