--- a/saltmoor/lab/soak/oracle.py
+++ b/saltmoor/lab/soak/oracle.py
@@ -26,6 +26,7 @@
 CROSSES = 600_000  # an end crosses what is sent so long before it; the way and an overloaded node take their part
 TOLD_SHARE = 2 / 3  # of what pushed a cold server over, from nodes that were told of its start
 LARGEST_HELD = 65_536  # bytes: a larger value is passed on as it comes
+NOT_ANSWERED = "its connection ended with no answer, after it was sent on"  # the ledger's words
 BROKEN_OFF = "its answer ended before it was whole"  # the ledger's words
 FAULT = re.compile(r"(?:violation|fault in|Traceback|internal)")
 VIOLATION = re.compile(r"violation rule=(\S+)")
@@ -79,6 +80,9 @@
             if breach.what == BROKEN_OFF and self.streamed(breach.tx):
                 self.counts["large answers broken off"] += 1  # failed, as no node can finish what its server cut off
                 continue
+            if breach.what == NOT_ANSWERED and self.broken(breach.tx):
+                self.counts["open on a connection that broke"] += 1  # reads of it were made to fail as Linux documents
+                continue
             self.find(Rule.CRASH if "ended by itself" in breach.what else rule, breach.tx, breach.what)
         for asked in self.ledger.asked.values():
             self.counts["requests"] += 1
@@ -93,6 +97,12 @@
         self.logged()
         return self.finds
 
+    def broken(self, ident: str) -> bool:
+        """Whether the node's reads were made to fail whenever this request's connection ended with no answer."""
+        asked = self.ledger.asked[ident]
+        ends = list(zip(asked.nodes, asked.sent, asked.ended))
+        return bool(ends) and all(self.failing(node, sent, ended, "recv") for node, sent, ended in ends)
+
     def find(self, rule: Rule, subject: str, what: str) -> None:
         self.finds.append(Find(rule, subject, what))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -125,6 +125,12 @@
         rows = self.ASK, self.got(15 * MS, 295 * MS), ("end", 200 * MS, "a", 1, 3), ("node", 190 * MS, 0, "shot", 0)
         self.assertEqual(self.finds(*rows), [Rule.LOST])
 
+    def test_a_connection_that_failing_reads_broke(self):
+        rows = self.ASK, self.got(15 * MS, 295 * MS), ("end", 200 * MS, "a", 1, 3)
+        fault = {"kind": "recv", "on": "calls", "at_s": 0.0, "for_s": 1.0, "which": [0], "share": 0.03}
+        self.assertEqual(self.finds(*rows, faults=(fault,)), [])
+        self.assertEqual(self.finds(*rows), [Rule.LOST])
+
     def test_what_the_program_says_of_itself(self):
         rows = self.ASK, self.got(15 * MS, 295 * MS), *self.SERVED
         self.assertEqual(self.finds(*rows, log="violation rule=drain request=a path=x reason=y\n"), [Rule.PROGRAM])
