--- a/tests/helper.py
+++ b/tests/helper.py
@@ -11,8 +11,11 @@
 import re
 import signal
 import socket
+import time
 import unittest
+from collections.abc import Awaitable
 from pathlib import Path
+from typing import TypeVar
 
 from saltmoor import config, model
 from saltmoor.choice import Node
@@ -22,6 +25,7 @@
 TRACES = Path(__file__).parent / "traces"
 MS = 1000
 READ, JOURNALLED, ONCE = 0, 1, 2
+Result = TypeVar("Result")
 VALUE = bytes(i * i % 251 for i in range(3_000_001))
 
 
@@ -183,6 +187,28 @@
     return held
 
 
+TICK = 0.01  # seconds between two looks of `within`
+
+
+async def within(seconds: float, work: Awaitable[Result]) -> Result:
+    """Wait for `work`, at most for so many seconds in which this process ran; raises TimeoutError after them.
+
+    A pause in which the machine gave this process no turn counts as one tick. Guards against a verdict on the machine:
+    a test that bounds how soon the node acts must not fail as the machine ran neither of the two.
+    """
+    task, left = asyncio.ensure_future(work), seconds
+    try:
+        while left > 0 and not task.done():
+            before = time.monotonic()
+            await asyncio.wait({task}, timeout=TICK)
+            left -= min(time.monotonic() - before, 2 * TICK)
+        if not task.done():
+            raise TimeoutError(f"not within {seconds} s")
+        return task.result()
+    finally:
+        task.cancel()
+
+
 class Town:
     """A node on loopback sockets with one cache server, the origin and discovery, all scripted.
 
