--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,6 +5,7 @@
 import io
 import json
 import re
+import socket
 import tempfile
 from math import factorial
 from pathlib import Path
@@ -12,14 +13,16 @@
 
 import numpy as np
 
-from saltmoor.lab import arrivals, cli, experiment, figures, report
+from saltmoor.lab import arrivals, cli, experiment, figures, links, report
 from saltmoor.lab import scenario as plan
 from saltmoor.lab.book import Book
 from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.lru import Lru
 from saltmoor.lab.nodes import Build, settings
+from saltmoor.lab.ports import kept_for_node
 from saltmoor.lab.station import Station, Warming
 from saltmoor.lab.timeline import Timeline
+from saltmoor.lab.wire import HOST
 from tests.helper import TraceCase
 from tests.lab_helper import SMALL, planted
 
@@ -265,6 +268,17 @@
             self.assertEqual(again.figures, {})
             self.assertFalse(again.held)
 
+    def test_a_nodes_port_is_kept_at_both_of_its_addresses(self):
+        """No link of any run is given the port that a node takes for its peers; the node can take it, of both kinds."""
+        kept = [kept_for_node(HOST, links.HOST) for _ in range(20)]
+        ports = {one.getsockname()[1] for one, _ in kept}
+        listeners = [socket.create_server((links.HOST, 0)) for _ in range(200)]
+        self.assertEqual(ports & {one.getsockname()[1] for one in listeners}, set())
+        with socket.create_server((links.HOST, min(ports))), socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            datagrams.bind((links.HOST, min(ports)))
+        for sock in [*listeners, *(sock for pair in kept for sock in pair)]:
+            sock.close()
+
     def test_percentiles_are_the_histograms(self):
         self.assertEqual(
             figures.percentiles([1000] * 99 + [50_000]), {"p50_ms": 1.0, "p90_ms": 1.0, "p99_ms": 1.0, "p999_ms": 50.02}
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -290,6 +290,8 @@
         said["load"] = said["load"] | {"rate": 120, "keys": 1000}
         said["origin"] = said["origin"] | {"cores": 4}
         said["fault"], said["bounds"] = faults, bounds
+        # No bound here is on a goal; goals alone say how late the lab may be before its run is void.
+        said["profile"] = [one | {"goal_ms": one["limit_ms"]} for one in msgspec.to_builtins(said["profile"])]
         scenario = plan.check(msgspec.to_builtins(said))
         for seed in (1, 2, 3):
             result = experiment.run(scenario, seed)
