Test, failing: a stop that is told before the list is there counts from its signal

With the list pushed and discovery silent a start waits 1 s for it; SIGTERM in that second was heard only behind it: the process began to serve, 1.76 s after its start it still ran, where it may be killed 1.0 s after the signal (longest deadline 0.3 s). Found by reading the related paths of the drain. Short plans of the soak have all their deadlines short now, that of large values too (600 ms for 2 s).

--- a/saltmoor/lab/soak/plan.py
+++ b/saltmoor/lab/soak/plan.py
@@ -23,6 +23,7 @@
 OVER_DRAIN = "upgrade", "upgrade", "hup", "settings", "pause", "series"
 OVER_DRAIN_SHARE = 0.6
 CROWD = 200  # idle clients
+DEADLINES = 0.3, 1.0  # of the longest ones: with short deadlines a process that is told to end is soon killed
 CLOCK_STEPS_S = -3600.0, -5.0, 5.0, 3600.0
 
 # Kind and place of each trouble, and how often it is drawn.
@@ -135,10 +136,17 @@
 
 
 def _profiles(rng: Random) -> list[dict[str, Any]]:
-    quick = rng.choice([0.5, 1.0])  # short deadlines on some plans
+    quick = rng.choice(DEADLINES)
     return [
         {"name": "read", "share": 0.8, "work_ms": 5, "goal_ms": 200 * quick, "limit_ms": 800 * quick},
-        {"name": "bulk", "share": 0.02, "work_ms": 8, "goal_ms": 500, "limit_ms": 2000, "value_bytes": 600_000},
+        {
+            "name": "bulk",
+            "share": 0.02,
+            "work_ms": 8,
+            "goal_ms": 500 * quick,
+            "limit_ms": 2000 * quick,
+            "value_bytes": 600_000,
+        },
         {
             "name": "put",
             "share": 0.12,
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -6,12 +6,16 @@
 import os
 import re
 import signal
+import sys
+import time
 import tomllib
 import unittest
 from pathlib import Path
 
 import uvloop
 
+from tests.helper import settings, within
+from tests.test_operations import Twins
 from tests.test_syscalls import Shimmed
 
 STEP = 0.005  # seconds between the moments that are tried
@@ -74,5 +78,40 @@
         self.assertEqual([found for found in self.ends(signal.SIGTERM) if found[1] not in (0, -signal.SIGTERM)], [])
 
 
+class Silent(Twins):
+    """Discovery takes every call and never answers: a start waits for the list as long as it ever does."""
+
+    async def discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        self.asked.set()
+        await reader.read()
+
+
+class BeforeTheList(unittest.TestCase):
+    LONGEST = 0.3  # seconds: the longest deadline
+
+    def test_a_stop_counts_from_its_signal(self):
+        """Guards against a process that begins to serve after it was told to end, and is killed while it does."""
+
+        async def run() -> float:
+            aim = int(self.LONGEST * 10**9)
+            classes = [{"name": "read", "repeat": "idempotent", "aim_ns": aim, "deadline_ns": aim}]
+            async with Silent(settings=settings(classes=classes, membership_mode="automatic")) as town:
+                errors = Path(town.folder.name, "stderr")
+                with errors.open("wb") as stderr:
+                    command = [sys.executable, "-m", "saltmoor", "serve", f"--config={town.file}"]
+                    node = await asyncio.create_subprocess_exec(*command, stderr=stderr)
+                town.nodes.append(node)
+                await within(5, town.asked.wait())
+                self.assertNotIn("serving at", errors.read_text())
+                node.send_signal(signal.SIGTERM)
+                told = time.monotonic()
+                self.assertEqual(await asyncio.wait_for(node.wait(), 5), 0)
+                self.assertNotIn("serving at", errors.read_text())
+                return time.monotonic() - told
+
+        self.assertLess(uvloop.run(run()), self.LONGEST + 0.7)
+
+
 if __name__ == "__main__":
     unittest.main()
