A stop counts from its signal, also while a start waits for the list

SIGTERM ends the wait for the first list; a process that was told to end before it took clients never takes any. The stop's bounds count from the signal's arrival. Service.run is five steps by name.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -515,9 +515,9 @@
             step, reply.ended, answer=reply.flow or reply.body, note=reply.note, load=reply.load, copy=copy
         )
 
-    def begin_stop(self, plan: EndPlan) -> None:
-        """The process was told to stop: these are its bounds from now on."""
-        self.stop, self.stop_since = plan, self.clock()
+    def begin_stop(self, plan: EndPlan, since: Micros) -> None:
+        """The process was told to stop at `since`: these are its bounds from then on."""
+        self.stop, self.stop_since = plan, since
 
     def settle_down(self) -> None:
         """Stop: take what the machine has accepted already, then end each connection between requests."""
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -121,6 +121,7 @@
         self.nudged, self.looked, self.idle = False, time.monotonic(), 0
         self.heard = asyncio.Event()  # of the list, or that it cannot be had
         self.hurry = asyncio.Event()  # the next sweep is to come at once
+        self.stop_told, self.stop_told_at = asyncio.Event(), 0  # by a signal, and when
         self.buffers = buffers = Buffers(keep=given.caps.connections)
         self.budget = Budget(given.caps.gathered)
         self.upstream = Upstream(
@@ -525,9 +526,8 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then until nothing is owed."""
-        stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, lambda: (stop.set(), self.hurry.set()))
+            self.loop.add_signal_handler(number, self.hear_stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         # What came during the start comes now.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
@@ -536,10 +536,34 @@
         gc.set_threshold(20_000, 20, 20)  # what one transaction needs goes by itself when it is over
         self.nudge()
         self.look(time.monotonic())
-        if self.given.pushed and self.discovery:
-            # Guards against sending by the list held before what the news, which count already, have drained.
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.heard.wait(), FIRST_NEWS)
+        await self.first_news()
+        if not self.stop_told.is_set():
+            self.open()
+            await self.tend()
+            await self.stop()
+        self.end()
+
+    def hear_stop(self) -> None:
+        """The process is told to end: all bounds of its stop count from now, whatever it waits for."""
+        if not self.stop_told.is_set():
+            self.stop_told_at = clock()
+            self.stop_told.set()
+            self.hurry.set()
+
+    async def first_news(self) -> None:
+        """Wait for the first list where what it says counts from the first moment, but not past a stop.
+
+        Guards against sending by the list held before what the news, which count already, have drained.
+        """
+        if not self.given.pushed or not self.discovery:
+            return
+        waits = [asyncio.create_task(event.wait()) for event in (self.heard, self.stop_told)]
+        await asyncio.wait(waits, timeout=FIRST_NEWS, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+
+    def open(self) -> None:
+        """Take clients, and begin what runs beside that."""
         self.clients.open_to(self.listener)
         self.clients.listen()
         self.life.enter(Phase.SERVING)
@@ -554,25 +578,25 @@
         if self.follower:
             self.follower.begin()
         self.log(f"serving at {self.listener.getsockname()[0]}:{self.listener.getsockname()[1]}")
-        while not stop.is_set():
+
+    async def tend(self) -> None:
+        """Sweep what needs a look from time to time, until told to stop."""
+        while not self.stop_told.is_set():
             self.upstream.sweep()
             self.starts.keep(self.door.node.servers)
             if self.given.node["listing"].soft:
                 self.upstream.keep(self.door.node.servers)
             self.clients.sweep(self.given.unfinished)
             self.hurry.clear()
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HURRY if self.clients.ending else self.sweep):
                     await self.hurry.wait()
-            except TimeoutError:
-                pass
-        await self.stop()
 
     async def stop(self) -> None:
         """End with nothing owed, within the bounds of a stop."""
         followed = bool(self.sibling and self.sibling.ready)
-        plan, since = plan_stop(self.longest, 0 if followed else self.given.linger), clock()
-        self.clients.begin_stop(plan)
+        plan, since = plan_stop(self.longest, 0 if followed else self.given.linger), self.stop_told_at
+        self.clients.begin_stop(plan, since)
         self.life.enter(Phase.STOPPING)
         self.log(f"stopping: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.meeting:
@@ -598,6 +622,9 @@
             self.door.end_all()
             while self.clients.clients and clock() < self.clients.until + CLOSING:
                 await asyncio.sleep(0.005)
+
+    def end(self) -> None:
+        """Close what is left: no client is."""
         self.life.enter(Phase.ENDED)
         self.log(f"stopped: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.keeper:
