--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -31,6 +31,12 @@
     return bool(ignored >> (signal.SIGHUP - 1) & 1) or b"python" in (place / "cmdline").read_bytes().split(b"\0")[0]
 
 
+def held_back(pid: int, number: signal.Signals) -> bool:
+    """Whether the process has put off that signal."""
+    blocked = int(re.search(r"SigBlk:\s*(\w+)", Path(f"/proc/{pid}/status").read_text())[1], 16)
+    return bool(blocked >> (number - 1) & 1)
+
+
 class Early(unittest.TestCase):
     def ends(self, number: signal.Signals) -> list[tuple[int, int | None]]:
         """The moments, and how each process ended; None where it serves on."""
@@ -112,6 +118,24 @@
 
         self.assertLess(uvloop.run(run()), self.LONGEST + 0.7)
 
+    def test_a_stop_in_the_start_is_not_served_first(self):
+        """Guards against a process that takes clients, as it hears only then of a signal that came in its start."""
+
+        async def run() -> str:
+            async with Twins() as town:
+                errors = Path(town.folder.name, "stderr")
+                with errors.open("wb") as stderr:
+                    command = [sys.executable, "-m", "saltmoor", "serve", f"--config={town.file}"]
+                    node = await asyncio.create_subprocess_exec(*command, stderr=stderr)
+                town.nodes.append(node)
+                while not held_back(node.pid, signal.SIGTERM):
+                    await asyncio.sleep(0.001)
+                node.send_signal(signal.SIGTERM)
+                self.assertEqual(await asyncio.wait_for(node.wait(), 5), 0)
+                return errors.read_text()
+
+        self.assertNotIn("serving at", uvloop.run(run()))
+
 
 if __name__ == "__main__":
     unittest.main()
