--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -43,7 +43,8 @@
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
 STRICT = "SALTMOOR_STRICT"  # in the environment: a violated rule raises, for tests and soaks
-SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+STOPS = {signal.SIGTERM, signal.SIGINT}
+SIGNALS = STOPS | {signal.SIGHUP}
 OFFSET = time.time_ns() // 1000 - time.monotonic_ns() // 1000
 
 
@@ -526,9 +527,11 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then until nothing is owed."""
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOPS:
             self.loop.add_signal_handler(number, self.hear_stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if signal.sigpending() & STOPS:  # guards against hearing of it only once clients are taken
+            self.hear_stop()
         # What came during the start comes now.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         gc.collect()
