--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -25,6 +25,7 @@
     sample  t figures                                       of all servers, four times a second
     mark    t what                                          a fault begins or ends
     behind  t microseconds                              a load process stood still for so long up to then
+    stood   t microseconds process                      the same of the process of the stand-ins, or of the proxy
     late    microseconds                                    how late the process ran what was due
 """
 
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -88,6 +88,7 @@
         self.bad: list[tuple[int, str, int, str]] = []
         self.unanswered: list[str] = []
         self.behind: list[tuple[int, int]] = []
+        self.stood: dict[str, list[tuple[int, int]]] = {"stage": [], "proxy": []}
         for row in sorted((row for row in rows if row[0] not in SKIPPED), key=lambda row: row[1]):
             getattr(self, "_" + row[0])(*row[1:])
         for ident, asked in self.asked.items():
@@ -154,6 +155,9 @@
     def _behind(self, at, late) -> None:
         self.behind.append((at, late))
 
+    def _stood(self, at, late, process) -> None:
+        self.stood[process].append((at, late))
+
     def _mark(self, at, what) -> None:
         self.marks.append((at, what))
 
@@ -199,6 +203,13 @@
         """How long before an answer was read its client stood still itself: that is the lab's delay, not the node's."""
         return max((late for beat, late in self.behind if beat - late - SLACK <= at <= beat + SLACK), default=0)
 
+    def stood_still(self, process: str, since: int, until: int) -> int:
+        """How long that process of the lab, "stage" or "proxy", stood still in a time; microseconds.
+
+        What it reads then has come before: that is the lab's delay, no node can know of it.
+        """
+        return sum(late for at, late in self.stood[process] if at + SLACK >= since and at - late - SLACK <= until)
+
     def asked_again(self, asked: Asked) -> bool:
         """Whether a node that held it was killed, so that its client has asked another with the same id."""
         if len(asked.sent) < 2 or not asked.ended:
--- a/saltmoor/lab/soak/planted.py
+++ b/saltmoor/lab/soak/planted.py
@@ -13,6 +13,7 @@
 
 from saltmoor import __main__, choice
 from saltmoor.guard import ends
+from saltmoor.guard.slow_start import warmth
 from saltmoor.model import Ended
 from saltmoor.net import client, clients, lifecycle, meta, node_life, upstream
 
@@ -61,9 +62,17 @@
 
 
 def slow_start() -> None:
-    """A cold server gets what a warm one gets."""
+    """A cold server gets what a warm one gets, however long its queue."""
     choice.Node.within_cold_budget = lambda self, server, now: True
     choice.warmth = lambda server, now, cold: 1.0
+    plain = choice.Node.probed
+
+    def probed(self, now: int, server: int, end: Ended, took: int, load: tuple[float, ...] = ()) -> None:
+        known = self.servers.get(server)
+        cold = known is not None and warmth(known, now, self.cold) < 1.0
+        plain(self, now, server, end, took, (0.0,) * len(load) if cold else load)
+
+    choice.Node.probed = probed
 
 
 def stale_deadline() -> None:
@@ -84,6 +93,7 @@
 
     ends.due = due
     ends.CLOSING = ends.HELD_UP = 0
+    clients.Clients.give_up = lambda self, client: None
 
 
 def anew() -> None:
--- a/saltmoor/lab/worker.py
+++ b/saltmoor/lab/worker.py
@@ -69,6 +69,8 @@
         await asyncio.get_running_loop().run_in_executor(None, keep, run, known)
     for late in driver.late:
         book.note("late", late)
+    for at, late in driver.behind:
+        book.note("stood", at, late, "stage")
 
 
 async def load(run: Path, plan: Plan, book: Book, part: int) -> None:
@@ -135,6 +137,8 @@
     await asyncio.get_running_loop().run_in_executor(None, sys.stdin.readline)
     for late in driver.late:
         book.note("late", late)
+    for at, late in driver.behind:
+        book.note("stood", at, late, "proxy")
 
 
 def np_load(run: Path):
