--- a/saltmoor/lab/soak/oracle.py
+++ b/saltmoor/lab/soak/oracle.py
@@ -173,7 +173,12 @@
                 self.find(Rule.LOST, asked.id, f"node {node} closed a new connection with no answer")
 
     def owed_by_a_stop(self, node: int, sent: int, at: int) -> bool:
-        """Whether this was there well before a node that was not held up stopped reading, and its connection ended."""
+        """Whether this was there well before a node that was not held up stopped reading, and its connection ended.
+
+        A drain before the stop ends each connection in a moment of its own: what it leaves unread there is not owed.
+        """
+        if self.draining(node, sent, at):
+            return False
         linger = int(min(self.scenario.nodes.linger_ms, LEAST_LINGER_MS) * 1000)
         for told, what in self.ledger.nodes[node]:
             if what == "termed" and told <= at <= told + LONGEST_STOP and sent < told + linger - HELD_UP - SLACK:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,6 +70,8 @@
 
     SERVED = ("told", 20 * MS, "s0", "a", "value", 7), ("reply", 21 * MS, "a", "served", 7, 3, 0)
 
+    SERVED_LATE = ("told", 220 * MS, "s0", "a", "value", 7), ("reply", 221 * MS, "a", "served", 7, 3, 0)
+
     def test_a_request_that_was_served(self):
         self.assertEqual(self.finds(self.ASK, self.got(15 * MS, 295 * MS), *self.SERVED), [])
 
@@ -80,6 +82,20 @@
         rows = self.ASK, ("left", 50 * MS, "a"), self.got(250 * MS, 50 * MS)
         self.assertEqual(self.finds(*rows), [Rule.CLIENT_GONE])
 
+    def test_a_pause_of_the_lab_takes_off_its_own_length_alone(self):
+        late = self.ASK, self.got(215 * MS, 380 * MS), *self.SERVED_LATE  # 285 ms too much
+        self.assertEqual(self.finds(*late), [Rule.DEADLINE])
+        for process in "stage", "proxy":
+            self.assertEqual(self.finds(*late, ("stood", 216 * MS, 120 * MS, process)), [])
+            self.assertEqual(self.finds(*late, ("stood", 216 * MS, 40 * MS, process)), [Rule.DEADLINE])
+            self.assertEqual(self.finds(*late, ("stood", 900 * MS, 120 * MS, process)), [Rule.DEADLINE])
+        gone = self.ASK, ("left", 50 * MS, "a"), self.got(250 * MS, 50 * MS)
+        self.assertEqual(self.finds(*gone, ("stood", 250 * MS, 150 * MS, "stage")), [])
+        self.assertEqual(self.finds(*gone, ("stood", 250 * MS, 20 * MS, "stage")), [Rule.CLIENT_GONE])
+        unanswered = self.ASK, ("left", 870 * MS, "a")
+        self.assertEqual(self.finds(*unanswered, ("stood", 600 * MS, 300 * MS, "stage")), [Rule.LOST])
+        self.assertEqual(self.finds(*unanswered, ("stood", 600 * MS, 300 * MS, "proxy")), [])
+
     def test_a_new_connection_closed_with_no_answer(self):
         self.assertEqual(self.finds(self.ASK, ("end", 30 * MS, "a", 1, 1)), [Rule.LOST])
 
@@ -117,6 +133,14 @@
         self.assertEqual(self.finds(self.asked(950 * MS), ("end", 1_500 * MS, "a", 1, 3), *termed), [Rule.LOST])
         self.assertEqual(self.finds(self.asked(1_300 * MS), ("end", 1_500 * MS, "a", 1, 3), *termed), [])
 
+    def test_a_request_that_a_drain_leaves_unread_before_a_stop(self):
+        drained = self.DRAINED[0], ("node", 2_000 * MS, 0, "termed", 15), ("node", 2_600 * MS, 0, "exited", 0)
+        unread = self.asked(1_950 * MS), ("end", 2_500 * MS, "a", 1, 3)
+        self.assertEqual(self.finds(*unread, *drained[1:]), [Rule.LOST])
+        self.assertEqual(self.finds(*unread, *drained), [])
+        read = self.got(1_960 * MS, 200 * MS)
+        self.assertEqual(self.finds(*unread, read, *drained), [Rule.LOST])
+
     def test_a_request_that_stood_unread_before_a_close(self):
         self.assertEqual(self.finds(self.asked(1_000 * MS), ("end", 1_900 * MS, "a", 1, 3)), [Rule.LOST])
         self.assertEqual(self.finds(self.asked(1_000 * MS), ("end", 1_100 * MS, "a", 1, 3)), [])
