--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -161,18 +162,25 @@
 
 
 class Runs(unittest.TestCase):
+    def play(self, seed: int, **options: Any) -> run.Verdict:
+        """A run that says something: one that found nothing while the lab itself was late is void, and played again."""
+        for _ in range(3):
+            verdict = run.soak(seed, run.Options(seconds=SECONDS, processes=PROCESSES, **options))
+            if verdict.finds or not verdict.void:
+                return verdict
+        self.fail(f"void: {verdict.void}")
+
     def test_fixed_seeds_break_no_rule(self):
         for seed in SEEDS:
             with self.subTest(seed):
-                verdict = run.soak(seed, run.Options(seconds=SECONDS, processes=PROCESSES))
+                verdict = self.play(seed)
                 self.assertEqual(verdict.finds, [])
                 self.assertGreater(verdict.counts["requests"], 100)
 
     def test_planted_faults_are_found(self):
         for plant, (seed, rule) in PLANTED.items():
             with self.subTest(plant):
-                options = run.Options(seconds=SECONDS, processes=PROCESSES, plant=plant, strict=False)
-                verdict = run.soak(seed, options)
+                verdict = self.play(seed, plant=plant, strict=False)
                 found = {find.split()[0] for find in verdict.finds} - {Rule.PROGRAM.value}
                 self.assertIn(rule.value, found, verdict)
 
