--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -145,6 +145,30 @@
     os.write(one.writer.transport.get_extra_info("socket").fileno(), text.encode())
 
 
+class HandedOn(Case):
+    def test_one_that_came_during_a_drain_keeps_its_own_moment(self):
+        """Guards against a second process that gives up at once what is asked on it, as the drain's bound is over."""
+
+        async def scene(town: Held) -> None:
+            clients = town.service.clients
+            clients.drain_from(clients.clock() - 5_000_000)
+            await town.client()
+            while not clients.clients:
+                await asyncio.sleep(0.005)
+            late = next(iter(clients.clients))
+            self.assertEqual((late.end_due.answers_until, late.end_due.gone_by), (0, 0))
+            said = {"client": late.peer, "since": 0, "used": 0, "count": 0} | clients.said_of(late)
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                here = socket.create_connection(listener.getsockname())
+                clients.adopt(listener.accept()[0], said)
+            adopted = next(client for client in clients.clients if client is not late)
+            self.assertEqual((adopted.end_due.answers_until, adopted.end_due.gone_by), (0, 0))
+            self.assertLess(abs(adopted.end_due.told - late.end_due.told), 20_000)
+            here.close()
+
+        self.play(scene)
+
+
 class ClientLeft(Case):
     """What a client asked is not sent on once it has left, wherever it waits."""
 
