A connection that came during a drain keeps its own moment when it is handed on

Its end says whether the drain's bound holds for it; the second process draws no bound for it then. Was: held to a bound that was over, its requests given up at once.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -166,18 +166,20 @@
         state = f"on: since_ms={(self.clock() - since) // 1000}" if since else "off:"
         self.log(f"lame duck {state} clients={len(self.clients)} txs={len(self.open_ids)}")
 
-    def set_end(self, client: Client, told_in: Micros | None = None) -> None:
-        """When this connection ends, where the node drains or the process stops; `told_in`: another process has drawn it.
+    def set_end(self, client: Client, handed_on: dict[str, int] | None = None) -> None:
+        """When this connection ends, where the node drains or the process stops; `handed_on`: what another process said.
 
-        One that was handed on is held to the drain's bound, whenever that process has accepted it.
+        One that was handed on is held to the drain's bound, unless that process took it after others were told.
         """
         if self.drain_since:
             self.drawn += 1
             share = crc32(self.drawn.to_bytes(4, "little")) / 2**32
             accepted = client.since if not client.handed_on else 0
+            if handed_on and handed_on.get("unbounded"):
+                accepted = self.clock()
             end = ends.end_of_drain(self.drain, self.drain_since, accepted, share)
-            if told_in is not None:
-                end = replace(end, told=self.clock() + told_in)
+            if handed_on and "told_in" in handed_on:
+                end = replace(end, told=self.clock() + handed_on["told_in"])
             client.end_due = end.earlier(client.end_due)
         if self.closing:
             end = ends.end_of_stop(self.stop, self.stop_since, self.clock())
@@ -185,7 +187,9 @@
 
     def said_of(self, client: Client) -> dict[str, int]:
         """What the process that takes this one's place has to know of a connection's end."""
-        return {"told_in": client.end_due.told - self.clock()} if self.drain_since and client.end_due else {}
+        if not self.drain_since or not client.end_due:
+            return {}
+        return {"told_in": client.end_due.told - self.clock(), "unbounded": int(not client.end_due.gone_by)}
 
     def stepped(self, state: State, reason: str) -> None:
         """A connection's life has gone on."""
@@ -571,4 +575,4 @@
         if client.count:
             self.fresh.pop(client)
             self.rest(client)
-        self.set_end(client, said.get("told_in"))
+        self.set_end(client, said)
