--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -156,6 +156,14 @@
         self.assertEqual(self.finds(*rows, faults=(fault,)), [])
         self.assertEqual(self.finds(*rows), [Rule.LOST])
 
+    def test_a_cold_server_pushed_over_by_nodes_that_knew(self):
+        """Who is told only between its request and the fall knew of nothing when it sent."""
+        life = ("life", 5 * MS, "s0", "up"), ("life", 30 * MS, "s0", "fell")
+        rows = self.ASK, self.got(15 * MS, 295 * MS), *self.SERVED, *life
+        self.assertEqual(self.finds(*rows), [])
+        self.assertEqual(self.finds(*rows, ("listed", 12 * MS, 0, "s0", "up")), [Rule.SLOW_START])
+        self.assertEqual(self.finds(*rows, ("listed", 20 * MS, 0, "s0", "up")), [])
+
     def test_what_the_program_says_of_itself(self):
         rows = self.ASK, self.got(15 * MS, 295 * MS), *self.SERVED
         self.assertEqual(self.finds(*rows, log="violation rule=drain request=a path=x reason=y\n"), [Rule.PROGRAM])
