Log what waits at the listener, for how long and why, and by which names a node was told

`net/tcp_info.py` has the kernel's figures in one place; the time for which bytes stood unread is read there too. No behaviour changes.

--- a/saltmoor/config.py
+++ b/saltmoor/config.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from saltmoor import model
+from saltmoor.config_keys import key_names, variable_names
 
 REPEATS = {"idempotent": model.Repeat.IDEMPOTENT, "deduplicated": model.Repeat.JOURNALLED}
 COLUMNS = {
@@ -266,6 +267,8 @@
     duties: Dutiful | None = None  # none: it does nothing for others
     changes: Changes | None = None  # none: it hears of no changes for the whole fleet
     unknown: tuple[str, ...] = ()  # keys at the top that mean nothing here: passed over, and named in the log
+    keys: tuple[str, ...] = ()  # names of all keys that were given, at every depth
+    variables: tuple[str, ...] = ()  # names of the environment's variables that are meant for a node
 
     def caps_for(self, processes: int, taken: int = 0) -> Caps:
         return Caps.within(*self.limits, processes, taken)
@@ -336,6 +339,8 @@
         raise top.fault("seed", "hexadecimal digits") from None
     return Config(
         unknown=tuple(sorted(said.keys() - TOP_KEYS)),
+        keys=key_names(said),
+        variables=variable_names(env),
         name=top.text("name") or env.get("ROUTER_NAME") or "saltmoor",
         listen=address("listen", listen),
         admin=address("admin_addr", admin) if admin else None,
--- a/saltmoor/net/acceptor.py
+++ b/saltmoor/net/acceptor.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
+from saltmoor.net import tcp_info
 from saltmoor.net.errors import Call, Then, verdict
 
 AT_ONCE = 64  # connections taken in one go, so that others get their turn
@@ -20,6 +21,7 @@
 SHORTEST_PAUSE = 0.005  # seconds; each pause in a row is twice as long
 LONGEST_PAUSE = 0.1  # seconds: well under what a client may have to wait
 EPISODE = 1.0  # seconds without a failure after which the trouble is over, for the log
+LONG_WAIT = 0.1  # seconds that connections wait in the queue before the log says so
 
 Welcome = Callable[[socket.socket, tuple], None]
 
@@ -58,6 +60,9 @@
         self.next_pause = SHORTEST_PAUSE
         self.failures = 0  # of this episode
         self.failed_at = 0.0
+        self.blocked_at: float | None = None  # since when somebody waits and none is taken; None: nobody does
+        self.blocked_by = Taken.EMPTY
+        self.blocked_said = False  # the log has it
 
     def listen(self) -> None:
         """Take connections as they come; a pause goes on, and after `stop` none are."""
@@ -92,6 +97,11 @@
 
     def take(self, most: int) -> Taken:
         """Take so many connections at most; why no more."""
+        taken = self._take(most)
+        self._note(taken)
+        return taken
+
+    def _take(self, most: int) -> Taken:
         in_a_row = 0
         for _ in range(most):
             if not self.has_room():
@@ -114,6 +124,28 @@
             self.welcome(sock, peer)
         return Taken.ENOUGH
 
+    def blocked_for(self) -> float:
+        """Seconds for which connections may have waited in the queue with none of them taken."""
+        return 0.0 if self.blocked_at is None else self.loop.time() - self.blocked_at
+
+    def _note(self, taken: Taken) -> None:
+        """Keep since when, and why, nobody is taken; the log has the waits that are long, and their ends."""
+        if taken in (Taken.EMPTY, Taken.ENOUGH):
+            if self.blocked_said:
+                self.log(f"listener takes connections again: blocked_ms={self.blocked_for() * 1000:.0f}")
+            self.blocked_at, self.blocked_said = None, False
+            return
+        if self.blocked_at is None:
+            self.blocked_at = self.loop.time()
+        self.blocked_by = taken
+        if not self.blocked_said and self.blocked_for() >= LONG_WAIT:
+            self.blocked_said = True
+            self.log(f"listener takes no connection: reason={taken.name.lower()} waiting={self.waiting()}")
+
+    def waiting(self) -> int:
+        """How many connections wait in the queue, as far as the machine tells."""
+        return tcp_info.waiting(self.listener) or 0
+
     def _ready(self) -> None:
         taken = self.take(self.at_once)
         if taken in (Taken.NO_ROOM, Taken.TROUBLE):
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -11,7 +11,6 @@
 import select
 import socket
 import struct
-import sys
 import termios
 import time
 from array import array
@@ -19,6 +18,7 @@
 from typing import Any
 
 from saltmoor.config import BUFFER as SIZE
+from saltmoor.net import tcp_info
 from saltmoor.net.errors import Call, Fault, verdict
 
 SHORTAGE_PAUSE = 0.005  # seconds until a call that failed for a shortage of our own is made again
@@ -208,8 +208,7 @@
 
     def waited(self) -> int:
         """Microseconds since the last bytes came, as the kernel knows it: how long they stood unread."""
-        info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
-        return int.from_bytes(info[52:56], sys.byteorder) * 1000 if len(info) == 56 else 0
+        return tcp_info.unread_for(self.sock) or 0
 
     def backlog(self) -> int:
         """Bytes that were written and that the other side's machine has not taken; 0 where the kernel does not tell."""
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -31,6 +31,7 @@
 SLOWEST = 32_768  # bytes a second: a value that comes more slowly is held to have stopped
 PIPELINE = 64  # commands of one connection that may wait for their answers; then it is not read from
 LEAVE = 40_000  # how long a client that has said more may take to see the end of a connection that is not read any more
+QUEUED_SHOWN = 20_000  # the log says of connections that waited so long at the listener
 PASS = 25_000  # between two looks at the loop's lateness at the most
 STOOD = 4_000  # bytes that may have stood unread for longer: the kernel is asked for how long
 
@@ -61,6 +62,7 @@
         self.house, self.stream, self.peer, self.since = house, stream, peer, house.clock()
         self.commands, self.slots = meta.Commands(), deque()
         self.used, self.began, self.count, self.code, self.waited = self.since, 0, 0, "", 0
+        self.queued: Micros = 0  # how long it waited at the listener before it was accepted
         self.read_at: Micros = 0  # when bytes were last taken off it; 0: never
         self.empty_at: Micros = 0  # when its socket was last known to hold nothing; 0: never
         self.life = Life(self.since, house.stepped)
@@ -485,5 +487,7 @@
             kept.pop(self, None)
         self.house.listen()
         age = (self.house.clock() - self.since) // 1000
-        told = {"told_ms": told_for // 1000} if told_for else {}
-        self.house.log.ended("client", self.peer, self.code, n=self.count, ms=age, **told)
+        figures = {"told_ms": told_for // 1000} if told_for else {}
+        if self.queued >= QUEUED_SHOWN:
+            figures["queued_ms"] = self.queued // 1000
+        self.house.log.ended("client", self.peer, self.code, n=self.count, ms=age, **figures)
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -25,7 +25,7 @@
 from saltmoor.guard.ends import EndPlan
 from saltmoor.guard.verdicts import Reason
 from saltmoor.model import Ended, Micros, Profile, Why
-from saltmoor.net import meta, origin
+from saltmoor.net import meta, origin, tcp_info
 from saltmoor.net.acceptor import AT_ONCE, Acceptor, Taken
 from saltmoor.net.buffers import Buffers, Stream, ended
 from saltmoor.net.client import Client, Passing, Slot
@@ -143,11 +143,13 @@
             self.acceptor.listen()
 
     def welcome(self, sock: socket.socket, peer: tuple) -> None:
+        queued = tcp_info.age(sock) or 0
         try:
             client = Client(self, Stream(sock, self.buffers), f"{peer[0]}:{peer[1]}")
         except OSError:
             sock.close()
             return
+        client.queued = queued
         self.clients.add(client)
         self.set_end(client)
         self.trim(0)
@@ -164,7 +166,8 @@
             client.end_due = None if client.life.reads and not client.life.ends else client.end_due
             self.set_end(client)
         state = f"on: since_ms={(self.clock() - since) // 1000}" if since else "off:"
-        self.log(f"lame duck {state} clients={len(self.clients)} txs={len(self.open_ids)}")
+        waiting = self.acceptor.waiting() if self.acceptor else 0
+        self.log(f"lame duck {state} clients={len(self.clients)} txs={len(self.open_ids)} waiting={waiting}")
 
     def set_end(self, client: Client, handed_on: dict[str, int] | None = None) -> None:
         """When this connection ends, where the node drains or the process stops; `handed_on`: what another process said.
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -42,6 +42,7 @@
 FIRST_NEWS = 1.0  # seconds: so long a start waits for the list where what it says counts from the first moment
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
+NAMES_SHOWN = 4000  # characters
 STRICT = "SALTMOOR_STRICT"  # in the environment: a violated rule raises, for tests and soaks
 STOPS = {signal.SIGTERM, signal.SIGINT}
 SIGNALS = STOPS | {signal.SIGHUP}
@@ -165,6 +166,7 @@
             checker=self.checker,
         )
         self.life = NodeLife(clock)
+        self.say_given(given)
         self.settings(given)
         self.sharing = None
         if given.peers:
@@ -368,6 +370,11 @@
         self.longest = max(profile.limit for profile in given.node["profiles"])
         self.say_caps(given)
 
+    def say_given(self, given: config.Config) -> None:
+        """Log by which names the node was told what it was told."""
+        for what, names in ("keys", given.keys), ("variables", given.variables):
+            self.log(f"given {what}: {' '.join(names)[:NAMES_SHOWN] or 'none'}")
+
     def say_caps(self, given: config.Config) -> None:
         """Log which settings do not fit into the bounds of a drain or a stop, or mean nothing, and what holds instead."""
         if given.unknown:
