--- a/tests/runner.py
+++ b/tests/runner.py
@@ -46,6 +46,7 @@
         "syscalls": 45,
         "soak": 150,
         "drain_bound": 30,
+        "drain_queue": 70,
         "early_signals": 12,
         "disk_faults": 13,
         "wall_clock": 6,
