--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -11,6 +11,7 @@
 import os
 import signal
 import socket
+import textwrap
 import time
 from collections.abc import Callable, Container
 from dataclasses import replace
@@ -42,7 +43,7 @@
 FIRST_NEWS = 1.0  # seconds: so long a start waits for the list where what it says counts from the first moment
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
-NAMES_SHOWN = 4000  # characters
+NAMES_SHOWN = 200  # characters of names in one line of the log
 STRICT = "SALTMOOR_STRICT"  # in the environment: a violated rule raises, for tests and soaks
 STOPS = {signal.SIGTERM, signal.SIGINT}
 SIGNALS = STOPS | {signal.SIGHUP}
@@ -373,7 +374,8 @@
     def say_given(self, given: config.Config) -> None:
         """Log by which names the node was told what it was told."""
         for what, names in ("keys", given.keys), ("variables", given.variables):
-            self.log(f"given {what}: {' '.join(names)[:NAMES_SHOWN] or 'none'}")
+            for line in textwrap.wrap(" ".join(names), NAMES_SHOWN) or ["none"]:
+                self.log(f"given {what}: {line}")
 
     def say_caps(self, given: config.Config) -> None:
         """Log which settings do not fit into the bounds of a drain or a stop, or mean nothing, and what holds instead."""
