A drain's bound counts from each connection's connect, and holds for those that come late too

Callers saw connections held 4 s after a drain's call, with requests from its last 2 s. `ends.end_of_drain` took the node's own accept for a connection's begin, and gave what was accepted more than 0.4 s after the call no bound at all: a request on it had its whole deadline (4.8 s in the operators' settings). Who waits in the listener's queue, or comes while the front is slow to see the drain, was held so.

Now the machine's accept counts, as the kernel tells the connection's age, and the drain's bound holds for every connection that was there before it; one that comes later has one of the same length. What is accepted late is read for 0.1 s in any case, so that what was asked meanwhile is answered. A second process is told for how long a connection is there.

`HandedOn` checked that a late one has no bound; it now checks that all its moments are handed on.

--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -102,17 +102,31 @@
     return ConnectionEnd("stopping", now, since + plan.commands_until, since + plan.answers_until, since + plan.bound)
 
 
-def end_of_drain(plan: EndPlan, since: Micros, accepted: Micros, share: float) -> ConnectionEnd:
-    """Of a connection of a node that drains; `share`: drawn for it, from 0 to 1.
+def end_of_drain(plan: EndPlan, since: Micros, connected: Micros, accepted: Micros, share: float) -> ConnectionEnd:
+    """Of a connection of a node that drains since then; `share`: drawn for it, from 0 to 1.
 
-    One that was accepted once others are told has a moment of its own: the front may not have seen the drain, and nobody
-    holds the node to a bound for it.
+    `connected` is when the machine took the connection, from which on its client has it, and `accepted` when the node
+    did. One that came once others are told has a moment of its own, as the front may not have seen the drain; the bound
+    is the drain's for all that came before it, and later ones have one of the same length. Each is read for `READS_ON`.
     """
-    if accepted >= since + plan.told_from:
-        told = accepted + STRAY
-        return ConnectionEnd("draining", told, told + MOST_COMMANDS, 0, 0)
-    told = since + plan.told_from + int((plan.told_by - plan.told_from) * share)
-    return ConnectionEnd("draining", told, since + plan.commands_until, since + plan.answers_until, since + plan.bound)
+    begun = _drain_counts_from(plan, since, connected)
+    if connected < since + plan.told_from:
+        told = since + plan.told_from + int((plan.told_by - plan.told_from) * share)
+        commands_until = since + plan.commands_until
+    else:
+        commands_until = min(connected + STRAY + MOST_COMMANDS, begun + plan.answers_until - LEAST_WORK)
+        told = min(connected + STRAY, commands_until)
+    told = max(told, accepted)
+    return ConnectionEnd("draining", told, commands_until, begun + plan.answers_until, begun + plan.bound)
+
+
+def accepted_by(plan: EndPlan, since: Micros, connected: Micros) -> Micros:
+    """Until when a connection that the machine took then may be accepted and served, while the node drains."""
+    return _drain_counts_from(plan, since, connected) + plan.answers_until - LEAST_WORK
+
+
+def _drain_counts_from(plan: EndPlan, since: Micros, connected: Micros) -> Micros:
+    return since if connected < since + plan.answers_until else connected
 
 
 class Due(Enum):
--- a/saltmoor/lab/soak/planted.py
+++ b/saltmoor/lab/soak/planted.py
@@ -89,8 +89,8 @@
     """A connection that a drain tells to end is read from, and answered, for as long as its client goes on."""
     plain = ends.end_of_drain
 
-    def end_of_drain(plan: ends.EndPlan, since: int, accepted: int, share: float) -> ends.ConnectionEnd:
-        return replace(plain(plan, since, accepted, share), answers_until=0, gone_by=0)
+    def end_of_drain(plan: ends.EndPlan, since: int, connected: int, accepted: int, share: float) -> ends.ConnectionEnd:
+        return replace(plain(plan, since, connected, accepted, share), answers_until=0, gone_by=0)
 
     def due(now: int, end: ends.ConnectionEnd, begun: int) -> ends.Due:
         return ends.Due.TELL if now >= end.told else ends.Due.NOTHING
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -62,6 +62,7 @@
         self.house, self.stream, self.peer, self.since = house, stream, peer, house.clock()
         self.commands, self.slots = meta.Commands(), deque()
         self.used, self.began, self.count, self.code, self.waited = self.since, 0, 0, "", 0
+        self.connected: Micros = self.since  # when the machine took the connection, before the node accepted it
         self.queued: Micros = 0  # how long it waited at the listener before it was accepted
         self.read_at: Micros = 0  # when bytes were last taken off it; 0: never
         self.empty_at: Micros = 0  # when its socket was last known to hold nothing; 0: never
@@ -69,7 +70,6 @@
         self.end_due: ConnectionEnd | None = None  # when the node ends it; none: not yet
         self.tracked = 0  # commands that were whole when its unfinished one was looked at last
         self.command_since: Micros = 0  # since when the command that is unfinished now has come; 0: none is
-        self.handed_on = False  # by the process before this one, whose clock its `since` is of
         self.overdue = False  # it is held past its bound, which was counted
         self.cut_asked = False  # its unfinished command is cut as soon as it is not being read
         self.taken, self.taken_at = -1, self.since  # bytes of answers that its machine has; since when no more
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -150,6 +150,7 @@
             sock.close()
             return
         client.queued = queued
+        client.connected = client.since - queued
         self.clients.add(client)
         self.set_end(client)
         self.trim(0)
@@ -170,17 +171,11 @@
         self.log(f"lame duck {state} clients={len(self.clients)} txs={len(self.open_ids)} waiting={waiting}")
 
     def set_end(self, client: Client, handed_on: dict[str, int] | None = None) -> None:
-        """When this connection ends, where the node drains or the process stops; `handed_on`: what another process said.
-
-        One that was handed on is held to the drain's bound, unless that process took it after others were told.
-        """
+        """When this connection ends, where the node drains or the process stops; `handed_on`: what another process said."""
         if self.drain_since:
             self.drawn += 1
             share = crc32(self.drawn.to_bytes(4, "little")) / 2**32
-            accepted = client.since if not client.handed_on else 0
-            if handed_on and handed_on.get("unbounded"):
-                accepted = self.clock()
-            end = ends.end_of_drain(self.drain, self.drain_since, accepted, share)
+            end = ends.end_of_drain(self.drain, self.drain_since, client.connected, self.clock(), share)
             if handed_on and "told_in" in handed_on:
                 end = replace(end, told=self.clock() + handed_on["told_in"])
             client.end_due = end.earlier(client.end_due)
@@ -190,9 +185,18 @@
 
     def said_of(self, client: Client) -> dict[str, int]:
         """What the process that takes this one's place has to know of a connection's end."""
+        said = {"connected_for": self.clock() - client.connected}
         if not self.drain_since or not client.end_due:
-            return {}
-        return {"told_in": client.end_due.told - self.clock(), "unbounded": int(not client.end_due.gone_by)}
+            return said
+        came_late = client.connected >= self.drain_since + self.drain.told_from
+        return said | {"told_in": client.end_due.told - self.clock(), "unbounded": int(came_late)}
+
+    def connected_when(self, said: dict[str, Any]) -> Micros:
+        """When the machine took a connection that is handed on; where an older version does not tell, long ago, or now
+        if it came during the drain."""
+        if "connected_for" in said:
+            return self.clock() - int(said["connected_for"])
+        return self.clock() if said.get("unbounded") else 0
 
     def stepped(self, state: State, reason: str) -> None:
         """A connection's life has gone on."""
@@ -572,7 +576,7 @@
         """A client's connection of the process before this one, with nothing open on it."""
         client = Client(self, Stream(sock, self.buffers), str(said["client"]))
         client.since, client.used, client.count = int(said["since"]), int(said["used"]), int(said["count"])
-        client.handed_on = True
+        client.connected = self.connected_when(said)
         client.empty_at = self.clock() - int(said.get("unread", 0))
         self.clients.add(client)
         if client.count:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -147,7 +147,8 @@
 
 class HandedOn(Case):
     def test_one_that_came_during_a_drain_keeps_its_own_moment(self):
-        """Guards against a second process that gives up at once what is asked on it, as the drain's bound is over."""
+        """Guards against a second process that gives up at once what is asked on it, as the drain's bound is over, and
+        against one that begins its time anew."""
 
         async def scene(town: Held) -> None:
             clients = town.service.clients
@@ -156,14 +157,14 @@
             while not clients.clients:
                 await asyncio.sleep(0.005)
             late = next(iter(clients.clients))
-            self.assertEqual((late.end_due.answers_until, late.end_due.gone_by), (0, 0))
+            self.assertEqual(late.end_due.gone_by, late.connected + clients.drain.bound)
             said = {"client": late.peer, "since": 0, "used": 0, "count": 0} | clients.said_of(late)
             with socket.create_server(("127.0.0.1", 0)) as listener:
                 here = socket.create_connection(listener.getsockname())
                 clients.adopt(listener.accept()[0], said)
             adopted = next(client for client in clients.clients if client is not late)
-            self.assertEqual((adopted.end_due.answers_until, adopted.end_due.gone_by), (0, 0))
-            self.assertLess(abs(adopted.end_due.told - late.end_due.told), 20_000)
+            for moment in "told", "answers_until", "gone_by":
+                self.assertLess(abs(getattr(adopted.end_due, moment) - getattr(late.end_due, moment)), 20_000)
             here.close()
 
         self.play(scene)
--- a/tests/test_drain_bound.py
+++ b/tests/test_drain_bound.py
@@ -159,6 +159,12 @@
         await asyncio.sleep(2.6)
         await self.closed_loop()
 
+    async def late_and_long(self) -> None:
+        """Comes while the drain goes on, and asks at once for what takes longer than the rest of its bound."""
+        await asyncio.sleep(2.9)
+        await self.connect()
+        self.ask("long")
+
     async def batches(self) -> None:
         await self.connect()
         while self.open:
@@ -220,6 +226,7 @@
     "overlapping",
     "closed_loop",
     "late_closed_loop",
+    "late_and_long",
     "batches",
     "resting",
     "silent",
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -52,16 +52,29 @@
                 if longest <= 3_000 * MS:  # who comes until the listener closes has the whole time
                     self.assertLessEqual(plan.told_by + longest, plan.answers_until)
 
-    def test_every_connection_is_told_in_time_whenever_it_came(self):
+    def test_every_connection_is_told_and_gone_in_time_whenever_it_came(self):
+        """Guards against a bound that counts from an accept: the client has its connection since its connect."""
         for longest in self.deadlines():
             plan, since = ends.plan_drain(longest), 77_000_000
-            accepted = since + self.draw.randrange(-5_000_000, 3_900_000)
-            end = ends.end_of_drain(plan, since, accepted, self.draw.random())
-            with self.subTest(longest=longest, accepted=accepted - since):
-                if accepted < since + plan.told_from:
-                    self.assertTrue(since + plan.told_from <= end.told <= since + plan.told_by)
+            connected = since + self.draw.randrange(-5_000_000, 6_000_000)
+            accepted = connected + self.draw.choice([0, 5, 300, 1500, 3000]) * MS
+            if accepted > ends.accepted_by(plan, since, connected):
+                continue  # it is turned away at once
+            end = ends.end_of_drain(plan, since, connected, accepted, self.draw.random())
+            with self.subTest(longest=longest, connected=connected - since, accepted=accepted - since):
+                if connected < since + plan.told_from:
+                    self.assertLessEqual(end.told, max(since + plan.told_by, accepted))
+                    self.assertGreaterEqual(end.told, since + plan.told_from)
                 else:
-                    self.assertEqual(end.told - accepted, ends.STRAY)
+                    self.assertLessEqual(end.told, max(connected + ends.STRAY, accepted))
+                self.assertGreaterEqual(end.told, accepted)  # what was asked meanwhile is read
+                if connected < since + plan.answers_until:
+                    self.assertEqual(end.gone_by, since + 4_000 * MS)
+                else:
+                    self.assertEqual(end.gone_by, connected + 4_000 * MS)
+                self.assertLess(end.told + ends.READS_ON, end.answers_until)
+                self.assertLess(end.commands_until, end.answers_until)
+                self.assertLess(end.answers_until + HELD_UP, end.gone_by)
 
 
 class WhatIsDue(unittest.TestCase):
