Who waits at the listener of a node at its caps is taken, refused or closed in time

Callers saw connections that the machine had accepted and that the node never took: held 4 s after a drain's call, neither answered nor closed, `mn` unanswered. Cause: at its caps the acceptor waited for room, and nobody owed those in its queue anything; a crowd of half commands keeps its descriptors for 2.4 s, and the next ones from the queue began anew.

Now nobody waits there for more than 0.5 s while the node drains or stops, 2 s otherwise (3 s are owed), by the age that the kernel tells: who has waited so long is taken off the queue with a descriptor of the reserve, what it asked whole is refused with when to come back, `mn` answered, half a command told so, and the connection closed (`net/overflow.py`). So is who is accepted too late in a drain or stop to be served. Once a stop's reading is over nobody waits any more. Those that are served, and their order, stay as they were; no open request is ended to make room, as others' trouble frees no request of its answer.

A stop with a full queue was not seen to break before; its test stays.

--- a/saltmoor/facade.py
+++ b/saltmoor/facade.py
@@ -193,6 +193,10 @@
             return None
         return gate.hint()
 
+    def hint(self) -> Micros:
+        """How long a client that is refused is to stay away; 0 where the settings allow no such word."""
+        return self.gate.hint()
+
     def ran(self, late: Micros, passed: Micros) -> float | None:
         """The loop has run what was due, so late, so long after the last time; how many commands more may be
         read until the next time, None where there is no limit."""
--- a/saltmoor/lab/soak/planted.py
+++ b/saltmoor/lab/soak/planted.py
@@ -15,7 +15,7 @@
 from saltmoor.guard import ends
 from saltmoor.guard.slow_start import warmth
 from saltmoor.model import Ended
-from saltmoor.net import client, clients, lifecycle, meta, node_life, upstream
+from saltmoor.net import answers, client, clients, lifecycle, meta, node_life, upstream
 
 LATE_STOP_US = 2_000_000  # a process that is told to end lives so much longer
 STALE_US = 400_000  # a server is told so much more than is left
@@ -129,7 +129,7 @@
 
 def yes() -> None:
     """A node that drains says that it takes clients."""
-    client.DRAINING = b"MN\r\n"
+    answers.DRAINING = answers.TAKES_CLIENTS
 
 
 PLANTS: dict[str, Callable[[], None]] = {
--- a/saltmoor/net/acceptor.py
+++ b/saltmoor/net/acceptor.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
+from saltmoor.model import Micros
 from saltmoor.net import tcp_info
 from saltmoor.net.errors import Call, Then, verdict
 
@@ -39,7 +40,8 @@
     """One listening socket.
 
     `welcome` gets each connection; `has_room` is asked before each; `shed` gives up a descriptor of the process where
-    none is left, and says whether it did.
+    none is left, and says whether it did. Where there is no room, `turn_away` gets each connection that has waited for
+    `longest_wait` seconds, in the order in which they came.
     """
 
     def __init__(
@@ -50,10 +52,14 @@
         *,
         has_room: Callable[[], bool] = lambda: True,
         shed: Callable[[], bool] = lambda: False,
+        turn_away: Callable[[socket.socket, tuple, Micros], None] | None = None,
+        longest_wait: Callable[[], float] = lambda: 0.0,
         at_once: int = AT_ONCE,
     ) -> None:
         self.listener, self.welcome, self.log = listener, welcome, log
         self.has_room, self.shed, self.at_once = has_room, shed, at_once
+        self.turn_away, self.longest_wait = turn_away, longest_wait
+        self.first: tuple[socket.socket, tuple] | None = None  # off the queue, and neither taken nor turned away yet
         self.loop = asyncio.get_running_loop()
         self.listening = self.stopped = False
         self.pause: asyncio.TimerHandle | None = None
@@ -69,6 +75,8 @@
         if not (self.listening or self.stopped or self.pause):
             self.listening = True
             self.loop.add_reader(self.listener, self._ready)
+            if self.first:
+                self.loop.call_soon(self._ready)
 
     def hold(self) -> None:
         """Take none until `listen` is called."""
@@ -87,10 +95,14 @@
     def close(self) -> None:
         """Stop, and close the socket: who still waits in its queue is reset."""
         self.stop()
+        if self.first:
+            self._end_first()
         self.listener.close()
 
     def waits(self) -> bool:
-        """Whether anybody waits in the queue, as the kernel knows it."""
+        """Whether anybody waits to be taken, as the kernel knows it."""
+        if self.first:
+            return True
         poll = select.poll()
         poll.register(self.listener.fileno(), select.POLLIN)
         return bool(poll.poll(0))
@@ -104,10 +116,11 @@
     def _take(self, most: int) -> Taken:
         in_a_row = 0
         for _ in range(most):
-            if not self.has_room():
+            room = self.has_room()
+            if not room and not self._may_turn_away():
                 return Taken.NO_ROOM
             try:
-                sock, peer = self.listener.accept()
+                sock, peer = self._next()
             except BlockingIOError:
                 return Taken.EMPTY
             except OSError as error:
@@ -121,16 +134,44 @@
                 return Taken.TROUBLE
             in_a_row, self.next_pause = 0, SHORTEST_PAUSE
             self._recovered()
-            self.welcome(sock, peer)
+            if room:
+                self.welcome(sock, peer)
+                continue
+            self.first = sock, peer
+            if self._waited(sock) < self.longest_wait():
+                return Taken.NO_ROOM
+            self._end_first()
         return Taken.ENOUGH
 
+    def _next(self) -> tuple[socket.socket, tuple]:
+        """The connection that has waited longest. Raises OSError, BlockingIOError where there is none."""
+        if self.first:
+            first, self.first = self.first, None
+            return first
+        return self.listener.accept()
+
+    def _may_turn_away(self) -> bool:
+        """Whether somebody may have waited for too long."""
+        return self.turn_away is not None and (bool(self.first) or self.blocked_for() >= self.longest_wait())
+
+    def _waited(self, sock: socket.socket) -> float:
+        """Seconds for which a connection has waited; as long as any may have where the machine does not tell."""
+        age = tcp_info.age(sock)
+        return self.blocked_for() if age is None else age / 1_000_000
+
+    def _end_first(self) -> None:
+        (sock, peer), self.first = self.first, None
+        self.turn_away(sock, peer, int(self._waited(sock) * 1_000_000))
+
     def blocked_for(self) -> float:
         """Seconds for which connections may have waited in the queue with none of them taken."""
         return 0.0 if self.blocked_at is None else self.loop.time() - self.blocked_at
 
     def _note(self, taken: Taken) -> None:
         """Keep since when, and why, nobody is taken; the log has the waits that are long, and their ends."""
-        if taken in (Taken.EMPTY, Taken.ENOUGH):
+        if taken is Taken.ENOUGH:
+            return
+        if taken is Taken.EMPTY:
             if self.blocked_said:
                 self.log(f"listener takes connections again: blocked_ms={self.blocked_for() * 1000:.0f}")
             self.blocked_at, self.blocked_said = None, False
@@ -143,10 +184,12 @@
             self.log(f"listener takes no connection: reason={taken.name.lower()} waiting={self.waiting()}")
 
     def waiting(self) -> int:
-        """How many connections wait in the queue, as far as the machine tells."""
-        return tcp_info.waiting(self.listener) or 0
+        """How many connections wait to be taken, as far as the machine tells."""
+        return (tcp_info.waiting(self.listener) or 0) + bool(self.first)
 
     def _ready(self) -> None:
+        if not self.listening:
+            return
         taken = self.take(self.at_once)
         if taken in (Taken.NO_ROOM, Taken.TROUBLE):
             self.hold()
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -12,14 +12,13 @@
 from collections.abc import Awaitable
 from typing import TYPE_CHECKING
 
-import saltmoor
 from saltmoor.config import BUFFER
 from saltmoor.guard import ends
 from saltmoor.guard.checks import Record
 from saltmoor.guard.connections import may_end
 from saltmoor.guard.ends import ConnectionEnd
 from saltmoor.model import Micros
-from saltmoor.net import http, meta
+from saltmoor.net import answers, http, meta
 from saltmoor.net.buffers import Stream
 from saltmoor.net.connection_life import Life, State
 from saltmoor.net.flow import Broken, Flow
@@ -27,7 +26,6 @@
 if TYPE_CHECKING:
     from saltmoor.net.clients import Clients
 
-DRAINING = b"SERVER_ERROR draining\r\n"  # to `mn` while the node is drained
 SLOWEST = 32_768  # bytes a second: a value that comes more slowly is held to have stopped
 PIPELINE = 64  # commands of one connection that may wait for their answers; then it is not read from
 LEAVE = 40_000  # how long a client that has said more may take to see the end of a connection that is not read any more
@@ -158,7 +156,7 @@
                     self.gathered = not self.cut_asked  # some of it may have come with its head
                     continue
             except meta.FramingLost as error:
-                self.slots.append(Slot(b"CLIENT_ERROR %b\r\n" % str(error).encode()))
+                self.slots.append(Slot(answers.client_error(error)))
                 await self.deaf(self.flush())
                 await self.deaf(self.answered(0))
                 await self.part()
@@ -268,7 +266,7 @@
         """Answer its unfinished command as such, and read nothing more."""
         self.cut_asked = False
         if self.commands.partial:
-            self.slots.append(Slot(b"CLIENT_ERROR the command is not finished\r\n"))
+            self.slots.append(Slot(answers.UNFINISHED))
             self.forget()
         self.step(State.READS_NO_MORE, "unfinished")
 
@@ -371,18 +369,13 @@
         self.house.free.pop(self, None)
         slot = Slot()
         self.slots.append(slot)
-        if command.verb == b"mn":
-            slot.answer = DRAINING if self.house.drain_since else b"MN\r\n"
-        elif command.verb == b"version":
-            slot.answer = b"VERSION saltmoor %b\r\n" % saltmoor.__version__.encode()
-        elif command.verb not in (b"mg", b"ms"):
-            slot.answer = b"ERROR\r\n"
-        elif not command.fault:
+        slot.answer = answers.of_node(command, draining=bool(self.house.drain_since))
+        if slot.answer is None:
             self.house.begin(self, slot, command)
         if command.paid and not slot.task:
             self.house.budget.give_back(command.paid)
         if command.fault:
-            slot.answer = b"CLIENT_ERROR %b\r\n" % command.fault.encode()
+            slot.answer = answers.client_error(command.fault)
 
     async def flush(self) -> None:
         """Write the answers that are ready, in the order of their commands; one task at a time does."""
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -33,6 +33,7 @@
 from saltmoor.net.counters import RequestLog
 from saltmoor.net.flow import Budget, Flow
 from saltmoor.net.log import Log
+from saltmoor.net.overflow import Overflow
 from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Upstream
 
@@ -64,6 +65,7 @@
         self.requests = RequestLog(log, time.monotonic, log.counters)
         self.door, self.upstream, self.buffers, self.log, self.clock = door, upstream, buffers, log, clock
         self.configure(names, profiles, caps)
+        self.overflow = Overflow(log, self.requests, draining=lambda: bool(self.drain_since), hint=door.hint)
         self.clients: set[Client] = set()
         self.fresh: dict[Client, None] = {}  # that have not said anything yet, the longest silent first
         self.leaving = 0  # that are on their way out
@@ -135,6 +137,8 @@
             self.log,
             has_room=self.has_room,
             shed=lambda: self.evict() or self.upstream.evict(),
+            turn_away=lambda sock, peer, queued: self.overflow.turn_away(sock, f"{peer[0]}:{peer[1]}", queued),
+            longest_wait=self.longest_queued,
         )
 
     def listen(self) -> None:
@@ -142,8 +146,23 @@
         if self.acceptor:
             self.acceptor.listen()
 
+    def longest_queued(self) -> float:
+        """Seconds that a connection may wait at the listener while there is no room for it."""
+        draining = bool(self.drain_since)
+        return ends.longest_queued(self.stop, self.stop_since, self.clock(), draining=draining) / 1_000_000
+
+    def too_late(self, connected: Micros) -> bool:
+        """Whether a connection that the machine took then can't be served any more before its end is due."""
+        now = self.clock()
+        if self.stop and now > self.until - ends.READS_ON:
+            return True
+        return bool(self.drain_since) and now > ends.accepted_by(self.drain, self.drain_since, connected)
+
     def welcome(self, sock: socket.socket, peer: tuple) -> None:
         queued = tcp_info.age(sock) or 0
+        if self.too_late(self.clock() - queued):
+            self.overflow.turn_away(sock, f"{peer[0]}:{peer[1]}", queued)
+            return
         try:
             client = Client(self, Stream(sock, self.buffers), f"{peer[0]}:{peer[1]}")
         except OSError:
--- a/tests/test_drain_queue.py
+++ b/tests/test_drain_queue.py
@@ -30,6 +30,7 @@
 ANSWERED_WITHIN = 1.0  # seconds: `mn` on a new connection, and calls at the second address
 MN_EVERY = 0.1
 DESCRIPTORS, FEWER_DESCRIPTORS = 160, 120
+KILLED_AFTER = 3.2  # seconds after SIGTERM: the longest deadline of DrainTown, and 0.7
 BEFORE = 0.6  # seconds that the others wait before the call
 OTHERS = 60
 OTHER_KINDS = "hit", "silent", "closed_loop", "half", "long", "overlapping"
@@ -219,5 +220,36 @@
                         shim.close()
 
 
+class StopQueue(unittest.TestCase):
+    """A process that is told to end while its caps are full answers who waits at its listener, before it is killed."""
+
+    def stop(self, fillers: dict[str, int]) -> None:
+        async def run() -> None:
+            async with FullTown() as town:
+                node, _ = await town.begin()
+                numbers = itertools.count(1).__next__
+                for kind, count in fillers.items():
+                    await come(town.address, (kind,), count, numbers)
+                await asyncio.sleep(0.1)
+                waiting = await come(town.address, ("hit",), OTHERS, numbers)
+                await asyncio.sleep(0.1)
+                node.terminate()
+                told = time.monotonic()
+                async with asyncio.timeout(KILLED_AFTER):  # else it is killed, with what it owes
+                    await node.wait()
+                self.assertEqual(node.returncode, 0)
+                await asyncio.sleep(0.05)
+                unanswered = [one for one in waiting if not one.asked[0].answered]
+                seconds = time.monotonic() - told
+                self.assertEqual(len(unanswered), 0, f"of {OTHERS} that had asked before the signal, {seconds:.2f} s")
+
+        uvloop.run(asyncio.wait_for(run(), 20))
+
+    def test_a_full_node_answers_its_queue_before_it_ends(self):
+        for fillers in {"half": 220}, {"long": 300}:
+            with self.subTest(fillers=fillers):
+                self.stop(fillers)
+
+
 if __name__ == "__main__":
     unittest.main()
