A drained node whose accept goes on failing resets its queue before the drain's bound

Callers saw connections held 4 s after the call that the node could not accept at all (ENFILE, ECONNABORTED at each accept). Cause: the acceptor pauses and tries again with no end. It is the last resort: trouble that ends before is answered as ever.

--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -142,6 +142,11 @@
     return QUEUED_UNDER_END if plan or draining else QUEUED
 
 
+def queue_dropped_at(plan: EndPlan, since: Micros, failing_since: Micros) -> Micros:
+    """When those that wait at a listener are reset, as accept has failed since then and the node drains since `since`."""
+    return max(since, failing_since) + plan.answers_until
+
+
 class Due(Enum):
     """What has to be done about a connection that is to end."""
 
--- a/saltmoor/net/acceptor.py
+++ b/saltmoor/net/acceptor.py
@@ -17,6 +17,7 @@
 from saltmoor.net import tcp_info
 from saltmoor.net.errors import Call, Then, verdict
 
+BACKLOG = 1024  # connections that may wait in the queue
 AT_ONCE = 64  # connections taken in one go, so that others get their turn
 RETRIES = 16  # in a row that fail for a connection's own reason before the listener pauses
 SHORTEST_PAUSE = 0.005  # seconds; each pause in a row is twice as long
@@ -99,6 +100,25 @@
             self._end_first()
         self.listener.close()
 
+    def drop_queue(self) -> None:
+        """Reset who waits in the queue, and listen on: the last resort where accept goes on failing.
+
+        A listening socket that is shut down lets go of its queue, and needs no other descriptor to listen again.
+        """
+        self.hold()
+        try:
+            dropped = self.waiting()
+            self.listener.shutdown(socket.SHUT_RD)
+            self.listener.listen(BACKLOG)
+            self.log(f"listener: connections dropped, as accept goes on failing: {dropped}")
+        except OSError as error:
+            self.log(f"listener: connections cannot be dropped: {error}")
+        self.blocked_at, self.blocked_said = None, False
+
+    def failing_for(self) -> float:
+        """Seconds for which accept has failed on end while somebody waits; 0 where it has not."""
+        return self.blocked_for() if self.blocked_by is Taken.TROUBLE and self.waits() else 0.0
+
     def waits(self) -> bool:
         """Whether anybody waits to be taken, as the kernel knows it."""
         if self.first:
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -19,6 +19,7 @@
 
 from saltmoor.config import BUFFER as SIZE
 from saltmoor.net import tcp_info
+from saltmoor.net.acceptor import BACKLOG
 from saltmoor.net.errors import Call, Fault, verdict
 
 SHORTAGE_PAUSE = 0.005  # seconds until a call that failed for a shortage of our own is made again
@@ -34,7 +35,7 @@
     until = time.monotonic() + START_PATIENCE
     while True:
         try:
-            sock = socket.create_server(address, backlog=1024, family=family(address[0]), reuse_port=True)
+            sock = socket.create_server(address, backlog=BACKLOG, family=family(address[0]), reuse_port=True)
             break
         except OSError as error:
             ours = verdict(Call.SOCKET, error).fault is Fault.OURS
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -322,6 +322,8 @@
         self.trim(KEPT)
         self.listen()  # guards against waiting for the end of a client where only connections to servers have ended
         now = self.clock()
+        if self.drain_since and self.acceptor:
+            self.drop_stuck_queue(now)
         for client in list(self.begun):
             if client.began and client.began < now - longest and client.life.reads:
                 client.cut()
@@ -334,6 +336,14 @@
             if client.end_due and client.end_due.gone_by:
                 self.check_bound(client, now)
 
+    def drop_stuck_queue(self, now: Micros) -> None:
+        """Guards against clients of a node that drains that cannot be accepted at all: their connections end in time."""
+        failing = int(self.acceptor.failing_for() * 1_000_000)
+        if failing and now >= ends.queue_dropped_at(self.drain, self.drain_since, now - failing):
+            self.counters.add("queue_dropped", "accept-failing")
+            self.acceptor.drop_queue()
+            self.listen()
+
     @staticmethod
     def stands_still(client: Client, flow: Flow, now: Micros) -> bool:
         """Whether a large value has stopped on its way, from its server or to its client."""
