A half command counts as unfinished since its bytes came to the machine

A client that wrote half a command and waited at the listener, or under a process that was held up, got its error counted from the node's read: later than the 3 s that it is owed, and later in a drain. Its time counts from the arrival of its bytes now, as the kernel tells it, like a request's. Seen to fail before: the new test, 0 for at least 350 ms.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -62,6 +62,7 @@
         self.used, self.began, self.count, self.code, self.waited = self.since, 0, 0, "", 0
         self.connected: Micros = self.since  # when the machine took the connection, before the node accepted it
         self.queued: Micros = 0  # how long it waited at the listener before it was accepted
+        self.came_at: Micros = 0  # when the last bytes that were read had come to the machine
         self.read_at: Micros = 0  # when bytes were last taken off it; 0: never
         self.empty_at: Micros = 0  # when its socket was last known to hold nothing; 0: never
         self.life = Life(self.since, house.stepped)
@@ -138,6 +139,7 @@
             self.commands.feed(data)
             # Guards against work for clients that have gone on waiting while their bytes stood in the socket.
             last_waited = self.stream.waited() if stood else 0
+            self.came_at = self.used - last_waited
             self.waited = self.stood_for(last_waited, asked_at) if stood else 0
             self.empty_at = self.empty_at if len(data) == BUFFER else self.used
             try:
@@ -231,7 +233,7 @@
             self.began = self.command_since = 0
             self.house.begun.pop(self, None)
         elif not self.began or self.count > self.tracked:
-            self.began = self.command_since = self.used
+            self.began = self.command_since = self.came_at
             self.house.begun[self] = None
             self.house.free.pop(self, None)
         self.tracked = self.count
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -17,7 +17,7 @@
 from saltmoor.net.counters import RequestLog
 from saltmoor.net.log import Log
 from saltmoor.net.overflow import Overflow
-from tests.helper import read, write
+from tests.helper import Town, read, write
 
 MS = 1000
 
@@ -111,6 +111,25 @@
         self.assertEqual(self.counts, {"left"})
 
 
+class HalfCommand(unittest.TestCase):
+    def test_a_command_counts_as_unfinished_since_its_bytes_came(self):
+        """Guards against a client that waits at the listener first, and then is owed its error later than others."""
+
+        async def run() -> None:
+            async with Town() as town:
+                with socket.create_connection(town.address[:2]) as client:
+                    client.sendall(b"mg hit v O")
+                    time.sleep(0.4)  # the node, which runs in this loop, is held up
+                    clients = town.service.clients
+                    while not clients.begun:
+                        await asyncio.sleep(0.005)
+                    begun = next(iter(clients.begun))
+                    for since in begun.began, begun.command_since, begun.connected:
+                        self.assertGreaterEqual(begun.used - since, 350 * MS)
+
+        uvloop.run(asyncio.wait_for(run(), 10))
+
+
 class Order(unittest.TestCase):
     """Who is taken and who is turned away, and when."""
 
