A drain that is due gives a server 4 s for the rest of a large value, not 1.5 s

A client that takes nothing is found by the bytes that its machine has not taken, after 1.5 s as before; a value whose server gives nothing is given up after 4 s.

Seen to fail before: test_a_drain_does_not_cut_off_what_a_server_still_gives, a server that halts for 2 s; reset before, whole now.

--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -38,7 +38,8 @@
 STRAY: Micros = 300_000  # how long a connection that comes late in a drain may stay before it is told
 QUEUED: Micros = 500_000  # at the caps: a request may be refused so long behind its time, and `mn` is owed in 1 s
 TAKES_NOTHING: Micros = 1_500_000  # a client that is told to end and has taken nothing of its answer for so long
-STILL: Micros = 10_000_000  # the same of a large value at any other time
+GIVES_NOTHING: Micros = 4_000_000  # a server that has given no more of a large value for so long, where the end is due
+STILL: Micros = 10_000_000  # both at any other time
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,6 +170,11 @@
     return bool(end.gone_by) and now >= end.gone_by - HELD_UP
 
 
-def takes_nothing(now: Micros, moved: Micros, *, told: bool) -> bool:
-    """Whether a client that has not taken anything of an answer since `moved` is held to have stopped."""
-    return now - moved >= (TAKES_NOTHING if told else STILL)
+def takes_nothing(now: Micros, moved: Micros) -> bool:
+    """Whether a client that is told to end, and has taken nothing of an answer since `moved`, is held to have stopped."""
+    return now - moved >= TAKES_NOTHING
+
+
+def stands_still(now: Micros, moved: Micros, *, due: bool) -> bool:
+    """Whether a large value of which nothing has moved since `moved` is given up; `due`: so is its connection's end."""
+    return now - moved >= (GIVES_NOTHING if due else STILL)
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -328,7 +328,7 @@
         waits = self.stream.backlog()
         if self.stream.sock.sent - waits != self.taken or not waits:
             self.taken, self.taken_at = self.stream.sock.sent - waits, now
-        return ends.takes_nothing(now, self.taken_at, told=True)
+        return ends.takes_nothing(now, self.taken_at)
 
     def abort(self, code: str) -> None:
         """End it at once, and give up what its machine has not taken: the kernel would hold that for long."""
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -347,7 +347,7 @@
     def stands_still(client: Client, flow: Flow, now: Micros) -> bool:
         """Whether a large value has stopped on its way, from its server or to its client."""
         due = client.end_due.answers_until if client.end_due else 0
-        return ends.takes_nothing(now, flow.moved, told=bool(due and now >= due))
+        return ends.stands_still(now, flow.moved, due=bool(due and now >= due))
 
     def read_past_end(self, client: Client) -> None:
         with contextlib.suppress(Violation):
--- a/tests/test_drain_bound.py
+++ b/tests/test_drain_bound.py
@@ -32,6 +32,8 @@
 LONGEST = 2500  # milliseconds that clients wait for an answer
 LARGE = 4_000_000  # bytes of a large value
 INODE = 9  # column of /proc/net/tcp; 0 where no process holds the socket
+PIECE, PIECE_EVERY, GIVEN_BEFORE = 100_000, 0.28, 10  # bytes, seconds, pieces of a value whose server halts
+HALT = 2.0  # seconds in which it gives nothing: as long as a node may hold the rest of a value back
 TAKES = {"hit": 0.003, "long": 1.8, "brief": 0.3}  # seconds that a cache server takes, by the key's first word
 
 
@@ -59,9 +61,21 @@
             if key == "large":
                 writer.write(f"VA {LARGE} {tag} h1\r\n".encode() + bytes(LARGE) + b"\r\n")
                 continue
+            if key == "halting":
+                await self.give_with_a_halt(writer, tag)
+                continue
             await asyncio.sleep(TAKES[key.partition("-")[0]])
             writer.write(f"VA {len(key)} {tag} h1\r\n{key}\r\n".encode())
 
+    async def give_with_a_halt(self, writer: asyncio.StreamWriter, tag: str) -> None:
+        """A large value in pieces, with a halt round the bound of a drain that begins with it."""
+        writer.write(f"VA {LARGE} {tag} h1\r\n".encode())
+        for _ in range(GIVEN_BEFORE):
+            writer.write(bytes(PIECE))
+            await asyncio.sleep(PIECE_EVERY)
+        await asyncio.sleep(HALT)
+        writer.write(bytes(LARGE - GIVEN_BEFORE * PIECE) + b"\r\n")
+
     async def begin(self) -> tuple[Process, Address]:
         """A process of the node that serves, and its second address."""
         self.reserved.append(reserve())
@@ -306,6 +320,23 @@
             with self.subTest(scene.__name__):
                 self.drain(scene)
 
+    def test_a_drain_does_not_cut_off_what_a_server_still_gives(self):
+        """Guards against a server that halts being taken for a client that takes nothing."""
+
+        async def run() -> None:
+            async with DrainTown() as town:
+                _, admin = await town.begin()
+                client = Client(town, "resting", 1)
+                await client.connect()
+                client.ask("halting")
+                await asyncio.sleep(0.1)
+                self.assertTrue(await town.call(admin, "POST", "/_lameduck/on"))
+                await asyncio.wait_for(client.hearing, 10)
+                self.assertEqual((client.answered, client.reset), (set(client.asked), False))
+                client.close()
+
+        uvloop.run(asyncio.wait_for(run(), 20))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -112,9 +112,14 @@
         self.assertEqual(ends.end_now("evicted", 600 * MS).earlier(self.END).answers_until, 3_750 * MS)
 
     def test_who_takes_nothing(self):
-        self.assertFalse(ends.takes_nothing(1_400 * MS, 0, told=True))
-        self.assertTrue(ends.takes_nothing(1_500 * MS, 0, told=True))
-        self.assertFalse(ends.takes_nothing(9_900 * MS, 0, told=False))
+        self.assertFalse(ends.takes_nothing(1_400 * MS, 0))
+        self.assertTrue(ends.takes_nothing(1_500 * MS, 0))
+
+    def test_a_large_value_of_which_nothing_moves(self):
+        self.assertFalse(ends.stands_still(2_500 * MS, 0, due=True))  # a server may give nothing for 2 s
+        self.assertTrue(ends.stands_still(4_000 * MS, 0, due=True))
+        self.assertFalse(ends.stands_still(9_900 * MS, 0, due=False))
+        self.assertTrue(ends.stands_still(10_000 * MS, 0, due=False))
 
 
 if __name__ == "__main__":
