--- a/saltmoor/net/acceptor.py
+++ b/saltmoor/net/acceptor.py
@@ -60,6 +60,7 @@
         self.listener, self.welcome, self.log = listener, welcome, log
         self.has_room, self.shed, self.at_once = has_room, shed, at_once
         self.turn_away, self.longest_wait = turn_away, longest_wait
+        self.look_again: asyncio.TimerHandle | None = None  # when the queue is looked at next while there is no room
         self.first: tuple[socket.socket, tuple] | None = None  # off the queue, and neither taken nor turned away yet
         self.loop = asyncio.get_running_loop()
         self.listening = self.stopped = False
@@ -213,10 +214,21 @@
         taken = self.take(self.at_once)
         if taken in (Taken.NO_ROOM, Taken.TROUBLE):
             self.hold()
+        if taken is Taken.NO_ROOM and self.turn_away and not self.look_again:
+            self.look_again = self.loop.call_later(self._due_in(), self._look)
         if taken is Taken.TROUBLE and not self.stopped:
             self.pause = self.loop.call_later(self.next_pause, self._resume)
             self.next_pause = min(LONGEST_PAUSE, 2 * self.next_pause)
 
+    def _due_in(self) -> float:
+        """Seconds until the one that has waited longest may have waited for too long."""
+        waited = self._waited(self.first[0]) if self.first else self.blocked_for()
+        return max(SHORTEST_PAUSE, self.longest_wait() - waited)
+
+    def _look(self) -> None:
+        self.look_again = None
+        self.listen()
+
     def _resume(self) -> None:
         self.pause = None
         self.listen()
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -17,7 +17,7 @@
 from saltmoor.net.counters import RequestLog
 from saltmoor.net.log import Log
 from saltmoor.net.overflow import Overflow
-from tests.helper import Town, read, write
+from tests.helper import Town, read, within, write
 
 MS = 1000
 
@@ -176,6 +176,33 @@
 
         uvloop.run(run())
 
+    def test_a_full_node_on_which_nothing_else_happens_looks_in_time(self):
+        """Guards against a wait that ends only as something else is answered, or at the next sweep."""
+
+        async def run() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                listener.setblocking(False)
+                over = asyncio.Event()
+
+                def turn_away(sock: socket.socket, peer: tuple, queued: int) -> None:
+                    sock.close()
+                    over.set()
+
+                nobody = Acceptor(
+                    listener,
+                    lambda sock, peer: self.fail("there is no room"),
+                    lambda line: None,
+                    has_room=lambda: False,
+                    turn_away=turn_away,
+                    longest_wait=lambda: 0.1,
+                )
+                nobody.listen()
+                with socket.create_connection(listener.getsockname()):
+                    await within(0.3, over.wait())
+                nobody.close()
+
+        uvloop.run(run())
+
 
 if __name__ == "__main__":
     unittest.main()
