Soak: crowds of half commands, open requests, large values; judged from connect; planted queue

Crowds were 200 idle clients, drawn seldom. They are idle, half commands, requests of 0.8 of their deadline or slow readers of large values now, 120 to 420 of them, beyond what any plan's descriptors leave to clients; each plan has a drain of a node that a crowd fills, and 0.4 of the drains, stops and upgrades that are drawn meet one.

The oracle judges each connection from the moment in which its `connect` came back, also such that come during a drain, but for the last 0.75 s; before, only those up to 0.4 s. Pauses of the lab are taken off by their overlap alone, both processes' once. Both are stricter. A wait of a client with a habit that is cut short no longer ends its connection as if the node had.

--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -203,12 +203,20 @@
         """How long before an answer was read its client stood still itself: that is the lab's delay, not the node's."""
         return max((late for beat, late in self.behind if beat - late - SLACK <= at <= beat + SLACK), default=0)
 
-    def stood_still(self, process: str, since: int, until: int) -> int:
-        """How long that process of the lab, "stage" or "proxy", stood still in a time; microseconds.
+    def stood_still(self, since: int, until: int, *processes: str) -> int:
+        """For how much of a time any of these processes of the lab, "stage" or "proxy", stood still; microseconds.
 
-        What it reads then has come before: that is the lab's delay, no node can know of it.
+        What it reads then has come before: that is the lab's delay, no node can know of it. Pauses of several at once
+        count once, and each by what falls into that time alone.
         """
-        return sum(late for at, late in self.stood[process] if at + SLACK >= since and at - late - SLACK <= until)
+        spans = sorted(
+            (max(since, at - late), min(until, at)) for process in processes for at, late in self.stood[process]
+        )
+        stood, counted_to = 0, since
+        for begin, end in spans:
+            stood += max(0, end - max(begin, counted_to))
+            counted_to = max(counted_to, end)
+        return stood
 
     def asked_again(self, asked: Asked) -> bool:
         """Whether a node that held it was killed, so that its client has asked another with the same id."""
--- a/saltmoor/lab/soak/habits.py
+++ b/saltmoor/lab/soak/habits.py
@@ -31,7 +31,8 @@
 LOOP_PAUSE_S, REST_PAUSE_S, BATCH_PAUSE_S, BYTE_PAUSE_S = 0.05, 1.1, 0.5, 0.01
 SLOW_BYTES, SLOW_PAUSE_S = 60_000, 0.05  # a slow reader takes so much at once
 SMALL_WINDOW, LARGE_ONES = 1 << 13, 4  # bytes of a receive buffer, and how many large values are asked for
-CROWD_EVERY_S = 0.005  # between two idle connections of a crowd
+CROWD_EVERY_S = 0.003  # between two connections of a crowd
+LONG_SHARE = 0.8  # of its deadline: how long a crowd's open requests take
 
 
 class Ended(Exception):
@@ -266,7 +267,7 @@
                 await connection.until_open(0)
                 connection.write(bytes([byte]))
                 await asyncio.sleep(BYTE_PAUSE_S)
-            await connection.hearing  # the node answers that it is not finished, and ends
+            await self.ended(connection)  # the node answers that it is not finished, and ends
             raise Ended
 
     async def slow_reader(self, connection: Connection) -> None:
@@ -299,14 +300,47 @@
         return sock
 
     async def crowd(self, node: int, fault: Fault, begin: int) -> None:
-        """So many clients that connect and say nothing."""
+        """So many clients at once that all do the same, and come again when they are ended."""
         since = begin + int(fault.at_s * 1e6)
+        until = since + int(fault.for_s * 1e6)
         await asyncio.sleep(max(0.0, (since - clock()) / 1e6))
-        idle: list[asyncio.StreamWriter] = []
-        while clock() < since + int(fault.for_s * 1e6):
-            if len(idle) < fault.count:
-                with contextlib.suppress(OSError):
-                    idle.append((await asyncio.open_connection(*self.nodes[node]))[1])
+        members: set[asyncio.Task] = set()
+        while clock() < until:
+            if len(members) < fault.count and self.welcome[node]:
+                member = asyncio.create_task(self.crowd_member(node, fault.crowd_of, until))
+                members.add(member)
+                member.add_done_callback(members.discard)
             await asyncio.sleep(CROWD_EVERY_S)
-        for writer in idle:
-            writer.close()
+        if members:
+            await asyncio.wait(members)
+
+    async def crowd_member(self, node: int, kind: str, until: int) -> None:
+        """One client of a crowd, until the node ends its connection or the crowd goes."""
+        habit = {"half": self.half_for_good, "open": self.one_long, "large": self.slow_reader}.get(kind, self.idle)
+        self.connections += 1
+        connection = Connection(self, node, FIRST_NUMBER + self.connections)
+        with contextlib.suppress(OSError, TimeoutError, Ended):
+            await connection.connect()
+            async with asyncio.timeout(max(0.0, (until - clock()) / 1e6)):
+                await habit(connection)
+        if hasattr(connection, "hearing"):
+            await self.close(connection)
+
+    @staticmethod
+    async def ended(connection: Connection) -> None:
+        """Until the node ends it. A wait that is cut short leaves what is heard on it alone."""
+        await asyncio.wait({connection.hearing})
+
+    async def idle(self, connection: Connection) -> None:
+        """Says nothing."""
+        await self.ended(connection)
+
+    async def half_for_good(self, connection: Connection) -> None:
+        """Begins a command and never goes on."""
+        connection.ask(self.read, head=12)
+        await self.ended(connection)
+
+    async def one_long(self, connection: Connection) -> None:
+        """Asks once, for what takes most of its time, and stays."""
+        connection.ask(self.read, delay_ms=int(self.read.limit_ms * LONG_SHARE))
+        await self.ended(connection)
--- a/saltmoor/lab/soak/oracle.py
+++ b/saltmoor/lab/soak/oracle.py
@@ -19,7 +19,7 @@
 DEADLINE_SLACK = 150_000  # a server may be told so much more than its client has left
 LATEST_ANSWER = 500_000  # an answer later than that behind its time is none
 DRAIN_BOUND, RECENT = 4_000_000, 2_000_000  # of a drain: the bound, and requests that count as the last ones
-SEEN = 400_000  # by then clients have seen a drain, and open no new connections
+JUST_COME = 750_000  # a connection that comes so shortly before a drain's bound is given a moment of its own
 HELD_UP = 150_000  # a node may be held up for so long between two steps
 LEAST_LINGER_MS = 200  # a node that is told to end takes new connections for so long at least, where it is set so
 LONGEST_STOP = 3_700_000  # no stop is longer
@@ -144,7 +144,7 @@
             return
         if asked.ended:  # judged by `closed`
             return
-        lab = self.ledger.read_late(asked.left) + self.ledger.stood_still("proxy", asked.at, asked.left)
+        lab = self.ledger.read_late(asked.left) + self.ledger.stood_still(asked.at, asked.left, "proxy")
         patient = asked.left - lab >= asked.at + asked.wait + LATEST_ANSWER
         if not asked.left:
             self.counts["open at the end"] += 1
@@ -234,19 +234,19 @@
                     continue
                 self.counts["drains past their bound"] += 1
                 self.said_yes(node, due, over)
-                self.held(node, since, due)
+                self.held(node, due)
 
     def said_yes(self, node: int, due: int, over: int) -> None:
         yes = [row[1] for row in self.rows if row[0] == "mn" and row[2] == node and due <= row[1] < over and row[3]]
         if yes:
             self.find(Rule.HELD, f"node {node}", f"said yes {len(yes)} times later than 4 s after it was to drain")
 
-    def held(self, node: int, since: int, due: int) -> None:
-        """Connections that were there when the drain had been seen, and are there past its bound."""
+    def held(self, node: int, due: int) -> None:
+        """Connections that are there past the bound, from the moment in which their `connect` came back."""
         up: dict[int, int] = {}
         for row in self.rows:
             if row[0] == "conn" and row[2] == node and row[1] <= due:
-                if row[4] == "up" and row[1] < since + SEEN:
+                if row[4] == "up" and row[1] < due - JUST_COME:
                     up[row[3]] = row[1]
                 elif row[4] == "down":
                     up.pop(row[3], None)
@@ -299,7 +299,7 @@
 
     def lab_stood(self, since: int, until: int) -> int:
         """How long the lab itself held up what goes from a client to a server; microseconds."""
-        return sum(self.ledger.stood_still(process, since, until) for process in ("proxy", "stage"))
+        return self.ledger.stood_still(since, until, "proxy", "stage")
 
     def slow_start(self) -> None:
         """A server that was pushed over while cold, mostly by nodes that had been told of its start when they sent."""
--- a/saltmoor/lab/soak/plan.py
+++ b/saltmoor/lab/soak/plan.py
@@ -24,7 +24,12 @@
 OVER_DRAIN = "upgrade", "upgrade", "hup", "settings", "pause", "series"
 OVER_DRAIN_SHARE = 0.6
 SHORT_PAUSE_S = 0.14
-CROWD = 200  # idle clients
+CROWDS = "idle", "half", "half", "open", "large"
+CROWD_SIZES = 120, 250, 420  # the last is beyond what the most descriptors of a plan leave to clients
+LARGE_CROWD = 40  # clients that take large values slowly: more keep the lab itself from its work
+CROWD_BEFORE_S = 0.4, 1.5  # a crowd that fills a node begins so long before the drain or stop that it meets
+CROWD_LASTS_S = 3.0
+FILLED_SHARE = 0.4  # of the drains, stops and upgrades that are drawn
 DEADLINES = 0.3, 1.0  # of the longest ones: with short deadlines a process that is told to end is soon killed
 CLOCK_STEPS_S = -3600.0, -5.0, 5.0, 3600.0
 
@@ -62,7 +67,7 @@
     ("delay", "clients", 2),
     ("stall", "clients", 1),
     ("pieces", "clients", 2),
-    ("crowd", "clients", 1),
+    ("crowd", "clients", 2),
     ("accept", "calls", 3),
     ("socket", "calls", 1),
     ("connect", "calls", 3),
@@ -73,6 +78,7 @@
     ("clock", "calls", 3),
     ("disk", "calls", 2),
 ]
+FILLED = "lame", "term", "series", "upgrade"  # what a crowd may fill a node before
 OF_STATE = "disk", "lost", "cut", "flipped"
 
 
@@ -206,6 +212,8 @@
             if kind == "lame" and rng.random() < OVER_DRAIN_SHARE:
                 over_at = min(faults[-1]["at_s"] + rng.uniform(0.2, 3.0), seconds - CALM_S)
                 faults.append(_over_drain(rng, faults[-1], over_at))
+            if kind in FILLED and rng.random() < FILLED_SHARE:
+                faults.append(_crowd(rng, faults[-1]["which"], at))
             at += lasts + rng.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
     faults += _long_drain(rng, nodes)
     faults.append(_cold_start(rng, servers))
@@ -213,7 +221,7 @@
 
 
 def _long_drain(rng: Random, nodes: int) -> list[dict[str, Any]]:
-    """A drain past a node's bound that every plan has, early, and what falls into its first moments."""
+    """A drain past a node's bound that every plan has, early, of a node that a crowd fills, and what falls into it."""
     drain = {
         "kind": "lame",
         "on": "node",
@@ -221,7 +229,26 @@
         "for_s": PAST_BOUND_S,
         "which": [rng.randrange(nodes)],
     }
-    return [drain, _over_drain(rng, drain, drain["at_s"] + rng.uniform(0.3, 1.2))]
+    over = _over_drain(rng, drain, drain["at_s"] + rng.uniform(0.3, 1.2))
+    return [_crowd(rng, drain["which"], drain["at_s"]), drain, over]
+
+
+def _crowd(rng: Random, nodes: list[int], at: float) -> dict[str, Any]:
+    """A crowd at one of these nodes that is there when something else happens to it at that time."""
+    return {
+        "kind": "crowd",
+        "on": "clients",
+        "at_s": round(max(0.0, at - rng.uniform(*CROWD_BEFORE_S)), 2),
+        "for_s": CROWD_LASTS_S,
+        "which": [rng.choice(nodes)],
+        **_members(rng),
+    }
+
+
+def _members(rng: Random) -> dict[str, Any]:
+    """How many clients a crowd has, and what each does."""
+    kind, count = rng.choice(CROWDS), rng.choice(CROWD_SIZES)
+    return {"crowd_of": kind, "count": LARGE_CROWD if kind == "large" else count}
 
 
 def _cold_start(rng: Random, servers: int) -> dict[str, Any]:
@@ -254,7 +281,7 @@
         case "lame":
             fault["for_s"] = rng.choice(DRAINS_S)
         case "crowd":
-            fault["count"] = CROWD
+            fault |= _members(rng)
         case "pause":
             fault["for_s"] = rng.choice([0.05, 0.14, 0.5])
         case "drain" | "replace":
--- a/saltmoor/lab/soak/planted.py
+++ b/saltmoor/lab/soak/planted.py
@@ -15,7 +15,7 @@
 from saltmoor.guard import ends
 from saltmoor.guard.slow_start import warmth
 from saltmoor.model import Ended
-from saltmoor.net import answers, client, clients, lifecycle, meta, node_life, upstream
+from saltmoor.net import acceptor, answers, client, clients, lifecycle, meta, node_life, upstream
 
 LATE_STOP_US = 2_000_000  # a process that is told to end lives so much longer
 STALE_US = 400_000  # a server is told so much more than is left
@@ -127,6 +127,19 @@
     client.Client.finish = lambda self, code: self.abort("planted")
 
 
+def queue() -> None:
+    """A connection's time counts from the node's accept, and who waits at a full node's listener is not looked at."""
+    clients.tcp_info.age = lambda sock: 0
+    plain = acceptor.Acceptor.__init__
+
+    def begin(self, *args, **more) -> None:
+        plain(self, *args, **more | {"turn_away": None})
+
+    acceptor.Acceptor.__init__ = begin
+    clients.Clients.too_late = lambda self, connected: False
+    clients.Clients.drop_stuck_queue = lambda self, now: None
+
+
 def yes() -> None:
     """A node that drains says that it takes clients."""
     answers.DRAINING = answers.TAKES_CLIENTS
@@ -141,6 +154,7 @@
     "no-bound": no_bound,
     "anew": anew,
     "late-kill": late_kill,
+    "queue": queue,
     "reset": reset,
     "yes": yes,
 }
--- a/saltmoor/lab/soak/run.py
+++ b/saltmoor/lab/soak/run.py
@@ -179,6 +179,7 @@
     lines += ["", "Troubles:", ""]
     lines += [
         f"- {one.at_s:6.2f} s, for {one.for_s:.2f} s: {one.on} {one.kind} {one.which} share={one.share} ms={one.ms}"
+        + (f" {one.count} {one.crowd_of}" if one.kind == "crowd" else "")
         for one in scenario.fault
     ]
     lines += ["", "Log lines on the requests concerned:", ""]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,8 @@
 SECONDS, PROCESSES = 20.0, 7
 SEEDS = 3, 8, 31  # drains, upgrades, kills, signals in series, new settings, a crowd
 PLANTED = {"stale-deadline": (3, Rule.DEADLINE), "yes": (17, Rule.HELD)}
+PLANTED_IN_A_CROWD = {"queue": (9000, Rule.LOST)}  # found where a crowd fills a node before it drains
+CROWD_SECONDS, CROWD_PROCESSES = 30.0, 9
 
 
 def overlap(scenario: Scenario) -> int:
@@ -36,6 +38,23 @@
                 self.assertGreaterEqual(overlap(drawn), 2)
                 self.assertEqual(lab.check(msgspec.json.decode(msgspec.json.encode(drawn))), drawn)
 
+    def test_crowds_of_each_kind_fill_nodes_that_drain(self):
+        kinds, beside, counts = set(), 0, set()
+        for seed in range(1, 30):
+            drawn = plan.draw(seed, seconds=60, processes=12)
+            crowds = [fault for fault in drawn.fault if fault.kind == "crowd"]
+            kinds |= {crowd.crowd_of for crowd in crowds}
+            counts |= {crowd.count for crowd in crowds}
+            drains = [fault for fault in drawn.fault if fault.kind == "lame" and fault.for_s >= plan.PAST_BOUND_S]
+            beside += any(
+                set(drain.which) & set(crowd.which) and crowd.at_s <= drain.at_s <= crowd.at_s + crowd.for_s
+                for drain in drains
+                for crowd in crowds
+            )
+        self.assertEqual(kinds, set(plan.CROWDS))
+        self.assertGreater(max(counts), 352)  # what 512 descriptors leave to clients
+        self.assertEqual(beside, 29, "each plan has a drain of a node that a crowd fills")
+
     def test_without_a_compiler_no_call_fails(self):
         for seed in range(1, 30):
             drawn = plan.draw(seed, seconds=60, processes=12, calls=False)
@@ -120,6 +139,22 @@
         recent = self.UP, self.asked(4_900 * MS), ("reply", 5_100 * MS, "a", "failed", 0, 0, 0), *self.DRAINED
         self.assertEqual(self.finds(*recent), [Rule.HELD])
 
+    def test_a_connection_counts_from_its_connect_also_during_a_drain(self):
+        late = ("conn", 2_000 * MS, 0, 1, "up"), *self.DRAINED
+        self.assertEqual(self.finds(*late), [Rule.HELD])
+        self.assertEqual(self.finds(*late, ("conn", 4_900 * MS, 0, 1, "down")), [])
+        just_come = ("conn", 4_500 * MS, 0, 1, "up"), *self.DRAINED
+        self.assertEqual(self.finds(*just_come), [])
+
+    def test_pauses_of_both_processes_of_the_lab_count_once_and_by_their_overlap(self):
+        late = self.ASK, self.got(215 * MS, 380 * MS), *self.SERVED_LATE  # 285 ms too much, of which 200 are allowed
+        both = ("stood", 100 * MS, 60 * MS, "stage"), ("stood", 100 * MS, 60 * MS, "proxy")
+        self.assertEqual(self.finds(*late, *both), [Rule.DEADLINE])
+        apart = ("stood", 100 * MS, 60 * MS, "stage"), ("stood", 160 * MS, 60 * MS, "proxy")
+        self.assertEqual(self.finds(*late, *apart), [])
+        before = ("stood", 60 * MS, 200 * MS, "stage"), ("stood", 216 * MS, 20 * MS, "proxy")
+        self.assertEqual(self.finds(*late, *before), [Rule.DEADLINE])
+
     def test_a_yes_past_a_drain_s_bound(self):
         self.assertEqual(self.finds(("mn", 5_500 * MS, 0, True), *self.DRAINED), [Rule.HELD])
         self.assertEqual(self.finds(("mn", 4_500 * MS, 0, True), *self.DRAINED), [])
@@ -173,7 +208,7 @@
     def play(self, seed: int, **options: Any) -> run.Verdict:
         """A run that says something: one that found nothing while the lab itself was late is void, and played again."""
         for _ in range(3):
-            verdict = run.soak(seed, run.Options(seconds=SECONDS, processes=PROCESSES, **options))
+            verdict = run.soak(seed, run.Options(**{"seconds": SECONDS, "processes": PROCESSES} | options))
             if verdict.finds or not verdict.void:
                 return verdict
         self.fail(f"void: {verdict.void}")
@@ -192,6 +227,12 @@
                 found = {find.split()[0] for find in verdict.finds} - {Rule.PROGRAM.value}
                 self.assertIn(rule.value, found, verdict)
 
+    def test_a_planted_fault_of_the_listener_s_queue_is_found(self):
+        for plant, (seed, rule) in PLANTED_IN_A_CROWD.items():
+            verdict = self.play(seed, plant=plant, strict=False, seconds=CROWD_SECONDS, processes=CROWD_PROCESSES)
+            found = {find.split()[0] for find in verdict.finds} - {Rule.PROGRAM.value}
+            self.assertIn(rule.value, found, verdict)
+
 
 if __name__ == "__main__":
     unittest.main()
