A client's wait for its turn to be read counts, whatever pass of the loop it ends in

Whether a read's bytes had stood was judged by the time of the read call alone: under 4 ms they had, else the loop would be late. A pass of 4 to 9 ms is neither, and behind a wait for a turn all of the wait was left out.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -116,7 +116,8 @@
                 return await self.answer_and_end()
             if self.ending and may_end(idle=self.idle, quiet=self.idle and self.stream.quiet()):
                 return self.ending
-            if self.house.paced and not self.ending:
+            paced = self.house.paced and not self.ending
+            if paced:
                 self.empty_at = self.house.clock() if self.stream.quiet() else self.empty_at
                 await self.deaf(self.house.next_turn(self))
                 if self.ending:
@@ -128,7 +129,7 @@
             if data is None:  # woken: what is above has changed
                 continue
             self.used = self.house.clock()
-            stood = self.may_have_stood(asked_at)
+            stood = paced or self.may_have_stood(asked_at)
             self.read_at = self.used
             if not data and not self.gathered:
                 return "client-left" if self.slots else self.ending or "client-closed"
--- a/tests/test_stood.py
+++ b/tests/test_stood.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import re
+import time
 import unittest
+from unittest import mock
 
 import uvloop
 
+from saltmoor.net.buffers import Stream
 from tests.helper import Town, read, settings, within
 
 STOOD = 0.3  # seconds
 SLACK_MS = 20
+LONG_PASS = 0.006  # seconds of a pass of the loop: too short for the loop to be found late
 
 
 class Told(Town):
@@ -80,6 +84,31 @@
         self.play(scene)
         self.assertLess(took[0], 0.55)
 
+    def test_while_its_turn_to_be_read_had_not_come(self):
+        """Guards against a wait that is not counted where the pass of the loop in which it ends is a long one."""
+
+        async def scene(town: Told) -> None:
+            loop, door, plain = asyncio.get_running_loop(), town.service.door, Stream.read
+            kept = await town.client()
+            await kept.ask("mn\r\n")
+            door.ran = lambda late, passed: 0.0  # an overloaded node: nothing more may be read
+            await asyncio.sleep(0.05)
+            kept.say(read("hit", "early", wait=900))  # its read was begun before
+            await kept.hear()
+            kept.say(read("hit", "late", wait=900))
+            await asyncio.sleep(STOOD)
+
+            async def in_a_long_pass(stream: Stream) -> bytes | None:
+                loop.call_soon(time.sleep, LONG_PASS)
+                return await plain(stream)
+
+            with mock.patch.object(Stream, "read", in_a_long_pass):
+                door.ran = lambda late, passed: 1.0
+                await within(2.0, kept.hear())
+
+        waits = self.play(scene)
+        self.assertLessEqual(waits[-1], 900 - STOOD * 1000 + SLACK_MS)
+
     def test_longer_than_its_client_waits(self):
         """Guards against an attempt with a moment left at a request whose time was over when it was read."""
         heard: list[bytes] = []
