Lab: a node's configuration is replaced whole

Two troubles of one node at once, a restart and new settings: the lab wrote the file in place, and node and lab read it half-written ("cannot be read as JSON"). The node's refusal to start was right.

--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -12,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from dataclasses import dataclass, field
@@ -166,7 +167,7 @@
         }
         if self.second:
             said["admin_addr"] = self.second.next()
-        self.file.write_text(json.dumps(plan.merged(said, self.build.overlay)))
+        self.write_configuration(plan.merged(said, self.build.overlay))
 
     def start(self) -> None:
         self.starts += 1
@@ -294,6 +295,12 @@
         else:
             self.book.note("node", clock(), self.number, "crashed", 0)
 
+    def write_configuration(self, said: dict[str, Any]) -> None:
+        """Replace the node's file whole, as operators do: who reads it meanwhile sees the one before or this one."""
+        with tempfile.NamedTemporaryFile("w", dir=self.file.parent, delete=False) as fresh:
+            fresh.write(json.dumps(said))
+        os.replace(fresh.name, self.file)
+
     def signal_in_series(self) -> None:
         """Configurations in a row, the end, and more of both behind it."""
         for _ in range(self.rng.randrange(3)):
@@ -397,7 +404,7 @@
         """Its configuration is written anew, and it is told so."""
         said = json.loads(self.file.read_text())
         said["serve"]["log_lines_per_s"] = said["serve"].get("log_lines_per_s", 50) + 1
-        self.file.write_text(json.dumps(said))
+        self.write_configuration(said)
         self.hang_up()
 
     def hang_up(self) -> None:
@@ -413,7 +420,7 @@
         for one, plain in zip(said["settings"]["classes"], given["classes"]):
             one["deadline_ns"] = max(plain["aim_ns"], int(plain["deadline_ns"] * times))
         said["limits"]["sockets"] = int(self.scenario.nodes.sockets * self.rng.choice(SOCKETS_TIMES))
-        self.file.write_text(json.dumps(said))
+        self.write_configuration(said)
         self.hang_up()
 
     def end(self) -> None:
