Soak: a late answer is judged like none where the machine let nobody be accepted

Trace: asked at 46.79 s on a new connection of node 2, whose every accept was made to fail from 46.48 to 47.53 s; refused at 47.63 s as its deadline had passed. The oracle allows that no answer comes then, and did not allow a late one. It counts both now. A fault of accept is the only new excuse.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -119,6 +119,12 @@
     def test_a_new_connection_closed_with_no_answer(self):
         self.assertEqual(self.finds(self.ASK, ("end", 30 * MS, "a", 1, 1)), [Rule.LOST])
 
+    def test_an_answer_that_is_late_as_nothing_could_be_accepted(self):
+        late = self.ASK, ("reply", 1_000 * MS, "a", "refused", 0, 0, 0)
+        fault = {"kind": "accept", "on": "calls", "at_s": 0.0, "for_s": 0.9, "which": [0], "share": 1.0}
+        self.assertEqual(self.finds(*late, faults=(fault,)), [])
+        self.assertEqual(self.finds(*late), [Rule.LOST])
+
     def test_no_answer_in_its_time_and_half_a_second(self):
         self.assertEqual(self.finds(self.ASK, ("left", 870 * MS, "a")), [Rule.LOST])
 
