Accept fails since its first failure in a row, not since its queue was blocked

Callers see their connections reset before a drain's bound: a drained node that has had no room for 3.75 s and then fails to accept once drops its whole queue.

Evidence: two tests, which failed before: 3.75, 4.75, 5.75 and 6.25 s instead of 0, 0, 0 and 0.5 after a failure, an accept, a failure, half a second; drop_queue called after one failure. Why it works: the first of the failures in a row has a moment of its own, which any other outcome of a look clears.

--- a/saltmoor/net/acceptor.py
+++ b/saltmoor/net/acceptor.py
@@ -69,7 +69,7 @@
         self.failures = 0  # of this episode
         self.failed_at = 0.0
         self.blocked_at: float | None = None  # since when somebody waits and none is taken; None: nobody does
-        self.blocked_by = Taken.EMPTY
+        self.failing_since: float | None = None  # the first of the failures in a row
         self.blocked_said = False  # the log has it
 
     def listen(self) -> None:
@@ -115,10 +115,13 @@
         except OSError as error:
             self.log(f"listener: connections cannot be dropped: {error}")
         self.blocked_at, self.blocked_said = None, False
+        self.failing_since = None
 
     def failing_for(self) -> float:
         """Seconds for which accept has failed on end while somebody waits; 0 where it has not."""
-        return self.blocked_for() if self.blocked_by is Taken.TROUBLE and self.waits() else 0.0
+        if self.failing_since is None or not self.waits():
+            return 0.0
+        return self.loop.time() - self.failing_since
 
     def waits(self) -> bool:
         """Whether anybody waits to be taken, as the kernel knows it."""
@@ -131,6 +134,8 @@
     def take(self, most: int) -> Taken:
         """Take so many connections at most; why no more."""
         taken = self._take(most)
+        if taken is not Taken.TROUBLE:
+            self.failing_since = None
         self._note(taken)
         return taken
 
@@ -154,6 +159,7 @@
                     self.shed()
                 return Taken.TROUBLE
             in_a_row, self.next_pause = 0, SHORTEST_PAUSE
+            self.failing_since = None
             self._recovered()
             if room:
                 self.welcome(sock, peer)
@@ -195,7 +201,6 @@
             return
         if self.blocked_at is None:
             self.blocked_at = self.loop.time()
-        self.blocked_by = taken
         if not self.blocked_said and self.blocked_for() >= LONG_WAIT:
             self.blocked_said = True
             self.log(f"listener takes no connection: reason={taken.name.lower()} waiting={self.waiting()}")
@@ -234,6 +239,8 @@
             self.log(f"accept failing: {error}")
         self.failures += 1
         self.failed_at = self.loop.time()
+        if self.failing_since is None:
+            self.failing_since = self.failed_at
 
     def _recovered(self) -> None:
         if self.failures and self.loop.time() - self.failed_at > EPISODE:
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import io
 import socket
 import time
@@ -13,7 +14,7 @@
 import uvloop
 
 from saltmoor.net import answers, meta, tcp_info
-from saltmoor.net.acceptor import Acceptor
+from saltmoor.net.acceptor import Acceptor, Taken
 from saltmoor.net.counters import RequestLog
 from saltmoor.net.log import Log
 from saltmoor.net.overflow import Overflow
@@ -202,6 +203,64 @@
 
         uvloop.run(run())
 
+    def test_accept_has_failed_since_its_first_failure_in_a_row(self):
+        """Guards against a queue that is reset too early: a node without room for long has not failed to accept."""
+
+        async def run() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                listener.setblocking(False)
+                room, now, calls = False, 100.0, iter((True, False, True, True))
+
+                def accept() -> tuple[socket.socket, tuple]:
+                    """Fails, works and fails twice."""
+                    if next(calls):
+                        raise OSError(errno.ENFILE, "too many")
+                    return listener.accept()
+
+                acceptor = Acceptor(listener, lambda sock, peer: sock.close(), lambda line: None, has_room=lambda: room)
+                acceptor._next = accept
+                acceptor.loop = mock.Mock(time=lambda: now)
+                clients = [socket.create_connection(listener.getsockname()) for _ in range(3)]
+                self.assertIs(acceptor.take(1), Taken.NO_ROOM)
+                now += 3.75  # as long as a drain answers what it owes
+                room = True
+                found = []
+                for pause in 0.0, 1.0, 1.0, 0.5:
+                    now += pause
+                    acceptor.take(1)
+                    found.append(acceptor.failing_for())
+                self.assertEqual(found, [0.0, 0.0, 0.0, 0.5])
+                for one in clients:
+                    one.close()
+
+        uvloop.run(run())
+
+    def test_the_queue_of_a_drained_node_without_room_stays_at_one_failure(self):
+        async def run() -> None:
+            async with Town() as town:
+                clients = town.service.clients
+                clients.drain_from(clients.clock() - clients.drain.answers_until)
+                acceptor = clients.acceptor
+                with (
+                    mock.patch.object(acceptor, "loop", mock.Mock(time=lambda: now)),
+                    mock.patch.object(acceptor, "drop_queue") as drop_queue,
+                    socket.create_connection(town.address[:2]),
+                ):
+                    now = 100.0
+                    acceptor.hold()
+                    with (
+                        mock.patch.object(acceptor, "has_room", lambda: False),
+                        mock.patch.object(acceptor, "longest_wait", lambda: 10.0),
+                    ):
+                        self.assertIs(acceptor.take(1), Taken.NO_ROOM)
+                    now += clients.drain.answers_until / 1_000_000
+                    with mock.patch.object(acceptor, "_next", mock.Mock(side_effect=OSError(errno.ENFILE, "too many"))):
+                        self.assertIs(acceptor.take(1), Taken.TROUBLE)
+                    clients.drop_stuck_queue(clients.clock())
+                    drop_queue.assert_not_called()
+
+        uvloop.run(asyncio.wait_for(run(), 10))
+
 
 if __name__ == "__main__":
     unittest.main()
