A server's connection counts as unused since it came up, not since that was noticed

Callers see attempts end as resets: a connection that came up while the loop was held up, with nobody waiting, counts as fresh, though its server has held it idle for longer and may close it.

Cause: `used` of a connection that nobody waits for was the moment in which the node noticed it (twice: in `came`, and again in `leave`). Evidence: tests/test_event_sides.py, Servers: 800 ms instead of at most 150 ms, failed before. Why it works: the kernel tells since when the connection is up.

--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -19,7 +19,7 @@
 from saltmoor.guard.attempts import may_write
 from saltmoor.guard.verdicts import Reason
 from saltmoor.model import Ended, Micros, Readiness, ServerId
-from saltmoor.net import errors, http, meta
+from saltmoor.net import errors, http, meta, tcp_info
 from saltmoor.net.buffers import Buffers, Stream, family
 from saltmoor.net.flow import Budget, Flow, Kept
 from saltmoor.net.log import Log
@@ -308,14 +308,14 @@
             if link:
                 self.leave(link, code)
 
-    def leave(self, link: Link, code: str) -> None:
-        """An exchange on it is over; with no code it stays free for the next one."""
+    def leave(self, link: Link, code: str, used: Micros = 0) -> None:
+        """An exchange on it is over; with no code it stays free for the next one. `used`: when that was; 0: now."""
         if not code and self.address.get(link.server) != link.address:
             code = "left-list"
         if code:
             self.close(link, code)
         else:
-            link.used = self.clock()
+            link.used = used or self.clock()
             link.rests = link.used + REST * link.nameless
             self.free.setdefault(link.server, []).append(link)
 
@@ -433,15 +433,16 @@
             del self.late[link.server]
         code = dial.over.result() or ("" if self.good_for(link) else "left-list")
         now = self.clock()
+        came_up = max(link.since, now - (tcp_info.age(link.stream.sock) or 0))
         if not code:
-            link.used = now
+            link.used = came_up
         if code != OWN_TROUBLE and (now >= link.since + self.connect_wait or dial.over.result()):
             self.learn(link.server, not dial.over.result())
         other = next((one for one in self.waiting.get(link.server, []) if not one.done()), None)
         if other and not code:
             other.set_result(link)
         else:
-            self.leave(link, code)
+            self.leave(link, code, used=came_up)
 
     def let_go(self, dial: Dial, code: str) -> None:
         """Its descriptor is free at once."""
--- /dev/null
+++ b/tests/test_event_sides.py
@@ -0,0 +1,150 @@
+"""Events that the node and the other side see at different moments, each pair forced apart: the other side's moment counts.
+
+Where the node runs in the test's own loop, that loop is held up while the kernel takes what the other side does; real
+processes are halted instead. Source: the operators' pages on the second address (4 s from the call, whose caller waits
+1 s however busy the node is), planned restarts (the longest deadline and 0.7 s from the signal) and held-up nodes (0.15 s).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import time
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import uvloop
+
+from saltmoor.model import Ended
+from saltmoor.net import lifecycle
+from saltmoor.net.buffers import Stream
+from saltmoor.net.upstream import Dial, Link
+from tests.helper import MS, VALUE, Town, read
+from tests.test_drain_bound import LONGEST
+from tests.test_operations import Operated
+
+LAG = 0.8  # seconds for which a loop is held up, or a process halted
+HELD_UP = 150 * MS  # microseconds that the operators allow a node to be held up for
+GRAIN = 10 * MS  # microseconds: to so much the kernel's moments are known
+CALL_WITHIN = 1.0  # seconds that a caller at the second address waits
+SILENT_CALLERS = 16  # twice as many as are kept open at once
+KILLED_AFTER = LONGEST / 1000 + 0.7  # seconds after SIGTERM
+TAKEN = 400_000  # bytes of an answer: the kernel's send queue holds them, its client's machine does not
+RECEIVE_BUFFER = 1 << 15  # bytes
+NOT_TAKEN_FOR = 0.6  # seconds for which a client takes nothing
+ASKS_EVERY = 0.3  # seconds
+BEFORE = 0.4  # seconds for which clients ask before the call or the signal
+
+DRAIN = b"POST /_lameduck/on HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n"
+Scene = Callable[..., Coroutine[Any, Any, None]]
+
+
+def hold_up(seconds: float = LAG) -> None:
+    """Nothing in this loop runs; the kernel takes what comes."""
+    time.sleep(seconds)
+
+
+class Sized(Operated):
+    """A `bytes-N` is a value of so many bytes."""
+
+    def __init__(self) -> None:
+        super().__init__(serve={"linger_ms": 50})
+        self.watched: list[asyncio.StreamWriter] = []  # discovery's connections
+
+    async def discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.watched.append(writer)
+        await super().discovery(reader, writer)
+
+    async def cache(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        while line := (await reader.readline()).decode():
+            if line == "stats load\r\n":
+                writer.write(b"STAT queue 0\r\nEND\r\n")
+                continue
+            _, key, *flags = line.split()
+            self.note(f"cache gets {key}")
+            tag = next(flag for flag in flags if flag.startswith("O"))
+            size = int(key.partition("-")[2] or 3)
+            writer.write(f"VA {size} {tag} h1\r\n".encode() + VALUE[:size] + b"\r\n")
+        writer.close()
+
+
+class InOneLoop(unittest.TestCase):
+    def play(self, scene: Scene, town: Town) -> Town:
+        async def run() -> None:
+            async with town:
+                await scene(town)
+
+        uvloop.run(asyncio.wait_for(run(), 15))
+        return town
+
+
+class Servers(InOneLoop):
+    """Cache servers and discovery: what they did, and when the node reads of it."""
+
+    def test_a_connection_that_came_up_in_time_is_no_failure_of_its_server(self):
+        """Guards against a time-out that is judged before the loop has looked at the sockets."""
+        plain = Dial.__init__
+
+        def then_held_up(dial: Dial, *given) -> None:
+            plain(dial, *given)
+            asyncio.get_running_loop().call_soon(hold_up)
+
+        async def scene(town: Sized) -> None:
+            Dial.__init__ = then_held_up
+            try:
+                made = await town.service.upstream.connect("s1")
+            finally:
+                Dial.__init__ = plain
+            self.assertNotIsInstance(made, Ended)
+            town.service.upstream.leave(made, "stopping")
+
+        self.play(scene, Sized())
+
+    def test_a_connection_counts_as_unused_since_it_came_up(self):
+        """Guards against one that nobody waits for any more, and that its server has held idle for longer."""
+
+        async def scene(town: Sized) -> None:
+            upstream = town.service.upstream
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                upstream.address["s1"] = server.getsockname()
+                stream = Stream(socket.socket(), upstream.buffers)
+                link = Link("s1", server.getsockname(), stream, lifecycle.clock())
+                upstream.open += 1
+                upstream.goes_on(Dial(link))
+                hold_up()
+                while upstream.late.get("s1"):
+                    await asyncio.sleep(0.001)
+                self.assertLessEqual(link.used - link.since, HELD_UP)  # it may be closed by now, as idle for too long
+
+        self.play(scene, Sized())
+
+    def test_a_list_that_was_written_binds_whatever_is_read_first(self):
+        """Guards against an attempt at a server of which discovery has said for long that it drains."""
+        for list_first in True, False:
+
+            async def scene(town: Sized, list_first: bool = list_first) -> None:
+                client = await town.client()
+                await client.ask(read("hit"))
+                before = town.lines.count("cache gets hit")
+                line = json.dumps({"instances": [town.list[0] | {"lifecycle": "draining"}]}).encode() + b"\n"
+                chunk = b"%x\r\n%b\r\n" % (len(line), line)
+                writes = [
+                    (town.watched[0].get_extra_info("socket").fileno(), chunk),
+                    (client.writer.get_extra_info("socket").fileno(), read("hit", "2").encode()),
+                ]
+                for number, data in writes if list_first else writes[::-1]:
+                    os.write(number, data)
+                hold_up()
+                await asyncio.wait_for(client.reader.readline(), 5)
+                self.assertEqual(town.lines.count("cache gets hit"), before)
+
+            with self.subTest(list_first=list_first):
+                self.play(scene, Sized())
+
+
+if __name__ == "__main__":
+    unittest.main()
