What has come from a server is read before an attempt counts as timed out

Callers see a request fail, or sent a second time, whose answer stood in the socket in time; its server is held to be slow.

Cause: the time-out of an exchange was a timer that cancels at once. A late loop runs timers before it looks at its sockets. Why it works: the time-out goes through two passes of the loop, as what falls due in `Service.fall_due` does: one brings in what has come, the next one hands it on.

--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -33,6 +33,7 @@
 LATEST = 2_000_000  # a connection that is not up so long after it was begun is let go: the time-out for those
 # who wait for it is shorter, and what nobody waits for may not keep a descriptor for ever
 REFUSED, OWN_TROUBLE = "refused", "own-trouble"  # why a connection has not come up: codes for the log
+PASSES_TO_READ = 2  # passes of the loop: one brings in what has come, the next hands it on
 LATE_ONES = 4  # as many may be on their way to one server with nobody waiting: it bears only so many
 
 
@@ -92,6 +93,28 @@
         return OWN_TROUBLE if errors.verdict(errors.Call.CONNECT, error).fault is errors.Fault.OURS else REFUSED
 
 
+class TimeOut:
+    """Cancels a task after some seconds, once what had come to the sockets by then was read.
+
+    Guards against a late loop, which runs timers first: an answer that stands unread is none that did not come.
+    """
+
+    def __init__(self, seconds: float, task: asyncio.Task) -> None:
+        self.task, self.loop = task, asyncio.get_running_loop()
+        self.handle: asyncio.Handle = self.loop.call_later(seconds, self.due, PASSES_TO_READ)
+
+    def due(self, passes: int) -> None:
+        """So many passes of the loop are left."""
+        if passes:
+            self.handle = self.loop.call_soon(self.due, passes - 1)
+        else:
+            self.task.cancel()
+
+    def cancel(self) -> None:
+        """The task is over."""
+        self.handle.cancel()
+
+
 class Unmade(Enum):
     """Why there is no connection."""
 
@@ -208,7 +231,7 @@
         self.unsent.add(task)
         # Guards against giving up a moment early, which looks like time for another hop: the loop's timers go
         # by whole milliseconds, so one more is added.
-        timer = asyncio.get_running_loop().call_later(max(0, until - self.clock()) / 1_000_000 + 0.001, task.cancel)
+        timer = TimeOut(max(0, until - self.clock()) / 1_000_000 + 0.001, task)
         # Guards against a repeat that is decided inside of its window, and written behind it: connecting takes time.
         late = (
             by
--- a/tests/test_event_sides.py
+++ b/tests/test_event_sides.py
@@ -19,7 +19,7 @@
 import uvloop
 
 from saltmoor.model import Ended
-from saltmoor.net import lifecycle
+from saltmoor.net import lifecycle, meta
 from saltmoor.net.buffers import Stream
 from saltmoor.net.upstream import Dial, Link
 from tests.helper import MS, VALUE, Town, read
@@ -122,6 +122,31 @@
 
         self.play(scene, Sized())
 
+    def test_an_answer_that_came_in_time_is_no_failure_of_its_server(self):
+        """The same of an answer; one that has not come is."""
+        for answers, ended in (True, Ended.COMMITTED), (False, Ended.TIMED_OUT):
+
+            async def scene(town: Sized, answers: bool = answers, ended: Ended = ended) -> None:
+                upstream, command = town.service.upstream, meta.parse(read("hit").strip().encode())
+                with socket.create_server(("127.0.0.1", 0)) as server:
+                    upstream.address["s1"] = server.getsockname()
+                    until = lifecycle.clock() + int(LAG / 2 * 1_000_000)
+                    exchange = upstream.exchange("s1", meta.hop_bytes(command, 300), meta.HopReply(command), until)
+                    task = asyncio.create_task(exchange)
+                    while not upstream.open:
+                        await asyncio.sleep(0)
+                    there, _ = server.accept()
+                    there.setblocking(False)
+                    await asyncio.get_running_loop().sock_recv(there, 1000)
+                    if answers:
+                        there.send(b"VA 3 O1 h1\r\nabc\r\n")
+                    hold_up()
+                    self.assertEqual((await task).ended, ended)
+                    there.close()
+
+            with self.subTest(answers=answers):
+                self.play(scene, Sized())
+
     def test_a_list_that_was_written_binds_whatever_is_read_first(self):
         """Guards against an attempt at a server of which discovery has said for long that it drains."""
         for list_first in True, False:
