A connection's moments hold in a second process however late it hears of them

Callers see a drained connection held on in an upgrade: a second process that is held up counts the spans it was told (since when it is connected, stands unread, when it is told to end) from when it reads the message. On a paced node it also reads each such connection at once, out of turn.

Cause: the message had no moment of sending, as the drain's own has; the wait for a turn began with the first process's begin. Why it works: spans go with the moment of sending on the machine's monotonic clock; a turn is waited for since the socket was last empty.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -22,6 +22,7 @@
 from saltmoor.net.buffers import Stream
 from saltmoor.net.connection_life import Life, State
 from saltmoor.net.flow import Broken, Flow
+from saltmoor.net.node_life import monotonic
 
 if TYPE_CHECKING:
     from saltmoor.net.clients import Clients
@@ -443,7 +444,7 @@
 
     def give(self) -> bool:
         """Pass the connection to the process that takes this one's place; what is unread there goes with it."""
-        said = {"client": self.peer, "since": self.since, "used": self.used, "count": self.count}
+        said = {"client": self.peer, "since": self.since, "used": self.used, "count": self.count, "sent": monotonic()}
         if not self.stream.waiting and self.empty_at:
             said["unread"] = self.house.clock() - self.empty_at
         said |= self.house.said_of(self)
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -33,6 +33,7 @@
 from saltmoor.net.counters import RequestLog
 from saltmoor.net.flow import Budget, Flow
 from saltmoor.net.log import Log
+from saltmoor.net.node_life import monotonic, waited
 from saltmoor.net.overflow import Overflow
 from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Upstream
@@ -101,7 +102,7 @@
 
     async def next_turn(self, client: Client) -> None:
         """Wait until this connection may be read from, or is to end."""
-        since = client.since - client.queued if not client.read_at else self.clock()
+        since = self.clock() if client.read_at else client.empty_at
         if self.reads >= 1 or self.clock() - since >= LONGEST_TURN:
             self.reads = max(0.0, self.reads - 1)
             return
@@ -208,7 +209,7 @@
             share = crc32(self.drawn.to_bytes(4, "little")) / 2**32
             end = ends.end_of_drain(self.drain, self.drain_since, client.connected, self.clock(), share)
             if handed_on and "told_in" in handed_on:
-                end = replace(end, told=self.clock() + handed_on["told_in"])
+                end = replace(end, told=self.clock() + handed_on["told_in"] - waited(handed_on, monotonic()))
             client.end_due = end.earlier(client.end_due)
         if self.closing:
             end = ends.end_of_stop(self.stop, self.stop_since, self.clock())
@@ -226,7 +227,7 @@
         """When the machine took a connection that is handed on; where an older version does not tell, long ago, or now
         if it came during the drain."""
         if "connected_for" in said:
-            return self.clock() - int(said["connected_for"])
+            return self.clock() - int(said["connected_for"]) - waited(said, monotonic())
         return self.clock() if said.get("unbounded") else 0
 
     def stepped(self, state: State, reason: str) -> None:
@@ -617,7 +618,7 @@
         client = Client(self, Stream(sock, self.buffers), str(said["client"]))
         client.since, client.used, client.count = int(said["since"]), int(said["used"]), int(said["count"])
         client.connected = self.connected_when(said)
-        client.empty_at = self.clock() - int(said.get("unread", 0))
+        client.empty_at = self.clock() - int(said.get("unread", 0)) - waited(said, monotonic())
         self.clients.add(client)
         if client.count:
             self.fresh.pop(client)
--- a/tests/test_event_sides.py
+++ b/tests/test_event_sides.py
@@ -21,6 +21,8 @@
 from saltmoor.model import Ended
 from saltmoor.net import lifecycle, meta
 from saltmoor.net.buffers import Stream
+from saltmoor.net.log import Log
+from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Dial, Link
 from tests.helper import MS, VALUE, Town, read
 from tests.test_drain_bound import LONGEST
@@ -82,6 +84,40 @@
         return town
 
 
+class HandedOver(InOneLoop):
+    """A connection that goes to a second process: told of, and heard of."""
+
+    def test_a_connection_s_moments_do_not_move_while_their_message_waits(self):
+        """Guards against a second process that is held up, and counts a connection's spans from when it hears of them."""
+
+        async def scene(town: Sized) -> None:
+            clients = town.service.clients
+            clients.drain_from(clients.clock() - 1_000 * MS)
+            await town.client()
+            while not clients.clients:
+                await asyncio.sleep(0.005)
+            given = next(iter(clients.clients))
+            mine, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            clients.heir = Sibling(mine, Log())
+            self.assertTrue(given.give())
+            clients.heir.end()
+            clients.heir = None
+            hold_up()
+            data, fds, _, _ = socket.recv_fds(theirs, 1 << 16, 8)
+            theirs.close()
+            clients.adopt(socket.socket(fileno=fds[0]), json.loads(data))
+            adopted = next(one for one in clients.clients if one is not given)
+            moved = {
+                "connected": adopted.connected - given.connected,
+                "empty_at": adopted.empty_at - given.empty_at,
+                "told": adopted.end_due.told - given.end_due.told,
+                "gone_by": adopted.end_due.gone_by - given.end_due.gone_by,
+            }
+            self.assertEqual({name: by // MS for name, by in moved.items() if by > HELD_UP}, {})
+
+        self.play(scene, Sized())
+
+
 class Servers(InOneLoop):
     """Cache servers and discovery: what they did, and when the node reads of it."""
 
--- a/tests/test_stood.py
+++ b/tests/test_stood.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import socket
 import time
 import unittest
 from unittest import mock
@@ -15,6 +16,7 @@
 
 STOOD = 0.3  # seconds
 SLACK_MS = 20
+HANDED_ON_WAITS = 0.2  # seconds: half of the longest wait for a turn
 LONG_PASS = 0.006  # seconds of a pass of the loop: too short for the loop to be found late
 
 
@@ -129,6 +131,32 @@
         waits = self.play(scene)
         self.assertLessEqual(waits[-1], 900 - STOOD * 1000 + SLACK_MS)
 
+    def test_who_comes_from_another_process_waits_for_its_turn(self):
+        """Guards against a paced node that reads at once whoever is handed on to it, and against one that never does:
+        the moments that the other process tells may be of another clock."""
+        for begun_before in 10_000_000, 0, -5_000_000:
+
+            async def scene(town: Told, begun_before: int = begun_before) -> None:
+                clients = town.service.clients
+                town.service.door.ran = lambda late, passed: 0.0  # an overloaded node: nothing more may be read
+                await asyncio.sleep(0.05)
+                began = clients.clock()
+                said = {"client": "c", "since": began - begun_before, "used": began - begun_before, "count": 1}
+                with socket.create_server(("127.0.0.1", 0)) as listener:
+                    here = socket.create_connection(listener.getsockname())
+                    here.sendall(read("hit", "late", wait=900).encode())
+                    clients.adopt(listener.accept()[0], said | {"connected_for": max(0, begun_before), "unread": 0})
+                here.setblocking(False)
+                answer = asyncio.create_task(asyncio.get_running_loop().sock_recv(here, 100))
+                await asyncio.sleep(HANDED_ON_WAITS)
+                early = list(town.waits)
+                await within(0.55 - HANDED_ON_WAITS, answer)
+                here.close()
+                self.assertEqual(early, [], "read at once")
+
+            with self.subTest(begun_before=begun_before):
+                self.play(scene)
+
     def test_a_wait_at_the_listener_and_one_to_be_read_are_one_sum(self):
         """Guards against two waits that are each in time, and together are not."""
         took: list[float] = []
