A drain is told to the second process once that reads again

Callers see a node in an upgrade drained by half: the word is dropped where the other process is held up and its socket is full.

Why it works: the last word on the drain is kept and said when the socket has room; a later one takes its place.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -350,7 +350,7 @@
         if self.life.order(on) != before:
             self.apply_drain()
         if self.sibling:
-            self.sibling.say(self.life.said())
+            self.sibling.say_surely(self.life.said())
         return True, "lame duck" if on else "serving"
 
     def hear_drain(self, said: Message) -> None:
--- a/saltmoor/net/sibling.py
+++ b/saltmoor/net/sibling.py
@@ -36,6 +36,7 @@
         self.ready = False  # it has said that it takes clients
         self.shares = True  # it accepts from the same queue
         self.alive = True
+        self.unsaid: Message | None = None  # waits until the other one reads again
         pair.setblocking(False)
         # Guards against a hand-over that stops at a full buffer: hundreds of connections go in one moment.
         pair.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
@@ -57,6 +58,18 @@
                 break
         return False
 
+    def say_surely(self, message: Message) -> None:
+        """Say it once the other one reads again, where it does not now; a later one takes the place of this one."""
+        self.unsaid = None if self.say(message) else message
+        if self.unsaid and self.alive:
+            self.loop.add_writer(self.pair, self.say_again)
+
+    def say_again(self) -> None:
+        """There is room for what waits."""
+        self.loop.remove_writer(self.pair)
+        if self.unsaid:
+            self.say_surely(self.unsaid)
+
     def hear(self) -> None:
         while self.alive:
             try:
@@ -83,6 +96,7 @@
         if self.alive:
             self.alive = False
             self.loop.remove_reader(self.pair)
+            self.loop.remove_writer(self.pair)
             self.pair.close()
             self.gone()
 
--- a/tests/test_event_sides.py
+++ b/tests/test_event_sides.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import socket
@@ -118,6 +119,32 @@
         self.play(scene, Sized())
 
 
+class SecondProcess(InOneLoop):
+    """What one process tells the other one of its node."""
+
+    def test_a_drain_is_told_once_the_other_process_reads_again(self):
+        """Guards against a message that is dropped, as the other process was held up and its socket is full."""
+
+        async def scene(town: Sized) -> None:
+            mine, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            theirs.setblocking(False)
+            town.service.sibling = sibling = Sibling(mine, Log())
+            while sibling.say({"left": 1, "filling": "x" * 10_000}):
+                pass
+            await town.post("/_lameduck/on")
+            heard: list[dict] = []
+            until = time.monotonic() + 1.0
+            while time.monotonic() < until and not any("lame" in one for one in heard):
+                with contextlib.suppress(BlockingIOError):
+                    while data := theirs.recv(1 << 16):
+                        heard.append(json.loads(data))
+                await asyncio.sleep(0.02)
+            theirs.close()
+            self.assertTrue(any("lame" in one for one in heard), f"of {len(heard)} messages")
+
+        self.play(scene, Sized())
+
+
 class Servers(InOneLoop):
     """Cache servers and discovery: what they did, and when the node reads of it."""
 
