An answer counts as given once its client has it: connections end by a lingering close

Callers see large answers cut: a client that takes 4 MB slowly and asks on behind it gets a reset after half of it, 1 s behind a drain's call or SIGTERM; so does one that is evicted, or handed on, while it takes its last answer.

Cause: an answer counted as given once it lay in the kernel's send queue, and its connection as free. It was closed then, or 40 ms later; bytes of the client that stand unread turn that close into a reset, which drops the queue. Why it works: one record of what the kernel knows of a connection (guard/connections.Outside); guard/ends.linger decides on it. The end is said, what still comes is read and dropped, and the connection is closed once its client has taken all, or takes nothing for 1.5 s. Who has not taken its answer makes room for nobody. A large value behind one that is taken slowly is begun when its client comes to it, and on a connection that ends only if it fits before the bound; else it is answered as failed.

--- a/saltmoor/guard/connections.py
+++ b/saltmoor/guard/connections.py
@@ -22,6 +22,20 @@
     reserve: int
 
 
+@dataclass(slots=True, frozen=True)
+class Outside:
+    """A connection as the kernel knows it, whatever the node has noticed of it."""
+
+    unread: bool  # bytes of the other side stand unread
+    untaken: int  # bytes that were written, and that the other side's machine has not acknowledged
+    left: bool  # the other side has ended its sending or the connection, and nothing of it stands unread
+
+    @property
+    def settled(self) -> bool:
+        """It can be closed, and neither side loses anything that was written."""
+        return self.left or not self.unread and not self.untaken
+
+
 class Room(Enum):
     """Whether one more client may be taken, and who makes room for it otherwise."""
 
@@ -58,7 +72,7 @@
 
 
 def may_end(*, idle: bool, quiet: bool) -> Verdict:
-    """Whether a connection may be closed from this side: `idle`, nothing that was read is unanswered or unfinished;
+    """Whether a connection may be ended from this side: `idle`, nothing that was read is unanswered or unfinished;
     `quiet`, nothing stands unread."""
     if not idle:
         return DENIED[Reason.REQUESTS_OPEN]
--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -2,8 +2,9 @@
 
 One rule holds for every reason: a drain, a stop, an upgrade, an eviction, a connection kept for long. A connection is
 told to end at a moment of its own; it is read for `READS_ON` more, so that what crosses is served; then nothing more is
-read from it, it gets what it is owed, and its end. The bounds of a drain and of a stop stand here as one sum, in
-microseconds since the call or signal:
+read from it, it gets what it is owed, and its end, and is closed once the other machine has taken all of that
+(lingering close). The bounds of a drain and of a stop stand here as one sum, in microseconds since the call or signal was
+sent:
 
     told_by + READS_ON = reads_until       the last byte of another request is read
     reads_until + longest <= answers_until  unless a deadline is too long: then what is owed is due by `answers_until`
@@ -18,6 +19,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from saltmoor.guard.connections import Outside
 from saltmoor.model import Micros
 
 DRAIN_BOUND: Micros = 4_000_000  # from the call until no client's connection may be held
@@ -40,6 +42,10 @@
 TAKES_NOTHING: Micros = 1_500_000  # a client that is told to end and has taken nothing of its answer for so long
 GIVES_NOTHING: Micros = 4_000_000  # a server that has given no more of a large value for so long, where the end is due
 STILL: Micros = 10_000_000  # both at any other time
+SEES_END: Micros = 40_000  # how long a client that has taken all may take to see the end of its connection
+MOST_LINGER: Micros = 2_000_000  # of one that has taken all and goes on sending
+PASSES_TO_END = 3  # passes of the loop from the look at a connection that is due to its close
+MOST_AHEAD: Micros = 1_500_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -165,9 +171,38 @@
     return Due.CUT if now >= end.commands_until else Due.TELL
 
 
-def overdue(now: Micros, end: ConnectionEnd) -> bool:
-    """Whether a connection has to be closed at once, whatever holds it: its bound is as near as a process may be held up."""
-    return bool(end.gone_by) and now >= end.gone_by - HELD_UP
+def overdue(now: Micros, end: ConnectionEnd, lag: Micros = 0) -> bool:
+    """Whether a connection has to be closed at once: its bound is as near as a process may be held up."""
+    return bool(end.gone_by) and now + lag >= end.gone_by - HELD_UP
+
+
+def fits(now: Micros, end: ConnectionEnd, *, left: int, taken: int, since: Micros) -> bool:
+    """Whether a client may take `left` bytes more before its connection's bound, at the rate of `taken` since then."""
+    if not end.gone_by:
+        return True
+    return left * (now - since) <= taken * (end.gone_by - HELD_UP - now)
+
+
+class Linger(Enum):
+    """What becomes of a connection on which all is answered and the end is said."""
+
+    WAIT = auto()  # what still comes is read and dropped
+    CLOSE = auto()
+    RESET = auto()  # its machine takes nothing any more
+
+
+def linger(now: Micros, outside: Outside, *, said: Micros, moved: Micros, gone_by: Micros) -> Linger:
+    """Whether a connection may be closed without taking from its client what was written to it.
+
+    `said`: when its end was said; `moved`: when its client last took or sent anything; `gone_by`: its bound, or 0.
+    """
+    if outside.left:
+        return Linger.CLOSE
+    if outside.untaken:
+        return Linger.RESET if takes_nothing(now, moved) else Linger.WAIT
+    if now - moved >= SEES_END or now - said >= MOST_LINGER or gone_by and now >= gone_by - HELD_UP:
+        return Linger.CLOSE
+    return Linger.WAIT
 
 
 def takes_nothing(now: Micros, moved: Micros) -> bool:
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from saltmoor.config import BUFFER as SIZE
+from saltmoor.guard.connections import Outside
 from saltmoor.net import tcp_info
 from saltmoor.net.acceptor import BACKLOG
 from saltmoor.net.errors import Call, Fault, verdict
@@ -224,15 +225,24 @@
         """To be closed next: what the other side's machine has not taken is dropped, and the connection reset."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
-    def quiet(self) -> bool:
-        """Open, with nothing to read: neither data nor the other side's end."""
+    def outside(self) -> Outside:
+        """What the kernel knows of the connection now."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            unread = bool(self.sock.recv(1, socket.MSG_PEEK))
         except BlockingIOError:
-            return True
+            return Outside(unread=False, untaken=self.backlog(), left=False)
         except OSError:
-            return False
-        return False
+            unread = False
+        return Outside(unread=unread, untaken=self.backlog(), left=not unread)
+
+    def quiet(self) -> bool:
+        """Open, with nothing to read: neither data nor the other side's end."""
+        outside = self.outside()
+        return not outside.unread and not outside.left
+
+    def half_close(self) -> None:
+        """Say the end: what was written still goes out, and what comes can still be read. Raises OSError."""
+        self.sock.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
         self.sock.close()
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
+import contextlib
 from collections import deque
 from collections.abc import Awaitable
+from itertools import islice
 from typing import TYPE_CHECKING
 
-from saltmoor.config import BUFFER
+from saltmoor.config import BUFFER, LONGEST_HELD
 from saltmoor.guard import ends
 from saltmoor.guard.checks import Record
 from saltmoor.guard.connections import may_end
@@ -29,7 +30,7 @@
 
 SLOWEST = 32_768  # bytes a second: a value that comes more slowly is held to have stopped
 PIPELINE = 64  # commands of one connection that may wait for their answers; then it is not read from
-LEAVE = 40_000  # how long a client that has said more may take to see the end of a connection that is not read any more
+LOOK_AT_BACKLOG = 0.01  # seconds between two looks at what a client has not taken
 QUEUED_SHOWN = 20_000  # the log says of connections that waited so long at the listener
 PASS = 25_000  # between two looks at the loop's lateness at the most
 STOOD = 4_000  # bytes that may have stood unread for longer: the kernel is asked for how long
@@ -73,6 +74,10 @@
         self.overdue = False  # it is held past its bound, which was counted
         self.cut_asked = False  # its unfinished command is cut as soon as it is not being read
         self.taken, self.taken_at = -1, self.since  # bytes of answers that its machine has; since when no more
+        self.value_since: Micros = 0  # when the large value that was begun last was begun,
+        self.value_from = 0  # and how many bytes of answers its machine had then
+        self.end_said: Micros = 0  # since when it lingers
+        self.lingered = False  # nothing is lost any more where it is closed
         self.gathered = False
         self.room = asyncio.Event()
         self.turn: asyncio.Future[None] | None = None  # to be read from, while reads are paced
@@ -95,6 +100,17 @@
         """A large value is on its way."""
         return bool(self.slots) and isinstance(self.slots[0].answer, Passing)
 
+    @property
+    def takes(self) -> bool:
+        """Its machine has not all of an answer yet, of which at least a part was written."""
+        return self.passes or self.stream.backlog() > 0
+
+    @property
+    def rests(self) -> bool:
+        """Nothing is under way on it, to the node or to its client."""
+        outside = self.stream.outside()
+        return not outside.left and outside.settled
+
     async def serve(self) -> None:
         try:
             self.code = await self.read()
@@ -116,7 +132,7 @@
             if not self.life.reads:
                 return await self.answer_and_end()
             if self.ending and may_end(idle=self.idle, quiet=self.idle and self.stream.quiet()):
-                return self.ending
+                return await self.answer_and_end()
             paced = self.house.paced and not self.ending
             if paced:
                 self.empty_at = self.house.clock() if self.stream.quiet() else self.empty_at
@@ -149,8 +165,7 @@
                 while (command := self.commands.next()) is not None:
                     if command.verb == b"quit":
                         await self.deaf(self.answered(0))
-                        if not self.stream.quiet():
-                            await self.take_leave()
+                        await self.linger("client-quit")
                         return "client-quit"
                     if not self.commands.partial:
                         self.waited = last_waited
@@ -168,7 +183,8 @@
                 self.slots.append(Slot(answers.client_error(error)))
                 await self.deaf(self.flush())
                 await self.deaf(self.answered(0))
-                await self.part()
+                self.forget()
+                await self.linger("framing-lost", sends=True)
                 return "framing-lost"
             self.track()
 
@@ -181,9 +197,7 @@
         if self.may_be_handed_on() and self.give():
             return "handed-on"
         self.forget()  # a command that was begun too late
-        if not self.stream.quiet():
-            self.step(State.SAYING_END)
-            await self.take_leave()
+        await self.linger()
         return self.ending
 
     def step(self, state: State, reason: str = "") -> bool:
@@ -300,7 +314,12 @@
 
     def advance(self, now: Micros) -> None:
         """Carry out what is due of its end."""
-        if not (end := self.end_due) or self.code:
+        if self.code:
+            return
+        if self.end_said:
+            self.look_on(now)
+            return
+        if not (end := self.end_due):
             return
         match ends.due(now, end, self.command_since):
             case ends.Due.NOTHING:
@@ -313,9 +332,10 @@
                 self.cut_for_good()
         if self.slots and end.answers_until and now >= end.answers_until:
             self.house.give_up(self)
+            self.fail_unbegun()
         if self.writer and self.stopped_taking(now):
             self.abort("stalled")
-        elif ends.overdue(now, end) and not self.passes:
+        elif ends.overdue(now, end) and not self.takes:
             self.abort("overdue")
 
     def tell(self, code: str) -> None:
@@ -327,11 +347,45 @@
 
     def stopped_taking(self, now: Micros) -> bool:
         """Whether its machine has taken nothing of what is written to it for too long."""
-        waits = self.stream.backlog()
-        if self.stream.sock.sent - waits != self.taken or not waits:
-            self.taken, self.taken_at = self.stream.sock.sent - waits, now
+        self.note_taken(self.stream.backlog(), now)
         return ends.takes_nothing(now, self.taken_at)
 
+    def note_taken(self, untaken: int, now: Micros) -> None:
+        """Keep since when its machine has taken no more, of which so many bytes are left."""
+        if self.stream.sock.sent - untaken != self.taken or not untaken:
+            self.taken, self.taken_at = self.stream.sock.sent - untaken, now
+
+    async def until_taken(self, flow: Flow) -> None:
+        """Wait until the client has about all of the large value before this one.
+
+        Guards against one that is begun, and has to be finished, long before its client comes to it.
+        """
+        while self.value_since and (untaken := self.stream.backlog()) > LONGEST_HELD and not self.code:
+            self.note_taken(untaken, self.house.clock())
+            flow.moved = max(flow.moved, self.taken_at)
+            await asyncio.sleep(LOOK_AT_BACKLOG)
+
+    def fits(self, flow: Flow) -> bool:
+        """Whether one more large value may be begun: on a connection that ends, not behind one that is taken slowly."""
+        if not (self.ending and self.end_due and self.value_since):
+            return True
+        untaken = self.stream.backlog()
+        taken = self.stream.sock.sent - untaken - self.value_from
+        now = self.house.clock()
+        return ends.fits(now, self.end_due, left=untaken + flow.length, taken=taken, since=self.value_since)
+
+    def fail_unbegun(self) -> None:
+        """The large values behind the one that is on its way are answered as failed: its time to end is over."""
+        for slot in islice(self.slots, 1, None):
+            if isinstance(slot.answer, Passing):
+                self.fail_value(slot)
+
+    def fail_value(self, slot: Slot) -> None:
+        """A large value that was not begun is not given any more."""
+        slot.answer.flow.drop()
+        slot.answer = meta.ABANDONED
+        self.house.requests.note("failed", "end-due", slot.record.id)
+
     def abort(self, code: str) -> None:
         """End it at once, and give up what its machine has not taken: the kernel would hold that for long."""
         self.code = code
@@ -344,23 +398,42 @@
             self.house.budget.give_back(self.commands.waiting.paid)
         self.commands = meta.Commands()
 
-    async def part(self) -> None:
-        """Say the end and read past what still comes, so that the client gets the last answer whole."""
-        self.forget()
-        self.stream.sock.shutdown(socket.SHUT_WR)
-        left = meta.SWALLOW
-        while left > 0 and (data := await self.stream.read()):
-            left -= len(data)
+    async def linger(self, reason: str = "", *, sends: bool = False) -> None:
+        """Say the end, and stay until the other machine has all that was written; what still comes is dropped.
 
-    async def take_leave(self) -> None:
-        """Say the end, and leave the client a moment to see it.
+        `reason`: its code, where the node was not ending it; `sends`: its client is in the middle of a command.
 
-        Guards against a reset, for what stands unread, that takes the last answer with it.
+        Guards against a reset, for what stands unread or comes later, that takes answers with it.
         """
-        self.stream.sock.shutdown(socket.SHUT_WR)
-        until = self.house.clock() + LEAVE
-        while self.house.clock() < until and not self.stream.left():
-            await asyncio.sleep(LEAVE / 10_000_000)
+        if not sends and self.stream.outside().settled:
+            return
+        with contextlib.suppress(OSError):
+            self.stream.half_close()
+            self.step(State.SAYING_END, reason)
+            self.end_said = self.taken_at = self.house.clock()
+            self.house.lingering[self] = None
+            dropped = 0
+            while not self.lingered and dropped < meta.SWALLOW:
+                data = await self.stream.read()
+                if data is None:
+                    continue
+                if not data:
+                    break  # the client has seen the end
+                dropped += len(data)
+                self.taken_at = self.house.clock()
+
+    def look_on(self, now: Micros) -> None:
+        """Whether it has lingered for long enough."""
+        outside = self.stream.outside()
+        if outside.untaken:
+            self.note_taken(outside.untaken, now)
+        gone_by = self.end_due.gone_by if self.end_due else 0
+        match ends.linger(now, outside, said=self.end_said, moved=self.taken_at, gone_by=gone_by):
+            case ends.Linger.CLOSE:
+                self.lingered = True
+                self.stream.wake()
+            case ends.Linger.RESET:
+                self.abort("stalled")
 
     def left(self) -> None:
         """It has gone: what it asked goes on no further, from this moment on."""
@@ -395,6 +468,10 @@
         self.writer = asyncio.current_task()
         try:
             while self.slots and self.slots[0].answer is not None:
+                if isinstance(self.slots[0].answer, Passing):
+                    await self.until_taken(self.slots[0].answer.flow)
+                if isinstance(self.slots[0].answer, Passing) and not self.fits(self.slots[0].answer.flow):
+                    self.fail_value(self.slots[0])
                 answer = self.slots[0].answer
                 await (self.pass_on(answer) if isinstance(answer, Passing) else self.stream.write(answer))
                 slot = self.slots.popleft()
@@ -423,6 +500,7 @@
     async def pass_on(self, answer: Passing) -> None:
         """Write a large value as it comes: no more is read of it than the client has taken."""
         flow = answer.flow
+        self.value_since, self.value_from = self.house.clock(), self.stream.sock.sent - self.stream.backlog()
         await self.stream.write(answer.head)
         while piece := await self.next_piece(flow):
             flow.moved = self.used = self.house.clock()
@@ -487,7 +565,7 @@
         self.house.leaving -= self.life.ends
         told_for = self.life.told_for(self.house.clock())
         self.step(State.CLOSED, self.code)
-        for kept in self.house.free, self.house.fresh, self.house.deaf:
+        for kept in self.house.free, self.house.fresh, self.house.deaf, self.house.lingering:
             kept.pop(self, None)
         self.house.listen()
         age = (self.house.clock() - self.since) // 1000
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -76,6 +76,7 @@
         self.free: dict[Client, None] = {}  # that have asked and have nothing open, the longest free first
         self.begun: dict[Client, None] = {}  # with a command that is unfinished
         self.deaf: dict[Client, None] = {}  # that are not read from, as something else is waited for
+        self.lingering: dict[Client, None] = {}  # whose end is said, the first one first
         self.missed_at = self.looked_at = 0  # when they are looked at next; when the loop last came round
         self.stop: EndPlan | None = None  # while the process stops: its bounds, and since when
         self.stop_since: Micros = 0
@@ -275,8 +276,18 @@
                 return self.evict()
             case Room.NONE_AND_NOBODY_LEAVES:
                 self.evict()
+            case Room.NONE:
+                self.end_lingering()
         return False
 
+    def end_lingering(self) -> None:
+        """Close the first one whose client has all, and which stays only to see its client's end."""
+        for client in islice(self.lingering, EVICTIONS):
+            if not client.lingered and not client.stream.backlog():
+                client.lingered = True
+                client.stream.wake()
+                return
+
     def make_room(self) -> bool:
         """For a connection to a server, which goes before clients that ask nothing: whether there may be room soon."""
         return self.leaving < EVICTIONS and (self.evict() or self.cut_short()) or self.leaving > 0 or bool(self.begun)
@@ -288,7 +299,7 @@
         has written what is not read yet, stays. It costs the same however many there are.
         """
         for client in islice(chain(self.fresh, self.free), EVICTIONS):
-            if not client.ending and client.stream.quiet():
+            if not client.ending and client.rests:
                 self.fresh.pop(client, None)
                 self.free.pop(client, None)
                 client.close("evicted")
@@ -327,7 +338,7 @@
             if longest.used > self.clock() - since:
                 return
             del self.free[longest]
-            if longest.stream.quiet():
+            if longest.rests:
                 longest.close("kept-long")
 
     def sweep(self, longest: Micros) -> None:
@@ -368,9 +379,13 @@
             self.checker.read_past_end(client.peer, client.life.state.value)
 
     def check_bound(self, client: Client, now: Micros) -> None:
-        """Past the bound of its end nothing is held but a large value on its way."""
-        if now >= client.end_due.gone_by and not client.passes and not client.overdue:
-            client.overdue = True
+        """Past the bound of its end nothing is held but what its client still takes, or its server gives."""
+        if now < client.end_due.gone_by or client.overdue:
+            return
+        client.overdue = True
+        if client.takes:
+            self.counters.add("held_past_bound", "answer-on-its-way")
+        else:
             with contextlib.suppress(Violation):
                 self.checker.held(client.peer, client.life.state.value)
 
--- a/tests/test_event_sides.py
+++ b/tests/test_event_sides.py
@@ -11,21 +11,25 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 import time
 import unittest
 from collections.abc import Callable, Coroutine
 from typing import Any
+from unittest import mock
 
 import uvloop
 
+from saltmoor.guard import ends
 from saltmoor.model import Ended
 from saltmoor.net import lifecycle, meta
 from saltmoor.net.buffers import Stream
+from saltmoor.net.client import Client as NodeClient
 from saltmoor.net.log import Log
 from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Dial, Link
-from tests.helper import MS, VALUE, Town, read
+from tests.helper import MS, VALUE, Town, read, within
 from tests.test_drain_bound import LONGEST
 from tests.test_operations import Operated
 
@@ -85,6 +89,110 @@
         return town
 
 
+class AnswerWritten(InOneLoop):
+    """An answer: written to the kernel, and taken by its client's machine."""
+
+    async def owed(self, town: Sized) -> tuple[socket.socket, NodeClient]:
+        """A client that has taken next to nothing of an answer, of which the node has written what it does."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.connect(town.address[:2])
+        sock.sendall(read(f"bytes-{TAKEN}").encode())
+        while not (clients := town.service.clients.clients) or not (one := next(iter(clients))).stream.backlog():
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.05)  # the node has written as much as it does
+        self.assertGreater(one.stream.backlog(), 0)
+        return sock, one
+
+    async def taken(self, sock: socket.socket) -> tuple[int, bool]:
+        """All that its client gets up to the end or a pause, and whether that is a reset."""
+        sock.setblocking(False)
+        loop, got = asyncio.get_running_loop(), 0
+        try:
+            while data := await within(1.0, loop.sock_recv(sock, 1 << 16)):
+                got += len(data)
+        except ConnectionResetError:
+            return got, True
+        except TimeoutError:
+            return got, False
+        return got, False
+
+    def test_an_end_waits_for_what_its_client_has_not_taken(self):
+        """Guards against a close that what the client says turns into a reset, which drops the send queue."""
+
+        def drain(town: Sized) -> None:
+            clients = town.service.clients
+            clients.drain_from(clients.clock() - clients.drain.reads_until)
+            town.service.hurry.set()
+
+        def stop(town: Sized) -> None:
+            os.kill(os.getpid(), signal.SIGTERM)
+
+        def evict(town: Sized) -> None:
+            town.service.clients.evict()
+
+        for end in drain, stop, evict:
+            for says in "nothing", "in that moment", "behind":
+
+                async def scene(town: Sized, end: Callable[[Sized], None] = end, says: str = says) -> None:
+                    sock, _ = await self.owed(town)
+                    if says == "in that moment":
+                        sock.sendall(read("hit", "2").encode())
+                    end(town)
+                    await asyncio.sleep(NOT_TAKEN_FOR / 2)
+                    if says == "behind":
+                        sock.sendall(read("hit", "2").encode())
+                    await asyncio.sleep(NOT_TAKEN_FOR / 2)
+                    got, reset = await self.taken(sock)
+                    sock.close()
+                    self.assertGreaterEqual(got, TAKEN, f"reset: {reset}")
+                    self.assertFalse(reset)
+
+                with self.subTest(end=end.__name__, says=says), mock.patch.object(ends, "STRAY", 50 * MS):
+                    self.play(scene, Sized())
+
+    def test_who_has_not_taken_its_answer_makes_room_for_nobody(self):
+        """Guards against a connection that counts as free since the node has written its last answer."""
+
+        async def scene(town: Sized) -> None:
+            sock, one = await self.owed(town)
+            self.assertFalse(town.service.clients.evict(), "the only client was evicted")
+            self.assertFalse(one.ending)
+            got = 0
+            sock.setblocking(False)
+            while got < TAKEN:
+                got += len(await within(5.0, asyncio.get_running_loop().sock_recv(sock, 1 << 16)))
+            await asyncio.sleep(0.05)
+            self.assertTrue(town.service.clients.evict(), "who has taken it makes room")
+            sock.close()
+
+        self.play(scene, Sized())
+
+
+class RequestSent(InOneLoop):
+    """A request: sent, and read, round the moment in which its connection is read no more."""
+
+    def test_one_that_came_in_time_is_answered_or_its_connection_ends_unread(self):
+        """Guards against a reset over answers, and against one that is sent on and not answered."""
+        for held_up in 0.0, LAG / 2:
+
+            async def scene(town: Sized, held_up: float = held_up) -> None:
+                client = await town.client()
+                await client.ask(read("hit"))
+                clients = town.service.clients
+                clients.drain_from(clients.clock() - clients.drain.told_by)  # told now, read for a little longer
+                os.write(client.writer.get_extra_info("socket").fileno(), read("hit", "2").encode())
+                hold_up(held_up)
+                got = await within(2.0, client.reader.read())
+                forwarded = town.lines.count("cache gets hit") - 1
+                self.assertEqual(got.count(b"VA 3 O2"), forwarded)
+                if not held_up:
+                    self.assertEqual(forwarded, 1)
+
+            with self.subTest(held_up=held_up):
+                self.play(scene, Sized())
+
+
 class HandedOver(InOneLoop):
     """A connection that goes to a second process: told of, and heard of."""
 
