A drain counts from when its call is sent: the second address has a thread of its own

Cause: the call was read by the loop of the clients, each caller in its turn, and all bounds of the drain counted from when the loop came to it. Connections are looked at right when the loop hears of it. `GET /_ready` is a no where the loop has stood still for 5 s, as the thread would answer for it else.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -453,7 +453,7 @@
         self.house.free.pop(self, None)
         slot = Slot()
         self.slots.append(slot)
-        slot.answer = answers.of_node(command, draining=bool(self.house.drain_since))
+        slot.answer = answers.of_node(command, draining=self.house.drains())
         if slot.answer is None:
             self.house.begin(self, slot, command)
         if command.paid and not slot.task:
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -64,12 +64,15 @@
         caps: config.Caps,
         budget: Budget,
         checker: Checker,
+        drains: Callable[[], bool] = lambda: False,
     ) -> None:
+        """`drains`: whether staff have told the node to drain, before anything was done about it."""
+        self.drains = drains
         self.checker, self.counters = checker, log.counters
         self.requests = RequestLog(log, time.monotonic, log.counters)
         self.door, self.upstream, self.buffers, self.log, self.clock = door, upstream, buffers, log, clock
         self.configure(names, profiles, caps)
-        self.overflow = Overflow(log, self.requests, draining=lambda: bool(self.drain_since), hint=door.hint)
+        self.overflow = Overflow(log, self.requests, draining=drains, hint=door.hint)
         self.clients: set[Client] = set()
         self.fresh: dict[Client, None] = {}  # that have not said anything yet, the longest silent first
         self.leaving = 0  # that are on their way out
--- a/saltmoor/net/counters.py
+++ b/saltmoor/net/counters.py
@@ -29,7 +29,10 @@
 
     def text(self) -> str:
         """All counts, a line each."""
-        lines = [f'saltmoor_{name}_total{{reason="{reason}"}} {n}' for (name, reason), n in sorted(self.counts.items())]
+        lines = [
+            f'saltmoor_{name}_total{{reason="{reason}"}} {n}'
+            for (name, reason), n in sorted(self.counts.copy().items())
+        ]
         return "\n".join(lines)
 
 
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -42,6 +42,7 @@
 REST_AFTER = 20  # looks in a row that found nothing to do, before they become rarer
 FIRST_NEWS = 1.0  # seconds: so long a start waits for the list where what it says counts from the first moment
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
+STANDS_STILL = 5.0  # seconds without a pass of the loop: the process hangs
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
 NAMES_SHOWN = 200  # characters of names in one line of the log
 STRICT = "SALTMOOR_STRICT"  # in the environment: a violated rule raises, for tests and soaks
@@ -153,6 +154,7 @@
             log=self.log,
             part=0.5 if found else 1.0,
         )
+        self.life = NodeLife(clock)
         self.checker = Checker(clock, self.log, strict=bool(os.environ.get(STRICT)))
         self.clients = Clients(
             self.door,
@@ -165,8 +167,8 @@
             caps=given.caps,
             budget=self.budget,
             checker=self.checker,
+            drains=lambda: self.life.drain.on,
         )
-        self.life = NodeLife(clock)
         self.say_given(given)
         self.settings(given)
         self.sharing = None
@@ -189,15 +191,17 @@
         self.listener = shared or listener("listen", given.listen)
         self.admin = given.admin and Admin(
             given.admin,
-            self.buffers,
-            self.log,
             {
                 "/_ready": ("GET", self.say_ready),
                 "/_metrics": ("GET", self.say_counts),
-                "/_lameduck/on": ("POST", lambda: self.say_lame(True)),
-                "/_lameduck/off": ("POST", lambda: self.say_lame(False)),
+                "/_lameduck/on": ("POST", lambda came_ago: self.say_lame(True, came_ago)),
+                "/_lameduck/off": ("POST", lambda came_ago: self.say_lame(False, came_ago)),
             },
+            on_loop=self.on_loop,
+            note=self.note_call,
         )
+        if self.admin:
+            self.log("second address at %s:%d" % self.admin.listener.getsockname()[:2])
 
     def recall(self, kept: dict[str, Any]) -> None:
         """Guards against whatever else a snapshot holds: what cannot be used costs the snapshot, never the start."""
@@ -334,24 +338,45 @@
     def ready(self) -> bool:
         return self.life.phase is Phase.SERVING
 
-    def say_ready(self) -> tuple[bool, str]:
+    def on_loop(self, work: Callable[..., None], *what: Any) -> None:
+        """Called on another thread: have that done in the loop; nothing where it is closed."""
+        with contextlib.suppress(RuntimeError):
+            self.loop.call_soon_threadsafe(work, *what)
+
+    def note_call(self, outcome: str, line: str) -> None:
+        """One line for each call that changes something or went wrong; readiness is asked too often for one."""
+        self.log.counters.add("admin_calls", outcome)
+        self.log(line)
+
+    # These answer calls, on the second address's thread.
+
+    def say_ready(self, came_ago: Micros) -> tuple[bool, str]:
+        """Whether this process takes clients; not where its loop has stood still for long."""
+        if self.ready and time.monotonic() - self.looked > STANDS_STILL:
+            return False, "does not go on"
         return self.ready, self.life.words
 
-    def say_counts(self) -> tuple[bool, str]:
+    def say_counts(self, came_ago: Micros) -> tuple[bool, str]:
         """Counts by name and reason; violations by rule."""
         rules = [f'saltmoor_violations_total{{reason="{rule.value}"}} {self.checker.violations[rule]}' for rule in Rule]
         return True, "\n".join([self.log.counters.text(), *rules]).strip()
 
-    def say_lame(self, on: bool) -> tuple[bool, str]:
+    def say_lame(self, on: bool, came_ago: Micros) -> tuple[bool, str]:
         """Staff begin or end a drain: also of a node that is starting; one that stops ends its clients anyway."""
         if self.life.phase in (Phase.STOPPING, Phase.ENDED):
             return False, self.life.words
-        before = self.life.drain
-        if self.life.order(on) != before:
+        changed = self.life.order(on, came_ago)
+        self.on_loop(self.drain_ordered, changed)
+        return True, "lame duck" if on else "serving"
+
+    # And these run in the loop again.
+
+    def drain_ordered(self, changed: bool) -> None:
+        """Staff have said so; the other process of this node has to hear it too."""
+        if changed:
             self.apply_drain()
         if self.sibling:
             self.sibling.say_surely(self.life.said())
-        return True, "lame duck" if on else "serving"
 
     def hear_drain(self, said: Message) -> None:
         """The other process of this node says whether it drains, and since when."""
@@ -361,6 +386,7 @@
     def apply_drain(self) -> None:
         drain = self.life.drain
         self.clients.drain_from(drain.changed if drain.on else 0)
+        self.clients.sweep(self.given.unfinished)
         self.hurry.set()
 
     def settings(self, given: config.Config) -> None:
@@ -578,11 +604,11 @@
         """Take clients, and begin what runs beside that."""
         self.clients.open_to(self.listener)
         self.clients.listen()
-        self.life.enter(Phase.SERVING)
         if self.sibling:
             self.sibling.say({"ready": os.getpid(), "shares": self.shares})
         if self.meeting:
             self.meeting.publish()
+        self.life.enter(Phase.SERVING)
         if self.keeper:
             self.keeper.begin(self.noted)
         if self.sharing:
--- a/saltmoor/net/node_life.py
+++ b/saltmoor/net/node_life.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -41,11 +42,12 @@
 
 
 class NodeLife:
-    """The node's phase and its drain."""
+    """The node's phase and its drain. Staff change the drain from the second address's thread."""
 
     def __init__(self, clock: Callable[[], Micros], sent: Callable[[], Micros] = monotonic) -> None:
         self.clock, self.sent = clock, sent
         self.phase, self.drain = Phase.STARTING, Drain()
+        self.lock = threading.Lock()  # of changes to the drain
 
     def enter(self, phase: Phase) -> None:
         """Go on to that phase."""
@@ -56,15 +58,21 @@
         """The state in a few words, for staff."""
         return "lame duck" if self.phase is Phase.SERVING and self.drain.on else self.phase.value
 
-    def order(self, on: bool) -> Drain:
-        """Staff say so now. The same again changes nothing: the drain's time goes on from its begin."""
-        if on != self.drain.on:
-            self.drain = Drain(on, self.clock())
-        return self.drain
+    def order(self, on: bool, came_ago: Micros = 0) -> bool:
+        """Staff said so, so long ago; whether it changed anything.
+
+        The same again does not: the drain's time goes on from its begin.
+        """
+        with self.lock:
+            if on == self.drain.on:
+                return False
+            self.drain = Drain(on, max(self.clock() - came_ago, self.drain.changed + 1))
+            return True
 
     def said(self) -> dict[str, Any]:
         """The drain, for the other process of this node."""
-        return {"lame": self.drain.on, "lame_for": self.clock() - self.drain.changed, "sent": self.sent()}
+        drain = self.drain  # another thread may put a new one in its place meanwhile
+        return {"lame": drain.on, "lame_for": self.clock() - drain.changed, "sent": self.sent()}
 
     def hear(self, message: Mapping[str, Any]) -> bool:
         """Take the other process's word where it is the later one; whether anything changed.
@@ -74,14 +82,14 @@
         """
         on, span = bool(message["lame"]), message.get("lame_for")
         changed = self.clock() - (int(span) + waited(message, self.sent()) if span is not None else 0)
-        if on == self.drain.on:
-            news = on and changed < self.drain.changed
-        else:
-            news = changed > self.drain.changed
-        if not news:
-            return False
-        self.drain = Drain(on, changed)
-        return True
+        with self.lock:
+            if on == self.drain.on:
+                news = on and changed < self.drain.changed
+            else:
+                news = changed > self.drain.changed
+            if news:
+                self.drain = Drain(on, changed)
+        return news
 
 
 def waited(message: Mapping[str, Any], now: Micros) -> Micros:
--- a/tests/test_event_sides.py
+++ b/tests/test_event_sides.py
@@ -15,7 +15,7 @@
 import socket
 import time
 import unittest
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 from unittest import mock
 
@@ -30,7 +30,7 @@
 from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Dial, Link
 from tests.helper import MS, VALUE, Town, read, within
-from tests.test_drain_bound import LONGEST
+from tests.test_drain_bound import BOUND, LONGEST, Address, Client, DrainTown, Process
 from tests.test_operations import Operated
 
 LAG = 0.8  # seconds for which a loop is held up, or a process halted
@@ -89,6 +89,144 @@
         return town
 
 
+class CallSent(InOneLoop):
+    """A call at the second address: sent, and heard."""
+
+    @staticmethod
+    async def answer(sock: socket.socket) -> bytes:
+        """What a call is answered with; empty where its connection ends, or in no time."""
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):  # a TimeoutError too
+            return await within(CALL_WITHIN, asyncio.get_running_loop().sock_recv(sock, 1000))
+        return b""
+
+    def drain_counts(self, connected_before: float, held_up: float) -> int:
+        """Microseconds from when the call was sent to the moment from which the drain counts."""
+        late = []
+
+        async def scene(town: Sized) -> None:
+            with socket.create_connection(town.service.admin.listener.getsockname()[:2]) as caller:
+                await asyncio.sleep(connected_before)
+                sent = lifecycle.clock()
+                caller.sendall(DRAIN)
+                hold_up(held_up)
+                self.assertIn(b"200", await self.answer(caller))
+                late.append(town.service.life.drain.changed - sent)
+
+        self.play(scene, Sized())
+        return late[0]
+
+    def test_a_drain_counts_from_its_call_however_late_that_is_heard(self):
+        self.assertLessEqual(self.drain_counts(0.0, LAG), HELD_UP)
+
+    def test_a_drain_does_not_count_from_before_its_call(self):
+        """Guards against a call's moment being taken from its connection, which may have stood for a while."""
+        for held_up in 0.0, LAG:
+            with self.subTest(held_up=held_up):
+                self.assertGreaterEqual(self.drain_counts(LAG, held_up), -GRAIN)
+
+    def test_a_call_holds_whose_caller_goes_at_once(self):
+        async def scene(town: Sized) -> None:
+            with socket.create_connection(town.service.admin.listener.getsockname()[:2]) as caller:
+                caller.sendall(DRAIN)
+            hold_up(0.1)
+            await asyncio.sleep(0.1)
+            self.assertTrue(town.service.life.drain.on)
+
+        self.play(scene, Sized())
+
+    def test_a_call_that_was_sent_is_answered_whoever_connects_behind_it(self):
+        """Guards against a call that is closed unread, as it is open longest of too many."""
+        for call_first in True, False:
+
+            async def scene(town: Sized, call_first: bool = call_first) -> None:
+                address = town.service.admin.listener.getsockname()[:2]
+                count = SILENT_CALLERS + 1
+                callers = [socket.create_connection(address) for _ in range(count)]
+                caller = callers[0 if call_first else -1]
+                caller.sendall(DRAIN)
+                hold_up(0.1)
+                self.assertIn(b"200", await self.answer(caller))
+                self.assertTrue(town.service.life.drain.on)
+                for one in callers:
+                    one.close()
+
+            with self.subTest(call_first=call_first):
+                self.play(scene, Sized())
+
+
+class NeverTown(DrainTown):
+    """The cache server never answers: each request is open for the whole of its time."""
+
+    async def answer_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := (await reader.readline()).decode():
+            self.forwarded.add(next(flag for flag in line.split() if flag.startswith("O"))[1:])
+
+
+class Asking(Client):
+    """Asks on and on, whatever is answered."""
+
+    async def on_and_on(self) -> None:
+        await self.connect()
+        while self.open:
+            self.ask("never")
+            await asyncio.sleep(ASKS_EVERY + 0.02 * (self.number % 5))
+
+
+class Halted(unittest.TestCase):
+    """Real processes that are halted while the call or the signal is sent."""
+
+    CLIENTS = 10
+
+    def ends(self, *variants: Coroutine[Any, Any, object]) -> list[object]:
+        """What came of each of them, side by side."""
+
+        async def run() -> list[object]:
+            return await asyncio.gather(*variants)
+
+        return uvloop.run(asyncio.wait_for(run(), 20))
+
+    @contextlib.asynccontextmanager
+    async def asking(self, processes: int) -> AsyncIterator[tuple[list[tuple[Process, Address]], list[Asking]]]:
+        """Processes of one node, and clients that ask."""
+        async with NeverTown() as town:
+            begun = [await town.begin() for _ in range(processes)]
+            clients = [Asking(town, "on_and_on", number) for number in range(1, self.CLIENTS + 1)]
+            tasks = [asyncio.create_task(one.run()) for one in clients]
+            await asyncio.sleep(BEFORE)
+            yield begun, clients
+            for task in tasks:
+                task.cancel()
+            for one in clients:
+                one.close()
+
+    async def halt(self, node: Process, seconds: float) -> None:
+        if seconds:
+            node.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            node.send_signal(signal.SIGCONT)
+
+    async def held(self, halts: float, processes: int = 1) -> int:
+        """Clients held 4 s after the call, which the first process gets; the last one is halted then."""
+        async with self.asking(processes) as (begun, clients):
+            halted = asyncio.create_task(self.halt(begun[-1][0], halts))
+            await asyncio.sleep(0.01)
+            called = time.monotonic()
+            self.assertTrue(await clients[0].town.call(begun[0][1], "POST", "/_lameduck/on"))
+            await asyncio.sleep(called + BOUND - time.monotonic())
+            held = [one.number for one in clients if one.held()]
+            await halted
+            return len(held)
+
+    def test_a_call_that_is_heard_late_holds_no_client(self):
+        at_once, late = self.ends(self.held(0.0), self.held(LAG))
+        self.assertEqual(at_once, 0, "held though it was heard at once")
+        self.assertEqual(late, 0, f"of {self.CLIENTS} clients held 4 s after the call was sent")
+
+    def test_a_drain_that_a_second_process_hears_late_holds_no_client(self):
+        self.assertEqual(self.ends(self.held(LAG, processes=2)), [0])
+
+
 class AnswerWritten(InOneLoop):
     """An answer: written to the kernel, and taken by its client's machine."""
 
