Steps of an end are taken sooner where the loop is late, and before new work

Callers see connections of a late node end behind their bound: each step (told, read no more, answered, closed) takes effect a pass of the loop after it was found to be due.

Cause: the bounds of a drain and a stop were drawn as if the loop were never late by more than 0.15 s in all. Why it works: guard/ends takes each step sooner by the loop's worst lateness of the last second, as measured (three passes from told to closed, one for answers and the close). The look at connections that end comes with the look at the loop's lateness, at the begin of a pass, before anything new is read in it.

--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -10,6 +10,9 @@
     reads_until + longest <= answers_until  unless a deadline is too long: then what is owed is due by `answers_until`
     answers_until + CLOSING + HELD_UP = bound  the end is said and seen, also where the process is held up
 
+A step takes effect some passes of the loop after it was found to be due: where the loop is late, all steps are taken
+sooner by that many passes (`ahead`).
+
 Source: the operators' pages on drains (4 s) and on planned restarts (the longest deadline, 3 s at most, and 0.7 s), and
 their standing test (a node may be held up for 0.15 s).
 """
@@ -160,15 +163,29 @@
     CUT = auto()  # the same, and its unfinished command is answered as such
 
 
-def due(now: Micros, end: ConnectionEnd, begun: Micros) -> Due:
-    """What is due now for a connection with that end; `begun`: since when a command is unfinished, or 0."""
-    if now < end.told:
+def ahead(lag: Micros) -> Micros:
+    """How much sooner steps are taken where the loop came so late at times."""
+    return min(PASSES_TO_END * lag, MOST_AHEAD)
+
+
+def due(now: Micros, end: ConnectionEnd, begun: Micros, *, told_at: Micros = 0, lag: Micros = 0) -> Due:
+    """What is due now for a connection with that end.
+
+    `begun`: since when a command is unfinished, or 0; `told_at`: when it was told in fact, or 0; `lag`: of the loop.
+    """
+    if now + ahead(lag) < end.told:
         return Due.NOTHING
-    if now < end.told + READS_ON:
+    read_until = min(told_at or end.told, end.told) + READS_ON
+    if now < read_until:
         return Due.TELL
-    if not begun or begun >= end.told + READS_ON:
+    if not begun or begun >= read_until:
         return Due.READ_NO_MORE
-    return Due.CUT if now >= end.commands_until else Due.TELL
+    return Due.CUT if now + ahead(lag) >= end.commands_until else Due.TELL
+
+
+def answers_due(now: Micros, end: ConnectionEnd, lag: Micros) -> bool:
+    """Whether what is open on a connection gets its final answer now."""
+    return bool(end.answers_until) and now + lag >= end.answers_until
 
 
 def overdue(now: Micros, end: ConnectionEnd, lag: Micros = 0) -> bool:
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -321,7 +321,8 @@
             return
         if not (end := self.end_due):
             return
-        match ends.due(now, end, self.command_since):
+        lag = self.house.lag
+        match ends.due(now, end, self.command_since, told_at=self.life.told_at, lag=lag):
             case ends.Due.NOTHING:
                 return
             case ends.Due.TELL:
@@ -330,12 +331,12 @@
                 self.finish(end.reason)
             case ends.Due.CUT:
                 self.cut_for_good()
-        if self.slots and end.answers_until and now >= end.answers_until:
+        if self.slots and ends.answers_due(now, end, lag):
             self.house.give_up(self)
             self.fail_unbegun()
         if self.writer and self.stopped_taking(now):
             self.abort("stalled")
-        elif ends.overdue(now, end) and not self.takes:
+        elif ends.overdue(now, end, lag) and not self.takes:
             self.abort("overdue")
 
     def tell(self, code: str) -> None:
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -42,6 +42,8 @@
 LONGEST_TURN = (
     400_000  # how long a client may wait to be read, at the listener too: its request is owed 0.5 s past its time
 )
+LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
+LAG_KEPT = 1_000_000  # how long the loop's worst lateness counts
 MISSED = 50_000  # how often clients that are not read from are looked at
 SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
@@ -88,6 +90,9 @@
         self.open_ids: set[bytes] = set()
         self.closing = self.late = self.paced = False  # late: the loop is, so that commands wait in their sockets
         self.late_by: Micros = 0  # how late the loop was when that was looked at last
+        self.lag: Micros = 0  # how late it was at most, lately
+        self.lag_at: Micros = 0  # when that was
+        self.swept_at: Micros = 0
         self.turns: deque[tuple[asyncio.Future, Micros]] = deque()  # who waits to be read while it is paced, since when
         self.reads = 0.0
         self.acceptor: Acceptor | None = None  # none before the node serves, and once its queue is empty at its end
@@ -117,6 +122,13 @@
         finally:
             client.turn = None
 
+    def note_lag(self, late: Micros) -> None:
+        """The loop came so late."""
+        now = self.clock()
+        self.late, self.late_by = late > LATE_FROM, late
+        if late >= self.lag or now - self.lag_at > LAG_KEPT:
+            self.lag, self.lag_at = late, now
+
     def busy(self) -> bool:
         """Whether anything came since the last time, is open, waits to be read, or is paced."""
         asked, self.asked = self.asked, False
@@ -346,6 +358,7 @@
 
     def sweep(self, longest: Micros) -> None:
         """Guards against clients that stop in the middle of a command and keep their descriptor."""
+        self.swept_at = self.clock()
         self.trim(KEPT)
         self.listen()  # guards against waiting for the end of a client where only connections to servers have ended
         now = self.clock()
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -43,7 +43,6 @@
 FIRST_NEWS = 1.0  # seconds: so long a start waits for the list where what it says counts from the first moment
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
 STANDS_STILL = 5.0  # seconds without a pass of the loop: the process hangs
-LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
 NAMES_SHOWN = 200  # characters of names in one line of the log
 STRICT = "SALTMOOR_STRICT"  # in the environment: a violated rule raises, for tests and soaks
 STOPS = {signal.SIGTERM, signal.SIGINT}
@@ -524,7 +523,9 @@
         # First of all: guards against a fault below that would leave the reads paced for ever.
         self.looking = self.loop.call_later(every, self.look, now + every)
         late = max(0, int((now - due) * 1_000_000))
-        self.clients.late, self.clients.late_by = late > LATE_FROM, late
+        self.clients.note_lag(late)
+        if self.clients.ending and clock() - self.clients.swept_at >= HURRY * 1_000_000:
+            self.clients.sweep(self.given.unfinished)  # before anything new is read in this pass
         self.clients.pace(self.door.ran(late, int((now - self.looked) * 1_000_000)))
         self.looked = now
         self.clients.missed()
@@ -649,7 +650,7 @@
             await asyncio.sleep(min(HURRY, left / 1_000_000))
             self.clients.sweep(self.given.unfinished)
         self.clients.settle_down()
-        while self.clients.owing and clock() < self.clients.until:
+        while self.clients.owing and clock() + self.clients.lag < self.clients.until:
             self.hand_on()
             await asyncio.sleep(STOP_EVERY)
             self.clients.sweep(self.given.unfinished)
