A stop counts from its signal, however late the loop hears of it

Callers see requests without an answer at a planned restart: a process whose loop is late, or that was halted when SIGTERM came, is killed with what it owes.

Cause: the bounds of a stop counted from when the loop came to the signal. Why it works: the signal's handler runs between two steps of whatever the process does and keeps the moment; a process that was halted counts from when it last ran. The log says how late a stop was heard (`stopping: since_ms`).

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -20,7 +20,7 @@
 from saltmoor import config, facade
 from saltmoor.choice import Node
 from saltmoor.guard.checks import Checker
-from saltmoor.guard.ends import CLOSING, LONGEST_AWAITED, plan_drain, plan_stop
+from saltmoor.guard.ends import CLOSING, LONGEST_AWAITED, MOST_AHEAD, plan_drain, plan_stop
 from saltmoor.guard.verdicts import Rule
 from saltmoor.model import Ended, ListKind, Micros, Readiness
 from saltmoor.net import meta, sibling
@@ -564,7 +564,7 @@
     async def run(self) -> None:
         """Serve until told to stop, then until nothing is owed."""
         for number in STOPS:
-            self.loop.add_signal_handler(number, self.hear_stop)
+            signal.signal(number, self.note_stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if signal.sigpending() & STOPS:  # guards against hearing of it only once clients are taken
             self.hear_stop()
@@ -582,10 +582,19 @@
             await self.stop()
         self.end()
 
+    def note_stop(self, *_: object) -> None:
+        """The process is told to end; this runs in the middle of whatever it does, and keeps the moment alone.
+
+        Guards against a process that was halted when the signal came: it may have come since it last ran.
+        """
+        halted = int((time.monotonic() - self.looked) * 1_000_000) + self.clients.late_by
+        self.stop_told_at = self.stop_told_at or clock() - min(halted, MOST_AHEAD)
+        self.on_loop(self.hear_stop)
+
     def hear_stop(self) -> None:
-        """The process is told to end: all bounds of its stop count from now, whatever it waits for."""
+        """All bounds of a stop count from its signal, whatever the process waited for."""
         if not self.stop_told.is_set():
-            self.stop_told_at = clock()
+            self.stop_told_at = self.stop_told_at or clock()
             self.stop_told.set()
             self.hurry.set()
 
@@ -637,7 +646,8 @@
         plan, since = plan_stop(self.longest, 0 if followed else self.given.linger), self.stop_told_at
         self.clients.begin_stop(plan, since)
         self.life.enter(Phase.STOPPING)
-        self.log(f"stopping: clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
+        since_ms = (clock() - since) // 1000
+        self.log(f"stopping: since_ms={since_ms} clients={len(self.clients.clients)} txs={len(self.clients.open_ids)}")
         if self.meeting:
             self.meeting.close()
         if followed:
--- a/tests/test_event_sides.py
+++ b/tests/test_event_sides.py
@@ -155,6 +155,25 @@
                 self.play(scene, Sized())
 
 
+class SignalSent(InOneLoop):
+    """SIGTERM: sent, and heard."""
+
+    def test_a_stop_counts_from_its_signal_however_late_that_is_heard(self):
+        for held_up in 0.0, LAG:
+
+            async def scene(town: Sized, held_up: float = held_up) -> None:
+                sent = lifecycle.clock()
+                os.kill(os.getpid(), signal.SIGTERM)
+                hold_up(held_up)
+                while not town.service.stop_told_at:
+                    await asyncio.sleep(0.001)
+                self.assertLessEqual(town.service.stop_told_at - sent, HELD_UP)
+                await town.running
+
+            with self.subTest(held_up=held_up):
+                self.play(scene, Sized())
+
+
 class NeverTown(DrainTown):
     """The cache server never answers: each request is open for the whole of its time."""
 
@@ -218,6 +237,18 @@
             await halted
             return len(held)
 
+    async def status(self, halts: float) -> int | None:
+        """How a process had ended when it would be killed; None: it had not."""
+        async with self.asking(1) as ([(node, _)], _):
+            halted = asyncio.create_task(self.halt(node, halts))
+            await asyncio.sleep(0.01)
+            node.terminate()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(asyncio.shield(node.wait()), KILLED_AFTER)
+            status = node.returncode
+            await halted
+            return status
+
     def test_a_call_that_is_heard_late_holds_no_client(self):
         at_once, late = self.ends(self.held(0.0), self.held(LAG))
         self.assertEqual(at_once, 0, "held though it was heard at once")
@@ -226,6 +257,11 @@
     def test_a_drain_that_a_second_process_hears_late_holds_no_client(self):
         self.assertEqual(self.ends(self.held(LAG, processes=2)), [0])
 
+    def test_a_signal_that_is_heard_late_ends_the_process_before_it_is_killed(self):
+        at_once, late = self.ends(self.status(0.0), self.status(LAG))
+        self.assertEqual(at_once, 0, "still there though it was heard at once")
+        self.assertEqual(late, 0, "still there when it is killed")
+
 
 class AnswerWritten(InOneLoop):
     """An answer: written to the kernel, and taken by its client's machine."""
