Who comes once a drain reads no more is refused at once, not held for a moment of its own

Callers see a drained node that still holds a few connections 4 s after the call, whichever moment they look at.

Cause: each connection that came during the drain might stay 0.3 s, and one that came in the last 0.75 s had 4 s of its own and its requests their whole deadline: whoever came last was held, idle or with a request of the last 2 s. Why it works: once a drain reads nothing more from those that came before it (1.8 s after the call, 0.7 s with long deadlines), the front has long seen the no. Whoever comes later is refused in its place, with when to come back, and ended; one that says nothing has 30 ms.

--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -41,6 +41,7 @@
 LONGEST_LINGER: Micros = 450_000  # of a stop: with READS_ON and the longest deadline still within the bound
 JUST_COME: Micros = 750_000  # who comes so shortly before a drain's bound has one of its own
 STRAY: Micros = 300_000  # how long a connection that comes late in a drain may stay before it is told
+REFUSED_STRAY: Micros = 30_000  # how long one of which nothing is served any more may take to ask
 QUEUED: Micros = 500_000  # at the caps: a request may be refused so long behind its time, and `mn` is owed in 1 s
 TAKES_NOTHING: Micros = 1_500_000  # a client that is told to end and has taken nothing of its answer for so long
 GIVES_NOTHING: Micros = 4_000_000  # a server that has given no more of a large value for so long, where the end is due
@@ -89,6 +90,7 @@
     commands_until: Micros
     answers_until: Micros  # 0: what it is owed has all of its own time
     gone_by: Micros  # 0: no bound but its requests' own
+    reads_on: Micros = READS_ON  # how long it is read on once it was told
 
     def earlier(self, other: ConnectionEnd | None) -> ConnectionEnd:
         """Each moment as the stricter of both has it; the reason of the one that is told first."""
@@ -101,6 +103,7 @@
             min(self.commands_until, other.commands_until),
             min(self.answers_until or other.answers_until, other.answers_until or self.answers_until),
             min(self.gone_by or other.gone_by, other.gone_by or self.gone_by),
+            min(self.reads_on, other.reads_on),
         )
 
 
@@ -121,15 +124,18 @@
     did. One that came once others are told has a moment of its own, as the front may not have seen the drain; the bound
     is the drain's for all that came before it, and later ones have one of the same length. Each is read for `READS_ON`.
     """
-    begun = _drain_counts_from(plan, since, connected)
+    begun, reads_on = _drain_counts_from(plan, since, connected), READS_ON
     if connected < since + plan.told_from:
         told = since + plan.told_from + int((plan.told_by - plan.told_from) * share)
         commands_until = since + plan.commands_until
+    elif refuses(plan, since, connected):
+        told = commands_until = max(connected + REFUSED_STRAY, accepted)
+        reads_on = 0
     else:
         commands_until = min(connected + STRAY + MOST_COMMANDS, begun + plan.answers_until - LEAST_WORK)
         told = min(connected + STRAY, commands_until)
     told = max(told, accepted)
-    return ConnectionEnd("draining", told, commands_until, begun + plan.answers_until, begun + plan.bound)
+    return ConnectionEnd("draining", told, commands_until, begun + plan.answers_until, begun + plan.bound, reads_on)
 
 
 def accepted_by(plan: EndPlan, since: Micros, connected: Micros) -> Micros:
@@ -137,6 +143,14 @@
     return _drain_counts_from(plan, since, connected) + plan.answers_until - LEAST_WORK
 
 
+def refuses(plan: EndPlan, since: Micros, connected: Micros) -> bool:
+    """Whether nothing is served on a connection that the machine took then, as the node has drained since `since`.
+
+    By then nothing is read any more from those that came before; the front has long seen the drain.
+    """
+    return connected >= since + plan.reads_until
+
+
 def _drain_counts_from(plan: EndPlan, since: Micros, connected: Micros) -> Micros:
     return since if connected < since + plan.bound - JUST_COME else connected
 
@@ -175,7 +189,7 @@
     """
     if now + ahead(lag) < end.told:
         return Due.NOTHING
-    read_until = min(told_at or end.told, end.told) + READS_ON
+    read_until = min(told_at or end.told, end.told) + end.reads_on
     if now < read_until:
         return Due.TELL
     if not begun or begun >= read_until:
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -339,6 +339,10 @@
         elif ends.overdue(now, end, lag) and not self.takes:
             self.abort("overdue")
 
+    def advance_now(self) -> None:
+        """The same, at a moment that was drawn for it."""
+        self.advance(self.house.clock())
+
     def tell(self, code: str) -> None:
         """It is to end: as soon as nothing is open on it, it is closed or handed on."""
         if not self.house.heir:
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -201,6 +201,9 @@
         client.connected = client.empty_at = client.since - queued  # it held nothing when it came up
         self.clients.add(client)
         self.set_end(client)
+        if self.refuses(client):  # it is not left to the next sweep
+            wait = client.end_due.told - self.clock()
+            asyncio.get_running_loop().call_later(max(0, wait) / 1_000_000, client.advance_now)
         self.trim(0)
 
     def drain_from(self, since: Micros) -> None:
@@ -218,6 +221,10 @@
         waiting = self.acceptor.waiting() if self.acceptor else 0
         self.log(f"lame duck {state} clients={len(self.clients)} txs={len(self.open_ids)} waiting={waiting}")
 
+    def refuses(self, client: Client) -> bool:
+        """Whether nothing is served on this connection, as it came when the node had drained for long."""
+        return bool(self.drain_since) and ends.refuses(self.drain, self.drain_since, client.connected)
+
     def set_end(self, client: Client, handed_on: dict[str, int] | None = None) -> None:
         """When this connection ends, where the node drains or the process stops; `handed_on`: what another process said."""
         if self.drain_since:
@@ -454,6 +461,11 @@
         if verdict.reason is Reason.ID_OPEN:
             command.fault = "this id is open"
             return
+        if self.refuses(client):
+            slot.answer = meta.rolled_back(self.door.hint() // 1000)
+            self.requests.note("refused", "draining", command.id.decode("latin-1"))
+            client.close("draining")
+            return
         if not verdict:  # nothing was sent, so trying again is harmless
             slot.answer = meta.rolled_back(0)
             self.requests.note("refused", verdict.reason.value, command.id.decode("latin-1"))
