Messages between nodes: one module of types and contents, with standard names

No behaviour changes. The types and contents of what nodes say to each other stood as bare texts and structs among the sockets of net/peers.py. They are peers/messages.py now: MessageType, PullRequest, PullEnd, OperatorCommand, FetchLease, BorrowedQuota. A new test guards the wire: each type's text, each content as an array in its order, as the build before has them.

--- a/saltmoor/net/peers.py
+++ b/saltmoor/net/peers.py
@@ -17,8 +17,6 @@
 from functools import lru_cache
 from typing import Any
 
-import msgspec
-
 import saltmoor
 from saltmoor import config
 from saltmoor.config import Talking
@@ -29,6 +27,15 @@
 from saltmoor.peers import frames
 from saltmoor.peers.frames import Speaker, Strange
 from saltmoor.peers.members import Ask, Members, News, Out, Ping
+from saltmoor.peers.messages import (
+    MEMBERSHIP,
+    BorrowedQuota,
+    FetchLease,
+    MessageType,
+    OperatorCommand,
+    PullEnd,
+    PullRequest,
+)
 from saltmoor.replica.exchange import Exchange, Pull
 from saltmoor.replica.items import Item, Stamps, Store
 from saltmoor.replica.lent import Part
@@ -49,40 +56,6 @@
 ASKED_MOST = 2_000  # of them at once
 
 
-class PullWord(msgspec.Struct, array_like=True):
-    epoch: int
-    seq: int
-    ranges: list[tuple[str, int]] = []
-
-
-class EndWord(msgspec.Struct, array_like=True):
-    epoch: int
-    seq: int
-    digests: dict[str, list[int]]
-
-
-class SayWord(msgspec.Struct, array_like=True):
-    name: str
-    value: Any
-
-
-class TurnWord(msgspec.Struct, array_like=True):
-    """A question by its number, its answer, or the end of a fetch by its permit's."""
-
-    number: int
-    key: int
-    lease: int = 0
-    how: int = 0
-    permit: int = 0
-    server: str = ""
-
-
-class LendWord(msgspec.Struct, array_like=True):
-    sum: str
-    number: int
-    amount: int = 0
-
-
 @dataclass(slots=True, eq=False)
 class Asked:
     answer: asyncio.Future
@@ -172,7 +145,7 @@
     # Life.
 
     def begin(self) -> None:
-        for form in (Ping, Ask, list[Item], TurnWord, LendWord, PullWord, EndWord, SayWord, str):
+        for form in (Ping, Ask, list[Item], FetchLease, BorrowedQuota, PullRequest, PullEnd, OperatorCommand, str):
             frames.reader(form)
         self.open()
         self.again()
@@ -325,52 +298,52 @@
             raise Strange("length")
         frame = frames.decode(data, self.given.cluster)
         now, speaker, word = self.clock(), frame.speaker, frame.word
-        if word in ("ping", "ack", "ask"):
-            said = frames.content(frame, Ask if word == "ask" else Ping)
-            if word == "ping" and said.to and said.to != self.name:
+        if word in MEMBERSHIP:
+            said = frames.content(frame, Ask if word == MessageType.ASK else Ping)
+            if word == MessageType.PING and said.to and said.to != self.name:
                 raise Strange("not for this one")
             outs = self.members.heard(now, time.time_ns() // 1000, speaker, word, said)
             self.send_all(outs)
-            if word != "ask" and speaker.name in self.members.others and said.epoch:
+            if word != MessageType.ASK and speaker.name in self.members.others and said.epoch:
                 self.exchange.saw(now, speaker.name, said.root == self.store.root)
             return
         if speaker.name == self.name or speaker.name not in self.members.others:
             raise Strange("not known")
-        if word == "items":
+        if word == MessageType.ENTRIES:
             for item in frames.content(frame, list[Item])[:CHUNK]:
                 self.merge(now, item)
-        elif word == "turn?":
-            said = frames.content(frame, TurnWord)
+        elif word == MessageType.LEASE_REQUEST:
+            said = frames.content(frame, FetchLease)
             lease = max(0, min(said.lease, 2_000_000))
             self.tell_all([self.turns.ask(now, said.key, speaker.name, said.number, lease, said.server)])
-        elif word == "turn!":
-            said = frames.content(frame, TurnWord)
+        elif word == MessageType.LEASE_ANSWER:
+            said = frames.content(frame, FetchLease)
             self.answered(
                 Word(
                     self.name, said.number, How(said.how) if said.how in (0, 1, 2) else How.GO, said.permit, said.server
                 )
             )
-        elif word == "turned":
-            said = frames.content(frame, TurnWord)
+        elif word == MessageType.LEASE_END:
+            said = frames.content(frame, FetchLease)
             self.tell_all(self.turns.done(now, said.key, said.number, said.server))
-        elif word == "void":
-            self.tell_all(self.turns.void(now, frames.content(frame, TurnWord).key))
+        elif word == MessageType.LEASE_VOID:
+            self.tell_all(self.turns.void(now, frames.content(frame, FetchLease).key))
         elif word in self.handlers:
             form, heed = self.handlers[word]
             heed(speaker.name, frames.content(frame, form))
-        elif word in ("lend?", "lend!", "lent"):
-            self.lending(now, speaker.name, word, frames.content(frame, LendWord))
+        elif word in (MessageType.QUOTA_REQUEST, MessageType.QUOTA_GRANT, MessageType.QUOTA_RETURN):
+            self.lending(now, speaker.name, word, frames.content(frame, BorrowedQuota))
         else:
             raise Strange("word")
 
-    def lending(self, now: Micros, who: str, word: str, said: LendWord) -> None:
+    def lending(self, now: Micros, who: str, word: str, said: BorrowedQuota) -> None:
         part = self.parts.get(said.sum)
         if part is None:
             return
-        if word == "lend?":
+        if word == MessageType.QUOTA_REQUEST:
             if amount := part.give(now, who, said.number, said.amount):
-                self.send(self.where(who), "lend!", LendWord(said.sum, said.number, amount))
-        elif word == "lend!":
+                self.send(self.where(who), MessageType.QUOTA_GRANT, BorrowedQuota(said.sum, said.number, amount))
+        elif word == MessageType.QUOTA_GRANT:
             part.take(now, who, said.number, said.amount)
         else:
             part.taken_back(who, said.number)
@@ -382,11 +355,11 @@
         if whom:
             self.loans += 1
             if self.parts[name].ask(now, whom[0], self.loans):
-                self.send(self.where(whom[0]), "lend?", LendWord(name, self.loans, amount))
+                self.send(self.where(whom[0]), MessageType.QUOTA_REQUEST, BorrowedQuota(name, self.loans, amount))
 
     def bring_back(self, name: str) -> None:
         for lender, number in self.parts[name].give_back(self.clock()):
-            self.send(self.where(lender), "lent", LendWord(name, number))
+            self.send(self.where(lender), MessageType.QUOTA_RETURN, BorrowedQuota(name, number))
 
     # What is shared.
 
@@ -447,7 +420,7 @@
         for packet in packets:
             names = there if len(there) <= DIRECT else self.members.some(there, FAN)
             for name in names:
-                self.send(self.where(name), "items", packet)
+                self.send(self.where(name), MessageType.ENTRIES, packet)
         self.spoken.extend(again)  # at the next tick
 
     # Streams.
@@ -468,12 +441,14 @@
                 if data is None:
                     return
                 frame = frames.decode(data, self.given.cluster)
-                if frame.word == "pull":
-                    await self.give(bulk, frames.content(frame, PullWord))
-                elif frame.word == "show":
-                    await bulk.write(self.encode("shown", self.shown(frames.content(frame, str))))
-                elif frame.word == "say":
-                    await bulk.write(self.encode("said", self.said(frames.content(frame, SayWord))))
+                if frame.word == MessageType.PULL:
+                    await self.give(bulk, frames.content(frame, PullRequest))
+                elif frame.word == MessageType.SHOW:
+                    await bulk.write(self.encode(MessageType.SHOWN, self.shown(frames.content(frame, str))))
+                elif frame.word == MessageType.COMMAND:
+                    await bulk.write(
+                        self.encode(MessageType.COMMAND_TAKEN, self.said(frames.content(frame, OperatorCommand)))
+                    )
                 else:
                     raise Strange("word")
         except Strange as error:
@@ -487,7 +462,7 @@
             self.streams -= 1
             sock.close()
 
-    async def give(self, bulk: Bulk, said: PullWord) -> None:
+    async def give(self, bulk: Bulk, said: PullRequest) -> None:
         """What a peer lacks, at a bounded rate: who returns must not hold up who serves."""
         now, seq = self.clock(), self.store.seq
         wanted = (
@@ -504,10 +479,10 @@
                 chunk, size = [], 0
         if chunk:
             await self.send_chunk(bulk, chunk)
-        await bulk.write(self.encode("end", EndWord(self.store.epoch, seq, self.store.digests)))
+        await bulk.write(self.encode(MessageType.PULL_END, PullEnd(self.store.epoch, seq, self.store.digests)))
 
     async def send_chunk(self, bulk: Bulk, chunk: list[Item]) -> None:
-        count = await bulk.write(self.encode("items", chunk))
+        count = await bulk.write(self.encode(MessageType.ENTRIES, chunk))
         self.given_bytes += count
         await asyncio.sleep(count / self.given.rate)
 
@@ -529,16 +504,16 @@
             if not where:
                 raise Strange("not known")
             async with asyncio.timeout(CALL_WAIT):
-                bulk = await self.call(where, "pull", PullWord(pull.epoch, pull.seq, pull.ranges))
+                bulk = await self.call(where, MessageType.PULL, PullRequest(pull.epoch, pull.seq, pull.ranges))
                 while (data := await bulk.read()) is not None:
                     frame = frames.decode(data, self.given.cluster)
-                    if frame.word == "items":
+                    if frame.word == MessageType.ENTRIES:
                         now = self.clock()
                         for item in frames.content(frame, list[Item])[: 4 * CHUNK]:
                             self.merge(now, item)
                         await asyncio.sleep(0)
-                    elif frame.word == "end":
-                        end = frames.content(frame, EndWord)
+                    elif frame.word == MessageType.PULL_END:
+                        end = frames.content(frame, PullEnd)
                         self.exchange.done(self.clock(), pull.name, end.epoch, end.seq, self.store.compare(end.digests))
                         return
                 raise Strange("cut off")
@@ -559,7 +534,11 @@
             if one.to == self.name:
                 self.answered(one)
             else:
-                self.send(self.where(one.to), "turn!", TurnWord(one.ask, 0, 0, int(one.how), one.permit, one.server))
+                self.send(
+                    self.where(one.to),
+                    MessageType.LEASE_ANSWER,
+                    FetchLease(one.ask, 0, 0, int(one.how), one.permit, one.server),
+                )
 
     def answered(self, word: Word) -> None:
         """A keeper's answer to a question of this node."""
@@ -588,7 +567,7 @@
                 if who == self.name:
                     self.tell_all([self.turns.ask(self.clock(), key, who, ask, lease, missed)])
                 else:
-                    self.send(self.where(who), "turn?", TurnWord(ask, key, lease, server=missed))
+                    self.send(self.where(who), MessageType.LEASE_REQUEST, FetchLease(ask, key, lease, server=missed))
                 word = await asked.answer
         except TimeoutError:
             return None
@@ -609,7 +588,7 @@
         if who == self.name:
             self.tell_all(self.turns.done(self.clock(), key, number, server))
         else:
-            self.send(self.where(who), "turned", TurnWord(number, key, server=server))
+            self.send(self.where(who), MessageType.LEASE_END, FetchLease(number, key, server=server))
 
     def written(self, key: int) -> None:
         """This node has had the key written: what others are fetching of it may be the value before."""
@@ -617,11 +596,11 @@
         if who == self.name:
             self.tell_all(self.turns.void(self.clock(), key))
         else:
-            self.send(self.where(who), "void", TurnWord(0, key))
+            self.send(self.where(who), MessageType.LEASE_VOID, FetchLease(0, key))
 
     # For operators.
 
-    def said(self, say: SayWord) -> dict[str, Any]:
+    def said(self, say: OperatorCommand) -> dict[str, Any]:
         """An operator's word, from now on every node's."""
         if not 0 < len(say.name) <= 200 or "|" not in say.name:
             return {"fault": "must be WHAT|NAME"}
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,10 +17,17 @@
 from saltmoor import config, model
 from saltmoor.lab.detect import Town
 from saltmoor.model import Member, Readiness
-from saltmoor.net.peers import EndWord, PullWord
 from saltmoor.peers import frames
 from saltmoor.peers.frames import Speaker, Strange
 from saltmoor.peers.members import Ask, Members, News, Ping, State
+from saltmoor.peers.messages import (
+    BorrowedQuota,
+    FetchLease,
+    MessageType,
+    OperatorCommand,
+    PullEnd,
+    PullRequest,
+)
 from saltmoor.replica import lent
 from saltmoor.replica.exchange import Exchange, Phase
 from saltmoor.replica.items import KINDS, SECOND, Item, Stamps, Store
@@ -515,6 +522,25 @@
         self.assertEqual(other.own(now + lent.LONGER), 100_000)
 
 
+class WireForms(unittest.TestCase):
+    def test_a_node_of_the_build_before_reads_each_message(self):
+        """Guards against a renamed type or field that alters the wire: types as texts, contents as arrays in order."""
+        self.assertEqual(
+            " ".join(MessageType),
+            "ping ack ask items turn? turn! turned void lend? lend! lent duty? duty! pull end show shown say said",
+        )
+        for content, array in (
+            (PullRequest(1, 2, [("drain", 3)]), [1, 2, [["drain", 3]]]),
+            (PullEnd(1, 2, {"drain": [3]}), [1, 2, {"drain": [3]}]),
+            (OperatorCommand("empty|n1", True), ["empty|n1", True]),
+            (FetchLease(1, 2, 3, 0, 4, "s"), [1, 2, 3, 0, 4, "s"]),
+            (BorrowedQuota("t", 1, 2), ["t", 1, 2]),
+        ):
+            self.assertEqual(msgspec.msgpack.encode(content), msgspec.msgpack.encode(array))
+        speaker = Speaker("n1", 5, 6, 7)
+        self.assertEqual(frames.encode("c", speaker, MessageType.ENTRIES, []), frames.encode("c", speaker, "items", []))
+
+
 class Fuzz(unittest.TestCase):
     def test_only_strange_whatever_comes(self):
         """Each byte altered, each cut, another cluster, another format, random bytes: told by one error, never another."""
@@ -547,7 +573,7 @@
             if rng.random() < 0.5:
                 said = [1, "", [[rng.choice(values) for _ in range(7)]], 0, 0, 0]
             frame = frames.decode(frames.encode("c", Speaker("n2", 5, 6, 7), "ping", said), "c")
-            for form in (Ping, Ask, list[Item], PullWord, EndWord):
+            for form in (Ping, Ask, list[Item], PullRequest, PullEnd):
                 try:
                     content = frames.content(frame, form)
                 except Strange:
