Split net/peers.py into a package of parts with one job each

No behaviour changes. One module of 660 lines held the sockets, the form and dispatch of messages, gossip, anti-entropy, fetch leases, borrowed quota and operators' questions. net/peers/ has a module for each, put together by node.Peers: sockets, streams, messenger, membership, gossip, anti_entropy, fetch_leases, borrowed_quota, operators. A part is given what it stands on and never knows node; the chain of comparisons by a message's text is a table of routes that parts add to. Which process of a member it is comes in as Process, so that the lab's hollow members override less. Tests change by names that moved.

--- a/saltmoor/lab/scale_hollow.py
+++ b/saltmoor/lab/scale_hollow.py
@@ -1,4 +1,4 @@
-"""Owns hollow members: the real control code of a node (`net/peers.py` with its cores, `net/duties.py`) on the scripted
+"""Owns hollow members: the real control code of a node (`net/peers/` with its cores, `net/duties.py`) on the scripted
 network, without a data path, and how much processor time each of them takes.
 
 It must never change what that code decides: it gives it a clock, an address and a seed, and counts.
@@ -12,12 +12,12 @@
 from typing import Any
 
 from saltmoor.config import Dutiful, Talking
-from saltmoor.lab.scale_clock import Network, Place, ScriptedLoop
+from saltmoor.lab.scale_clock import Network, Place, ScriptedLoop, Stream
 from saltmoor.net.duties import Duties
-from saltmoor.net.peers import STREAMS, Bulk, Peers
-from saltmoor.peers.members import Member, Members, News
-from saltmoor.replica.exchange import Exchange, Known, Phase
-from saltmoor.replica.turns import Turns
+from saltmoor.net.peers.node import Peers, Process
+from saltmoor.net.peers.streams import STREAMS
+from saltmoor.peers.members import Member
+from saltmoor.replica.exchange import Known, Phase
 
 CLUSTER = "scale"
 PERIOD, SUSPECT = 200_000, 1_500_000  # as a node has them by default
@@ -97,16 +97,12 @@
         starts: int = 0,
     ) -> None:
         loop: ScriptedLoop = network.loop
-        super().__init__(talking(name, where, place.site, seeds), name, quiet, loop.micros)
-        self.network, self.own, self.place, self.spent = network, where, place, Spent()
         now = loop.micros()
         # What comes by chance comes from the script's seed.
-        self.run = (1 << 47) + (network.seed * 1000 + starts) * 100_000 + number
-        life = WALL + now // 1000 + starts
-        self.me = News(name, 0, life, self.run, self.given.address, self.given.site, self.me.build)
-        self.members = Members(self.me, self.given.period, self.given.suspect, list(seeds), self.run, now)
-        self.store.epoch = self.run
-        self.exchange, self.turns = Exchange(name, now, self.run), Turns(life)
+        run = (1 << 47) + (network.seed * 1000 + starts) * 100_000 + number
+        process = Process(run, WALL + now // 1000 + starts)
+        super().__init__(talking(name, where, place.site, seeds), name, quiet, loop.micros, process)
+        self.network, self.own, self.place, self.spent = network, where, place, Spent()
         self.duties: Duties | None = None
         share = number * 7919 % 1000 / 1000  # members neither tick together nor look for what is old together
         self.phase = share * self.given.period / 4_000_000
@@ -117,8 +113,8 @@
         self.loop.call_later(self.phase, self.again)
 
     def open(self) -> None:
-        self.udp, listener = self.network.put(self.own, self.place, self.heard, self.came_stream)
-        self.socks = [self.udp, listener]
+        ends = self.network.put(self.own, self.place, self.heard, self.came_stream)
+        self.sockets.datagrams, self.sockets.listener = ends
 
     def wall(self) -> int:
         """The script's, so that which number of a lease is larger does not hang on the machine."""
@@ -131,9 +127,9 @@
 
     def heard(self, data: bytes) -> None:
         try:
-            self.spent.of(self.hear, data)
+            self.spent.of(self.messenger.dispatch, data)
         except Exception as error:
-            self.drop(str(error) or type(error).__name__)
+            self.messenger.traffic.drop(str(error) or type(error).__name__)
 
     def came_stream(self) -> None:
         if not self.ended:
@@ -143,18 +139,17 @@
         """What the acceptor does for a real member: each stream that has come is welcomed."""
         for _ in range(STREAMS):
             try:
-                sock, peer = self.socks[1].accept()
+                sock, peer = self.sockets.listener.accept()
             except BlockingIOError:
                 return
-            self.welcome(sock, peer)
+            self.streams.welcome(sock, peer)
 
     def tick(self) -> None:
         if not self.ended:
             self.spent.of(super().tick)
 
-    def flush(self) -> None:
-        if not self.ended:
-            self.spent.of(super().flush)
+    def soon(self, callback: Callable[[], None]) -> None:
+        super().soon(lambda: self.ended or self.spent.of(callback))
 
     def spawn(self, work: Coroutine) -> None:
         super().spawn(self.counted(work))
@@ -162,10 +157,8 @@
     async def counted(self, work: Coroutine) -> None:
         await self.spent.each(work)
 
-    async def call(self, where: tuple[str, int], word: str, said: Any) -> Bulk:
-        bulk = Bulk(await self.network.connect(self.own, where))
-        await bulk.write(self.encode(word, said))
-        return bulk
+    async def connect(self, address: tuple[str, int]) -> Stream:
+        return await self.network.connect(self.own, address)
 
     def crash(self) -> None:
         """It is gone without a word, with all its connections."""
@@ -179,5 +172,5 @@
                 self.members.others[one.name] = Member(
                     one.name, me.life, me.run, me.address, me.site, me.build, since=now, spoke=now
                 )
-                self.exchange.peers[one.name] = Known(one.store.epoch, one.store.seq)
-        self.exchange.phase = Phase.LEVEL
+                self.schedule.peers[one.name] = Known(one.store.epoch, one.store.seq)
+        self.schedule.phase = Phase.LEVEL
--- a/saltmoor/lab/scale_town.py
+++ b/saltmoor/lab/scale_town.py
@@ -177,7 +177,7 @@
 
 
 class Gossip(Way):
-    """Today's: `net/peers.py`, its table and its comparisons; five members vote on a lease."""
+    """Today's: `net/peers/`, its table and its comparisons; five members vote on a lease."""
 
     name = "peers"
 
@@ -210,7 +210,7 @@
                 for i, item in enumerate(old):
                     item.age = int(KEPT_S * 1e6 * (count - i) / (count + 1))
                     one.store.put(town.loop.micros(), item)
-                one.store.hear = one.fresh
+                one.store.hear = one.gossip.is_new
             everyone = list(self.members.values())
             for one in everyone:
                 one.knows(everyone, town.loop.micros())
@@ -224,7 +224,7 @@
         one = self.members[name]
         if one.ended:
             return
-        self.gone += one.exchange.pulls
+        self.gone += one.schedule.pulls
         if how == "end":
             one.end()
         else:
@@ -243,10 +243,10 @@
     def state(self, name: str) -> int:
         """As the store counts it, and a member as its kept slots and texts take on this interpreter."""
         one = self.members[name]
-        return one.store.bytes + MEMBER * len(one.members.others) + KNOWN * len(one.exchange.peers)
+        return one.store.bytes + MEMBER * len(one.members.others) + KNOWN * len(one.schedule.peers)
 
     def pulls(self, name: str) -> int:
-        return self.members[name].exchange.pulls
+        return self.members[name].schedule.pulls
 
     def writer(self) -> str:
         now = self.town.loop.micros()
@@ -263,7 +263,7 @@
         """And whether it knows every other."""
         count = len(self.members)
         return all(
-            len(one.members.others) == count - 1 and one.exchange.phase is Phase.LEVEL for one in self.members.values()
+            len(one.members.others) == count - 1 and one.schedule.phase is Phase.LEVEL for one in self.members.values()
         )
 
     def figures(self) -> dict[str, float | None]:
@@ -273,7 +273,7 @@
             other.state is State.DEAD and other.name in names for one in there for other in one.members.others.values()
         )
         return {
-            "busy": float(sum(one.dropped.get("busy", 0) for one in self.members.values())),
+            "busy": float(sum(one.messenger.traffic.dropped.get("busy", 0) for one in self.members.values())),
             "held_dead_wrongly": float(wrong),
             "known_least": float(min(sum(o.there for o in one.members.others.values()) + 1 for one in there)),
             "writers": float(
--- a/saltmoor/lab/scale_worker.py
+++ b/saltmoor/lab/scale_worker.py
@@ -20,7 +20,7 @@
 from saltmoor.lab.book import clock
 from saltmoor.lab.scale_clock import Place, way_s
 from saltmoor.lab.scale_hollow import PERIOD, SUSPECT, quiet
-from saltmoor.net.peers import Peers
+from saltmoor.net.peers.node import Peers
 from saltmoor.replica.items import Item
 
 LOOK = 0.02  # seconds between two looks at the loop's lateness
@@ -107,18 +107,19 @@
 
     def open(self) -> None:
         super().open()
-        if self.udp:
-            self.udp = Far(self.udp, self.loop, self.site, self.share.all_sites)
+        if self.sockets.datagrams:
+            self.sockets.datagrams = Far(self.sockets.datagrams, self.loop, self.site, self.share.all_sites)
 
     def counts(self) -> list[int]:
+        traffic = self.messenger.traffic
         return [
-            self.sent,
-            self.came,
-            self.sent_bytes,
-            self.came_bytes,
-            self.given_bytes,
-            self.exchange.pulls,
-            self.dropped.get("busy", 0),
+            traffic.sent,
+            traffic.received,
+            traffic.sent_bytes,
+            traffic.received_bytes,
+            traffic.given_bytes,
+            self.schedule.pulls,
+            traffic.dropped.get("busy", 0),
         ]
 
 
--- a/saltmoor/net/duties.py
+++ b/saltmoor/net/duties.py
@@ -18,7 +18,7 @@
 from saltmoor.config import Dutiful
 from saltmoor.duties.lease import Ask, Claim, Vote, Voter
 from saltmoor.model import Micros
-from saltmoor.net.peers import Peers
+from saltmoor.net.peers.node import Peers
 from saltmoor.peers import frames
 from saltmoor.peers.messages import MessageType
 from saltmoor.replica.items import Item
@@ -119,8 +119,9 @@
         self.differ: set[str] = set()  # members with another list of voters
         self.kept_at, self.writing, self.mode = now, False, ""
         self.wrote = 0
-        peers.handlers |= {MessageType.DUTY_REQUEST: (Ask, self.asked), MessageType.DUTY_VOTE: (Vote, self.voted)}
-        peers.shows["duties"] = self.shown
+        peers.messenger.route(MessageType.DUTY_REQUEST, Ask, self.asked)
+        peers.messenger.route(MessageType.DUTY_VOTE, Vote, self.voted)
+        peers.operators.views["duties"] = self.shown
         self.loading, self.started = "snapshot" in given.use and bool(self.claims), now
         if self.loading:
             threading.Thread(target=self.load, daemon=True).start()
@@ -137,7 +138,7 @@
                 if vote := self.voter.hear(self.clock(), name, ask):
                     self.voted(name, vote)
             else:
-                self.peers.send(self.peers.where(name), MessageType.DUTY_REQUEST, ask)
+                self.peers.messenger.send_to(name, MessageType.DUTY_REQUEST, ask)
 
     def asked(self, who: str, ask: Ask) -> None:
         mine = next(iter(self.claims.values()), None)
@@ -151,7 +152,7 @@
         if ask.step == "release":
             self.claims[ask.duty].freed(self.clock(), self.chance())
         if vote := self.voter.hear(self.clock(), who, ask):
-            self.peers.send(self.peers.where(who), MessageType.DUTY_VOTE, vote)
+            self.peers.messenger.send_to(who, MessageType.DUTY_VOTE, vote)
 
     def voted(self, who: str, vote: Vote) -> None:
         if claim := self.claims.get(vote.duty):
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -16,7 +16,7 @@
 from saltmoor.choice import OTHERS
 from saltmoor.model import Ended, Micros, Readiness
 from saltmoor.net import meta
-from saltmoor.net.peers import Peers
+from saltmoor.net.peers.node import Peers
 from saltmoor.replica import lent
 from saltmoor.replica.items import Item
 from saltmoor.replica.turns import How
@@ -37,7 +37,12 @@
         self.peers = peers = Peers(given, service.given.name, service.log, clock)
         peers.took, peers.step = self.took, self.step
         self.uses = Uses(
-            peers.name, given.site, given.source or service.source(), given.use, peers.store, count=peers.me.life << 20
+            peers.name,
+            given.site,
+            given.source or service.source(),
+            given.use,
+            peers.store,
+            count=peers.process.incarnation << 20,
         )
         self.duties = None
         if service.given.duties:
@@ -110,14 +115,14 @@
             self.quotas = node.quotas
             self.whole = [bucket[0] * node.place.nodes for bucket in node.quotas]
         for name, whole, bucket in zip(names, self.whole, node.quotas):
-            part = self.peers.parts.get(name)
+            part = self.peers.quotas.shares.get(name)
             if part is None or part.nodes != node.place.nodes:
-                part = self.peers.parts[name] = lent.Part(node.place.nodes, now)
+                part = self.peers.quotas.shares[name] = lent.Part(node.place.nodes, now)
             bucket[0] = whole * part.own(now) / lent.WHOLE
             if bucket[1] < 1:
-                self.peers.borrow(name, part.base // 4)
+                self.peers.quotas.borrow(name, part.base // 4)
             elif bucket[1] > 1.9 * bucket[0] and part.got:
-                self.peers.bring_back(name)
+                self.peers.quotas.give_back(name)
 
     # In.
 
@@ -223,7 +228,7 @@
             # No longer than half of what its client can bear, and than a few fetches take.
             left = max(0, tx.goal - begun) // 2 if tx else 0
             lease = max(LEASE, int(4 * node.fetch))
-            word = await self.peers.permit(step.tx.key, lease, min(left, 2 * lease), str(step.server))
+            word = await self.peers.fetch_leases.request(step.tx.key, lease, min(left, 2 * lease), str(step.server))
         except Exception as error:
             self.service.log(f"fault in sharing: turn: {type(error).__name__}: {error}")
         finally:
@@ -235,20 +240,20 @@
 
     def purged(self, key: int) -> None:
         """Each node hears of it itself: a fetch lease that is this node's to give is void, a copy not told of any more."""
-        self.guarded(lambda: self.peers.tell_all(self.peers.turns.void(self.peers.clock(), key)))
+        self.guarded(self.peers.fetch_leases.void, key)
 
     def leased(self) -> list[int]:
         """Keys that this node has given a lease of, or told a copy of."""
-        return [*{*self.peers.turns.permits, *self.peers.turns.copies}]
+        return list(self.peers.fetch_leases.granted_keys())
 
     def ended(self, step: facade.Send, reply: meta.Reply) -> None:
         """A hop to the origin has ended."""
         if step.tx.key is None:
             return
         if step.tx.write:
-            self.guarded(self.peers.written, step.tx.key)
+            self.guarded(self.peers.fetch_leases.written, step.tx.key)
         else:
             tx = self.service.door.node.txs.get(step.tx.id)
             missed = [hop.server.id for hop in tx.hops if hop.ended is Ended.MISS] if tx else []
             there = str(missed[-1]) if missed and reply.ended is Ended.COMMITTED else ""
-            self.guarded(self.peers.fetched, step.tx.key, there)
+            self.guarded(self.peers.fetch_leases.fetched, step.tx.key, there)
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -22,7 +22,8 @@
 from saltmoor.lab import experiment
 from saltmoor.lab import scenario as plan
 from saltmoor.net import duties
-from saltmoor.net.peers import SMALL, Peers
+from saltmoor.net.peers.gossip import SMALL
+from saltmoor.net.peers.node import Peers
 from saltmoor.peers import ask, frames
 from saltmoor.peers.frames import Speaker
 from saltmoor.replica.items import Item
@@ -189,9 +190,9 @@
 
             bait = town.join("endless")
             await asyncio.sleep(0.1)
-            bait.acceptor.stop()
-            bait.acceptor = None
-            server = await asyncio.start_server(endless, sock=bait.socks[1])
+            bait.sockets.acceptor.stop()
+            bait.sockets.acceptor = None
+            server = await asyncio.start_server(endless, sock=bait.sockets.listener)
             node = await town.started()
             await town.until(lambda: bait.members.there())
             # Guards against an item so small that it comes by a datagram, so that there is nothing to pull.
@@ -205,7 +206,7 @@
 
             await town.until(dropped, 9)
             self.assertIsNone(node.returncode)
-            bait.socks = bait.socks[:1]
+            bait.sockets.listener = None
             server.close()
 
         self.play(scene)
@@ -249,7 +250,7 @@
             self.assertIn("replica: list of generation 2199023255552 taken from a peer: servers=2", town.lines)
             # An operator's word, given to the peer, empties the node.
             peer.took = lambda item: None
-            peer.said(type("Say", (), {"name": "empty|n1", "value": True})())
+            peer.operators.said(type("Say", (), {"name": "empty|n1", "value": True})())
             await town.until(lambda: any("word empty|n1=True: lame duck" in line for line in town.lines))
             node.send_signal(signal.SIGTERM)
             await node.wait()
