Untie lifecycle from sharing and changes: both see the node through the Host interface

No behaviour changes. net/sharing.py and net/changes.py named lifecycle's Service, which makes them: a circle of three modules in the imports. net/host.py has the interface of what they use of a running node; lifecycle.py is as it was.

--- a/saltmoor/net/changes.py
+++ b/saltmoor/net/changes.py
@@ -12,7 +12,7 @@
 from collections import deque
 from functools import partial
 from hashlib import blake2b
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from saltmoor import config
 from saltmoor.changes.apply import Apply, Effect, Install, Rejected, Void, VoidAll
@@ -22,12 +22,10 @@
 from saltmoor.changes.subscriber import Subscriber
 from saltmoor.model import Micros
 from saltmoor.net import streams
+from saltmoor.net.host import Host
 from saltmoor.net.streams import Door, Show, Shown, Stream, Wire
 from saltmoor.peers.frames import Strange
 
-if TYPE_CHECKING:
-    from saltmoor.net.lifecycle import Service
-
 TICK = 0.05  # seconds
 PAUSE: Micros = 500_000  # a tick later than that: the process stood still
 ROOM = 32_768  # bytes that a subscriber's stream is given at once
@@ -40,7 +38,7 @@
 class Follower:
     """One node among those that follow the log."""
 
-    def __init__(self, service: Service, given: config.Changes) -> None:
+    def __init__(self, service: Host, given: config.Changes) -> None:
         self.service, self.given, self.log, self.clock = service, given, service.log, service.door.clock
         now, nodes = self.clock(), [given.listen, *given.neighbours]
         self.wire = Wire(given.cluster, given.listen, streams.NODE)
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -8,30 +8,27 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
-from saltmoor import config
+from saltmoor import config, facade
 from saltmoor.choice import OTHERS
 from saltmoor.model import Ended, Micros, Readiness
 from saltmoor.net import meta
+from saltmoor.net.host import Host
 from saltmoor.net.peers.node import Peers
 from saltmoor.replica import lent
 from saltmoor.replica.items import Item
 from saltmoor.replica.turns import How
 from saltmoor.replica.uses import Uses
 
-if TYPE_CHECKING:
-    from saltmoor import facade
-    from saltmoor.net.lifecycle import Service
-
 STEP: Micros = 250_000
 LEASE: Micros = 100_000  # least time that a permit to fetch stands
 
 
 class Sharing:
-    def __init__(self, service: Service, given: config.Talking) -> None:
+    def __init__(self, service: Host, given: config.Talking) -> None:
         self.service, self.given = service, given
         clock = service.door.clock
         self.peers = peers = Peers(given, service.given.name, service.log, clock)
