Fetch leases by their standard names: replica/turns.py becomes replica/fetch_leases.py

No behaviour changes; names only. Turns, permits and words are LeaseTable, Lease, LeaseAnswer and Decision, a key's keeper is its owner; numbers on the wire stay.

--- a/saltmoor/lab/scale_counts.py
+++ b/saltmoor/lab/scale_counts.py
@@ -17,8 +17,8 @@
 from saltmoor.lab.nodes import settings
 from saltmoor.lab.scale_plan import PLAN
 from saltmoor.recovery.room import FIRST, Room
+from saltmoor.replica.fetch_leases import owner_of
 from saltmoor.replica.items import UNKNOWN, Item, Store
-from saltmoor.replica.turns import keeper
 
 ROUNDS = 7  # of each timing; the middle one counts
 STEP = 10_000  # microseconds between two requests of one node for a cold server's keys: more than it may send
@@ -177,8 +177,8 @@
         add(
             f"node: processor time to find a key's owner of a fetch lease among {count}",
             "us",
-            took_us(lambda: keeper(key[0], some), 50),
-            "replica/turns.py: keeper, once a miss",
+            took_us(lambda: owner_of(key[0], some), 50),
+            "replica/fetch_leases.py: owner_of, once a miss",
         )
     add("table: processor time of a put below its bound", "us", puts(1_000), "replica/items.py: Store.put, 1,000 kept")
     add("table: processor time of a put at its bound", "us", puts(UNKNOWN.most), f"the same, {UNKNOWN.most} kept")
--- a/saltmoor/net/peers/fetch_leases.py
+++ b/saltmoor/net/peers/fetch_leases.py
@@ -1,6 +1,6 @@
 """Owns the messages by which nodes coalesce their fetches of a key: a lease from the key's owner, how the fetch ended.
 
-`replica/turns.py` grants the leases. It must never hold up a request past the wait that it was given: who hears nothing
+`replica/fetch_leases.py` grants the leases. It must never hold up a request past the wait that it was given: who hears nothing
 in time fetches by itself.
 """
 
@@ -13,7 +13,7 @@
 from saltmoor.model import Micros
 from saltmoor.net.peers.messenger import Messenger
 from saltmoor.peers.messages import FetchLease, MessageType
-from saltmoor.replica.turns import How, Turns, Word, keeper
+from saltmoor.replica.fetch_leases import Decision, LeaseAnswer, LeaseTable, owner_of
 
 ANSWER_WAIT = 0.02  # seconds that a miss may wait for the first answer of the key's owner
 REQUESTS_MOST = 2_000  # open at once, and leases held
@@ -42,7 +42,7 @@
 
     def __init__(self, messenger: Messenger, incarnation: int, clock: Callable[[], Micros]) -> None:
         self.messenger, self.clock = messenger, clock
-        self.turns = Turns(incarnation)
+        self.table = LeaseTable(incarnation)
         self.requests: dict[int, Request] = {}
         self.held: dict[int, Held] = {}  # by key
         self.number = 0  # of this node's last request
@@ -56,34 +56,36 @@
             messenger.route(message_type, FetchLease, handle)
 
     def owner_of(self, key: int) -> str:
-        return keeper(key, [self.messenger.name, *self.messenger.members.there()])
+        return owner_of(key, [self.messenger.name, *self.messenger.members.there()])
 
     # As who misses.
 
-    async def request(self, key: int, lease: Micros, patience: Micros, missed: str) -> Word | None:
+    async def request(self, key: int, duration: Micros, patience: Micros, missed: str) -> LeaseAnswer | None:
         """Whether this node is to fetch that key, or where a copy is; None: no answer in time."""
         if len(self.requests) >= REQUESTS_MOST or not self.messenger.sockets.is_open:
             return None
         if not self.messenger.members.others:
             return None
         owner = self.owner_of(key)
-        answer = await self.answer_of(owner, key, lease, patience, missed)
-        if answer and answer.how is How.GO and answer.permit:
-            self.held[key] = Held(owner, answer.permit)
+        answer = await self.answer_of(owner, key, duration, patience, missed)
+        if answer and answer.decision is Decision.FETCH and answer.lease:
+            self.held[key] = Held(owner, answer.lease)
             while len(self.held) > REQUESTS_MOST:
                 self.held.pop(next(iter(self.held)))
         return answer
 
-    async def answer_of(self, owner: str, key: int, lease: Micros, patience: Micros, missed: str) -> Word | None:
+    async def answer_of(
+        self, owner: str, key: int, duration: Micros, patience: Micros, missed: str
+    ) -> LeaseAnswer | None:
         self.number += 1
         number = self.number
         request = self.requests[number] = Request(self.loop.create_future(), patience)
         try:
             async with asyncio.timeout(ANSWER_WAIT) as request.limit:
                 if owner == self.messenger.name:
-                    self.tell_all([self.turns.ask(self.clock(), key, owner, number, lease, missed)])
+                    self.tell_all([self.table.request(self.clock(), key, owner, number, duration, missed)])
                 else:
-                    content = FetchLease(number, key, lease, server=missed)
+                    content = FetchLease(number, key, duration, server=missed)
                     self.messenger.send_to(owner, MessageType.LEASE_REQUEST, content)
                 return await request.answer
         except TimeoutError:
@@ -91,12 +93,12 @@
         finally:
             del self.requests[number]
 
-    def answered(self, answer: Word) -> None:
+    def answered(self, answer: LeaseAnswer) -> None:
         """The owner's answer to a request of this node; one that nobody waits for any more changes nothing."""
-        request = self.requests.get(answer.ask)
+        request = self.requests.get(answer.request)
         if request is None:
             return
-        if answer.how is How.WAIT:
+        if answer.decision is Decision.WAIT:
             if request.limit:
                 request.limit.reschedule(self.loop.time() + request.patience / 1_000_000)
         elif not request.answer.done():
@@ -109,7 +111,7 @@
             return
         owner = held.owner or self.owner_of(key)
         if owner == self.messenger.name:
-            self.tell_all(self.turns.done(self.clock(), key, held.number, server))
+            self.tell_all(self.table.fetched(self.clock(), key, held.number, server))
         else:
             self.messenger.send_to(owner, MessageType.LEASE_END, FetchLease(held.number, key, server=server))
 
@@ -123,37 +125,37 @@
 
     # As a key's owner.
 
-    def sweep(self, now: Micros) -> None:
+    def expire(self, now: Micros) -> None:
         """Leases whose time is over pass on."""
-        self.tell_all(self.turns.sweep(now))
+        self.tell_all(self.table.expire(now))
 
     def void(self, key: int) -> None:
-        self.tell_all(self.turns.void(self.clock(), key))
+        self.tell_all(self.table.void(self.clock(), key))
 
     def granted_keys(self) -> set[int]:
         """Keys of which this node has granted a lease, or told a copy."""
-        return {*self.turns.permits, *self.turns.copies}
+        return {*self.table.leases, *self.table.copies}
 
-    def tell_all(self, answers: Iterable[Word]) -> None:
+    def tell_all(self, answers: Iterable[LeaseAnswer]) -> None:
         for answer in answers:
             if answer.to == self.messenger.name:
                 self.answered(answer)
             else:
-                content = FetchLease(answer.ask, 0, 0, int(answer.how), answer.permit, answer.server)
+                content = FetchLease(answer.request, 0, 0, int(answer.decision), answer.lease, answer.server)
                 self.messenger.send_to(answer.to, MessageType.LEASE_ANSWER, content)
 
     # Messages of others.
 
     def requested(self, sender: str, said: FetchLease) -> None:
-        lease = max(0, min(said.lease, LONGEST_LEASE))
-        self.tell_all([self.turns.ask(self.clock(), said.key, sender, said.number, lease, said.server)])
+        duration = max(0, min(said.duration, LONGEST_LEASE))
+        self.tell_all([self.table.request(self.clock(), said.key, sender, said.number, duration, said.server)])
 
     def answer_came(self, _sender: str, said: FetchLease) -> None:
-        how = How(said.how) if said.how in tuple(How) else How.GO
-        self.answered(Word(self.messenger.name, said.number, how, said.permit, said.server))
+        decision = Decision(said.decision) if said.decision in tuple(Decision) else Decision.FETCH
+        self.answered(LeaseAnswer(self.messenger.name, said.number, decision, said.lease, said.server))
 
     def fetch_ended(self, _sender: str, said: FetchLease) -> None:
-        self.tell_all(self.turns.done(self.clock(), said.key, said.number, said.server))
+        self.tell_all(self.table.fetched(self.clock(), said.key, said.number, said.server))
 
     def voided(self, _sender: str, said: FetchLease) -> None:
         self.void(said.key)
--- a/saltmoor/net/peers/node.py
+++ b/saltmoor/net/peers/node.py
@@ -146,7 +146,7 @@
         self.expire(now)
         self.anti_entropy.tick(now)
         self.gossip.spread()
-        self.fetch_leases.sweep(now)
+        self.fetch_leases.expire(now)
         self.step(now)
         self.log_changes()
 
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -19,12 +19,12 @@
 from saltmoor.net.host import Host
 from saltmoor.net.peers.node import Peers
 from saltmoor.replica import lent
+from saltmoor.replica.fetch_leases import Decision
 from saltmoor.replica.items import Item
-from saltmoor.replica.turns import How
 from saltmoor.replica.uses import Uses
 
 STEP: Micros = 250_000
-LEASE: Micros = 100_000  # least time that a permit to fetch stands
+SHORTEST_LEASE: Micros = 100_000  # of a fetch
 
 
 class Sharing:
@@ -208,7 +208,7 @@
     # Fetches.
 
     def asks(self, step: facade.Send, reply: meta.Reply) -> bool:
-        """Whether this miss is one to ask the key's keeper about."""
+        """Whether this miss is one to ask the key's owner about."""
         return (
             reply.ended is Ended.MISS
             and not step.tx.write
@@ -219,19 +219,19 @@
 
     async def turn(self, step: facade.Send, reply: meta.Reply, done: Callable[[meta.Reply, str | None], None]) -> None:
         """Tell of the miss once it is known whether another is fetching; the wait is none of the server's time."""
-        begun, word, copy, node = self.peers.clock(), None, None, self.service.door.node
+        begun, answer, copy, node = self.peers.clock(), None, None, self.service.door.node
         try:
             tx = node.txs.get(step.tx.id)
             # No longer than half of what its client can bear, and than a few fetches take.
             left = max(0, tx.goal - begun) // 2 if tx else 0
-            lease = max(LEASE, int(4 * node.fetch))
-            word = await self.peers.fetch_leases.request(step.tx.key, lease, min(left, 2 * lease), str(step.server))
+            lease = max(SHORTEST_LEASE, int(4 * node.fetch))
+            answer = await self.peers.fetch_leases.request(step.tx.key, lease, min(left, 2 * lease), str(step.server))
         except Exception as error:
             self.service.log(f"fault in sharing: turn: {type(error).__name__}: {error}")
         finally:
             step.since += self.peers.clock() - begun
-            if word and word.how is How.THERE:
-                copy = word.server
+            if answer and answer.decision is Decision.COPY:
+                copy = answer.server
                 self.uses.note("fetches")
             done(reply, copy)
 
--- a/saltmoor/peers/messages.py
+++ b/saltmoor/peers/messages.py
@@ -66,14 +66,14 @@
 class FetchLease(msgspec.Struct, array_like=True):
     """A request for a fetch lease by its number, its answer, or the end of a fetch by the lease's number.
 
-    `how` is one of `replica.turns.How`; `server` the one that missed in a request, else the one with a copy.
+    `decision` is one of `replica.fetch_leases.Decision`; `server` the one that missed in a request, else the one with a copy.
     """
 
     number: int
     key: int
-    lease: int = 0  # microseconds
-    how: int = 0
-    permit: int = 0
+    duration: int = 0  # microseconds
+    decision: int = 0
+    lease: int = 0  # its number
     server: str = ""
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,5 @@
 """Nodes that know each other, without I/O: merges in any order, members over all orders of a few events and on a
-scripted network, exchange that finds what was lost, permits to fetch, and frames of strangers."""
+scripted network, exchange that finds what was lost, fetch leases, and frames of strangers."""
 
 from __future__ import annotations
 
@@ -30,8 +30,8 @@
 )
 from saltmoor.replica import lent
 from saltmoor.replica.exchange import Exchange, Phase
+from saltmoor.replica.fetch_leases import Decision, LeaseAnswer, LeaseTable, owner_of
 from saltmoor.replica.items import KINDS, SECOND, Item, Stamps, Store
-from saltmoor.replica.turns import How, Turns, Word, keeper
 from saltmoor.replica.uses import Seen, Uses
 from tests.helper import MS, Notes, TraceCase
 
@@ -385,58 +385,64 @@
         self.assertIs(exchange.phase, Phase.CATCHING)
 
 
-class Permits(unittest.TestCase):
+class FetchLeases(unittest.TestCase):
     def test_one_at_a_time_numbered_and_short(self):
-        turns = Turns(1)
-        first = turns.ask(NOW, 7, "a", 1, 100 * MS).permit
-        self.assertEqual(turns.ask(NOW, 7, "b", 2, 100 * MS), Word("b", 2, How.WAIT, first))
-        self.assertIs(turns.ask(NOW, 8, "b", 3, 100 * MS).how, How.GO)
-        self.assertEqual(turns.sweep(NOW + 99 * MS), [])
-        gone = turns.sweep(NOW + 101 * MS)  # its holder died: who waits goes
-        self.assertEqual([(word.to, word.ask, word.how) for word in gone], [("b", 2, How.GO)])
-        self.assertGreater(gone[0].permit, first)
-        self.assertEqual(turns.done(NOW + 102 * MS, 7, first, ""), [])  # the old holder wakes up late
-        self.assertIs(turns.ask(NOW + 102 * MS, 7, "c", 4, 100 * MS).how, How.WAIT)
-        self.assertEqual(turns.done(NOW + 103 * MS, 7, gone[0].permit, "s1"), [Word("c", 4, How.THERE, 0, "s1")])
-        self.assertEqual(turns.ask(NOW + 104 * MS, 7, "d", 5, 100 * MS), Word("d", 5, How.THERE, 0, "s1"))
-        self.assertIs(turns.ask(NOW + 104 * MS, 7, "d", 6, 100 * MS, missed="s1").how, How.GO)  # it is not there
-        turns.ask(NOW + 105 * MS, 7, "e", 7, 100 * MS)
-        self.assertEqual([word.to for word in turns.void(NOW + 106 * MS, 7)], ["e"])  # it was written
-        self.assertGreater(Turns(2).ask(NOW, 7, "a", 1, 1).permit, turns.number)  # a later keeper's numbers
+        table = LeaseTable(1)
+        first = table.request(NOW, 7, "a", 1, 100 * MS).lease
+        self.assertEqual(table.request(NOW, 7, "b", 2, 100 * MS), LeaseAnswer("b", 2, Decision.WAIT, first))
+        self.assertIs(table.request(NOW, 8, "b", 3, 100 * MS).decision, Decision.FETCH)
+        self.assertEqual(table.expire(NOW + 99 * MS), [])
+        gone = table.expire(NOW + 101 * MS)  # its holder died: who waits goes
+        self.assertEqual([(answer.to, answer.request, answer.decision) for answer in gone], [("b", 2, Decision.FETCH)])
+        self.assertGreater(gone[0].lease, first)
+        self.assertEqual(table.fetched(NOW + 102 * MS, 7, first, ""), [])  # the old holder wakes up late
+        self.assertIs(table.request(NOW + 102 * MS, 7, "c", 4, 100 * MS).decision, Decision.WAIT)
+        self.assertEqual(
+            table.fetched(NOW + 103 * MS, 7, gone[0].lease, "s1"), [LeaseAnswer("c", 4, Decision.COPY, 0, "s1")]
+        )
+        self.assertEqual(
+            table.request(NOW + 104 * MS, 7, "d", 5, 100 * MS), LeaseAnswer("d", 5, Decision.COPY, 0, "s1")
+        )
+        self.assertIs(
+            table.request(NOW + 104 * MS, 7, "d", 6, 100 * MS, missed="s1").decision, Decision.FETCH
+        )  # it is not there
+        table.request(NOW + 105 * MS, 7, "e", 7, 100 * MS)
+        self.assertEqual([answer.to for answer in table.void(NOW + 106 * MS, 7)], ["e"])  # it was written
+        self.assertGreater(LeaseTable(2).request(NOW, 7, "a", 1, 1).lease, table.number)  # a later owner's numbers
 
     def test_all_orders_of_a_few_events_leave_one_holder(self):
-        """However asks, ends, writes and time come: one valid permit at most, numbers that rise, nobody who waits twice."""
+        """However asks, ends, writes and time come: one valid lease at most, numbers that rise, nobody who waits twice."""
         events = [("ask", "a"), ("ask", "b"), ("done", 0), ("failed", 0), ("done", 1), ("void", 0), ("wait", 60)]
         for path in itertools.product(events, repeat=5):
-            turns, now, numbers, valid, asks = Turns(1), NOW, [], {}, 0
+            table, now, numbers, valid, asks = LeaseTable(1), NOW, [], {}, 0
             for what, how in path:
-                words = []
+                answers = []
                 if what == "ask":
                     asks += 1
-                    words = [turns.ask(now, 7, how, asks, 100 * MS)]
+                    answers = [table.request(now, 7, how, asks, 100 * MS)]
                 elif what in ("done", "failed") and how < len(numbers):
-                    words = turns.done(now, 7, numbers[how], "s1" if what == "done" else "")
+                    answers = table.fetched(now, 7, numbers[how], "s1" if what == "done" else "")
                     valid = (
                         {} if what == "done" else {who: kept for who, kept in valid.items() if kept[0] != numbers[how]}
                     )
                 elif what == "void":
                     valid = {}
-                    words = turns.void(now, 7)
+                    answers = table.void(now, 7)
                 elif what == "wait":
                     now += how * MS
-                    words = turns.sweep(now)
-                for word in words:
-                    if word.how is How.GO:
-                        others = [who for who, (n, until) in valid.items() if until > now and who != word.to]
+                    answers = table.expire(now)
+                for answer in answers:
+                    if answer.decision is Decision.FETCH:
+                        others = [who for who, (n, until) in valid.items() if until > now and who != answer.to]
                         self.assertFalse(others, path)
-                        self.assertTrue(not numbers or word.permit > max(numbers), path)
-                        numbers.append(word.permit)
-                        valid = {word.to: (word.permit, now + 100 * MS)}
+                        self.assertTrue(not numbers or answer.lease > max(numbers), path)
+                        numbers.append(answer.lease)
+                        valid = {answer.to: (answer.lease, now + 100 * MS)}
 
-    def test_keepers_move_little_when_one_leaves(self):
+    def test_owners_move_little_when_one_leaves(self):
         names = [f"n{i}" for i in range(10)]
-        moved = sum(keeper(key, names) != keeper(key, names[:-1]) for key in range(1000))
-        self.assertEqual(moved, sum(keeper(key, names) == "n9" for key in range(1000)))
+        moved = sum(owner_of(key, names) != owner_of(key, names[:-1]) for key in range(1000))
+        self.assertEqual(moved, sum(owner_of(key, names) == "n9" for key in range(1000)))
 
 
 class Sums(unittest.TestCase):
