--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -18,7 +18,7 @@
 from saltmoor.net import meta
 from saltmoor.net.host import Host
 from saltmoor.net.peers.node import Peers
-from saltmoor.replica import lent
+from saltmoor.replica.borrowed_quota import WHOLE, Share
 from saltmoor.replica.fetch_leases import Decision
 from saltmoor.replica.items import Item
 from saltmoor.replica.uses import Uses
@@ -106,21 +106,27 @@
             self.uses.keep_list(now, self.kept, self.service.lines())
 
     def share(self, now: Micros, node: Any) -> None:
-        """A tenant's part of what it may take goes where its transactions come; together it stays the whole."""
+        """A tenant's quota goes where its requests come; the shares of all nodes together stay the whole."""
         names = self.service.given.names.tenants
         if node.quotas is not self.quotas:  # new settings
             self.quotas = node.quotas
             self.whole = [bucket[0] * node.place.nodes for bucket in node.quotas]
         for name, whole, bucket in zip(names, self.whole, node.quotas):
-            part = self.peers.quotas.shares.get(name)
-            if part is None or part.nodes != node.place.nodes:
-                part = self.peers.quotas.shares[name] = lent.Part(node.place.nodes, now)
-            bucket[0] = whole * part.own(now) / lent.WHOLE
+            share = self.share_of(name, node.place.nodes, now)
+            bucket[0] = whole * share.usable(now) / WHOLE
             if bucket[1] < 1:
-                self.peers.quotas.borrow(name, part.base // 4)
-            elif bucket[1] > 1.9 * bucket[0] and part.got:
+                self.peers.quotas.borrow(name, share.base // 4)
+            elif bucket[1] > 1.9 * bucket[0] and share.borrowed:
                 self.peers.quotas.give_back(name)
 
+    def share_of(self, name: str, nodes: int, now: Micros) -> Share:
+        """This node's share of that tenant's quota; a new one where the number of nodes has changed."""
+        shares = self.peers.quotas.shares
+        share = shares.get(name)
+        if share is None or share.nodes != nodes:
+            share = shares[name] = Share(nodes, now)
+        return share
+
     # In.
 
     def took(self, item: Item) -> None:
--- a/saltmoor/peers/messages.py
+++ b/saltmoor/peers/messages.py
@@ -78,8 +78,8 @@
 
 
 class BorrowedQuota(msgspec.Struct, array_like=True):
-    """A part of one sum: asked for, granted, or given back, by the borrower's number."""
+    """A part of one quota: asked for, granted, or given back, by the borrower's number."""
 
-    sum: str
+    quota: str
     number: int
     amount: int = 0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -28,7 +28,7 @@
     PullEnd,
     PullRequest,
 )
-from saltmoor.replica import lent
+from saltmoor.replica.borrowed_quota import BORROWER_LEASE, LENDER_LEASE, WHOLE, Share
 from saltmoor.replica.exchange import Exchange, Phase
 from saltmoor.replica.fetch_leases import Decision, LeaseAnswer, LeaseTable, owner_of
 from saltmoor.replica.items import KINDS, SECOND, Item, Stamps, Store
@@ -445,8 +445,8 @@
         self.assertEqual(moved, sum(owner_of(key, names) == "n9" for key in range(1000)))
 
 
-class Sums(unittest.TestCase):
-    """Three nodes' parts of one sum over all orders of a few events: together never more than the whole."""
+class BorrowedQuotas(unittest.TestCase):
+    """Three nodes' shares of one quota over all orders of a few events: together never more than the whole."""
 
     EVENTS = (
         "ask",
@@ -464,26 +464,26 @@
 
     def play(self, path: tuple[str, ...]) -> None:
         now = NOW
-        parts = {name: lent.Part(3, now - lent.LONGER) for name in "abc"}
+        shares = {name: Share(3, now - LENDER_LEASE) for name in "abc"}
         wire: list[tuple] = []
         number = 0
 
         def deliver(word: tuple) -> None:
             kind, source, to, which, amount = word
             if kind == "ask":
-                if given := parts[to].give(now, source, which, amount):
+                if given := shares[to].grant(now, source, which, amount):
                     wire.append(("gave", to, source, which, given))
             elif kind == "gave":
-                parts[to].take(now, source, which, amount)
+                shares[to].receive(now, source, which, amount)
             else:
-                parts[to].taken_back(source, which)
+                shares[to].returned(source, which)
 
         for event in path:
             match event:
                 case "ask" | "ask other":
                     number += 1
                     lender = "b" if event == "ask" else "c"
-                    if parts["a"].ask(now, lender, number):
+                    if shares["a"].request(now, lender, number):
                         wire.append(("ask", "a", lender, number, 200_000))
                 case "deliver" if wire:
                     deliver(wire.pop(0))
@@ -494,20 +494,20 @@
                 case "lose" if wire:
                     del wire[0]
                 case "back":
-                    wire += [("back", "a", lender, which, 0) for lender, which in parts["a"].give_back(now)]
+                    wire += [("back", "a", lender, which, 0) for lender, which in shares["a"].give_back(now)]
                 case "wait":
-                    now += lent.LEASE // 2
+                    now += BORROWER_LEASE // 2
                 case "long":
-                    now += lent.LEASE + 1
+                    now += BORROWER_LEASE + 1
                 case "restart":
-                    parts["a"] = lent.Part(3, now)
+                    shares["a"] = Share(3, now)
                 case "restart lender":
-                    parts["b"] = lent.Part(3, now)
+                    shares["b"] = Share(3, now)
                 case _:
                     return
-            used = sum(part.own(now) for part in parts.values())
-            assert used <= lent.WHOLE, f"{used} of {lent.WHOLE} in use"
-            assert all(part.own(now) >= part.base // 2 for part in parts.values())
+            used = sum(share.usable(now) for share in shares.values())
+            assert used <= WHOLE, f"{used} of {WHOLE} in use"
+            assert all(share.usable(now) >= share.base // 2 for share in shares.values())
 
     def test_never_more_than_the_whole(self):
         for path in itertools.product(self.EVENTS, repeat=5):
@@ -516,16 +516,16 @@
                     self.play(path)
 
     def test_a_borrower_gets_more_and_the_lender_has_it_back(self):
-        one, other = lent.Part(10, 0), lent.Part(10, 0)
+        one, other = Share(10, 0), Share(10, 0)
         now = NOW
-        self.assertTrue(one.ask(now, "b", 1))
-        self.assertEqual(other.give(now, "a", 1, 500_000), 50_000)
-        self.assertEqual(other.give(now, "a", 1, 500_000), 50_000)
-        self.assertTrue(one.take(now, "b", 1, 50_000))
-        self.assertFalse(one.take(now, "b", 1, 50_000))
-        self.assertEqual((one.own(now), other.own(now)), (150_000, 50_000))
-        self.assertEqual((one.own(now + lent.LEASE), other.own(now + lent.LEASE)), (100_000, 50_000))
-        self.assertEqual(other.own(now + lent.LONGER), 100_000)
+        self.assertTrue(one.request(now, "b", 1))
+        self.assertEqual(other.grant(now, "a", 1, 500_000), 50_000)
+        self.assertEqual(other.grant(now, "a", 1, 500_000), 50_000)
+        self.assertTrue(one.receive(now, "b", 1, 50_000))
+        self.assertFalse(one.receive(now, "b", 1, 50_000))
+        self.assertEqual((one.usable(now), other.usable(now)), (150_000, 50_000))
+        self.assertEqual((one.usable(now + BORROWER_LEASE), other.usable(now + BORROWER_LEASE)), (100_000, 50_000))
+        self.assertEqual(other.usable(now + LENDER_LEASE), 100_000)
 
 
 class WireForms(unittest.TestCase):
