Anti-entropy by its standard name: replica/exchange.py becomes replica/anti_entropy.py

No behaviour changes. Exchange is PullSchedule, what is known of a peer's table PeerTable; the one long method that picks whom to pull from is four short ones.

--- a/saltmoor/lab/scale_hollow.py
+++ b/saltmoor/lab/scale_hollow.py
@@ -17,7 +17,7 @@
 from saltmoor.net.peers.node import Peers, Process
 from saltmoor.net.peers.streams import STREAMS
 from saltmoor.peers.members import Member
-from saltmoor.replica.exchange import Known, Phase
+from saltmoor.replica.anti_entropy import PeerTable, Phase
 
 CLUSTER = "scale"
 PERIOD, SUSPECT = 200_000, 1_500_000  # as a node has them by default
@@ -172,5 +172,5 @@
                 self.members.others[one.name] = Member(
                     one.name, me.life, me.run, me.address, me.site, me.build, since=now, spoke=now
                 )
-                self.schedule.peers[one.name] = Known(one.store.epoch, one.store.seq)
+                self.schedule.peers[one.name] = PeerTable(one.store.epoch, one.store.seq)
         self.schedule.phase = Phase.LEVEL
--- a/saltmoor/lab/scale_town.py
+++ b/saltmoor/lab/scale_town.py
@@ -17,7 +17,7 @@
 from saltmoor.lab.scale_clock import SITES, Network, Place, ScriptedLoop
 from saltmoor.lab.scale_hollow import CONTROL, Hollow
 from saltmoor.peers.members import State
-from saltmoor.replica.exchange import Phase
+from saltmoor.replica.anti_entropy import Phase
 from saltmoor.replica.items import Item
 
 FLEET = 480  # nodes of the operators' plan; smaller sizes get their part of the day's events
--- a/saltmoor/net/peers/anti_entropy.py
+++ b/saltmoor/net/peers/anti_entropy.py
@@ -1,6 +1,6 @@
 """Owns how a node gets what it lacks of the replicated table, and gives others what they lack: pulls, over streams.
 
-`replica/exchange.py` says whom to pull from and when. It must never hold up who serves: what it gives goes at a bounded
+`replica/anti_entropy.py` says whom to pull from and when. It must never hold up who serves: what it gives goes at a bounded
 rate, what it takes is merged some at a time.
 """
 
@@ -15,7 +15,7 @@
 from saltmoor.peers import frames
 from saltmoor.peers.frames import Strange
 from saltmoor.peers.messages import MessageType, PullEnd, PullRequest
-from saltmoor.replica.exchange import Exchange, Pull
+from saltmoor.replica.anti_entropy import Pull, PullSchedule
 from saltmoor.replica.items import Item, Store
 
 CHUNK = 64  # entries in one frame of a stream
@@ -46,7 +46,7 @@
         messenger: Messenger,
         streams: Streams,
         store: Store,
-        schedule: Exchange,
+        schedule: PullSchedule,
         *,
         merge: Callable[[Micros, Item], None],
         rate: int,
--- a/saltmoor/net/peers/membership.py
+++ b/saltmoor/net/peers/membership.py
@@ -14,7 +14,7 @@
 from saltmoor.peers.frames import Frame, Strange
 from saltmoor.peers.members import Ask, Members, Out, Ping
 from saltmoor.peers.messages import MessageType
-from saltmoor.replica.exchange import Exchange
+from saltmoor.replica.anti_entropy import PullSchedule
 from saltmoor.replica.items import Store
 
 
@@ -22,7 +22,7 @@
     """Carries the messages of `members`; a ping tells the digest of `store`, and `schedule` hears of the others'."""
 
     def __init__(
-        self, messenger: Messenger, members: Members, store: Store, schedule: Exchange, clock: Callable[[], Micros]
+        self, messenger: Messenger, members: Members, store: Store, schedule: PullSchedule, clock: Callable[[], Micros]
     ) -> None:
         self.messenger, self.members, self.clock = messenger, members, clock
         self.store, self.schedule = store, schedule
--- a/saltmoor/net/peers/node.py
+++ b/saltmoor/net/peers/node.py
@@ -29,7 +29,7 @@
 from saltmoor.peers import frames
 from saltmoor.peers.members import Ask, Members, News, Ping
 from saltmoor.peers.messages import PullEnd
-from saltmoor.replica.exchange import Exchange
+from saltmoor.replica.anti_entropy import PullSchedule
 from saltmoor.replica.items import Item, Stamps, Store
 
 SHORT_LIVED: Micros = 10_000_000  # kinds that are kept no longer expire with each tick
@@ -70,7 +70,7 @@
         me = News(self.name, 0, process.incarnation, process.run, given.address, given.site, saltmoor.__version__)
         self.members = Members(me, given.period, given.suspect, list(given.seeds), process.run, now)
         self.store = Store(epoch=process.run, most_bytes=given.most)
-        self.schedule = Exchange(self.name, now, process.run)
+        self.schedule = PullSchedule(self.name, now, process.run)
         self.sockets = Sockets()
         self.messenger = Messenger(given, self.members, self.sockets, log)
         self.membership = Membership(self.messenger, self.members, self.store, self.schedule, clock)
--- a/saltmoor/net/peers/operators.py
+++ b/saltmoor/net/peers/operators.py
@@ -15,7 +15,7 @@
 from saltmoor.net.peers.streams import FrameStream, Streams
 from saltmoor.peers.members import Member
 from saltmoor.peers.messages import MessageType, OperatorCommand
-from saltmoor.replica.exchange import Exchange
+from saltmoor.replica.anti_entropy import PullSchedule
 from saltmoor.replica.items import Item, Store
 
 NAME_MOST = 200  # characters of a command's name
@@ -27,7 +27,12 @@
     """Answers operators' questions. `views` are those of parts that are built on this node's messages, by name."""
 
     def __init__(
-        self, messenger: Messenger, streams: Streams, gossip: Gossip, schedule: Exchange, clock: Callable[[], Micros]
+        self,
+        messenger: Messenger,
+        streams: Streams,
+        gossip: Gossip,
+        schedule: PullSchedule,
+        clock: Callable[[], Micros],
     ) -> None:
         self.messenger, self.gossip, self.schedule, self.clock = messenger, gossip, schedule, clock
         self.store: Store = gossip.store
--- a/saltmoor/replica/exchange.py
+++ b/saltmoor/replica/anti_entropy.py
@@ -1,8 +1,8 @@
-"""Owns when a node compares what it shares with another, what it asks for, and when it has caught up. No I/O.
+"""Owns when a node compares its replicated table with another's, what it pulls, and when it has caught up. No I/O.
 
-Words that are new go round at once; this finds what did not arrive. A ping's digest that differs for longer than new
-words need leads to a pull: of the changes since the last one, and where the digests still differ, of those ranges. It
-must never hold an item, nor be needed to serve.
+Entries that are new are told at once; this finds what did not arrive. A ping's digest that differs for longer than new
+entries need leads to a pull: of the changes since the last one, and where the digests still differ, of those ranges. It
+must never hold an entry, nor be needed to serve.
 """
 
 from __future__ import annotations
@@ -14,19 +14,19 @@
 from saltmoor.model import Micros
 
 SETTLE: Micros = 250_000  # what is new reaches all in that time, or it was lost
-AT_ONCE = 2  # pulls at once
-AGAIN: Micros = 500_000  # a peer that failed or was busy is asked again after so long
+PULLS_AT_ONCE = 2
+RETRY_AFTER: Micros = 500_000  # a peer that failed or was busy is asked again
 GIVERS = 2  # of whom one that starts takes the whole
 ALONE: Micros = 3_000_000  # nobody there for so long: there is nothing to catch up with
 
 
 class Phase(Enum):
-    CATCHING = auto()
+    CATCHING = auto()  # up, since the start
     LEVEL = auto()
 
 
 @dataclass(slots=True)
-class Known:
+class PeerTable:
     """What is known of one peer's table."""
 
     epoch: int = -1
@@ -47,11 +47,13 @@
 
 
 @dataclass(slots=True)
-class Exchange:
+class PullSchedule:
+    """One node's pulls. `saw` and `done` tell it how tables compare; `next` says whom to pull from."""
+
     me: str
     now: Micros
     seed: int = 0
-    peers: dict[str, Known] = field(default_factory=dict)
+    peers: dict[str, PeerTable] = field(default_factory=dict)
     open: dict[str, Pull] = field(default_factory=dict)
     phase: Phase = Phase.CATCHING
     begun: Micros = 0
@@ -66,7 +68,7 @@
 
     def saw(self, now: Micros, name: str, same: bool) -> None:
         """A ping told that peer's digest."""
-        known = self.peers.setdefault(name, Known())
+        known = self.peers.setdefault(name, PeerTable())
         if same:
             known.differs, known.ranges = 0, []
             if self.phase is Phase.CATCHING:
@@ -76,27 +78,12 @@
 
     def next(self, now: Micros, there: list[str]) -> list[Pull]:
         """Whom to ask now, of those that are there."""
-        for name in [name for name in self.peers if name not in there and name not in self.open]:
-            # What was taken of it still counts; but nobody is remembered for ever.
-            self.peers[name].differs = 0
-            if len(self.peers) > 4 * len(there) + 16:
-                del self.peers[name]
-        wanted = []
-        if self.phase is Phase.CATCHING:
-            # Guards against ten that return together and all ask the same one: each has an order of its own.
-            order = sorted(there, key=lambda name: crc32(f"{self.me}|{name}|{self.seed}".encode()))
-            wanted = [name for name in order if name not in self.whole]
-            if len(self.whole) >= min(GIVERS, len(there)) and there or now - self.begun > ALONE and not there:
-                self.level(now, f"from {len(self.whole)}")
-        wanted += [
-            name
-            for name, known in self.peers.items()
-            if name in there and (known.ranges or known.differs and now - known.differs >= SETTLE)
-        ]
+        self.forget_others(there)
+        wanted = self.whole_from(now, there) + self.differing(now, there)
         pulls = []
         for name in wanted:
-            known = self.peers.setdefault(name, Known())
-            if len(self.open) >= AT_ONCE:
+            known = self.peers.setdefault(name, PeerTable())
+            if len(self.open) >= PULLS_AT_ONCE:
                 break
             if name in self.open or now < known.quiet:
                 continue
@@ -107,10 +94,35 @@
             pulls.append(pull)
         return pulls
 
+    def forget_others(self, there: list[str]) -> None:
+        """What was taken of a peer that has gone still counts; but nobody is remembered for ever."""
+        for name in [name for name in self.peers if name not in there and name not in self.open]:
+            self.peers[name].differs = 0
+            if len(self.peers) > 4 * len(there) + 16:
+                del self.peers[name]
+
+    def whole_from(self, now: Micros, there: list[str]) -> list[str]:
+        """Whose whole table a node that starts may take; it is level once it has that of enough of them."""
+        if self.phase is not Phase.CATCHING:
+            return []
+        if len(self.whole) >= min(GIVERS, len(there)) and there or now - self.begun > ALONE and not there:
+            self.level(now, f"from {len(self.whole)}")
+        # Guards against ten that return together and all ask the same one: each has an order of its own.
+        order = sorted(there, key=lambda name: crc32(f"{self.me}|{name}|{self.seed}".encode()))
+        return [name for name in order if name not in self.whole]
+
+    def differing(self, now: Micros, there: list[str]) -> list[str]:
+        """Peers whose digest has differed for longer than new entries need."""
+        return [
+            name
+            for name, known in self.peers.items()
+            if name in there and (known.ranges or known.differs and now - known.differs >= SETTLE)
+        ]
+
     def done(self, now: Micros, name: str, epoch: int, seq: int, differ: list[tuple[str, int]]) -> None:
         """A pull brought all that was asked for; `differ`: where the two still do."""
         pull = self.open.pop(name, None)
-        known = self.peers.setdefault(name, Known())
+        known = self.peers.setdefault(name, PeerTable())
         known.epoch, known.seq = epoch, max(seq, known.seq if epoch == known.epoch else 0)
         if pull and not pull.ranges:
             self.whole.add(name)
@@ -121,7 +133,7 @@
 
     def failed(self, now: Micros, name: str) -> None:
         self.open.pop(name, None)
-        self.peers.setdefault(name, Known()).quiet = now + AGAIN
+        self.peers.setdefault(name, PeerTable()).quiet = now + RETRY_AFTER
 
     def level(self, now: Micros, why: str) -> None:
         self.phase, self.took = Phase.LEVEL, now - self.begun
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,5 @@
 """Nodes that know each other, without I/O: merges in any order, members over all orders of a few events and on a
-scripted network, exchange that finds what was lost, fetch leases, and frames of strangers."""
+scripted network, anti-entropy that finds what was lost, fetch leases, and frames of strangers."""
 
 from __future__ import annotations
 
@@ -28,8 +28,8 @@
     PullEnd,
     PullRequest,
 )
+from saltmoor.replica.anti_entropy import Phase, PullSchedule
 from saltmoor.replica.borrowed_quota import BORROWER_LEASE, LENDER_LEASE, WHOLE, Share
-from saltmoor.replica.exchange import Exchange, Phase
 from saltmoor.replica.fetch_leases import Decision, LeaseAnswer, LeaseTable, owner_of
 from saltmoor.replica.items import KINDS, SECOND, Item, Stamps, Store
 from saltmoor.replica.uses import Seen, Uses
@@ -325,10 +325,10 @@
         self.assertEqual(town.false, 0)
 
 
-class Exchanges(TraceCase):
-    """Stores that pull as Exchange says, on a network that lost all words of what is new."""
+class AntiEntropy(TraceCase):
+    """Stores that pull as PullSchedule says, on a network that lost all words of what is new."""
 
-    def pull(self, pull, stores: dict[str, Store], me: str, exchange: Exchange, now: int) -> int:
+    def pull(self, pull, stores: dict[str, Store], me: str, schedule: PullSchedule, now: int) -> int:
         giver = stores[pull.name]
         items = list(
             giver.ranges(now, pull.ranges)
@@ -338,7 +338,7 @@
         seq, digests = giver.seq, {kind: list(kept) for kind, kept in giver.digests.items()}
         for item in items:
             stores[me].put(now, item)
-        exchange.done(now, pull.name, giver.epoch, seq, stores[me].compare(digests))
+        schedule.done(now, pull.name, giver.epoch, seq, stores[me].compare(digests))
         return len(items)
 
     def test_a_node_that_returns_takes_the_whole_once_and_then_what_changed(self):
@@ -347,7 +347,7 @@
         for i in range(500):
             for name in "abc":
                 stores[name].put(now, Item.made("start", f"x|s{i}", 5, b""))
-        exchange, came = Exchange("new", now), []
+        schedule, came = PullSchedule("new", now), []
         for step in range(40):
             now += 50 * MS
             if step == 20:
@@ -356,12 +356,12 @@
             if step == 30:  # it has lost one, and nobody's changes tell
                 stores["new"].drop("start", "x|s7")
             for name in "abc":
-                exchange.saw(now, name, stores[name].root == stores["new"].root)
-            for pull in exchange.next(now, ["a", "b", "c"]):
-                came.append((step, pull.name, self.pull(pull, stores, "new", exchange, now)))
-            if exchange.line:
-                notes.note(exchange.line)
-                exchange.line = ""
+                schedule.saw(now, name, stores[name].root == stores["new"].root)
+            for pull in schedule.next(now, ["a", "b", "c"]):
+                came.append((step, pull.name, self.pull(pull, stores, "new", schedule, now)))
+            if schedule.line:
+                notes.note(schedule.line)
+                schedule.line = ""
         for step, name, count in came:
             notes.note(f"step {step}: {count} items from {name}")
         self.assertEqual(stores["new"].root, stores["a"].root)
@@ -371,18 +371,18 @@
         asked: dict[str, int] = {}
         there = [f"n{i}" for i in range(10)]
         for i in range(10):
-            for pull in Exchange(f"r{i}", NOW, seed=i).next(NOW, there):
+            for pull in PullSchedule(f"r{i}", NOW, seed=i).next(NOW, there):
                 asked[pull.name] = asked.get(pull.name, 0) + 1
         self.assertLessEqual(max(asked.values()), 6)
         self.assertGreaterEqual(len(asked), 5)
 
     def test_a_peer_that_fails_is_left_alone_for_a_while(self):
-        exchange = Exchange("a", NOW)
-        self.assertEqual([one.name for one in exchange.next(NOW, ["b"])], ["b"])
-        exchange.failed(NOW, "b")
-        self.assertEqual(exchange.next(NOW + 1, ["b"]), [])
-        self.assertEqual([one.name for one in exchange.next(NOW + SECOND, ["b"])], ["b"])
-        self.assertIs(exchange.phase, Phase.CATCHING)
+        schedule = PullSchedule("a", NOW)
+        self.assertEqual([one.name for one in schedule.next(NOW, ["b"])], ["b"])
+        schedule.failed(NOW, "b")
+        self.assertEqual(schedule.next(NOW + 1, ["b"]), [])
+        self.assertEqual([one.name for one in schedule.next(NOW + SECOND, ["b"])], ["b"])
+        self.assertIs(schedule.phase, Phase.CATCHING)
 
 
 class FetchLeases(unittest.TestCase):
