Entries of the replicated table by their standard name: replica/items.py becomes replica/entries.py

No behaviour changes; names only. Item is Entry; what goes over the wire, into the duty's file, the log and operators' views keeps its words.

--- a/saltmoor/lab/scale_counts.py
+++ b/saltmoor/lab/scale_counts.py
@@ -17,8 +17,8 @@
 from saltmoor.lab.nodes import settings
 from saltmoor.lab.scale_plan import PLAN
 from saltmoor.recovery.room import FIRST, Room
+from saltmoor.replica.entries import UNKNOWN, Entry, Store
 from saltmoor.replica.fetch_leases import owner_of
-from saltmoor.replica.items import UNKNOWN, Item, Store
 
 ROUNDS = 7  # of each timing; the middle one counts
 STEP = 10_000  # microseconds between two requests of one node for a cold server's keys: more than it may send
@@ -110,7 +110,7 @@
 def full(count: int, kind: str = "change") -> Store:
     store = Store(epoch=1, most_bytes=64 << 20)
     for i in range(count):
-        store.put(i, Item.made(kind, f"key{i:06}", 1, b"\0" * 40))
+        store.put(i, Entry.made(kind, f"key{i:06}", 1, b"\0" * 40))
     return store
 
 
@@ -120,7 +120,7 @@
 
     def put() -> None:
         number[0] += 1
-        store.put(10**6 + number[0], Item.made("change", f"new{number[0]:06}", 1, b"\0" * 40))
+        store.put(10**6 + number[0], Entry.made("change", f"new{number[0]:06}", 1, b"\0" * 40))
 
     return took_us(put, 20)
 
@@ -180,7 +180,9 @@
             took_us(lambda: owner_of(key[0], some), 50),
             "replica/fetch_leases.py: owner_of, once a miss",
         )
-    add("table: processor time of a put below its bound", "us", puts(1_000), "replica/items.py: Store.put, 1,000 kept")
+    add(
+        "table: processor time of a put below its bound", "us", puts(1_000), "replica/entries.py: Store.put, 1,000 kept"
+    )
     add("table: processor time of a put at its bound", "us", puts(UNKNOWN.most), f"the same, {UNKNOWN.most} kept")
     store = full(5_000)
     add(
--- a/saltmoor/lab/scale_page.py
+++ b/saltmoor/lab/scale_page.py
@@ -17,7 +17,7 @@
 from saltmoor.lab.scale_plan import PLAN, derived
 from saltmoor.lab.scale_rows import AIMS, Row, short, table
 from saltmoor.net.control import STREAMS
-from saltmoor.replica.items import KINDS
+from saltmoor.replica.entries import KINDS
 
 BLOCK = re.compile(r"<!-- table: (?P<name>[a-z-]+) -->\n.*?<!-- end -->", re.S)
 NOT_ROWS = ("data-path.json", "counts.json", "short.json")
--- a/saltmoor/lab/scale_town.py
+++ b/saltmoor/lab/scale_town.py
@@ -18,7 +18,7 @@
 from saltmoor.lab.scale_hollow import CONTROL, Hollow
 from saltmoor.peers.members import State
 from saltmoor.replica.anti_entropy import Phase
-from saltmoor.replica.items import Item
+from saltmoor.replica.entries import Entry
 
 FLEET = 480  # nodes of the operators' plan; smaller sizes get their part of the day's events
 DAY_S = 86_400
@@ -204,7 +204,7 @@
             self.make(name)
         if town.plan.event not in ANEW:
             count = int(min(KEPT_S * town.plan.rate, 5_000)) if town.plan.event == "aged" else 0
-            old = [Item.made("change", f"old{i}", 0, b"\0" * BODY) for i in range(count)]
+            old = [Entry.made("change", f"old{i}", 0, b"\0" * BODY) for i in range(count)]
             for one in self.members.values():
                 one.store.hear = lambda item: None
                 for i, item in enumerate(old):
@@ -233,7 +233,7 @@
 
     def give(self, name: str, change: int) -> None:
         one = self.members[name]
-        item = Item.made("change", str(change), 1, change.to_bytes(BODY, "big"))
+        item = Entry.made("change", str(change), 1, change.to_bytes(BODY, "big"))
         one.spent.of(one.store.put, self.town.loop.micros(), item)
         self.town.board.has(name, change)
 
--- a/saltmoor/lab/scale_worker.py
+++ b/saltmoor/lab/scale_worker.py
@@ -21,7 +21,7 @@
 from saltmoor.lab.scale_clock import Place, way_s
 from saltmoor.lab.scale_hollow import PERIOD, SUSPECT, quiet
 from saltmoor.net.peers.node import Peers
-from saltmoor.replica.items import Item
+from saltmoor.replica.entries import Entry
 
 LOOK = 0.02  # seconds between two looks at the loop's lateness
 
@@ -142,7 +142,7 @@
     def took(self, name: str):
         seen = self.seen[name]
 
-        def note(item: Item) -> None:
+        def note(item: Entry) -> None:
             if item.kind == "change":
                 seen.setdefault(int(item.key), clock())
 
@@ -206,7 +206,7 @@
             await asyncio.sleep(max(0, begin + change / share.rate * 1e6 - clock()) / 1e6)
             member = self.members[int(rng.random() * len(self.members))]
             self.given[change] = self.seen[member.name][change] = clock()
-            member.store.put(clock(), Item.made("change", str(change), 1, change.to_bytes(share.body, "big")))
+            member.store.put(clock(), Entry.made("change", str(change), 1, change.to_bytes(share.body, "big")))
 
     async def look(self, end: int) -> None:
         loop = asyncio.get_running_loop()
--- a/saltmoor/net/duties.py
+++ b/saltmoor/net/duties.py
@@ -21,7 +21,7 @@
 from saltmoor.net.peers.node import Peers
 from saltmoor.peers import frames
 from saltmoor.peers.messages import MessageType
-from saltmoor.replica.items import Item
+from saltmoor.replica.entries import Entry
 from saltmoor.state import file
 
 NAME = re.compile(r"^(?P<cluster>[A-Za-z0-9_.-]{1,64})\.(?P<number>\d{20})\.replica$")
@@ -37,7 +37,7 @@
     number: int
     writer: str
     clock: dict[str, Any]
-    items: list[Item]
+    items: list[Entry]  # the name is the file's
 
 
 def path_of(folder: str, cluster: str, number: int) -> Path:
@@ -182,16 +182,16 @@
         now, number, takes = self.clock(), claim.may_act(self.clock()), claim.takes
         if not number or self.writing:
             return
-        self.writing, items, clocks = True, [], file.clocks()  # ages count from here
+        self.writing, entries, clocks = True, [], file.clocks()  # ages count from here
         try:
-            for item in self.peers.store.since(now, 0):
-                items.append(item)
-                if len(items) % 64 == 0:  # so that the loop goes on
+            for entry in self.peers.store.since(now, 0):
+                entries.append(entry)
+                if len(entries) % 64 == 0:  # so that the loop goes on
                     await asyncio.sleep(0)
         except BaseException:
             self.writing = False
             raise
-        kept = Kept(self.given.cluster, number, self.peers.name, clocks, items)
+        kept = Kept(self.given.cluster, number, self.peers.name, clocks, entries)
         threading.Thread(target=self.work, args=(kept, claim, takes), daemon=True).start()
 
     def work(self, kept: Kept, claim: Claim, takes: int) -> None:
@@ -236,7 +236,7 @@
             pass
 
     def loaded(self, kept: Kept | None, lines: list[str]) -> None:
-        """What the fleet knew, where all that knew it have gone: each item as old as it is by now."""
+        """What the fleet knew, where all that knew it have gone: each entry as old as it is by now."""
         self.loading = False
         for line in lines:
             self.log(line)
@@ -245,22 +245,22 @@
         for claim in self.claims.values():  # numbers rise beyond every one that was kept
             claim.largest = max(claim.largest, kept.number)
         gone = file.age(kept.clock, file.clocks())
-        items = [item for item in kept.items if gone is not None or item.kind == "word"]
-        for item in items:
-            item.age += gone or 0
+        entries = [entry for entry in kept.items if gone is not None or entry.kind == "word"]
+        for entry in entries:
+            entry.age += gone or 0
         self.log(
-            f"duty snapshot: number={kept.number} of {kept.writer}: items={len(items)} "
+            f"duty snapshot: number={kept.number} of {kept.writer}: items={len(entries)} "
             f"{'of unknown age' if gone is None else f'age_ms={gone // 1000}'}"
         )
-        self.take(items)
+        self.take(entries)
 
-    def take(self, items: list[Item]) -> None:
+    def take(self, entries: list[Entry]) -> None:
         """Some at a time, so that the loop goes on."""
         now = self.clock()
-        for item in items[:64]:
-            self.peers.merge(now, item)
-        if items[64:]:
-            self.peers.loop.call_soon(self.take, items[64:])
+        for entry in entries[:64]:
+            self.peers.merge(now, entry)
+        if entries[64:]:
+            self.peers.loop.call_soon(self.take, entries[64:])
 
     def shown(self) -> dict[str, Any]:
         now = self.clock()
--- a/saltmoor/net/peers/anti_entropy.py
+++ b/saltmoor/net/peers/anti_entropy.py
@@ -16,7 +16,7 @@
 from saltmoor.peers.frames import Strange
 from saltmoor.peers.messages import MessageType, PullEnd, PullRequest
 from saltmoor.replica.anti_entropy import Pull, PullSchedule
-from saltmoor.replica.items import Item, Store
+from saltmoor.replica.entries import Entry, Store
 
 CHUNK = 64  # entries in one frame of a stream
 CHUNK_BYTES = 60_000  # of one frame's entries, about
@@ -25,7 +25,7 @@
 ENTRY_OVERHEAD = 40  # bytes of an entry beside its key and body, about
 
 
-def chunks(entries: Iterable[Item]) -> Iterator[list[Item]]:
+def chunks(entries: Iterable[Entry]) -> Iterator[list[Entry]]:
     """The entries in order, in groups of which each fits into a frame of a stream."""
     chunk, size = [], 0
     for entry in entries:
@@ -48,7 +48,7 @@
         store: Store,
         schedule: PullSchedule,
         *,
-        merge: Callable[[Micros, Item], None],
+        merge: Callable[[Micros, Entry], None],
         rate: int,
         clock: Callable[[], Micros],
         spawn: Callable[[Coroutine], None],
@@ -75,7 +75,7 @@
         end = PullEnd(self.store.epoch, seq, self.store.digests)
         await stream.write(self.messenger.encode(MessageType.PULL_END, end))
 
-    def wanted(self, now: Micros, request: PullRequest) -> Iterable[Item]:
+    def wanted(self, now: Micros, request: PullRequest) -> Iterable[Entry]:
         if request.ranges:
             return self.store.ranges(now, request.ranges[:RANGES_MOST])
         return self.store.since(now, request.seq if request.epoch == self.store.epoch else 0)
@@ -107,7 +107,7 @@
             while (data := await stream.read()) is not None:
                 frame = frames.decode(data, self.messenger.given.cluster)
                 if frame.word == MessageType.ENTRIES:
-                    self.merge_some(frames.content(frame, list[Item]))
+                    self.merge_some(frames.content(frame, list[Entry]))
                     await asyncio.sleep(0)
                 elif frame.word == MessageType.PULL_END:
                     return frames.content(frame, PullEnd)
@@ -115,7 +115,7 @@
         finally:
             stream.sock.close()
 
-    def merge_some(self, entries: list[Item]) -> None:
+    def merge_some(self, entries: list[Entry]) -> None:
         now = self.clock()
         for entry in entries[:MERGED_MOST]:
             self.merge(now, entry)
--- a/saltmoor/net/peers/gossip.py
+++ b/saltmoor/net/peers/gossip.py
@@ -13,7 +13,7 @@
 from saltmoor.net.peers.messenger import Messenger
 from saltmoor.peers import frames
 from saltmoor.peers.messages import MessageType
-from saltmoor.replica.items import Item, Stamps, Store
+from saltmoor.replica.entries import Entry, Stamps, Store
 
 SMALL = 900  # bytes of an entry that is told in a datagram; a larger one is pulled
 DIRECT = 12  # members: up to so many are told by who has it, beyond that they tell each other
@@ -30,13 +30,13 @@
 class Rumour:
     """An entry that is still to be told."""
 
-    entry: Item
+    entry: Entry
     times_left: int
 
 
-def batches(entries: list[Item]) -> list[list[Item]]:
+def batches(entries: list[Entry]) -> list[list[Entry]]:
     """The entries in order, in groups of which each fits into a datagram."""
-    groups: list[list[Item]] = []
+    groups: list[list[Entry]] = []
     size = 0
     for entry in entries:
         length = len(entry.body) + len(entry.key) + len(entry.kind) + ENTRY_OVERHEAD
@@ -68,19 +68,19 @@
     ) -> None:
         self.messenger, self.store, self.stamps = messenger, store, stamps
         self.clock, self.wall, self.pulling, self.soon = clock, wall, pulling, soon
-        self.took: Callable[[Item], None] = lambda entry: None
+        self.took: Callable[[Entry], None] = lambda entry: None
         self.rumours: deque[Rumour] = deque()
         self.due = False  # `spread` comes with the loop
         self.merging = False  # what is put into the table now came from another
         store.hear = self.is_new
-        messenger.route(MessageType.ENTRIES, list[Item], self.entries_came)
+        messenger.route(MessageType.ENTRIES, list[Entry], self.entries_came)
 
-    def entries_came(self, _sender: str, entries: list[Item]) -> None:
+    def entries_came(self, _sender: str, entries: list[Entry]) -> None:
         now = self.clock()
         for entry in entries[:MERGED_MOST]:
             self.merge(now, entry)
 
-    def merge(self, now: Micros, entry: Item) -> None:
+    def merge(self, now: Micros, entry: Entry) -> None:
         """Put an entry of another node into the table."""
         if entry.kind == "word" and not self.stamps.take(self.wall(), entry.version):
             self.store.refuse("clock")
@@ -91,7 +91,7 @@
         finally:
             self.merging = False
 
-    def is_new(self, entry: Item) -> None:
+    def is_new(self, entry: Entry) -> None:
         """The table has changed: the entry is told on, and its owner hears of it where another has told it."""
         if len(entry.body) + len(entry.key) <= SMALL and not (self.merging and self.pulling()):
             self.add(entry)
@@ -101,7 +101,7 @@
             except Exception as error:  # what cannot be used is carried all the same
                 self.messenger.log(f"fault in a shared item: {entry.kind} {entry.key}: {type(error).__name__}: {error}")
 
-    def add(self, entry: Item) -> None:
+    def add(self, entry: Entry) -> None:
         self.rumours.append(Rumour(entry, 1 if self.merging else TIMES_TOLD))
         while len(self.rumours) > WAITING_MOST:
             self.rumours.popleft()
@@ -122,7 +122,7 @@
                 self.messenger.send_to(name, MessageType.ENTRIES, batch)
         self.rumours.extend(again)  # with the next tick
 
-    def next_entries(self) -> tuple[list[Item], list[Rumour]]:
+    def next_entries(self) -> tuple[list[Entry], list[Rumour]]:
         """What is to be told now, with its age by now, and what of it is to be told again."""
         now, entries, again = self.clock(), [], []
         for _ in range(min(len(self.rumours), AT_A_TIME)):
@@ -133,5 +133,5 @@
             entry = rumour.entry
             kept = self.store.get(entry.kind, entry.key)
             if kept and kept.version == entry.version:  # else a newer one is on its way already
-                entries.append(self.store.item(now, entry.kind, entry.key))
+                entries.append(self.store.entry(now, entry.kind, entry.key))
         return entries, again
--- a/saltmoor/net/peers/membership.py
+++ b/saltmoor/net/peers/membership.py
@@ -15,7 +15,7 @@
 from saltmoor.peers.members import Ask, Members, Out, Ping
 from saltmoor.peers.messages import MessageType
 from saltmoor.replica.anti_entropy import PullSchedule
-from saltmoor.replica.items import Store
+from saltmoor.replica.entries import Store
 
 
 class Membership:
--- a/saltmoor/net/peers/node.py
+++ b/saltmoor/net/peers/node.py
@@ -30,7 +30,7 @@
 from saltmoor.peers.members import Ask, Members, News, Ping
 from saltmoor.peers.messages import PullEnd
 from saltmoor.replica.anti_entropy import PullSchedule
-from saltmoor.replica.items import Item, Stamps, Store
+from saltmoor.replica.entries import Entry, Stamps, Store
 
 SHORT_LIVED: Micros = 10_000_000  # kinds that are kept no longer expire with each tick
 EXPIRE_EVERY: Micros = 1_000_000  # the other kinds
@@ -197,15 +197,15 @@
         """The wall clock as most nodes see it."""
         return self.members.middle_clock(wall_clock())
 
-    def merge(self, now: Micros, entry: Item) -> None:
+    def merge(self, now: Micros, entry: Entry) -> None:
         """Put an entry of another node into the table."""
         self.gossip.merge(now, entry)
 
     @property
-    def took(self) -> Callable[[Item], None]:
+    def took(self) -> Callable[[Entry], None]:
         """Hears of each entry that is new here and came from another."""
         return self.gossip.took
 
     @took.setter
-    def took(self, took: Callable[[Item], None]) -> None:
+    def took(self, took: Callable[[Entry], None]) -> None:
         self.gossip.took = took
--- a/saltmoor/net/peers/operators.py
+++ b/saltmoor/net/peers/operators.py
@@ -16,7 +16,7 @@
 from saltmoor.peers.members import Member
 from saltmoor.peers.messages import MessageType, OperatorCommand
 from saltmoor.replica.anti_entropy import PullSchedule
-from saltmoor.replica.items import Item, Store
+from saltmoor.replica.entries import Entry, Store
 
 NAME_MOST = 200  # characters of a command's name
 SHOWN_BYTES = 2_000  # of an entry's body
@@ -51,7 +51,7 @@
         if not 0 < len(command.name) <= NAME_MOST or "|" not in command.name:
             return {"fault": "must be WHAT|NAME"}
         stamp = self.gossip.stamps.make(self.gossip.wall())
-        entry = Item.made("word", command.name, stamp, command.value)
+        entry = Entry.made("word", command.name, stamp, command.value)
         taken = self.store.put(self.clock(), entry)
         if taken:
             self.gossip.took(entry)
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -1,7 +1,7 @@
 """Owns the seam between a running node and what its peers share: news out, news in, nothing that it needs to serve.
 
 Whatever fails here costs what was shared, never a transaction. It must never lift a drain, warm a server, or change
-what discovery has told; `replica/uses.py` says what each item means.
+what discovery has told; `replica/uses.py` says what each entry means.
 """
 
 from __future__ import annotations
@@ -19,8 +19,8 @@
 from saltmoor.net.host import Host
 from saltmoor.net.peers.node import Peers
 from saltmoor.replica.borrowed_quota import WHOLE, Share
+from saltmoor.replica.entries import Entry
 from saltmoor.replica.fetch_leases import Decision
-from saltmoor.replica.items import Item
 from saltmoor.replica.uses import Uses
 
 STEP: Micros = 250_000
@@ -129,16 +129,16 @@
 
     # In.
 
-    def took(self, item: Item) -> None:
-        match item.kind:
+    def took(self, entry: Entry) -> None:
+        match entry.kind:
             case "drain" if "drains" in self.given.use:
-                self.drained(item)
+                self.drained(entry)
             case "start" if "starts" in self.given.use:
-                self.started(item)
-            case "list" if "lists" in self.given.use and item.key == self.uses.source:
+                self.started(entry)
+            case "list" if "lists" in self.given.use and entry.key == self.uses.source:
                 self.listed()
             case "word" if "words" in self.given.use:
-                self.word(item)
+                self.word(entry)
 
     def change(self, server: str, **how: Any) -> None:
         """One server of the list as it stands, otherwise."""
@@ -149,9 +149,9 @@
         server = self.service.door.node.servers.get(name)
         return server if server and server.ready else None
 
-    def drained(self, item: Item) -> None:
+    def drained(self, entry: Entry) -> None:
         """Rule 3 gets sooner: it is told by a peer, so it is told."""
-        name, started = self.uses.server_of(item) or ("", 0)
+        name, started = self.uses.server_of(entry) or ("", 0)
         server = self.known(name)
         if (
             server
@@ -161,9 +161,9 @@
             self.change(name, readiness=Readiness.DRAINING)
             self.uses.note("drains")
 
-    def started(self, item: Item) -> None:
+    def started(self, entry: Entry) -> None:
         """A later start than this node has heard of: the server is cold."""
-        name, started = self.uses.server_of(item) or ("", 0)
+        name, started = self.uses.server_of(entry) or ("", 0)
         server = self.known(name)
         if not server or started <= self.service.starts.told(server.id, server.started) // 1000:
             return
@@ -203,13 +203,13 @@
         self.uses.note("lists")
         service.log(f"replica: list of generation {generation} taken from a peer: servers={len(lines)}")
 
-    def word(self, item: Item) -> None:
-        what, _, name = item.key.partition("|")
+    def word(self, entry: Entry) -> None:
+        what, _, name = entry.key.partition("|")
         if what == "empty" and name == self.peers.name:
-            value = msgspec.msgpack.decode(item.body)
+            value = msgspec.msgpack.decode(entry.body)
             yes, state = self.service.say_lame(bool(value))
             self.uses.note("words")
-            self.service.log(f"replica: word {item.key}={value!r}: {state}")
+            self.service.log(f"replica: word {entry.key}={value!r}: {state}")
 
     # Fetches.
 
--- a/saltmoor/replica/items.py
+++ b/saltmoor/replica/entries.py
@@ -1,8 +1,8 @@
-"""Owns the shared table: items of a few kinds, the one rule by which copies merge, their ages, digests and changes.
+"""Owns the shared table: entries of a few kinds, the one rule by which copies merge, their ages, digests and changes.
 
 Every kind merges by the same rule, the larger (version, body): it commutes, associates and is idempotent, so copies
 agree however words were lost, doubled or late, and a build that does not know a kind carries it all the same. What a
-kind means is in its version and key, see KINDS. It must never act on an item, nor read a clock.
+kind means is in its version and key, see KINDS. It must never act on an entry, nor read a clock.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 RANGES = 16  # of each kind's keys, compared by digest
 LONGEST_KEY, LONGEST_KIND, LONGEST_BODY = 400, 16, 512 << 10
-BESIDE = 300  # bytes that an item takes beside its key and body
+BESIDE = 300  # bytes that an entry takes beside its key and body
 KINDS_MOST = 32  # kinds that are carried, known or not
 
 
@@ -81,8 +81,8 @@
 UNKNOWN = Kind("", "", "", "", "carried", 600 * SECOND, 5_000)
 
 
-class Item(msgspec.Struct, array_like=True):
-    """One item as it goes round; `age` in microseconds since it was written, as far as its sender knows."""
+class Entry(msgspec.Struct, array_like=True):
+    """One entry as it goes round; `age` in microseconds since it was written, as far as its sender knows."""
 
     kind: str
     key: str
@@ -92,7 +92,7 @@
     check: bytes  # of what must not change on its way
 
     @classmethod
-    def made(cls, kind: str, key: str, version: int, body: Any, age: Micros = 0) -> Item:
+    def made(cls, kind: str, key: str, version: int, body: Any, age: Micros = 0) -> Entry:
         raw = body if isinstance(body, bytes) else msgspec.msgpack.encode(body)
         return cls(kind, key, version, raw, age, check(kind, key, version, raw))
 
@@ -129,7 +129,7 @@
     refused: dict[str, int] = field(default_factory=dict)
     conflicts: list[tuple[str, str, bytes, bytes]] = field(default_factory=list)  # one version, two bodies
     said: set[tuple[str, str, int]] = field(default_factory=set)
-    hear: Callable[[Item], None] = lambda item: None  # told of each item that is new here
+    hear: Callable[[Entry], None] = lambda entry: None  # told of each entry that is new here
 
     @staticmethod
     def size(key: str, body: bytes) -> int:
@@ -142,67 +142,67 @@
         self.refused[why] = self.refused.get(why, 0) + 1
         return False
 
-    def fits(self, item: Item) -> bool:
-        """Guards against damaged, oversized and overdue items: they are never kept, so never spread."""
+    def fits(self, entry: Entry) -> bool:
+        """Guards against damaged, oversized and overdue entries: they are never kept, so never spread."""
         if (
-            not 0 < len(item.kind) <= LONGEST_KIND
-            or not 0 < len(item.key) <= LONGEST_KEY
-            or len(item.body) > LONGEST_BODY
-            or item.version < 0
-            or item.age < 0
+            not 0 < len(entry.kind) <= LONGEST_KIND
+            or not 0 < len(entry.key) <= LONGEST_KEY
+            or len(entry.body) > LONGEST_BODY
+            or entry.version < 0
+            or entry.age < 0
         ):
             return self.refuse("size")
-        if check(item.kind, item.key, item.version, item.body) != item.check:
+        if check(entry.kind, entry.key, entry.version, entry.body) != entry.check:
             return self.refuse("check")
-        kind = KINDS.get(item.kind, UNKNOWN)
-        if kind.until and item.age >= kind.until:
+        kind = KINDS.get(entry.kind, UNKNOWN)
+        if kind.until and entry.age >= kind.until:
             return self.refuse("old")
-        if item.kind not in self.kinds and len(self.kinds) >= KINDS_MOST:
+        if entry.kind not in self.kinds and len(self.kinds) >= KINDS_MOST:
             return self.refuse("kinds")
         return True
 
-    def put(self, now: Micros, item: Item) -> bool:
-        """Merge one item; whether the table has changed by it."""
-        if not self.fits(item):
+    def put(self, now: Micros, entry: Entry) -> bool:
+        """Merge one entry; whether the table has changed by it."""
+        if not self.fits(entry):
             return False
-        table = self.kinds.setdefault(item.kind, {})
-        before = table.get(item.key)
+        table = self.kinds.setdefault(entry.kind, {})
+        before = table.get(entry.key)
         if before is not None:
-            if item.version == before.version and item.body != before.body:
-                self.differ(item, before)
-            if (item.version, item.body) <= (before.version, before.body):
-                if (item.version, item.body) == (before.version, before.body):
+            if entry.version == before.version and entry.body != before.body:
+                self.differ(entry, before)
+            if (entry.version, entry.body) <= (before.version, before.body):
+                if (entry.version, entry.body) == (before.version, before.body):
                     # The older reading: guards against what goes round for ever, each time a little younger.
-                    before.written = min(before.written, now - item.age)
+                    before.written = min(before.written, now - entry.age)
                 return False
-        kind = KINDS.get(item.kind, UNKNOWN)
+        kind = KINDS.get(entry.kind, UNKNOWN)
         # Guards against keys without end, which would push out what matters: the least that is kept goes first,
         # and what is older than all of it never comes in.
         if before is None and len(table) >= kind.most:
             oldest = min(table, key=lambda key: table[key].written)
-            if table[oldest].written >= now - item.age:
+            if table[oldest].written >= now - entry.age:
                 return self.refuse("full")
-            self.drop(item.kind, oldest)
-        more = len(item.body) - len(before.body) if before else self.size(item.key, item.body)
+            self.drop(entry.kind, oldest)
+        more = len(entry.body) - len(before.body) if before else self.size(entry.key, entry.body)
         if self.bytes + more > self.most_bytes:
             return self.refuse("bytes")
         if before is not None:
-            self.drop(item.kind, item.key)
+            self.drop(entry.kind, entry.key)
         self.seq += 1
-        mark = int.from_bytes(item.check, "big")
-        table[item.key] = Kept(item.version, item.body, now - item.age, mark, self.seq)
-        self.order[self.seq] = item.kind, item.key
-        self.bytes += self.size(item.key, item.body)
-        self.mark(item.kind, item.key, mark)
-        self.hear(item)
+        mark = int.from_bytes(entry.check, "big")
+        table[entry.key] = Kept(entry.version, entry.body, now - entry.age, mark, self.seq)
+        self.order[self.seq] = entry.kind, entry.key
+        self.bytes += self.size(entry.key, entry.body)
+        self.mark(entry.kind, entry.key, mark)
+        self.hear(entry)
         return True
 
-    def differ(self, item: Item, before: Kept) -> None:
+    def differ(self, entry: Entry, before: Kept) -> None:
         """Two bodies under one version: the rule decides the same everywhere, and both are shown once."""
-        which = item.kind, item.key, item.version
+        which = entry.kind, entry.key, entry.version
         if which not in self.said and len(self.said) < 1000:
             self.said.add(which)
-            self.conflicts.append((item.kind, item.key, max(item.body, before.body), min(item.body, before.body)))
+            self.conflicts.append((entry.kind, entry.key, max(entry.body, before.body), min(entry.body, before.body)))
 
     def mark(self, kind: str, key: str, mark: int) -> None:
         place = self.digests.setdefault(kind, [0] * RANGES)
@@ -226,14 +226,14 @@
                 gone += len(over)
         return gone
 
-    def item(self, now: Micros, kind: str, key: str) -> Item:
+    def entry(self, now: Micros, kind: str, key: str) -> Entry:
         kept = self.kinds[kind][key]
-        return Item(kind, key, kept.version, kept.body, max(0, now - kept.written), kept.check.to_bytes(8, "big"))
+        return Entry(kind, key, kept.version, kept.body, max(0, now - kept.written), kept.check.to_bytes(8, "big"))
 
     def get(self, kind: str, key: str) -> Kept | None:
         return self.kinds.get(kind, {}).get(key)
 
-    def since(self, now: Micros, seq: int) -> Iterable[Item]:
+    def since(self, now: Micros, seq: int) -> Iterable[Entry]:
         """What has changed here after that change, oldest first; lazily, so that nobody waits for all of it."""
         # Changes come in order: a walk from the newest back finds the place.
         newer = []
@@ -243,13 +243,13 @@
             newer.append(number)
         for number in reversed(newer):
             if place := self.order.get(number):
-                yield self.item(now, *place)
+                yield self.entry(now, *place)
 
-    def ranges(self, now: Micros, wanted: Iterable[tuple[str, int]]) -> Iterable[Item]:
+    def ranges(self, now: Micros, wanted: Iterable[tuple[str, int]]) -> Iterable[Entry]:
         for kind, number in wanted:
             for key in [key for key in self.kinds.get(kind, {}) if digest_range(key) == number]:
                 if key in self.kinds[kind]:
-                    yield self.item(now, kind, key)
+                    yield self.entry(now, kind, key)
 
     def compare(self, theirs: dict[str, list[int]]) -> list[tuple[str, int]]:
         """Kinds and ranges in which the two differ."""
--- a/saltmoor/replica/uses.py
+++ b/saltmoor/replica/uses.py
@@ -1,4 +1,4 @@
-"""Owns what shared items mean to a node: which are made of what it sees, and what it does with those of others.
+"""Owns what shared entries mean to a node: which are made of what it sees, and what it does with those of others.
 
 What a peer says makes a node stricter or better informed, never laxer: a drain that is told stops new hops, a later
 start makes a server colder, evidence has it asked before it is sent to, a newer list names servers where discovery
@@ -15,7 +15,7 @@
 
 from saltmoor.choice import Node
 from saltmoor.model import Micros, Readiness
-from saltmoor.replica.items import SECOND, Item, Kept, Store
+from saltmoor.replica.entries import SECOND, Entry, Kept, Store
 
 AGAIN: Micros = 2 * SECOND  # evidence that still holds is said again, before it is forgotten
 SAID = 20  # changes of evidence a step at most
@@ -59,12 +59,12 @@
             one = line.member
             name, told = str(one.server), one.started // 1000
             if "starts" in self.on and told > self.listed.starts.get(name, 0):
-                self.store.put(now, Item.made("start", f"{self.source}|{name}", told, b""))
+                self.store.put(now, Entry.made("start", f"{self.source}|{name}", told, b""))
             self.listed.starts[name] = max(told, self.listed.starts.get(name, 0))
             if one.readiness is Readiness.READY:
                 self.listed.up[name] = max(generation, self.listed.up.get(name, 0))
             if "drains" in self.on and one.readiness is not Readiness.READY:
-                self.store.put(now, Item.made("drain", f"{self.source}|{name}|{told}", generation, b""))
+                self.store.put(now, Entry.made("drain", f"{self.source}|{name}|{told}", generation, b""))
         self.listed.generation = max(generation, self.listed.generation)
 
     def keep_list(self, now: Micros, generation: int, lines: list[dict[str, Any]]) -> None:
@@ -72,7 +72,7 @@
             kept = self.store.get("list", self.source)
             if kept is None or kept.version < generation:
                 body = msgspec.msgpack.encode(sorted(lines, key=lambda one: one["instanceId"]))
-                self.store.put(now, Item.made("list", self.source, generation, body))
+                self.store.put(now, Entry.made("list", self.source, generation, body))
 
     def look(self, now: Micros, node: Node) -> None:
         """Say what has changed in what this node holds of its servers."""
@@ -88,7 +88,7 @@
             changed += 1
             self.count += 1
             self.said[name] = what, now
-            self.store.put(now, Item.made("evidence", f"{name}|{self.me}", self.count, Seen(self.site, what, 1)))
+            self.store.put(now, Entry.made("evidence", f"{name}|{self.me}", self.count, Seen(self.site, what, 1)))
         if len(self.said) > 2 * len(node.caches) + 16:
             names = {str(server.id) for server in node.caches}
             self.said = {name: kept for name, kept in self.said.items() if name in names}
@@ -105,14 +105,14 @@
         kept = self.store.get("start", f"{self.source}|{name}")
         return kept.version if kept and "starts" in self.on else 0
 
-    def server_of(self, item: Item) -> tuple[str, int] | None:
+    def server_of(self, entry: Entry) -> tuple[str, int] | None:
         """Which server a drain or a start of this node's source is about, and its start in milliseconds."""
-        words = item.key.split("|")
+        words = entry.key.split("|")
         if words[0] != self.source:
             return None
-        if item.kind == "drain" and len(words) == 3 and words[2].isdigit():
+        if entry.kind == "drain" and len(words) == 3 and words[2].isdigit():
             return words[1], int(words[2])
-        return (words[1], item.version) if item.kind == "start" and len(words) == 2 else None
+        return (words[1], entry.version) if entry.kind == "start" and len(words) == 2 else None
 
     def newer_list(self) -> tuple[int, list[dict[str, Any]]] | None:
         """The list of this node's source, where another heard a newer one; None where it cannot be read."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -30,8 +30,8 @@
 )
 from saltmoor.replica.anti_entropy import Phase, PullSchedule
 from saltmoor.replica.borrowed_quota import BORROWER_LEASE, LENDER_LEASE, WHOLE, Share
+from saltmoor.replica.entries import KINDS, SECOND, Entry, Stamps, Store
 from saltmoor.replica.fetch_leases import Decision, LeaseAnswer, LeaseTable, owner_of
-from saltmoor.replica.items import KINDS, SECOND, Item, Stamps, Store
 from saltmoor.replica.uses import Seen, Uses
 from tests.helper import MS, Notes, TraceCase
 
@@ -39,7 +39,7 @@
 
 ITEMS = st.lists(
     st.builds(
-        Item.made,
+        Entry.made,
         st.sampled_from(["drain", "start", "word", "evidence", "of-later"]),
         st.sampled_from(["a", "b|c", "d"]),
         st.integers(0, 3),
@@ -81,7 +81,7 @@
                     store.put(NOW, item)
             return store
 
-        def through(store: Store) -> list[Item]:
+        def through(store: Store) -> list[Entry]:
             return list(store.since(NOW, 0))
 
         left = merged(through(merged(a, b)), c)
@@ -107,21 +107,21 @@
 
     def test_what_is_forgotten_or_damaged_does_not_come_back(self):
         store, late = Store(1), Store(2)
-        store.put(NOW, Item.made("drain", "x|s1|0", 3, b""))
-        late.put(NOW, Item.made("drain", "x|s1|0", 3, b""))
+        store.put(NOW, Entry.made("drain", "x|s1|0", 3, b""))
+        late.put(NOW, Entry.made("drain", "x|s1|0", 3, b""))
         after = NOW + KINDS["drain"].until + 1
         self.assertEqual(store.expire(after), 1)
         for item in late.since(after, 0):  # one that slept speaks first
             self.assertFalse(store.put(after, item))
-        item = Item.made("word", "empty|n1", 7, True)
+        item = Entry.made("word", "empty|n1", 7, True)
         for wrong in (
-            Item("word", "empty|n2", 7, item.body, 0, item.check),
-            Item("word", "empty|n1", 8, item.body, 0, item.check),
-            Item("word", "empty|n1", 7, item.body + b"x", 0, item.check),
-            Item.made("x" * 17, "k", 1, b""),
-            Item.made("k", "x" * 401, 1, b""),
-            Item.made("k", "x", 1, b"x" * (513 << 10)),
-            Item.made("k", "x", 1, b"", -5),
+            Entry("word", "empty|n2", 7, item.body, 0, item.check),
+            Entry("word", "empty|n1", 8, item.body, 0, item.check),
+            Entry("word", "empty|n1", 7, item.body + b"x", 0, item.check),
+            Entry.made("x" * 17, "k", 1, b""),
+            Entry.made("k", "x" * 401, 1, b""),
+            Entry.made("k", "x", 1, b"x" * (513 << 10)),
+            Entry.made("k", "x", 1, b"", -5),
         ):
             self.assertFalse(store.put(after, wrong))
         self.assertEqual((store.refused, store.count(), store.root), ({"old": 1, "check": 3, "size": 4}, 0, 0))
@@ -129,7 +129,7 @@
     def test_bounded_however_much_is_said(self):
         store = Store(1, most_bytes=50_000)
         for i in range(3000):
-            store.put(NOW + i, Item.made("word", f"a|{i}", i, b"x" * 30))
+            store.put(NOW + i, Entry.made("word", f"a|{i}", i, b"x" * 30))
         self.assertLessEqual((store.count(), store.bytes <= 50_000), (KINDS["word"].most, True))
         self.assertEqual(store.root, self.again(store).root)
 
@@ -141,7 +141,7 @@
 
     def test_two_bodies_under_one_version_are_settled_alike_and_shown_once(self):
         one, other = Store(1), Store(2)
-        items = [Item.made("list", "x", 5, b"aa"), Item.made("list", "x", 5, b"bb")]
+        items = [Entry.made("list", "x", 5, b"aa"), Entry.made("list", "x", 5, b"bb")]
         for item in items + items:
             one.put(NOW, item)
         for item in reversed(items):
@@ -346,13 +346,13 @@
         stores = {name: Store(i) for i, name in enumerate(("a", "b", "c", "new"))}
         for i in range(500):
             for name in "abc":
-                stores[name].put(now, Item.made("start", f"x|s{i}", 5, b""))
+                stores[name].put(now, Entry.made("start", f"x|s{i}", 5, b""))
         schedule, came = PullSchedule("new", now), []
         for step in range(40):
             now += 50 * MS
             if step == 20:
                 for name in "abc":
-                    stores[name].put(now, Item.made("drain", "x|s1|5", 9, b""))
+                    stores[name].put(now, Entry.made("drain", "x|s1|5", 9, b""))
             if step == 30:  # it has lost one, and nobody's changes tell
                 stores["new"].drop("start", "x|s7")
             for name in "abc":
@@ -579,7 +579,7 @@
             if rng.random() < 0.5:
                 said = [1, "", [[rng.choice(values) for _ in range(7)]], 0, 0, 0]
             frame = frames.decode(frames.encode("c", Speaker("n2", 5, 6, 7), "ping", said), "c")
-            for form in (Ping, Ask, list[Item], PullRequest, PullEnd):
+            for form in (Ping, Ask, list[Entry], PullRequest, PullEnd):
                 try:
                     content = frames.content(frame, form)
                 except Strange:
@@ -666,8 +666,8 @@
     def test_a_later_start_counts_and_an_earlier_one_does_not(self):
         one = self.uses()
         one.news(NOW, 4, [self.line("s1", started=5000)])
-        self.assertFalse(one.store.put(NOW, Item.made("start", "src|s1", 4000, b"")))
-        self.assertTrue(one.store.put(NOW, Item.made("start", "src|s1", 6000, b"")))
+        self.assertFalse(one.store.put(NOW, Entry.made("start", "src|s1", 4000, b"")))
+        self.assertTrue(one.store.put(NOW, Entry.made("start", "src|s1", 6000, b"")))
         self.assertEqual(one.start_of("s1"), 6000)
         one.news(NOW, 5, [self.line("s1", started=5000)])
         self.assertEqual(one.start_of("s1"), 6000)
@@ -675,12 +675,12 @@
     def test_one_site_that_is_cut_off_condemns_nobody(self):
         one = self.uses()
         for i in range(5):
-            one.store.put(NOW, Item.made("evidence", f"s1|a{i}", 1, Seen("there", "down", 1)))
+            one.store.put(NOW, Entry.made("evidence", f"s1|a{i}", 1, Seen("there", "down", 1)))
         self.assertEqual(one.suspects(NOW, sites=2), {})
         self.assertEqual(one.suspects(NOW, sites=1), {"s1": 5})
-        one.store.put(NOW, Item.made("evidence", "s1|b", 1, Seen("here", "aside", 1)))
+        one.store.put(NOW, Entry.made("evidence", "s1|b", 1, Seen("here", "aside", 1)))
         self.assertEqual(one.suspects(NOW, sites=2), {"s1": 6})
-        one.store.put(NOW, Item.made("evidence", "s1|b", 2, Seen("here", "well", 1)))
+        one.store.put(NOW, Entry.made("evidence", "s1|b", 2, Seen("here", "well", 1)))
         self.assertEqual(one.suspects(NOW, sites=2), {})
         self.assertEqual(one.suspects(NOW + 6 * SECOND, sites=1), {})
 
@@ -690,7 +690,7 @@
         node = type("N", (), {"caches": [server], "fresh": 100 * MS})()
         one = self.uses()
         for observer in "ab":
-            one.store.put(NOW, Item.made("evidence", f"s1|{observer}", 1, Seen("here", "down", 1)))
+            one.store.put(NOW, Entry.made("evidence", f"s1|{observer}", 1, Seen("here", "down", 1)))
         self.assertEqual(one.doubt(NOW, node, 1), ["s1"])
         self.assertEqual((server.wary, server.down, server.out_until, server.ready), (True, False, 0, True))
         self.assertEqual(one.doubt(NOW, node, 1), [])  # once, until it is better
@@ -700,7 +700,7 @@
         one.news(NOW, 4, [self.line("s1", Readiness.DRAINING)])
         one.keep_list(NOW, 4, [])
         self.assertEqual(one.store.count(), 0)
-        one.store.put(NOW, Item.made("drain", "src|s1|5000", 9, b""))
+        one.store.put(NOW, Entry.made("drain", "src|s1|5000", 9, b""))
         self.assertFalse(one.drains("s1", 5000 * 1000))
 
 
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -26,7 +26,7 @@
 from saltmoor.net.peers.node import Peers
 from saltmoor.peers import ask, frames
 from saltmoor.peers.frames import Speaker
-from saltmoor.replica.items import Item
+from saltmoor.replica.entries import Entry
 from tests.helper import reserve
 from tests.test_drills import Drill
 
@@ -180,7 +180,7 @@
                         CLUSTER,
                         Speaker("endless", 5, 6, 7),
                         "items",
-                        [Item.made("word", f"a|{i}", 1, b"x" * 500) for i in range(60)],
+                        [Entry.made("word", f"a|{i}", 1, b"x" * 500) for i in range(60)],
                     )
                     while True:
                         writer.write(len(chunk).to_bytes(4, "big") + chunk)
@@ -196,7 +196,7 @@
             node = await town.started()
             await town.until(lambda: bait.members.there())
             # Guards against an item so small that it comes by a datagram, so that there is nothing to pull.
-            bait.store.put(clock(), Item.made("word", "a|b", 1, b"x" * 2 * SMALL))
+            bait.store.put(clock(), Entry.made("word", "a|b", 1, b"x" * 2 * SMALL))
             await asyncio.sleep(1.0)
             self.assertEqual([await town.one("hit") for _ in range(5)], ["committed"] * 5)
 
@@ -217,7 +217,7 @@
         async def scene(town: Known) -> None:
             peer = town.join()
             for i in range(10_000):
-                peer.store.put(clock(), Item.made("start", f"other|s{i}", i + 1, b""))
+                peer.store.put(clock(), Entry.made("start", f"other|s{i}", i + 1, b""))
             node = await town.started(use=["drains", "starts", "lists", "words"])
             await town.until(lambda: any("caught up" in line for line in town.lines))
             took = int(next(line for line in town.lines if "caught up" in line).split("took_ms=")[1].split()[0])
@@ -232,7 +232,7 @@
             # Its only cache server takes nothing new, as another has heard.
             known = town.said["known"]["instances"][0]
             peer.store.put(
-                clock(), Item.made("drain", f"src|{known['instanceId']}|{known.get('startedAtMs', 0)}", 1 << 40, b"")
+                clock(), Entry.made("drain", f"src|{known['instanceId']}|{known.get('startedAtMs', 0)}", 1 << 40, b"")
             )
 
             async def refuses() -> bool:
@@ -241,7 +241,7 @@
             self.assertLess(await town.until(refuses), 1.0)
             # A newer list brings another one at the same place; the one that drains stays as it is.
             lines = [known, {**known, "instanceId": "later"}]
-            peer.store.put(clock(), Item.made("list", "src", 1 << 41, msgspec.msgpack.encode(lines)))
+            peer.store.put(clock(), Entry.made("list", "src", 1 << 41, msgspec.msgpack.encode(lines)))
 
             async def serves() -> bool:
                 return await town.one("hit") == "committed"
