Decisions: which servers a key prefers is a module of its own, saltmoor/placement.py

No behaviour changes. Weighted rendezvous hashing, its weights, and what a large zone changes of both stood among every other decision in choice.py. Kept traces (test_choice, test_fleet) are as they were; tests change by names that moved.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -10,15 +10,15 @@
 from bisect import bisect, insort
 from collections.abc import Iterator
 from itertools import islice
-from math import log
 
 from saltmoor import model
-from saltmoor.agenda import PERIOD, Agenda, salt, spot
+from saltmoor.agenda import PERIOD, Agenda, salt
 from saltmoor.guard.attempts import may_attempt, may_refuse
 from saltmoor.guard.retry_budget import RetryBudget
 from saltmoor.guard.slow_start import warmth
 from saltmoor.hops import Patience
 from saltmoor.model import Ended, Hop, In, Micros, Readiness, Server, State, Tx, Why
+from saltmoor.placement import Placement
 from saltmoor.recovery.phase import Phase, Recovery
 from saltmoor.recovery.room import Room
 
@@ -26,8 +26,6 @@
 CANDIDATES = 3  # a key's short list: the preferred cache server and two to spill over
 SOFT = 0.5  # of the time left to the service goal: an expected delay under it is a short queue
 LOOK = 0.06  # of the transactions does the other thing, asks or does not, so that the better one is known
-LARGE = 12, 8  # cache servers of the own zone: from then on it prefers its own; under that no more
-ZONED = 2.5  # times its price a crossing counts there, as the own zone's servers are warm too
 WRAPPED = 1_000_000  # no queue is that long: its counter has wrapped
 UNLISTED = 60_000_000  # how long a server is kept, where lists may be wrong, without being listed or heard
 FETCHED, OTHERS = 2, 3  # a cache server's note: it had no copy; nor that, and another fetch of the key is out
@@ -37,14 +35,12 @@
 class Node(Agenda):
     def __init__(self, seed: int, now: Micros, **settings) -> None:
         super().__init__(seed, now)
-        self.quotas = []
+        self.quotas, self.placement = [], Placement()
         self.configure(now, **settings)
         self.txs: dict[model.TxId, Tx] = {}
         self.servers, self.caches, self.origins = {}, [], []
-        self.ranks, self.fetches = {}, {}  # by key: its servers in order; who waits for its fetch
+        self.fetches: dict[int, list[Tx]] = {}  # by key: who waits for its fetch
         self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
-        self.capacity = self.full_size = 1.0  # of all cache servers: as they are, and were they warm
-        self.zoned = False  # whether a key's preferred server is one of the own zone
         self.room, self.queued = Room(self.place.nodes), []  # at the origin; who waits for it
         self.recovery, self.patience, self.retry_budget = Recovery(now), Patience(), RetryBudget()
         self.fetching, self.stored = 1.0, {}  # share taken of reads of unknown keys; those that hit lately
@@ -77,6 +73,7 @@
         """Take new settings; what is under way keeps its own, and what was learnt stays."""
         self.profiles, self.permits, self.prices, self.cold = profiles, permits, prices, cold
         self.listing, self.place, self.origin_kind, self.budget = listing, place, origin_kind, budget
+        self.placement.configure(place, prices, cold)
         self.dearest = max((profile.revenue for profile in profiles), default=1.0)
         self.column = next((columns.index(name) for name in HELD_COLUMNS if name in columns), None)
         self.goal = max(1_000, min((profile.goal for profile in profiles), default=1_000_000))
@@ -142,42 +139,13 @@
         known = sorted((one for one in self.servers.values() if one.ready), key=lambda server: server.id)
         self.origins = [server for server in known if server.kind == self.origin_kind]
         self.caches = [server for server in known if server.kind != self.origin_kind]
-        # Guards against halving the caches of a small fleet: a copy in each zone costs it more than it saves.
-        own = sum(server.zone == self.place.zone for server in self.caches)
-        self.zoned = self.prices.crossing > self.prices.fetch and LARGE[self.zoned] <= own < len(self.caches)
-        self.warm_at = self.cold.warm_after + max((server.started for server in self.caches), default=0)
-        self.reweigh(now)
+        self.placement.listed(now, self.caches)
 
     def watch(self, now: Micros) -> None:
         if not self.watching:
             self.asked_list = now
             self.effects.append(model.WatchList(silence=3_000_000))  # an empty line comes every 2 s
 
-    def reweigh(self, now: Micros) -> None:
-        self.capacity, self.full_size = 0.0, sum(server.size for server in self.caches) or 1.0
-        for server in self.caches:
-            # Near ties go to the own zone: there a hop saves the price of crossing, a share of its worth.
-            near = 1 + 2 * self.prices.crossing * (server.zone == self.place.zone and not self.zoned)
-            warm = server.size * max(0.001, warmth(server, now, self.cold))  # no weight is 0
-            server.weight, self.capacity = warm * near, self.capacity + warm
-        self.ranks.clear()
-
-    def ranked(self, key: int) -> list[Server]:
-        """The key's servers, preferred first, the same at every node: weighted rendezvous hashing.
-
-        In a large zone the own zone's first is preferred, and next comes the first of the others, which is
-        warm by what the nodes there send it.
-        """
-        if key not in self.ranks:
-            scored = sorted([(log(spot(key, one.salt)) / one.weight, i) for i, one in enumerate(self.caches)])
-            order = [self.caches[i] for _, i in reversed(scored)]
-            if self.zoned:
-                own = [server for server in order if server.zone == self.place.zone]
-                away = [server for server in order if server.zone != self.place.zone]
-                order = own[:1] + away[:1] + own[1:] + away[1:]
-            self.ranks[key] = order
-        return self.ranks[key]
-
     def usable(self, server: Server, now: Micros) -> bool:
         aside = server.out_until and (now < server.out_until or server.out)  # after that one trial at a time
         lost = server.down and now < server.again_at
@@ -205,7 +173,7 @@
         # Half the multiple of what a warm peer gets, but where hardly one is left to measure by, no more than
         # three quarters of the multiple of what it would get were all warm. Or of this node's part of one
         # core's work, where it is told how many nodes there are, give or take three. All nodes do alike.
-        usual = self.rate * server.size * min(0.5 / self.capacity, 0.75 / self.full_size)
+        usual = self.rate * server.size * min(0.5 / self.placement.capacity, 0.75 / self.placement.full_size)
         core = self.usual and self.place.nodes and 0.5e6 / self.usual / (self.place.nodes + 3)
         return self.part * self.cold.multiple * max(usual, core) * share
 
@@ -215,7 +183,7 @@
     def candidates(self, tx: Tx, now: Micros) -> Iterator[Server]:
         fit = (
             server
-            for server in self.ranked(tx.key)
+            for server in self.placement.ranked(tx.key)
             if server not in tx.tried and self.usable(server, now) and may_attempt(tx, server, now, self.permits)
         )
         return islice(fit, tx.reach)
@@ -289,13 +257,13 @@
 
     def cost(self, tx: Tx, server: Server, picked: list[Server], now: Micros) -> float:
         """The delay that a hop there means, with what crossing is worth."""
-        away = (server.zone != self.place.zone) * (ZONED if self.zoned else 1)
         # A spilled read mostly finds no copy: its fetch is part of the delay that it moves to.
-        warm = tx.write or server is next(one for one in picked if not self.zoned or one.zone == server.zone)
+        warm = tx.write or self.placement.is_preferred(server, picked)
         warm = warm or self.stored.get(tx.key, (0, None))[1] is server
         # While fetches fail it may find nothing at all, and takes what others need to fill their copies.
         fetch = 0 if warm else self.fetch + (1 - self.fetching) * 2 * (tx.goal - now)
-        return self.expected(server, now) + fetch + self.prices.crossing * away * (tx.goal - now)
+        crossing = self.prices.crossing * self.placement.crossings(server) * (tx.goal - now)
+        return self.expected(server, now) + fetch + crossing
 
     def poll(self, tx: Tx, now: Micros) -> In | None:
         """Ask the candidates' queues; when all have answered or fallen silent, take the shortest."""
@@ -751,9 +719,7 @@
             self.stored = {key: kept for key, kept in self.stored.items() if kept[0] > now - 30_000_000}
         self.missing = {key: until for key, until in self.missing.items() if until > now}
         self.rate, self.hops = self.rate + (self.hops * 1_000_000 / PERIOD - self.rate) * 0.1, 0
-        # Weights of warming servers change once a second, at all nodes alike: each change voids the ranks.
-        if len(self.ranks) > 20_000 or now % 1_000_000 < PERIOD and now < self.warm_at + 2_000_000:
-            self.reweigh(now)
+        self.placement.periodic(now)
         if now - self.asked_list > self.listing.within // 3:
             self.watch(now)
         for server in self.servers.values():  # one that is not listed goes once unheard for so long
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -86,7 +86,7 @@
         self.running: list[list[Node]] = [[self.start(i, learnt=True)] for i in range(nodes)]
         judge = self.make()
         judge.listed(TOLD, ListKind.REMEMBERED, self.members(True))
-        self.keys = list(islice((key for key in count() if judge.ranked(key)[0].id == COLD), 2))
+        self.keys = list(islice((key for key in count() if judge.placement.ranked(key)[0].id == COLD), 2))
         for i in range(nodes):
             self.at(max(self.case["hot_at"], TOLD) + int(self.gap(i)), self.come, i)
             self.at(TOLD + int(self.chance() * (self.case["apart"] or 50 * MS)), self.tell, i)
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -30,15 +30,15 @@
             script = Script(servers=2, cold=cold)
             script.list(ListKind.FULL, 1, 2, started=FUTURE)
             script.list(ListKind.CHANGES, 2, started=2 * FUTURE)
-            script.served(1, script.node.ranked(7)[0].id)
-            self.assertGreater(script.node.capacity, 0)
+            script.served(1, script.node.placement.ranked(7)[0].id)
+            self.assertGreater(script.node.placement.capacity, 0)
 
     def test_weights_without_measure(self):
         script = Script(servers=0)
         for i, size in enumerate((5e-324, float("inf"), float("nan"), -1.0, 1e19, 0.0)):
             script.node.listed(0, ListKind.CHANGES, [Member(i, 0, 0, 0, Readiness.READY, size, 0)])
-        self.assertEqual(len(script.node.ranked(7)), 6)
-        self.assertLess(script.node.capacity, 1e8)
+        self.assertEqual(len(script.node.placement.ranked(7)), 6)
+        self.assertLess(script.node.placement.capacity, 1e8)
 
     def test_goals_of_next_to_nothing(self):
         """Guards against a loop of overdue hops that never ends, and a division by the goal."""
