Decisions: shedding reads while fetches fail is a module of its own, saltmoor/fetch_shedding.py

No behaviour changes. What a node learns of the fetches behind its cache servers, and which reads it turns away by it, stood in six places of choice.py.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -13,6 +13,7 @@
 
 from saltmoor import model
 from saltmoor.agenda import PERIOD, Agenda, salt
+from saltmoor.fetch_shedding import FetchShedding
 from saltmoor.guard.attempts import may_attempt, may_refuse
 from saltmoor.guard.retry_budget import RetryBudget
 from saltmoor.guard.slow_start import warmth
@@ -40,10 +41,9 @@
         self.txs: dict[model.TxId, Tx] = {}
         self.servers, self.caches, self.origins = {}, [], []
         self.fetches: dict[int, list[Tx]] = {}  # by key: who waits for its fetch
-        self.missing: dict[int, Micros] = {}  # keys that just missed and found no room at the origin
         self.room, self.queued = Room(self.place.nodes), []  # at the origin; who waits for it
         self.recovery, self.patience, self.retry_budget = Recovery(now), Patience(), RetryBudget()
-        self.fetching, self.stored = 1.0, {}  # share taken of reads of unknown keys; those that hit lately
+        self.shedding = FetchShedding()
         self.refused, self.squeezed = 0.0, False  # share of connections that living servers refuse; many do
         self.usual = self.usual_held = self.fetch = 0.0  # time of a hit, the queue it met, what a miss adds
         self.hits, self.hops, self.rate = 0, 0, 0.0  # hops to caches: now, a second
@@ -259,9 +259,9 @@
         """The delay that a hop there means, with what crossing is worth."""
         # A spilled read mostly finds no copy: its fetch is part of the delay that it moves to.
         warm = tx.write or self.placement.is_preferred(server, picked)
-        warm = warm or self.stored.get(tx.key, (0, None))[1] is server
+        warm = warm or self.shedding.is_stored_at(tx.key, server)
         # While fetches fail it may find nothing at all, and takes what others need to fill their copies.
-        fetch = 0 if warm else self.fetch + (1 - self.fetching) * 2 * (tx.goal - now)
+        fetch = 0 if warm else self.fetch + (1 - self.shedding.taken) * 2 * (tx.goal - now)
         crossing = self.prices.crossing * self.placement.crossings(server) * (tx.goal - now)
         return self.expected(server, now) + fetch + crossing
 
@@ -353,7 +353,7 @@
             # Guards against waits that end in nothing: no room in time means an answer now.
             if now + self.fetch * (1 + (bisect(self.queued, turn) + 1) / self.room.limit) > tx.goal:
                 if not tx.write:
-                    self.missing[tx.key] = now + int(self.fetch)
+                    self.shedding.found_no_room(tx.key, now + int(self.fetch))
                 return self.nobody(tx, Why.NO_ROOM_AT_ORIGIN)
             insort(self.queued, turn)
             if self.room.limit < 1:
@@ -399,8 +399,7 @@
         # Guards against a storm of repeats: each is paid from what commits left.
         if self.spare < 1 or not self.allowed(tx, now):
             return self.nobody(tx, Why.NO_RETRY_BUDGET)
-        # Guards against one failed fetch after the other for a key: the dearest profile is tried again.
-        if tx.hops[-1].unfetched and self.fetching < 0.7 and tx.profile.revenue < self.dearest:
+        if not self.shedding.may_fetch_again(tx, self.dearest):
             return self.nobody(tx, Why.FETCH_FAILED)
         self.spare -= 1
         # What broke or got lost on its way back has left its copy: the same server may be asked again.
@@ -480,36 +479,16 @@
         self.at(max(now, came.limit - 1), self.feed, tx, In.LIMIT)
         if came.write and self.origin_kind is not None:
             self.feed(now, tx, In.ORIGIN)
-        elif self.missing.get(key, now) > now and self.crowded(now) or self.spare_origin(tx):
+        elif self.spares_origin(tx, now):
             self.feed(now, tx, self.nobody(tx, Why.ORIGIN_SPARED))  # no room for its fetch: spare the cache server
         else:
             self.feed(now, tx, In.SHARED if key in self.fetches and not came.write else In.READ)
 
-    def spare_origin(self, tx: Tx) -> bool:
-        """Guards against an origin that gets no further under fetches, which leaves caches empty and brings
-        more of them: while fetches fail, fewer reads are taken of keys that are not known to be stored.
-        """
-        return (
-            self.fetching < 1
-            and tx.key not in self.stored
-            and not tx.write
-            and self.chance() >= self.fetching * (1 + tx.profile.revenue / self.dearest)
-        )
-
-    def fetched(self, hop: Hop, ended: Ended, note: int, now: Micros) -> None:
-        """What the end of a hop says of the fetches behind the cache servers."""
-        if ended is Ended.COMMITTED:
-            # All that was taken without knowing counts, so that fewer are turned away where many are stored.
-            if hop.tx.key not in self.stored:
-                self.fetching = min(1.0, self.fetching + 0.05)
-            self.stored[hop.tx.key] = now, hop.server
-        elif ended is Ended.ERROR and note > 1:
-            self.stored.pop(hop.tx.key, None)
-            hop.unfetched = True
-            self.fetching = max(0.05, self.fetching * 0.85)
-        self.say(
-            "origin spared", self.fetching < 0.4 + 0.3 * ("origin spared" in self.mode), f"share={self.fetching:.2f}"
-        )
+    def spares_origin(self, tx: Tx, now: Micros) -> bool:
+        """Whether it is turned away as its fetch would find no room, or hardly succeed."""
+        if self.shedding.lacks_room(now, tx.key) and self.crowded(now):
+            return True
+        return self.shedding.sheds(tx, self.dearest, self.chance)
 
     def beyond_share(self, tenant: int | None, now: Micros) -> bool:
         if tenant is None or tenant >= len(self.quotas):
@@ -603,7 +582,9 @@
         # A time-out tells of a long queue, not of a broken server: it counts as a long delay below, but where
         # the server answered what was sent later and the answer had its time: there it tells of a lost one.
         late = ended is Ended.TIMED_OUT and (hop.sent >= server.newest or elapsed < hop.patience)
-        self.fetched(hop, ended, note, now)
+        self.shedding.learn(now, hop, ended, note >= FETCHED)
+        scarce = self.shedding.is_scarce("origin spared" in self.mode)
+        self.say("origin spared", scarce, f"share={self.shedding.taken:.2f}")
         failed = ended is Ended.UNKNOWN or ended is Ended.ERROR and note <= 1  # else it is the origin's fault
         server.bad += (failed - server.bad) * (0.1 if ended is Ended.UNKNOWN else 0.2)
         if failed and server.bad > 0.35 and now >= server.out_until:
@@ -715,9 +696,7 @@
                 self.strict = max(self.strict, 1.0)
         if self.budget:
             self.retry_budget.left(now, self.budget, self.part)  # what has left the window is not kept
-        if len(self.stored) > 5_000 or now % 5_000_000 < PERIOD:
-            self.stored = {key: kept for key, kept in self.stored.items() if kept[0] > now - 30_000_000}
-        self.missing = {key: until for key, until in self.missing.items() if until > now}
+        self.shedding.forget(now)
         self.rate, self.hops = self.rate + (self.hops * 1_000_000 / PERIOD - self.rate) * 0.1, 0
         self.placement.periodic(now)
         if now - self.asked_list > self.listing.within // 3:
