--- a/saltmoor/changes/messages.py
+++ b/saltmoor/changes/messages.py
@@ -237,7 +237,7 @@
     if len(data) > frames.BULK:
         raise Strange("too long")
     frame = frames.decode(data, cluster)
-    form = WORDS.get(frame.word)
+    form = WORDS.get(frame.message_type)
     if form is None:
         raise Strange("word")
     try:
--- a/saltmoor/lab/detect.py
+++ b/saltmoor/lab/detect.py
@@ -69,10 +69,10 @@
         self.core = Members(me, PERIOD, SUSPECT, seeds, number, 0)
 
     def tick(self, now: int) -> list[tuple[str, str, Any]]:
-        return [(out.to or out.address, out.word, out.content) for out in self.core.tick(now)]
+        return [(out.to or out.address, out.message_type, out.content) for out in self.core.tick(now)]
 
     def heard(self, now: int, speaker: Speaker, word: str, said: Any) -> list[tuple[str, str, Any]]:
-        return [(out.to, out.word, out.content) for out in self.core.heard(now, now, speaker, word, said)]
+        return [(out.to, out.message_type, out.content) for out in self.core.heard(now, now, speaker, word, said)]
 
     def gone(self, now: int) -> set[str]:
         return {name for name, one in self.core.others.items() if one.state >= State.DEAD}
--- a/saltmoor/net/peers/anti_entropy.py
+++ b/saltmoor/net/peers/anti_entropy.py
@@ -106,10 +106,10 @@
         try:
             while (data := await stream.read()) is not None:
                 frame = frames.decode(data, self.messenger.given.cluster)
-                if frame.word == MessageType.ENTRIES:
+                if frame.message_type == MessageType.ENTRIES:
                     self.merge_some(frames.content(frame, list[Entry]))
                     await asyncio.sleep(0)
-                elif frame.word == MessageType.PULL_END:
+                elif frame.message_type == MessageType.PULL_END:
                     return frames.content(frame, PullEnd)
             raise Strange("cut off")
         finally:
--- a/saltmoor/net/peers/membership.py
+++ b/saltmoor/net/peers/membership.py
@@ -33,16 +33,16 @@
             if isinstance(message.content, Ping):
                 self.add_digest(message.content)
             address = self.messenger.address_of(message.to) if message.to else numeric_address(message.address)
-            self.messenger.send(address, message.word, message.content)
+            self.messenger.send(address, message.message_type, message.content)
 
     def add_digest(self, ping: Ping) -> None:
         ping.root, ping.epoch, ping.seq = self.store.root, self.store.epoch, self.store.seq
 
     def heard(self, frame: Frame) -> None:
-        now, speaker, asks = self.clock(), frame.speaker, frame.word == MessageType.ASK
+        now, speaker, asks = self.clock(), frame.speaker, frame.message_type == MessageType.ASK
         content = frames.content(frame, Ask if asks else Ping)
-        if frame.word == MessageType.PING and content.to and content.to != self.messenger.name:
+        if frame.message_type == MessageType.PING and content.to and content.to != self.messenger.name:
             raise Strange("not for this one")
-        self.send_all(self.members.heard(now, time.time_ns() // 1000, speaker, frame.word, content))
+        self.send_all(self.members.heard(now, time.time_ns() // 1000, speaker, frame.message_type, content))
         if not asks and speaker.name in self.members.others and content.epoch:
             self.schedule.saw(now, speaker.name, content.root == self.store.root)
--- a/saltmoor/net/peers/messenger.py
+++ b/saltmoor/net/peers/messenger.py
@@ -135,13 +135,13 @@
         if len(data) > frames.DATAGRAM:
             raise Strange("length")
         frame = frames.decode(data, self.given.cluster)
-        if frame.word in MEMBERSHIP:
+        if frame.message_type in MEMBERSHIP:
             self.on_membership(frame)
             return
         sender = frame.speaker.name
         if sender == self.name or sender not in self.members.others:
             raise Strange("not known")
-        route = self.routes.get(frame.word)
+        route = self.routes.get(frame.message_type)
         if route is None:
             raise Strange("word")
         route.handle(sender, frames.content(frame, route.form))
--- a/saltmoor/net/peers/streams.py
+++ b/saltmoor/net/peers/streams.py
@@ -132,7 +132,7 @@
         if data is None:
             return
         frame = frames.decode(data, self.messenger.given.cluster)
-        question = self.questions.get(frame.word)
+        question = self.questions.get(frame.message_type)
         if question is None:
             raise Strange("word")
         await question.answer(stream, frames.content(frame, question.form))
--- a/saltmoor/net/streams.py
+++ b/saltmoor/net/streams.py
@@ -103,7 +103,7 @@
     def heard(self, body: bytes) -> tuple[Speaker, Hello]:
         """Who speaks, by the first frame; `Strange` for whoever is not of this cluster."""
         frame = frames.decode(body, self.cluster)
-        if frame.word != "hello":
+        if frame.message_type != "hello":
             raise Strange("no hello")
         hello = frames.content(frame, Hello)
         if hello.role not in (TOOL, NODE, MACHINE):
--- a/saltmoor/peers/ask.py
+++ b/saltmoor/peers/ask.py
@@ -23,10 +23,10 @@
     """The node gave no answer; the message says why."""
 
 
-def ask(address: str, cluster: str, word: str, said: Any, wait: float = WAIT) -> dict[str, Any]:
+def ask(address: str, cluster: str, message_type: str, said: Any, wait: float = WAIT) -> dict[str, Any]:
     """One question to the node at that address; `Unanswered` where it gives no answer."""
     speaker = Speaker("operator", 0, int.from_bytes(os.urandom(6), "big"), time.time_ns() // 1000)
-    frame = frames.encode(cluster, speaker, word, said)
+    frame = frames.encode(cluster, speaker, message_type, said)
     try:
         with socket.create_connection(config.numeric("ADDRESS", address), wait) as sock:
             sock.settimeout(wait)
--- a/saltmoor/peers/frames.py
+++ b/saltmoor/peers/frames.py
@@ -1,7 +1,7 @@
 """Owns the form of what nodes say to each other: frames of a bounded size, checked before anything in them is believed.
 
 A frame is a magic, the CRC of what follows, and that: MessagePack of the range of formats that the sender reads, the
-cluster's name, who speaks, and one word. What is cut, altered, of another cluster, too long, or of no format that
+cluster's name, who speaks, and one message. What is cut, altered, of another cluster, too long, or of no format that
 this build reads raises `Strange` with a short reason to count it by. It must never touch a socket or a clock.
 """
 
@@ -38,21 +38,21 @@
     oldest: int
     cluster: str
     speaker: Speaker
-    word: str
+    message_type: str
     content: msgspec.Raw
 
 
 @cache
 def reader(form: Any) -> msgspec.msgpack.Decoder:
-    """Made once for each form: that takes longer than many words."""
+    """Made once for each form: that takes longer than many messages."""
     return msgspec.msgpack.Decoder(form)
 
 
 CODER, READER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
 
 
-def encode(cluster: str, speaker: Speaker, word: str, content: Any) -> bytes:
-    body = CODER.encode([FORMAT, OLDEST, cluster, speaker, word, content])
+def encode(cluster: str, speaker: Speaker, message_type: str, content: Any) -> bytes:
+    body = CODER.encode([FORMAT, OLDEST, cluster, speaker, message_type, content])
     return MAGIC + crc32(body).to_bytes(4, "big") + body
 
 
@@ -77,8 +77,8 @@
 
 
 def content(frame: Frame, form: type) -> Any:
-    """What the word says, in the form that the word has."""
+    """The message's content, in the form that its type has."""
     try:
         return reader(form).decode(frame.content)
     except (msgspec.DecodeError, RecursionError, OverflowError):
-        raise Strange(f"content of {frame.word[:16]!r}") from None
+        raise Strange(f"content of {frame.message_type[:16]!r}") from None
--- a/saltmoor/peers/members.py
+++ b/saltmoor/peers/members.py
@@ -1,7 +1,7 @@
 """Owns who is there: members by name, the life that each is in, and whether it is held to be alive. No I/O.
 
 SWIM (Das, Gupta, Motivala 2002) with suspicion, and with Lifeguard's rule that who was late itself blames nobody
-(Dadgar, Phillips, Currey 2018). Its owner calls `tick` every `period / 4` and `heard` for each word that came, and
+(Dadgar, Phillips, Currey 2018). Its owner calls `tick` every `period / 4` and `heard` for each message that came, and
 sends what both return. It must never read a clock or a socket, nor be needed to serve. docs/peers-design.md weighs it
 against heartbeats and accrual detection.
 """
@@ -17,6 +17,7 @@
 import msgspec
 
 from saltmoor.model import Micros
+from saltmoor.peers.messages import MessageType
 
 HELPERS = 3  # asked to ping who did not answer
 WORDS = 6  # news of members in one frame
@@ -105,10 +106,10 @@
 
 @dataclass(slots=True)
 class Out:
-    """Send this word to that member, or to an address where no name is known yet."""
+    """Send this message to that member, or to an address where no name is known yet."""
 
     to: str
-    word: str
+    message_type: str
     content: Any
     address: str = ""
 
@@ -210,7 +211,8 @@
                 ping.helped = True
                 helpers = [name for name in self.there() if name != ping.name]
                 outs += [
-                    Out(name, "ask", Ask(ping.number, ping.name, self.news())) for name in self.some(helpers, HELPERS)
+                    Out(name, MessageType.ASK, Ask(ping.number, ping.name, self.news()))
+                    for name in self.some(helpers, HELPERS)
                 ]
         for one in list(self.others.values()):
             if one.state is State.SUSPECT and now >= one.since + self.patience():
@@ -239,7 +241,7 @@
         name = self.round.pop()
         self.number += 1
         self.out[self.number] = Pinged(self.number, name, now + self.period // 2, now + self.period)
-        return [Out(name, "ping", Ping(self.number, "", self.news()))]
+        return [Out(name, MessageType.PING, Ping(self.number, "", self.news()))]
 
     def try_lost(self, now: Micros) -> list[Out]:
         """Guards against two parts that hold each other dead for ever: the dead and the seeds are tried again."""
@@ -251,16 +253,16 @@
             if now - one.tried >= self.period:
                 one.tried = now
                 # It hears that it is held dead, so that it can say that it is not.
-                outs.append(Out(one.name, "ping", Ping(0, "", [self.me, self.told(one)])))
+                outs.append(Out(one.name, MessageType.PING, Ping(0, "", [self.me, self.told(one)])))
         if now >= self.next_seed and self.seeds:
             known = {one.address for one in self.others.values() if one.there}
             away = [seed for seed in self.seeds if seed not in known and seed != self.me.address]
             pause = self.period if not known else LEAST_DEAD
             self.next_seed = now + int(pause * (0.5 + self.chance()))
-            outs += [Out("", "ping", Ping(0, "", [self.me]), address=seed) for seed in self.some(away, 2)]
+            outs += [Out("", MessageType.PING, Ping(0, "", [self.me]), address=seed) for seed in self.some(away, 2)]
         return outs
 
-    def heard(self, now: Micros, wall: Micros, speaker: Any, word: str, said: Any) -> list[Out]:
+    def heard(self, now: Micros, wall: Micros, speaker: Any, message_type: str, said: Any) -> list[Out]:
         """One of ping, ack, ask came; `speaker` as the frame names it, `wall` this machine's clock."""
         if speaker.name == self.me.name:
             return self.clash(now, speaker)
@@ -270,19 +272,19 @@
         one = self.others.get(speaker.name)
         if one and speaker.life >= one.life and (speaker.run == one.run or speaker.life > one.life):
             one.spoke, one.offset = now, speaker.clock - wall
-        if word == "ping":
-            outs.append(Out(speaker.name, "ack", Ping(said.number, "", self.news())))
-        elif word == "ack":
+        if message_type == MessageType.PING:
+            outs.append(Out(speaker.name, MessageType.ACK, Ping(said.number, "", self.news())))
+        elif message_type == MessageType.ACK:
             if kept := self.passed.pop(said.number, None):
                 whose, number, _ = kept
-                outs.append(Out(whose, "ack", Ping(number, speaker.name, self.news())))
+                outs.append(Out(whose, MessageType.ACK, Ping(number, speaker.name, self.news())))
             elif ping := self.out.get(said.number):
                 if speaker.name == ping.name or said.to == ping.name:
                     del self.out[said.number]
-        elif word == "ask" and said.to in self.others:
+        elif message_type == MessageType.ASK and said.to in self.others:
             self.number += 1
             self.passed[self.number] = speaker.name, said.number, now + 2 * self.period
-            outs.append(Out(said.to, "ping", Ping(self.number, "", self.news())))
+            outs.append(Out(said.to, MessageType.PING, Ping(self.number, "", self.news())))
         return outs
 
     def clash(self, now: Micros, speaker: Any) -> list[Out]:
@@ -349,7 +351,7 @@
             return []
         self.enter(one, after, now, given.value)
         if after is State.SUSPECT:  # it hears so at once, and can say that it lives
-            return [Out(name, "ping", Ping(0, "", [self.me, self.told(one)]))]
+            return [Out(name, MessageType.PING, Ping(0, "", [self.me, self.told(one)]))]
         return []
 
     def enter(self, one: Member, state: State, now: Micros, why: str) -> None:
@@ -366,7 +368,8 @@
         self.me = msgspec.structs.replace(self.me, state=int(State.LEFT))
         names = self.there()
         return [
-            Out(name, "ping", Ping(0, "", [self.me])) for name in (names if len(names) <= 12 else self.some(names, 6))
+            Out(name, MessageType.PING, Ping(0, "", [self.me]))
+            for name in (names if len(names) <= 12 else self.some(names, 6))
         ]
 
     def middle_clock(self, own: Micros) -> Micros:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -161,7 +161,7 @@
 
 @dataclass
 class Net:
-    """A few members, and every word that is on its way."""
+    """A few members, and every message that is on its way."""
 
     nodes: dict[str, Members] = field(default_factory=dict)
     wire: list[tuple[str, str, str, object, Speaker]] = field(default_factory=list)
@@ -181,8 +181,8 @@
             if to in self.nodes and to != name:
                 # As on a wire: nobody shares what the other may change.
                 raw = msgspec.msgpack.encode(out.content)
-                said = msgspec.msgpack.decode(raw, type=Ask if out.word == "ask" else Ping)
-                self.wire.append((name, to, out.word, said, Speaker(name, one.me.life, one.me.run, self.now)))
+                said = msgspec.msgpack.decode(raw, type=Ask if out.message_type == "ask" else Ping)
+                self.wire.append((name, to, out.message_type, said, Speaker(name, one.me.life, one.me.run, self.now)))
 
     def deliver(self, place: int, keep: bool = False) -> None:
         source, to, word, said, speaker = self.wire[place]
@@ -326,7 +326,7 @@
 
 
 class AntiEntropy(TraceCase):
-    """Stores that pull as PullSchedule says, on a network that lost all words of what is new."""
+    """Stores that pull as PullSchedule says, on a network that lost all messages of what is new."""
 
     def pull(self, pull, stores: dict[str, Store], me: str, schedule: PullSchedule, now: int) -> int:
         giver = stores[pull.name]
