Lab: a hollow member on real sockets ends; its delayed socket has a descriptor and closes

Cause: the loop's reader is removed by the object that stands in the socket's place, which had no fileno.

--- a/saltmoor/lab/scale_worker.py
+++ b/saltmoor/lab/scale_worker.py
@@ -82,6 +82,12 @@
     def recv(self, count: int) -> bytes:
         return self.sock.recv(count)
 
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def close(self) -> None:
+        self.sock.close()
+
 
 class Member(Peers):
     def __init__(self, share: Share, number: int) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,17 +3,21 @@
 import contextlib
 import io
 import re
+import socket
 import tempfile
 import unittest
 from pathlib import Path
 
 import msgspec
+import uvloop
 
 from saltmoor.lab import cli, scale, scale_counts, scale_fit, scale_live, scale_page, scale_rows, scale_town
 from saltmoor.lab.scale_clock import Network, Place, ScriptedLoop
 from saltmoor.lab.scale_log import Ordered
 from saltmoor.lab.scale_plan import PLAN, derived
 from saltmoor.lab.scale_rows import Role, Row
+from saltmoor.lab.scale_worker import Member, Share
+from tests.helper import reserve
 
 DOCS = Path(__file__).resolve().parents[1] / "docs"
 WITHIN = 0.05  # of what was kept: only changes of the code move a scripted row, not the machine
@@ -233,6 +237,23 @@
         self.assertTrue(one.void)
         self.assertEqual((one.roles, one.spread), ({}, None))
 
+    def test_a_member_on_real_sockets_ends_and_gives_its_address_back(self):
+        """Guards against a worker that fails as it ends its members, and so brings no report."""
+        with reserve("127.77.9.9") as held:
+            address = held.getsockname()
+        share = Share("scale", [], ["h0"], [0], [address], {address[0]: 0}, 1, 1.0, 1, 1, 40)
+
+        async def begin_and_end() -> None:
+            member = Member(share, 0)
+            member.begin()
+            self.assertTrue(member.sockets.is_open)
+            member.end(left=False)
+
+        uvloop.run(begin_and_end())
+        for kind in socket.SOCK_DGRAM, socket.SOCK_STREAM:
+            with socket.socket(socket.AF_INET, kind) as again:
+                again.bind(address)
+
     def test_members_are_shared_out_with_an_address_each(self):
         shares = scale_live.share_out(scale_town.Plan(120, 3.9), ["127.1.0.1:1"])
         places = [place for share in shares for place in share.addresses]
