Soak: the planted slow-start fault plants itself in placement too, where weights are weighed now

Its warmth stood in choice alone; since the weights moved to placement.py the planted fault would have been a milder one. Read, not run as a soak.

--- a/saltmoor/lab/soak/planted.py
+++ b/saltmoor/lab/soak/planted.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from saltmoor import __main__, choice
+from saltmoor import __main__, choice, placement
 from saltmoor.guard import ends
 from saltmoor.guard.slow_start import warmth
 from saltmoor.model import Ended
@@ -64,7 +64,7 @@
 def slow_start() -> None:
     """A cold server gets what a warm one gets, however long its queue."""
     choice.Node.within_cold_budget = lambda self, server, now: True
-    choice.warmth = lambda server, now, cold: 1.0
+    choice.warmth = placement.warmth = lambda server, now, cold: 1.0
     plain = choice.Node.probed
 
     def probed(self, now: int, server: int, end: Ended, took: int, load: tuple[float, ...] = ()) -> None:
