--- a/saltmoor/lab/scale_worker.py
+++ b/saltmoor/lab/scale_worker.py
@@ -20,8 +20,8 @@
 from saltmoor.lab.book import clock
 from saltmoor.lab.scale_clock import Place, way_s
 from saltmoor.lab.scale_hollow import PERIOD, SUSPECT, quiet
-from saltmoor.net.peers import Peers
-from saltmoor.replica.items import Item
+from saltmoor.net.peers.node import Peers
+from saltmoor.replica.entries import Entry
 
 LOOK = 0.02  # seconds between two looks at the loop's lateness
 
@@ -82,6 +82,12 @@
     def recv(self, count: int) -> bytes:
         return self.sock.recv(count)
 
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def close(self) -> None:
+        self.sock.close()
+
 
 class Member(Peers):
     def __init__(self, share: Share, number: int) -> None:
@@ -107,18 +113,19 @@
 
     def open(self) -> None:
         super().open()
-        if self.udp:
-            self.udp = Far(self.udp, self.loop, self.site, self.share.all_sites)
+        if self.sockets.datagrams:
+            self.sockets.datagrams = Far(self.sockets.datagrams, self.loop, self.site, self.share.all_sites)
 
     def counts(self) -> list[int]:
+        traffic = self.messenger.traffic
         return [
-            self.sent,
-            self.came,
-            self.sent_bytes,
-            self.came_bytes,
-            self.given_bytes,
-            self.exchange.pulls,
-            self.dropped.get("busy", 0),
+            traffic.sent,
+            traffic.received,
+            traffic.sent_bytes,
+            traffic.received_bytes,
+            traffic.given_bytes,
+            self.schedule.pulls,
+            traffic.dropped.get("busy", 0),
         ]
 
 
@@ -141,7 +148,7 @@
     def took(self, name: str):
         seen = self.seen[name]
 
-        def note(item: Item) -> None:
+        def note(item: Entry) -> None:
             if item.kind == "change":
                 seen.setdefault(int(item.key), clock())
 
@@ -205,7 +212,7 @@
             await asyncio.sleep(max(0, begin + change / share.rate * 1e6 - clock()) / 1e6)
             member = self.members[int(rng.random() * len(self.members))]
             self.given[change] = self.seen[member.name][change] = clock()
-            member.store.put(clock(), Item.made("change", str(change), 1, change.to_bytes(share.body, "big")))
+            member.store.put(clock(), Entry.made("change", str(change), 1, change.to_bytes(share.body, "big")))
 
     async def look(self, end: int) -> None:
         loop = asyncio.get_running_loop()
--- a/saltmoor/net/sharing.py
+++ b/saltmoor/net/sharing.py
@@ -1,43 +1,45 @@
 """Owns the seam between a running node and what its peers share: news out, news in, nothing that it needs to serve.
 
 Whatever fails here costs what was shared, never a transaction. It must never lift a drain, warm a server, or change
-what discovery has told; `replica/uses.py` says what each item means.
+what discovery has told; `replica/uses.py` says what each entry means.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
-from saltmoor import config
+from saltmoor import config, facade
 from saltmoor.choice import OTHERS
 from saltmoor.model import Ended, Micros, Readiness
 from saltmoor.net import meta
-from saltmoor.net.peers import Peers
-from saltmoor.replica import lent
-from saltmoor.replica.items import Item
-from saltmoor.replica.turns import How
+from saltmoor.net.host import Host
+from saltmoor.net.peers.node import Peers
+from saltmoor.replica.borrowed_quota import WHOLE, Share
+from saltmoor.replica.entries import Entry
+from saltmoor.replica.fetch_leases import Decision
 from saltmoor.replica.uses import Uses
 
-if TYPE_CHECKING:
-    from saltmoor import facade
-    from saltmoor.net.lifecycle import Service
-
 STEP: Micros = 250_000
-LEASE: Micros = 100_000  # least time that a permit to fetch stands
+SHORTEST_LEASE: Micros = 100_000  # of a fetch
 
 
 class Sharing:
-    def __init__(self, service: Service, given: config.Talking) -> None:
+    def __init__(self, service: Host, given: config.Talking) -> None:
         self.service, self.given = service, given
         clock = service.door.clock
         self.peers = peers = Peers(given, service.given.name, service.log, clock)
         peers.took, peers.step = self.took, self.step
         self.uses = Uses(
-            peers.name, given.site, given.source or service.source(), given.use, peers.store, count=peers.me.life << 20
+            peers.name,
+            given.site,
+            given.source or service.source(),
+            given.use,
+            peers.store,
+            count=peers.process.incarnation << 20,
         )
         self.duties = None
         if service.given.duties:
@@ -104,33 +106,39 @@
             self.uses.keep_list(now, self.kept, self.service.lines())
 
     def share(self, now: Micros, node: Any) -> None:
-        """A tenant's part of what it may take goes where its transactions come; together it stays the whole."""
+        """A tenant's quota goes where its requests come; the shares of all nodes together stay the whole."""
         names = self.service.given.names.tenants
         if node.quotas is not self.quotas:  # new settings
             self.quotas = node.quotas
             self.whole = [bucket[0] * node.place.nodes for bucket in node.quotas]
         for name, whole, bucket in zip(names, self.whole, node.quotas):
-            part = self.peers.parts.get(name)
-            if part is None or part.nodes != node.place.nodes:
-                part = self.peers.parts[name] = lent.Part(node.place.nodes, now)
-            bucket[0] = whole * part.own(now) / lent.WHOLE
+            share = self.share_of(name, node.place.nodes, now)
+            bucket[0] = whole * share.usable(now) / WHOLE
             if bucket[1] < 1:
-                self.peers.borrow(name, part.base // 4)
-            elif bucket[1] > 1.9 * bucket[0] and part.got:
-                self.peers.bring_back(name)
+                self.peers.quotas.borrow(name, share.base // 4)
+            elif bucket[1] > 1.9 * bucket[0] and share.borrowed:
+                self.peers.quotas.give_back(name)
+
+    def share_of(self, name: str, nodes: int, now: Micros) -> Share:
+        """This node's share of that tenant's quota; a new one where the number of nodes has changed."""
+        shares = self.peers.quotas.shares
+        share = shares.get(name)
+        if share is None or share.nodes != nodes:
+            share = shares[name] = Share(nodes, now)
+        return share
 
     # In.
 
-    def took(self, item: Item) -> None:
-        match item.kind:
+    def took(self, entry: Entry) -> None:
+        match entry.kind:
             case "drain" if "drains" in self.given.use:
-                self.drained(item)
+                self.drained(entry)
             case "start" if "starts" in self.given.use:
-                self.started(item)
-            case "list" if "lists" in self.given.use and item.key == self.uses.source:
+                self.started(entry)
+            case "list" if "lists" in self.given.use and entry.key == self.uses.source:
                 self.listed()
             case "word" if "words" in self.given.use:
-                self.word(item)
+                self.word(entry)
 
     def change(self, server: str, **how: Any) -> None:
         """One server of the list as it stands, otherwise."""
@@ -141,9 +149,9 @@
         server = self.service.door.node.servers.get(name)
         return server if server and server.ready else None
 
-    def drained(self, item: Item) -> None:
+    def drained(self, entry: Entry) -> None:
         """Rule 3 gets sooner: it is told by a peer, so it is told."""
-        name, started = self.uses.server_of(item) or ("", 0)
+        name, started = self.uses.server_of(entry) or ("", 0)
         server = self.known(name)
         if (
             server
@@ -153,9 +161,9 @@
             self.change(name, readiness=Readiness.DRAINING)
             self.uses.note("drains")
 
-    def started(self, item: Item) -> None:
+    def started(self, entry: Entry) -> None:
         """A later start than this node has heard of: the server is cold."""
-        name, started = self.uses.server_of(item) or ("", 0)
+        name, started = self.uses.server_of(entry) or ("", 0)
         server = self.known(name)
         if not server or started <= self.service.starts.told(server.id, server.started) // 1000:
             return
@@ -195,18 +203,18 @@
         self.uses.note("lists")
         service.log(f"replica: list of generation {generation} taken from a peer: servers={len(lines)}")
 
-    def word(self, item: Item) -> None:
-        what, _, name = item.key.partition("|")
+    def word(self, entry: Entry) -> None:
+        what, _, name = entry.key.partition("|")
         if what == "empty" and name == self.peers.name:
-            value = msgspec.msgpack.decode(item.body)
+            value = msgspec.msgpack.decode(entry.body)
             yes, state = self.service.say_lame(bool(value))
             self.uses.note("words")
-            self.service.log(f"replica: word {item.key}={value!r}: {state}")
+            self.service.log(f"replica: word {entry.key}={value!r}: {state}")
 
     # Fetches.
 
     def asks(self, step: facade.Send, reply: meta.Reply) -> bool:
-        """Whether this miss is one to ask the key's keeper about."""
+        """Whether this miss is one to ask the key's owner about."""
         return (
             reply.ended is Ended.MISS
             and not step.tx.write
@@ -217,38 +225,38 @@
 
     async def turn(self, step: facade.Send, reply: meta.Reply, done: Callable[[meta.Reply, str | None], None]) -> None:
         """Tell of the miss once it is known whether another is fetching; the wait is none of the server's time."""
-        begun, word, copy, node = self.peers.clock(), None, None, self.service.door.node
+        begun, answer, copy, node = self.peers.clock(), None, None, self.service.door.node
         try:
             tx = node.txs.get(step.tx.id)
             # No longer than half of what its client can bear, and than a few fetches take.
             left = max(0, tx.goal - begun) // 2 if tx else 0
-            lease = max(LEASE, int(4 * node.fetch))
-            word = await self.peers.permit(step.tx.key, lease, min(left, 2 * lease), str(step.server))
+            lease = max(SHORTEST_LEASE, int(4 * node.fetch))
+            answer = await self.peers.fetch_leases.request(step.tx.key, lease, min(left, 2 * lease), str(step.server))
         except Exception as error:
             self.service.log(f"fault in sharing: turn: {type(error).__name__}: {error}")
         finally:
             step.since += self.peers.clock() - begun
-            if word and word.how is How.THERE:
-                copy = word.server
+            if answer and answer.decision is Decision.COPY:
+                copy = answer.server
                 self.uses.note("fetches")
             done(reply, copy)
 
     def purged(self, key: int) -> None:
         """Each node hears of it itself: a fetch lease that is this node's to give is void, a copy not told of any more."""
-        self.guarded(lambda: self.peers.tell_all(self.peers.turns.void(self.peers.clock(), key)))
+        self.guarded(self.peers.fetch_leases.void, key)
 
     def leased(self) -> list[int]:
         """Keys that this node has given a lease of, or told a copy of."""
-        return [*{*self.peers.turns.permits, *self.peers.turns.copies}]
+        return list(self.peers.fetch_leases.granted_keys())
 
     def ended(self, step: facade.Send, reply: meta.Reply) -> None:
         """A hop to the origin has ended."""
         if step.tx.key is None:
             return
         if step.tx.write:
-            self.guarded(self.peers.written, step.tx.key)
+            self.guarded(self.peers.fetch_leases.written, step.tx.key)
         else:
             tx = self.service.door.node.txs.get(step.tx.id)
             missed = [hop.server.id for hop in tx.hops if hop.ended is Ended.MISS] if tx else []
             there = str(missed[-1]) if missed and reply.ended is Ended.COMMITTED else ""
-            self.guarded(self.peers.fetched, step.tx.key, there)
+            self.guarded(self.peers.fetch_leases.fetched, step.tx.key, there)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,5 @@
 """Nodes that know each other, without I/O: merges in any order, members over all orders of a few events and on a
-scripted network, exchange that finds what was lost, permits to fetch, and frames of strangers."""
+scripted network, anti-entropy that finds what was lost, fetch leases, and frames of strangers."""
 
 from __future__ import annotations
 
@@ -17,14 +17,21 @@
 from saltmoor import config, model
 from saltmoor.lab.detect import Town
 from saltmoor.model import Member, Readiness
-from saltmoor.net.peers import EndWord, PullWord
 from saltmoor.peers import frames
 from saltmoor.peers.frames import Speaker, Strange
 from saltmoor.peers.members import Ask, Members, News, Ping, State
-from saltmoor.replica import lent
-from saltmoor.replica.exchange import Exchange, Phase
-from saltmoor.replica.items import KINDS, SECOND, Item, Stamps, Store
-from saltmoor.replica.turns import How, Turns, Word, keeper
+from saltmoor.peers.messages import (
+    BorrowedQuota,
+    FetchLease,
+    MessageType,
+    OperatorCommand,
+    PullEnd,
+    PullRequest,
+)
+from saltmoor.replica.anti_entropy import Phase, PullSchedule
+from saltmoor.replica.borrowed_quota import BORROWER_LEASE, LENDER_LEASE, WHOLE, Share
+from saltmoor.replica.entries import KINDS, SECOND, Entry, Stamps, Store
+from saltmoor.replica.fetch_leases import Decision, LeaseAnswer, LeaseTable, owner_of
 from saltmoor.replica.uses import Seen, Uses
 from tests.helper import MS, Notes, TraceCase
 
@@ -32,7 +39,7 @@
 
 ITEMS = st.lists(
     st.builds(
-        Item.made,
+        Entry.made,
         st.sampled_from(["drain", "start", "word", "evidence", "of-later"]),
         st.sampled_from(["a", "b|c", "d"]),
         st.integers(0, 3),
@@ -74,7 +81,7 @@
                     store.put(NOW, item)
             return store
 
-        def through(store: Store) -> list[Item]:
+        def through(store: Store) -> list[Entry]:
             return list(store.since(NOW, 0))
 
         left = merged(through(merged(a, b)), c)
@@ -100,21 +107,21 @@
 
     def test_what_is_forgotten_or_damaged_does_not_come_back(self):
         store, late = Store(1), Store(2)
-        store.put(NOW, Item.made("drain", "x|s1|0", 3, b""))
-        late.put(NOW, Item.made("drain", "x|s1|0", 3, b""))
+        store.put(NOW, Entry.made("drain", "x|s1|0", 3, b""))
+        late.put(NOW, Entry.made("drain", "x|s1|0", 3, b""))
         after = NOW + KINDS["drain"].until + 1
         self.assertEqual(store.expire(after), 1)
         for item in late.since(after, 0):  # one that slept speaks first
             self.assertFalse(store.put(after, item))
-        item = Item.made("word", "empty|n1", 7, True)
+        item = Entry.made("word", "empty|n1", 7, True)
         for wrong in (
-            Item("word", "empty|n2", 7, item.body, 0, item.check),
-            Item("word", "empty|n1", 8, item.body, 0, item.check),
-            Item("word", "empty|n1", 7, item.body + b"x", 0, item.check),
-            Item.made("x" * 17, "k", 1, b""),
-            Item.made("k", "x" * 401, 1, b""),
-            Item.made("k", "x", 1, b"x" * (513 << 10)),
-            Item.made("k", "x", 1, b"", -5),
+            Entry("word", "empty|n2", 7, item.body, 0, item.check),
+            Entry("word", "empty|n1", 8, item.body, 0, item.check),
+            Entry("word", "empty|n1", 7, item.body + b"x", 0, item.check),
+            Entry.made("x" * 17, "k", 1, b""),
+            Entry.made("k", "x" * 401, 1, b""),
+            Entry.made("k", "x", 1, b"x" * (513 << 10)),
+            Entry.made("k", "x", 1, b"", -5),
         ):
             self.assertFalse(store.put(after, wrong))
         self.assertEqual((store.refused, store.count(), store.root), ({"old": 1, "check": 3, "size": 4}, 0, 0))
@@ -122,7 +129,7 @@
     def test_bounded_however_much_is_said(self):
         store = Store(1, most_bytes=50_000)
         for i in range(3000):
-            store.put(NOW + i, Item.made("word", f"a|{i}", i, b"x" * 30))
+            store.put(NOW + i, Entry.made("word", f"a|{i}", i, b"x" * 30))
         self.assertLessEqual((store.count(), store.bytes <= 50_000), (KINDS["word"].most, True))
         self.assertEqual(store.root, self.again(store).root)
 
@@ -134,7 +141,7 @@
 
     def test_two_bodies_under_one_version_are_settled_alike_and_shown_once(self):
         one, other = Store(1), Store(2)
-        items = [Item.made("list", "x", 5, b"aa"), Item.made("list", "x", 5, b"bb")]
+        items = [Entry.made("list", "x", 5, b"aa"), Entry.made("list", "x", 5, b"bb")]
         for item in items + items:
             one.put(NOW, item)
         for item in reversed(items):
@@ -154,7 +161,7 @@
 
 @dataclass
 class Net:
-    """A few members, and every word that is on its way."""
+    """A few members, and every message that is on its way."""
 
     nodes: dict[str, Members] = field(default_factory=dict)
     wire: list[tuple[str, str, str, object, Speaker]] = field(default_factory=list)
@@ -174,8 +181,8 @@
             if to in self.nodes and to != name:
                 # As on a wire: nobody shares what the other may change.
                 raw = msgspec.msgpack.encode(out.content)
-                said = msgspec.msgpack.decode(raw, type=Ask if out.word == "ask" else Ping)
-                self.wire.append((name, to, out.word, said, Speaker(name, one.me.life, one.me.run, self.now)))
+                said = msgspec.msgpack.decode(raw, type=Ask if out.message_type == "ask" else Ping)
+                self.wire.append((name, to, out.message_type, said, Speaker(name, one.me.life, one.me.run, self.now)))
 
     def deliver(self, place: int, keep: bool = False) -> None:
         source, to, word, said, speaker = self.wire[place]
@@ -318,10 +325,10 @@
         self.assertEqual(town.false, 0)
 
 
-class Exchanges(TraceCase):
-    """Stores that pull as Exchange says, on a network that lost all words of what is new."""
+class AntiEntropy(TraceCase):
+    """Stores that pull as PullSchedule says, on a network that lost all messages of what is new."""
 
-    def pull(self, pull, stores: dict[str, Store], me: str, exchange: Exchange, now: int) -> int:
+    def pull(self, pull, stores: dict[str, Store], me: str, schedule: PullSchedule, now: int) -> int:
         giver = stores[pull.name]
         items = list(
             giver.ranges(now, pull.ranges)
@@ -331,7 +338,7 @@
         seq, digests = giver.seq, {kind: list(kept) for kind, kept in giver.digests.items()}
         for item in items:
             stores[me].put(now, item)
-        exchange.done(now, pull.name, giver.epoch, seq, stores[me].compare(digests))
+        schedule.done(now, pull.name, giver.epoch, seq, stores[me].compare(digests))
         return len(items)
 
     def test_a_node_that_returns_takes_the_whole_once_and_then_what_changed(self):
@@ -339,22 +346,22 @@
         stores = {name: Store(i) for i, name in enumerate(("a", "b", "c", "new"))}
         for i in range(500):
             for name in "abc":
-                stores[name].put(now, Item.made("start", f"x|s{i}", 5, b""))
-        exchange, came = Exchange("new", now), []
+                stores[name].put(now, Entry.made("start", f"x|s{i}", 5, b""))
+        schedule, came = PullSchedule("new", now), []
         for step in range(40):
             now += 50 * MS
             if step == 20:
                 for name in "abc":
-                    stores[name].put(now, Item.made("drain", "x|s1|5", 9, b""))
+                    stores[name].put(now, Entry.made("drain", "x|s1|5", 9, b""))
             if step == 30:  # it has lost one, and nobody's changes tell
                 stores["new"].drop("start", "x|s7")
             for name in "abc":
-                exchange.saw(now, name, stores[name].root == stores["new"].root)
-            for pull in exchange.next(now, ["a", "b", "c"]):
-                came.append((step, pull.name, self.pull(pull, stores, "new", exchange, now)))
-            if exchange.line:
-                notes.note(exchange.line)
-                exchange.line = ""
+                schedule.saw(now, name, stores[name].root == stores["new"].root)
+            for pull in schedule.next(now, ["a", "b", "c"]):
+                came.append((step, pull.name, self.pull(pull, stores, "new", schedule, now)))
+            if schedule.line:
+                notes.note(schedule.line)
+                schedule.line = ""
         for step, name, count in came:
             notes.note(f"step {step}: {count} items from {name}")
         self.assertEqual(stores["new"].root, stores["a"].root)
@@ -364,76 +371,82 @@
         asked: dict[str, int] = {}
         there = [f"n{i}" for i in range(10)]
         for i in range(10):
-            for pull in Exchange(f"r{i}", NOW, seed=i).next(NOW, there):
+            for pull in PullSchedule(f"r{i}", NOW, seed=i).next(NOW, there):
                 asked[pull.name] = asked.get(pull.name, 0) + 1
         self.assertLessEqual(max(asked.values()), 6)
         self.assertGreaterEqual(len(asked), 5)
 
     def test_a_peer_that_fails_is_left_alone_for_a_while(self):
-        exchange = Exchange("a", NOW)
-        self.assertEqual([one.name for one in exchange.next(NOW, ["b"])], ["b"])
-        exchange.failed(NOW, "b")
-        self.assertEqual(exchange.next(NOW + 1, ["b"]), [])
-        self.assertEqual([one.name for one in exchange.next(NOW + SECOND, ["b"])], ["b"])
-        self.assertIs(exchange.phase, Phase.CATCHING)
+        schedule = PullSchedule("a", NOW)
+        self.assertEqual([one.name for one in schedule.next(NOW, ["b"])], ["b"])
+        schedule.failed(NOW, "b")
+        self.assertEqual(schedule.next(NOW + 1, ["b"]), [])
+        self.assertEqual([one.name for one in schedule.next(NOW + SECOND, ["b"])], ["b"])
+        self.assertIs(schedule.phase, Phase.CATCHING)
 
 
-class Permits(unittest.TestCase):
+class FetchLeases(unittest.TestCase):
     def test_one_at_a_time_numbered_and_short(self):
-        turns = Turns(1)
-        first = turns.ask(NOW, 7, "a", 1, 100 * MS).permit
-        self.assertEqual(turns.ask(NOW, 7, "b", 2, 100 * MS), Word("b", 2, How.WAIT, first))
-        self.assertIs(turns.ask(NOW, 8, "b", 3, 100 * MS).how, How.GO)
-        self.assertEqual(turns.sweep(NOW + 99 * MS), [])
-        gone = turns.sweep(NOW + 101 * MS)  # its holder died: who waits goes
-        self.assertEqual([(word.to, word.ask, word.how) for word in gone], [("b", 2, How.GO)])
-        self.assertGreater(gone[0].permit, first)
-        self.assertEqual(turns.done(NOW + 102 * MS, 7, first, ""), [])  # the old holder wakes up late
-        self.assertIs(turns.ask(NOW + 102 * MS, 7, "c", 4, 100 * MS).how, How.WAIT)
-        self.assertEqual(turns.done(NOW + 103 * MS, 7, gone[0].permit, "s1"), [Word("c", 4, How.THERE, 0, "s1")])
-        self.assertEqual(turns.ask(NOW + 104 * MS, 7, "d", 5, 100 * MS), Word("d", 5, How.THERE, 0, "s1"))
-        self.assertIs(turns.ask(NOW + 104 * MS, 7, "d", 6, 100 * MS, missed="s1").how, How.GO)  # it is not there
-        turns.ask(NOW + 105 * MS, 7, "e", 7, 100 * MS)
-        self.assertEqual([word.to for word in turns.void(NOW + 106 * MS, 7)], ["e"])  # it was written
-        self.assertGreater(Turns(2).ask(NOW, 7, "a", 1, 1).permit, turns.number)  # a later keeper's numbers
+        table = LeaseTable(1)
+        first = table.request(NOW, 7, "a", 1, 100 * MS).lease
+        self.assertEqual(table.request(NOW, 7, "b", 2, 100 * MS), LeaseAnswer("b", 2, Decision.WAIT, first))
+        self.assertIs(table.request(NOW, 8, "b", 3, 100 * MS).decision, Decision.FETCH)
+        self.assertEqual(table.expire(NOW + 99 * MS), [])
+        gone = table.expire(NOW + 101 * MS)  # its holder died: who waits goes
+        self.assertEqual([(answer.to, answer.request, answer.decision) for answer in gone], [("b", 2, Decision.FETCH)])
+        self.assertGreater(gone[0].lease, first)
+        self.assertEqual(table.fetched(NOW + 102 * MS, 7, first, ""), [])  # the old holder wakes up late
+        self.assertIs(table.request(NOW + 102 * MS, 7, "c", 4, 100 * MS).decision, Decision.WAIT)
+        self.assertEqual(
+            table.fetched(NOW + 103 * MS, 7, gone[0].lease, "s1"), [LeaseAnswer("c", 4, Decision.COPY, 0, "s1")]
+        )
+        self.assertEqual(
+            table.request(NOW + 104 * MS, 7, "d", 5, 100 * MS), LeaseAnswer("d", 5, Decision.COPY, 0, "s1")
+        )
+        self.assertIs(
+            table.request(NOW + 104 * MS, 7, "d", 6, 100 * MS, missed="s1").decision, Decision.FETCH
+        )  # it is not there
+        table.request(NOW + 105 * MS, 7, "e", 7, 100 * MS)
+        self.assertEqual([answer.to for answer in table.void(NOW + 106 * MS, 7)], ["e"])  # it was written
+        self.assertGreater(LeaseTable(2).request(NOW, 7, "a", 1, 1).lease, table.number)  # a later owner's numbers
 
     def test_all_orders_of_a_few_events_leave_one_holder(self):
-        """However asks, ends, writes and time come: one valid permit at most, numbers that rise, nobody who waits twice."""
+        """However asks, ends, writes and time come: one valid lease at most, numbers that rise, nobody who waits twice."""
         events = [("ask", "a"), ("ask", "b"), ("done", 0), ("failed", 0), ("done", 1), ("void", 0), ("wait", 60)]
         for path in itertools.product(events, repeat=5):
-            turns, now, numbers, valid, asks = Turns(1), NOW, [], {}, 0
+            table, now, numbers, valid, asks = LeaseTable(1), NOW, [], {}, 0
             for what, how in path:
-                words = []
+                answers = []
                 if what == "ask":
                     asks += 1
-                    words = [turns.ask(now, 7, how, asks, 100 * MS)]
+                    answers = [table.request(now, 7, how, asks, 100 * MS)]
                 elif what in ("done", "failed") and how < len(numbers):
-                    words = turns.done(now, 7, numbers[how], "s1" if what == "done" else "")
+                    answers = table.fetched(now, 7, numbers[how], "s1" if what == "done" else "")
                     valid = (
                         {} if what == "done" else {who: kept for who, kept in valid.items() if kept[0] != numbers[how]}
                     )
                 elif what == "void":
                     valid = {}
-                    words = turns.void(now, 7)
+                    answers = table.void(now, 7)
                 elif what == "wait":
                     now += how * MS
-                    words = turns.sweep(now)
-                for word in words:
-                    if word.how is How.GO:
-                        others = [who for who, (n, until) in valid.items() if until > now and who != word.to]
+                    answers = table.expire(now)
+                for answer in answers:
+                    if answer.decision is Decision.FETCH:
+                        others = [who for who, (n, until) in valid.items() if until > now and who != answer.to]
                         self.assertFalse(others, path)
-                        self.assertTrue(not numbers or word.permit > max(numbers), path)
-                        numbers.append(word.permit)
-                        valid = {word.to: (word.permit, now + 100 * MS)}
+                        self.assertTrue(not numbers or answer.lease > max(numbers), path)
+                        numbers.append(answer.lease)
+                        valid = {answer.to: (answer.lease, now + 100 * MS)}
 
-    def test_keepers_move_little_when_one_leaves(self):
+    def test_owners_move_little_when_one_leaves(self):
         names = [f"n{i}" for i in range(10)]
-        moved = sum(keeper(key, names) != keeper(key, names[:-1]) for key in range(1000))
-        self.assertEqual(moved, sum(keeper(key, names) == "n9" for key in range(1000)))
+        moved = sum(owner_of(key, names) != owner_of(key, names[:-1]) for key in range(1000))
+        self.assertEqual(moved, sum(owner_of(key, names) == "n9" for key in range(1000)))
 
 
-class Sums(unittest.TestCase):
-    """Three nodes' parts of one sum over all orders of a few events: together never more than the whole."""
+class BorrowedQuotas(unittest.TestCase):
+    """Three nodes' shares of one quota over all orders of a few events: together never more than the whole."""
 
     EVENTS = (
         "ask",
@@ -451,26 +464,26 @@
 
     def play(self, path: tuple[str, ...]) -> None:
         now = NOW
-        parts = {name: lent.Part(3, now - lent.LONGER) for name in "abc"}
+        shares = {name: Share(3, now - LENDER_LEASE) for name in "abc"}
         wire: list[tuple] = []
         number = 0
 
         def deliver(word: tuple) -> None:
             kind, source, to, which, amount = word
             if kind == "ask":
-                if given := parts[to].give(now, source, which, amount):
+                if given := shares[to].grant(now, source, which, amount):
                     wire.append(("gave", to, source, which, given))
             elif kind == "gave":
-                parts[to].take(now, source, which, amount)
+                shares[to].receive(now, source, which, amount)
             else:
-                parts[to].taken_back(source, which)
+                shares[to].returned(source, which)
 
         for event in path:
             match event:
                 case "ask" | "ask other":
                     number += 1
                     lender = "b" if event == "ask" else "c"
-                    if parts["a"].ask(now, lender, number):
+                    if shares["a"].request(now, lender, number):
                         wire.append(("ask", "a", lender, number, 200_000))
                 case "deliver" if wire:
                     deliver(wire.pop(0))
@@ -481,20 +494,20 @@
                 case "lose" if wire:
                     del wire[0]
                 case "back":
-                    wire += [("back", "a", lender, which, 0) for lender, which in parts["a"].give_back(now)]
+                    wire += [("back", "a", lender, which, 0) for lender, which in shares["a"].give_back(now)]
                 case "wait":
-                    now += lent.LEASE // 2
+                    now += BORROWER_LEASE // 2
                 case "long":
-                    now += lent.LEASE + 1
+                    now += BORROWER_LEASE + 1
                 case "restart":
-                    parts["a"] = lent.Part(3, now)
+                    shares["a"] = Share(3, now)
                 case "restart lender":
-                    parts["b"] = lent.Part(3, now)
+                    shares["b"] = Share(3, now)
                 case _:
                     return
-            used = sum(part.own(now) for part in parts.values())
-            assert used <= lent.WHOLE, f"{used} of {lent.WHOLE} in use"
-            assert all(part.own(now) >= part.base // 2 for part in parts.values())
+            used = sum(share.usable(now) for share in shares.values())
+            assert used <= WHOLE, f"{used} of {WHOLE} in use"
+            assert all(share.usable(now) >= share.base // 2 for share in shares.values())
 
     def test_never_more_than_the_whole(self):
         for path in itertools.product(self.EVENTS, repeat=5):
@@ -503,16 +516,35 @@
                     self.play(path)
 
     def test_a_borrower_gets_more_and_the_lender_has_it_back(self):
-        one, other = lent.Part(10, 0), lent.Part(10, 0)
+        one, other = Share(10, 0), Share(10, 0)
         now = NOW
-        self.assertTrue(one.ask(now, "b", 1))
-        self.assertEqual(other.give(now, "a", 1, 500_000), 50_000)
-        self.assertEqual(other.give(now, "a", 1, 500_000), 50_000)
-        self.assertTrue(one.take(now, "b", 1, 50_000))
-        self.assertFalse(one.take(now, "b", 1, 50_000))
-        self.assertEqual((one.own(now), other.own(now)), (150_000, 50_000))
-        self.assertEqual((one.own(now + lent.LEASE), other.own(now + lent.LEASE)), (100_000, 50_000))
-        self.assertEqual(other.own(now + lent.LONGER), 100_000)
+        self.assertTrue(one.request(now, "b", 1))
+        self.assertEqual(other.grant(now, "a", 1, 500_000), 50_000)
+        self.assertEqual(other.grant(now, "a", 1, 500_000), 50_000)
+        self.assertTrue(one.receive(now, "b", 1, 50_000))
+        self.assertFalse(one.receive(now, "b", 1, 50_000))
+        self.assertEqual((one.usable(now), other.usable(now)), (150_000, 50_000))
+        self.assertEqual((one.usable(now + BORROWER_LEASE), other.usable(now + BORROWER_LEASE)), (100_000, 50_000))
+        self.assertEqual(other.usable(now + LENDER_LEASE), 100_000)
+
+
+class WireForms(unittest.TestCase):
+    def test_a_node_of_the_build_before_reads_each_message(self):
+        """Guards against a renamed type or field that alters the wire: types as texts, contents as arrays in order."""
+        self.assertEqual(
+            " ".join(MessageType),
+            "ping ack ask items turn? turn! turned void lend? lend! lent duty? duty! pull end show shown say said",
+        )
+        for content, array in (
+            (PullRequest(1, 2, [("drain", 3)]), [1, 2, [["drain", 3]]]),
+            (PullEnd(1, 2, {"drain": [3]}), [1, 2, {"drain": [3]}]),
+            (OperatorCommand("empty|n1", True), ["empty|n1", True]),
+            (FetchLease(1, 2, 3, 0, 4, "s"), [1, 2, 3, 0, 4, "s"]),
+            (BorrowedQuota("t", 1, 2), ["t", 1, 2]),
+        ):
+            self.assertEqual(msgspec.msgpack.encode(content), msgspec.msgpack.encode(array))
+        speaker = Speaker("n1", 5, 6, 7)
+        self.assertEqual(frames.encode("c", speaker, MessageType.ENTRIES, []), frames.encode("c", speaker, "items", []))
 
 
 class Fuzz(unittest.TestCase):
@@ -547,7 +579,7 @@
             if rng.random() < 0.5:
                 said = [1, "", [[rng.choice(values) for _ in range(7)]], 0, 0, 0]
             frame = frames.decode(frames.encode("c", Speaker("n2", 5, 6, 7), "ping", said), "c")
-            for form in (Ping, Ask, list[Item], PullWord, EndWord):
+            for form in (Ping, Ask, list[Entry], PullRequest, PullEnd):
                 try:
                     content = frames.content(frame, form)
                 except Strange:
@@ -634,8 +666,8 @@
     def test_a_later_start_counts_and_an_earlier_one_does_not(self):
         one = self.uses()
         one.news(NOW, 4, [self.line("s1", started=5000)])
-        self.assertFalse(one.store.put(NOW, Item.made("start", "src|s1", 4000, b"")))
-        self.assertTrue(one.store.put(NOW, Item.made("start", "src|s1", 6000, b"")))
+        self.assertFalse(one.store.put(NOW, Entry.made("start", "src|s1", 4000, b"")))
+        self.assertTrue(one.store.put(NOW, Entry.made("start", "src|s1", 6000, b"")))
         self.assertEqual(one.start_of("s1"), 6000)
         one.news(NOW, 5, [self.line("s1", started=5000)])
         self.assertEqual(one.start_of("s1"), 6000)
@@ -643,12 +675,12 @@
     def test_one_site_that_is_cut_off_condemns_nobody(self):
         one = self.uses()
         for i in range(5):
-            one.store.put(NOW, Item.made("evidence", f"s1|a{i}", 1, Seen("there", "down", 1)))
+            one.store.put(NOW, Entry.made("evidence", f"s1|a{i}", 1, Seen("there", "down", 1)))
         self.assertEqual(one.suspects(NOW, sites=2), {})
         self.assertEqual(one.suspects(NOW, sites=1), {"s1": 5})
-        one.store.put(NOW, Item.made("evidence", "s1|b", 1, Seen("here", "aside", 1)))
+        one.store.put(NOW, Entry.made("evidence", "s1|b", 1, Seen("here", "aside", 1)))
         self.assertEqual(one.suspects(NOW, sites=2), {"s1": 6})
-        one.store.put(NOW, Item.made("evidence", "s1|b", 2, Seen("here", "well", 1)))
+        one.store.put(NOW, Entry.made("evidence", "s1|b", 2, Seen("here", "well", 1)))
         self.assertEqual(one.suspects(NOW, sites=2), {})
         self.assertEqual(one.suspects(NOW + 6 * SECOND, sites=1), {})
 
@@ -658,7 +690,7 @@
         node = type("N", (), {"caches": [server], "fresh": 100 * MS})()
         one = self.uses()
         for observer in "ab":
-            one.store.put(NOW, Item.made("evidence", f"s1|{observer}", 1, Seen("here", "down", 1)))
+            one.store.put(NOW, Entry.made("evidence", f"s1|{observer}", 1, Seen("here", "down", 1)))
         self.assertEqual(one.doubt(NOW, node, 1), ["s1"])
         self.assertEqual((server.wary, server.down, server.out_until, server.ready), (True, False, 0, True))
         self.assertEqual(one.doubt(NOW, node, 1), [])  # once, until it is better
@@ -668,7 +700,7 @@
         one.news(NOW, 4, [self.line("s1", Readiness.DRAINING)])
         one.keep_list(NOW, 4, [])
         self.assertEqual(one.store.count(), 0)
-        one.store.put(NOW, Item.made("drain", "src|s1|5000", 9, b""))
+        one.store.put(NOW, Entry.made("drain", "src|s1|5000", 9, b""))
         self.assertFalse(one.drains("s1", 5000 * 1000))
 
 
