Answers are due some passes before the close, however late the loop is

What is open gets its answer as many passes sooner as the other steps do. tests/test_ends.py checks the order and the bounds for loops that are late by up to 0.4 s, what is begun on a connection that ends, and how long one lingers; the order failed before.

--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -198,8 +198,8 @@
 
 
 def answers_due(now: Micros, end: ConnectionEnd, lag: Micros) -> bool:
-    """Whether what is open on a connection gets its final answer now."""
-    return bool(end.answers_until) and now + lag >= end.answers_until
+    """Whether what is open on a connection gets its final answer now: it is written some passes before `overdue`."""
+    return bool(end.answers_until) and now + ahead(lag) >= end.answers_until
 
 
 def overdue(now: Micros, end: ConnectionEnd, lag: Micros = 0) -> bool:
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -20,7 +20,7 @@
 from saltmoor import config, facade
 from saltmoor.choice import Node
 from saltmoor.guard.checks import Checker
-from saltmoor.guard.ends import CLOSING, LONGEST_AWAITED, MOST_AHEAD, plan_drain, plan_stop
+from saltmoor.guard.ends import CLOSING, LONGEST_AWAITED, MOST_AHEAD, ahead, plan_drain, plan_stop
 from saltmoor.guard.verdicts import Rule
 from saltmoor.model import Ended, ListKind, Micros, Readiness
 from saltmoor.net import meta, sibling
@@ -660,7 +660,7 @@
             await asyncio.sleep(min(HURRY, left / 1_000_000))
             self.clients.sweep(self.given.unfinished)
         self.clients.settle_down()
-        while self.clients.owing and clock() + self.clients.lag < self.clients.until:
+        while self.clients.owing and clock() + ahead(self.clients.lag) < self.clients.until:
             self.hand_on()
             await asyncio.sleep(STOP_EVERY)
             self.clients.sweep(self.given.unfinished)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -6,6 +6,7 @@
 import unittest
 
 from saltmoor.guard import ends
+from saltmoor.guard.connections import Outside
 from saltmoor.guard.ends import Due
 
 MS = 1000
@@ -105,6 +106,44 @@
     def test_a_command_that_was_begun_too_late_is_not_read(self):
         self.assertEqual(self.due(601, begun=600), Due.READ_NO_MORE)
 
+    def test_a_late_loop_takes_each_step_sooner_and_in_their_order(self):
+        """Guards against a step that takes effect behind its bound, and against a close before the answer is written."""
+        for lag in 0, 10, 100, 200, 400:
+            with self.subTest(lag=lag):
+                lookups = range(-2000, 4000, max(5, lag))  # a late loop looks as seldom
+                told = next(t for t in lookups if ends.due(t * MS, self.END, 0, lag=lag * MS) is not Due.NOTHING)
+                answered = next(t for t in lookups if ends.answers_due(t * MS, self.END, lag * MS))
+                closed = next(t for t in lookups if ends.overdue(t * MS, self.END, lag * MS))
+                self.assertLessEqual(told + lag, 500 + 5)
+                self.assertLessEqual(answered + lag, 3_750 + 5)
+                self.assertLessEqual(closed + lag, 4_000 - 150 + lag + 5)
+                self.assertGreaterEqual(closed - answered, min(lag, 100))
+
+    def test_what_a_slow_client_could_not_take_in_time_is_not_begun(self):
+        for left, fits in (1_000_000, True), (1_400_000, False):
+            now = 2_000 * MS
+            self.assertIs(ends.fits(now, self.END, left=left, taken=1_000_000, since=500 * MS), fits)
+        self.assertTrue(ends.fits(9_000 * MS, ends.end_now("evicted", 0), left=1 << 30, taken=1, since=0))
+
+    def test_a_connection_lingers_until_its_client_has_all(self):
+        """Guards against a reset over an answer, and against a client that holds its connection by going on."""
+        bound = 4_000 * MS
+        for untaken, left, moved, now, what in (
+            (1, False, 0, 1_400, ends.Linger.WAIT),
+            (1, False, 3_900, 5_000, ends.Linger.WAIT),  # it takes what it is owed, past the bound too
+            (1, False, 0, 1_500, ends.Linger.RESET),
+            (0, False, 0, 39, ends.Linger.WAIT),
+            (0, False, 0, 40, ends.Linger.CLOSE),
+            (0, False, 1_990, 2_000, ends.Linger.CLOSE),
+            (0, False, 3_840, 3_850, ends.Linger.CLOSE),
+            (1, True, 0, 1, ends.Linger.CLOSE),
+        ):
+            with self.subTest(untaken=untaken, left=left, moved=moved, now=now):
+                outside = Outside(unread=False, untaken=untaken, left=left)
+                said = 0 if now <= 2_000 else now * MS - 1
+                got = ends.linger(now * MS, outside, said=said, moved=moved * MS, gone_by=bound)
+                self.assertIs(got, what)
+
     def test_of_two_ends_the_stricter_holds(self):
         stop = ends.end_of_stop(ends.plan_stop(300 * MS, 400 * MS), 0, 400 * MS)
         both = self.END.earlier(stop)
