An operator's word that comes by a peer drains the node again

Callers see a word for all nodes (saltmoor replica say) ignored: since the second address has a thread of its own its handler needs to be told how long ago a call came, and the peers' side does not tell it. A word that is just heard counts from now, as before.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -360,7 +360,7 @@
         rules = [f'saltmoor_violations_total{{reason="{rule.value}"}} {self.checker.violations[rule]}' for rule in Rule]
         return True, "\n".join([self.log.counters.text(), *rules]).strip()
 
-    def say_lame(self, on: bool, came_ago: Micros) -> tuple[bool, str]:
+    def say_lame(self, on: bool, came_ago: Micros = 0) -> tuple[bool, str]:
         """Staff begin or end a drain: also of a node that is starting; one that stops ends its clients anyway."""
         if self.life.phase in (Phase.STOPPING, Phase.ENDED):
             return False, self.life.words
