The second address's thread goes on after a fault; a look for quiet costs one call

Read again: an exception that nobody expects would have ended the thread, and with it every way to drain the node; it is logged now, ends its call alone, and the thread goes on. A connection that is only asked whether it is quiet is not asked for its send queue as well. No behaviour else; tests/test_operations.py and CallSent, AnswerWritten of tests/test_event_sides.py passed.

--- a/saltmoor/net/admin.py
+++ b/saltmoor/net/admin.py
@@ -87,19 +87,30 @@
 
     def _run(self) -> None:
         while not self.stopped or self.calls:
-            ready = self.selector.select(self._due_in())
-            # Who has said its call goes before new ones, of whom one could take its place.
-            for key, _ in ready:
-                if key.data is not None and key.data in self.calls:
-                    self._go_on(key.data)
-            if self.stopped:
-                self._stop_listening()
-            else:
-                self._accept()
-            self._end_late_ones()
+            try:
+                self._round()
+            except Exception as error:  # guards against a node that hears no call any more
+                self._tell_fault(error)
+                time.sleep(SHORTAGE_PAUSE)
         self._stop_listening()
         self.selector.close()
 
+    def _round(self) -> None:
+        """Wait until something can be done, and do it."""
+        ready = self.selector.select(self._due_in())
+        # Who has said its call goes before new ones, of whom one could take its place.
+        for key, _ in ready:
+            if key.data in self.calls:
+                self._go_on(key.data)
+        if self.stopped:
+            self._stop_listening()
+        else:
+            self._accept()
+        self._end_late_ones()
+
+    def _tell_fault(self, error: Exception) -> None:
+        self.on_loop(self.note, "fault", f"fault in a call: {type(error).__name__}: {error}")
+
     def _due_in(self) -> float | None:
         """Seconds until something falls due; None: nothing does."""
         if not self.calls:
@@ -174,6 +185,9 @@
         except OSError as error:
             caller.outcome += f" ({type(error).__name__})"
             self._end(caller)
+        except Exception as error:  # it ends this call alone
+            self._tell_fault(error)
+            self._end(caller)
 
     def _read(self, caller: Caller) -> None:
         """Read up to the end of the call. Raises OSError; BlockingIOError where it is not whole yet."""
@@ -194,7 +208,7 @@
         except OSError:
             raise
         except Exception as error:  # a fault of ours is told, and harms no client
-            self.on_loop(self.note, "fault", f"fault in a call: {type(error).__name__}: {error}")
+            self._tell_fault(error)
             status, text = 500, "fault"
         caller.outcome = f"{status} {text.splitlines()[0] if text else ''}"
         caller.unsent = memoryview(http.response(status, REASONS[status], headers, f"{text}\n".encode()))
@@ -233,6 +247,8 @@
         return work()
 
     def _end(self, caller: Caller) -> None:
+        if caller not in self.calls:
+            return
         del self.calls[caller]
         self.selector.unregister(caller.sock)
         caller.sock.close()
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -227,18 +227,23 @@
 
     def outside(self) -> Outside:
         """What the kernel knows of the connection now."""
+        if self.quiet():
+            return Outside(unread=False, untaken=self.backlog(), left=False)
         try:
             unread = bool(self.sock.recv(1, socket.MSG_PEEK))
-        except BlockingIOError:
-            return Outside(unread=False, untaken=self.backlog(), left=False)
         except OSError:
             unread = False
         return Outside(unread=unread, untaken=self.backlog(), left=not unread)
 
     def quiet(self) -> bool:
         """Open, with nothing to read: neither data nor the other side's end."""
-        outside = self.outside()
-        return not outside.unread and not outside.left
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     def half_close(self) -> None:
         """Say the end: what was written still goes out, and what comes can still be read. Raises OSError."""
