--- a/saltmoor/guard/checks.py
+++ b/saltmoor/guard/checks.py
@@ -138,12 +138,15 @@
         if len(times) > most_requests(target.cold_rate * self.cold_window / 1_000_000):
             self.violated(Rule.SLOW_START, record.id, "attempt", Reason.NO_ROOM)
 
-    def answered(self, record: Record) -> None:
-        """The last byte of a request's final answer was written."""
+    def answered(self, record: Record, behind: Micros = 0) -> None:
+        """The last byte of a request's final answer was written.
+
+        `behind`: how long the answer waited for those before it on its connection, which does not count.
+        """
         if record.answered:
             self.violated(Rule.LOST, record.id, "second answer", Reason.NONE)
         record.answered = True
-        if self.clock() > record.deadline + ANSWER_SLACK and not self._streams(record):
+        if self.clock() - behind > record.deadline + ANSWER_SLACK and not self._streams(record):
             self.violated(Rule.LOST, record.id, "late answer", Reason.DEADLINE_PASSED)
 
     @staticmethod
--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -41,13 +41,14 @@
 LONGEST_LINGER: Micros = 450_000  # of a stop: with READS_ON and the longest deadline still within the bound
 JUST_COME: Micros = 750_000  # who comes so shortly before a drain's bound has one of its own
 STRAY: Micros = 300_000  # how long a connection that comes late in a drain may stay before it is told
-REFUSED_STRAY: Micros = 30_000  # how long one of which nothing is served any more may take to ask
+REFUSED_STRAY: Micros = 100_000  # how long one of which nothing is served any more may take to ask,
+SHORTEST_STRAY: Micros = 10_000  # and at the least, where the bound is near or over, since the accept
 QUEUED: Micros = 500_000  # at the caps: a request may be refused so long behind its time, and `mn` is owed in 1 s
-TAKES_NOTHING: Micros = 1_500_000  # a client that is told to end and has taken nothing of its answer for so long
+TAKES_NOTHING: Micros = 1_500_000  # a client that has taken nothing of its answer for so long, at the bound of its end
 GIVES_NOTHING: Micros = 4_000_000  # a server that has given no more of a large value for so long, where the end is due
 STILL: Micros = 10_000_000  # both at any other time
 SEES_END: Micros = 40_000  # how long a client that has taken all may take to see the end of its connection
-MOST_LINGER: Micros = 2_000_000  # of one that has taken all and goes on sending
+MOST_LINGER: Micros = 2_000_000  # of one that has taken all, is read and goes on sending
 PASSES_TO_END = 3  # passes of the loop from the look at a connection that is due to its close
 MOST_AHEAD: Micros = 1_500_000
 
@@ -129,7 +130,8 @@
         told = since + plan.told_from + int((plan.told_by - plan.told_from) * share)
         commands_until = since + plan.commands_until
     elif refuses(plan, since, connected):
-        told = commands_until = max(connected + REFUSED_STRAY, accepted)
+        told = min(connected + REFUSED_STRAY, since + plan.bound - HELD_UP)
+        told = commands_until = max(told, accepted)
         reads_on = 0
     else:
         commands_until = min(connected + STRAY + MOST_COMMANDS, begun + plan.answers_until - LEAST_WORK)
@@ -194,17 +196,22 @@
         return Due.TELL
     if not begun or begun >= read_until:
         return Due.READ_NO_MORE
-    return Due.CUT if now + ahead(lag) >= end.commands_until else Due.TELL
+    return Due.CUT if now + lag >= end.commands_until else Due.TELL
 
 
 def answers_due(now: Micros, end: ConnectionEnd, lag: Micros) -> bool:
-    """Whether what is open on a connection gets its final answer now: it is written some passes before `overdue`."""
+    """Whether what is open on a connection gets its final answer now."""
     return bool(end.answers_until) and now + ahead(lag) >= end.answers_until
 
 
-def overdue(now: Micros, end: ConnectionEnd, lag: Micros = 0) -> bool:
-    """Whether a connection has to be closed at once: its bound is as near as a process may be held up."""
-    return bool(end.gone_by) and now + lag >= end.gone_by - HELD_UP
+def overdue(now: Micros, end: ConnectionEnd, lag: Micros = 0, given_up: Micros = 0) -> bool:
+    """Whether a connection has to be closed at once: its bound is as near as a process may be held up.
+
+    `given_up`: when what was open on it got its final answer, 0 where it did not: that is written some passes later.
+    """
+    if not end.gone_by or given_up and now - given_up < CLOSING:
+        return False
+    return now + lag >= end.gone_by - HELD_UP
 
 
 def fits(now: Micros, end: ConnectionEnd, *, left: int, taken: int, since: Micros) -> bool:
@@ -225,19 +232,22 @@
 def linger(now: Micros, outside: Outside, *, said: Micros, moved: Micros, gone_by: Micros) -> Linger:
     """Whether a connection may be closed without taking from its client what was written to it.
 
-    `said`: when its end was said; `moved`: when its client last took or sent anything; `gone_by`: its bound, or 0.
+    `said`: when its end was said; `moved`: when its client last took anything, or sent it where that is read;
+    `gone_by`: its bound, or 0. A client that takes something all the while may go on past the bound, for `STILL`.
     """
     if outside.left:
         return Linger.CLOSE
+    late = bool(gone_by) and now >= gone_by - HELD_UP
     if outside.untaken:
-        return Linger.RESET if takes_nothing(now, moved) else Linger.WAIT
-    if now - moved >= SEES_END or now - said >= MOST_LINGER or gone_by and now >= gone_by - HELD_UP:
+        stopped = takes_nothing(now, moved) if late else now - moved >= STILL
+        return Linger.RESET if stopped or late and now >= gone_by + STILL else Linger.WAIT
+    if now - moved >= SEES_END or now - said >= MOST_LINGER or late:
         return Linger.CLOSE
     return Linger.WAIT
 
 
 def takes_nothing(now: Micros, moved: Micros) -> bool:
-    """Whether a client that is told to end, and has taken nothing of an answer since `moved`, is held to have stopped."""
+    """Whether a client that has taken nothing of an answer since `moved` is held to have stopped, at its bound."""
     return now - moved >= TAKES_NOTHING
 
 
--- a/saltmoor/lab/soak/oracle.py
+++ b/saltmoor/lab/soak/oracle.py
@@ -23,6 +23,7 @@
 HELD_UP = 150_000  # a node may be held up for so long between two steps
 LEAST_LINGER_MS = 200  # a node that is told to end takes new connections for so long at least, where it is set so
 LONGEST_STOP = 3_700_000  # no stop is longer
+READS_AT_LEAST = 700_000  # of a drain: who comes sooner is served
 CROSSES = 600_000  # an end crosses what is sent so long before it; the way and an overloaded node take their part
 TOLD_SHARE = 2 / 3  # of what pushed a cold server over, from nodes that were told of its start
 LARGEST_HELD = 65_536  # bytes: a larger value is passed on as it comes
@@ -173,6 +174,8 @@
                 self.counts["closed unread in a crowd"] += 1
             elif self.failing(node, sent, at, "recv"):
                 self.counts["closed by a broken connection"] += 1
+            elif self.held_up(node, sent, at) and not asked.gots and self.came_late(node, sent):
+                self.counts["closed unread, late in a drain"] += 1
             else:
                 self.find(Rule.LOST, asked.id, f"node {node} closed a new connection with no answer")
 
@@ -205,6 +208,10 @@
         if self.reads(node, sent, at) and asked.waits and not asked.gots:
             self.find(Rule.LOST, asked.id, f"node {node} left this unread for {(at - sent) // 1000} ms, then closed")
 
+    def came_late(self, node: int, sent: int) -> bool:
+        """Whether the node had drained for long: by then its `mn` was a no, and who comes need not be served."""
+        return any(begun + READS_AT_LEAST <= sent and sent <= over for begun, over in self.spans_of_drains(node))
+
     def crowded(self, node: int, since: int, until: int) -> bool:
         """Whether idle clients filled the node's descriptors about then: new connections may be shut unread."""
         return any(
--- a/saltmoor/net/admin.py
+++ b/saltmoor/net/admin.py
@@ -116,7 +116,7 @@
         if not self.calls:
             return None
         oldest = next(iter(self.calls))
-        due = oldest.since + (PATIENCE if self.listening else SHORTEST_STAY)
+        due = oldest.since + (PATIENCE if self.listening or self.stopped else SHORTEST_STAY)
         return max(0.0, due - time.monotonic())
 
     def _stop_listening(self) -> None:
@@ -147,11 +147,19 @@
                     continue
                 time.sleep(SHORTAGE_PAUSE)  # the listener stays readable
                 break
+            self._welcome(sock, f"{peer[0]}:{peer[1]}")
+
+    def _welcome(self, sock: socket.socket, peer: str) -> None:
+        caller = Caller(sock, peer, time.monotonic())
+        try:
             sock.setblocking(False)
-            caller = Caller(sock, f"{peer[0]}:{peer[1]}", time.monotonic())
-            self.calls[caller] = None
             self.selector.register(sock, selectors.EVENT_READ, caller)
-            self._go_on(caller)
+        except OSError as error:
+            sock.close()
+            self._tell_fault(error)
+            return
+        self.calls[caller] = None
+        self._go_on(caller)
 
     def _has_room(self) -> bool:
         """Whether one more may come; where there are many, the one that is open longest goes."""
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -10,6 +10,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Awaitable
+from dataclasses import replace
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -39,9 +40,10 @@
 class Slot:
     """One command's place in the order of answers."""
 
-    __slots__ = ("answer", "id", "record", "task", "tx")
+    __slots__ = ("answer", "id", "ready", "record", "task", "tx")
 
     def __init__(self, answer: bytes | None = None) -> None:
+        self.ready: Micros = 0  # since when its answer waits for those before it
         self.answer, self.id, self.task, self.tx = answer, b"", None, None
         self.record: Record | None = None  # of a request that was begun
 
@@ -76,6 +78,7 @@
         self.taken, self.taken_at = -1, self.since  # bytes of answers that its machine has; since when no more
         self.value_since: Micros = 0  # when the large value that was begun last was begun,
         self.value_from = 0  # and how many bytes of answers its machine had then
+        self.given_up: Micros = 0  # when what was open at its end got its final answer
         self.end_said: Micros = 0  # since when it lingers
         self.lingered = False  # nothing is lost any more where it is closed
         self.gathered = False
@@ -105,12 +108,6 @@
         """Its machine has not all of an answer yet, of which at least a part was written."""
         return self.passes or self.stream.backlog() > 0
 
-    @property
-    def rests(self) -> bool:
-        """Nothing is under way on it, to the node or to its client."""
-        outside = self.stream.outside()
-        return not outside.left and outside.settled
-
     async def serve(self) -> None:
         try:
             self.code = await self.read()
@@ -133,7 +130,7 @@
                 return await self.answer_and_end()
             if self.ending and may_end(idle=self.idle, quiet=self.idle and self.stream.quiet()):
                 return await self.answer_and_end()
-            paced = self.house.paced and not self.ending
+            paced = self.house.paced and not self.ending and not self.house.refuses(self)
             if paced:
                 self.empty_at = self.house.clock() if self.stream.quiet() else self.empty_at
                 await self.deaf(self.house.next_turn(self))
@@ -252,6 +249,7 @@
             self.began = self.command_since = self.came_at
             self.house.begun[self] = None
             self.house.free.pop(self, None)
+            self.house.taking.pop(self, None)
         self.tracked = self.count
 
     def progress(self, size: int) -> None:
@@ -316,11 +314,11 @@
         """Carry out what is due of its end."""
         if self.code:
             return
-        if self.end_said:
-            self.look_on(now)
-            return
-        if not (end := self.end_due):
+        if self.end_said or not (end := self.end_due):  # one that lingers looks by itself
             return
+        if not self.read_at and self.house.refuses(self):  # what it asks is read first, and refused
+            if now - self.since < ends.SHORTEST_STRAY or not self.stream.quiet():
+                return
         lag = self.house.lag
         match ends.due(now, end, self.command_since, told_at=self.life.told_at, lag=lag):
             case ends.Due.NOTHING:
@@ -332,12 +330,12 @@
             case ends.Due.CUT:
                 self.cut_for_good()
         if self.slots and ends.answers_due(now, end, lag):
+            self.given_up = self.given_up or now
             self.house.give_up(self)
             self.fail_unbegun()
-        if self.writer and self.stopped_taking(now):
-            self.abort("stalled")
-        elif ends.overdue(now, end, lag) and not self.takes:
-            self.abort("overdue")
+        stopped = bool(self.writer) and self.stopped_taking(now)
+        if ends.overdue(now, end, lag, self.given_up if self.slots else 0) and (stopped or not self.takes):
+            self.abort("stalled" if stopped else "overdue")
 
     def advance_now(self) -> None:
         """The same, at a moment that was drawn for it."""
@@ -404,41 +402,51 @@
         self.commands = meta.Commands()
 
     async def linger(self, reason: str = "", *, sends: bool = False) -> None:
-        """Say the end, and stay until the other machine has all that was written; what still comes is dropped.
+        """Say the end, and stay until the other machine has all that was written. Raises OSError where it takes nothing.
 
-        `reason`: its code, where the node was not ending it; `sends`: its client is in the middle of a command.
+        `reason`: its code, where the node was not ending it; `sends`: its client is in the middle of a command, whose rest
+        is read past. What else comes is left unread: a request that is read is owed an answer.
 
-        Guards against a reset, for what stands unread or comes later, that takes answers with it.
+        Guards against a reset, for what stands unread, that takes answers with it.
         """
         if not sends and self.stream.outside().settled:
             return
+        self.step(State.SAYING_END, reason)
+        self.end_said = self.taken_at = self.house.clock()
+        self.house.lingering[self] = None
+        self.stream.half_close()
+        reading = asyncio.create_task(self.read_past()) if sends else None
+        try:
+            while not self.lingered and not (reading and reading.done()):
+                await asyncio.sleep(LOOK_AT_BACKLOG)
+                self.look_on(self.house.clock())
+        finally:
+            if reading:
+                reading.cancel()
+
+    async def read_past(self) -> None:
+        """Read and drop what still comes, up to the client's end or the longest value that is read past."""
+        left = meta.SWALLOW
         with contextlib.suppress(OSError):
-            self.stream.half_close()
-            self.step(State.SAYING_END, reason)
-            self.end_said = self.taken_at = self.house.clock()
-            self.house.lingering[self] = None
-            dropped = 0
-            while not self.lingered and dropped < meta.SWALLOW:
-                data = await self.stream.read()
-                if data is None:
-                    continue
-                if not data:
-                    break  # the client has seen the end
-                dropped += len(data)
+            while left > 0 and (data := await self.stream.read()):
+                left -= len(data)
                 self.taken_at = self.house.clock()
 
     def look_on(self, now: Micros) -> None:
-        """Whether it has lingered for long enough."""
+        """Whether it has lingered for long enough. Raises OSError: its client takes nothing any more."""
         outside = self.stream.outside()
         if outside.untaken:
             self.note_taken(outside.untaken, now)
+        if not outside.left and self.stream.left():  # its end stands behind what is unread
+            outside = replace(outside, left=True)
         gone_by = self.end_due.gone_by if self.end_due else 0
         match ends.linger(now, outside, said=self.end_said, moved=self.taken_at, gone_by=gone_by):
             case ends.Linger.CLOSE:
                 self.lingered = True
-                self.stream.wake()
             case ends.Linger.RESET:
-                self.abort("stalled")
+                self.code = "stalled"
+                self.stream.abandon()
+                raise ConnectionResetError
 
     def left(self) -> None:
         """It has gone: what it asked goes on no further, from this moment on."""
@@ -456,6 +464,7 @@
     def take(self, command: meta.Command) -> None:
         self.count += 1
         self.house.free.pop(self, None)
+        self.house.taking.pop(self, None)
         slot = Slot()
         self.slots.append(slot)
         slot.answer = answers.of_node(command, draining=self.house.drains())
@@ -472,6 +481,7 @@
             return
         self.writer = asyncio.current_task()
         try:
+            turn = self.house.clock()
             while self.slots and self.slots[0].answer is not None:
                 if isinstance(self.slots[0].answer, Passing):
                     await self.until_taken(self.slots[0].answer.flow)
@@ -482,8 +492,8 @@
                 slot = self.slots.popleft()
                 self.house.done(slot)
                 if slot.record:
-                    self.house.answered(slot.record)
-                self.used = self.house.clock()
+                    self.house.answered(slot.record, behind=max(0, turn - slot.ready))
+                self.used = turn = self.house.clock()
                 self.room.set()
             if not self.slots:
                 self.house.rest(self)
@@ -570,7 +580,7 @@
         self.house.leaving -= self.life.ends
         told_for = self.life.told_for(self.house.clock())
         self.step(State.CLOSED, self.code)
-        for kept in self.house.free, self.house.fresh, self.house.deaf, self.house.lingering:
+        for kept in self.house.free, self.house.fresh, self.house.deaf, self.house.lingering, self.house.taking:
             kept.pop(self, None)
         self.house.listen()
         age = (self.house.clock() - self.since) // 1000
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from hashlib import blake2b
+from heapq import nlargest
 from itertools import chain, islice
 from typing import Any
 from zlib import crc32
@@ -43,7 +44,7 @@
     400_000  # how long a client may wait to be read, at the listener too: its request is owed 0.5 s past its time
 )
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
-LAG_KEPT = 1_000_000  # how long the loop's worst lateness counts
+LAG_FROM, LAG_KEPT = 20_000, 2_000_000  # which lateness of the loop counts for ends, and for how long
 MISSED = 50_000  # how often clients that are not read from are looked at
 SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
@@ -82,6 +83,8 @@
         self.begun: dict[Client, None] = {}  # with a command that is unfinished
         self.deaf: dict[Client, None] = {}  # that are not read from, as something else is waited for
         self.lingering: dict[Client, None] = {}  # whose end is said, the first one first
+        self.taking: dict[Client, None] = {}  # that would be free, but have not taken their last answer
+        self.late_looks: deque[tuple[Micros, Micros]] = deque()  # when the loop was late, and how late
         self.missed_at = self.looked_at = 0  # when they are looked at next; when the loop last came round
         self.stop: EndPlan | None = None  # while the process stops: its bounds, and since when
         self.stop_since: Micros = 0
@@ -90,8 +93,7 @@
         self.open_ids: set[bytes] = set()
         self.closing = self.late = self.paced = False  # late: the loop is, so that commands wait in their sockets
         self.late_by: Micros = 0  # how late the loop was when that was looked at last
-        self.lag: Micros = 0  # how late it was at most, lately
-        self.lag_at: Micros = 0  # when that was
+        self.lag: Micros = 0  # how late it was, lately, more than once
         self.swept_at: Micros = 0
         self.turns: deque[tuple[asyncio.Future, Micros]] = deque()  # who waits to be read while it is paced, since when
         self.reads = 0.0
@@ -123,11 +125,14 @@
             client.turn = None
 
     def note_lag(self, late: Micros) -> None:
-        """The loop came so late."""
+        """The loop came so late. One late pass is a hold-up that is over; the second worst tells what is to come."""
         now = self.clock()
         self.late, self.late_by = late > LATE_FROM, late
-        if late >= self.lag or now - self.lag_at > LAG_KEPT:
-            self.lag, self.lag_at = late, now
+        while self.late_looks and self.late_looks[0][0] <= now - LAG_KEPT:
+            self.late_looks.popleft()
+        if late > LAG_FROM:
+            self.late_looks.append((now, late))
+        self.lag = min(nlargest(2, (one for _, one in self.late_looks))) if len(self.late_looks) > 1 else 0
 
     def busy(self) -> bool:
         """Whether anything came since the last time, is open, waits to be read, or is paced."""
@@ -202,8 +207,8 @@
         self.clients.add(client)
         self.set_end(client)
         if self.refuses(client):  # it is not left to the next sweep
-            wait = client.end_due.told - self.clock()
-            asyncio.get_running_loop().call_later(max(0, wait) / 1_000_000, client.advance_now)
+            wait = max(ends.SHORTEST_STRAY, client.end_due.told - self.clock())
+            asyncio.get_running_loop().call_later(wait / 1_000_000, client.advance_now)
         self.trim(0)
 
     def drain_from(self, since: Micros) -> None:
@@ -307,7 +312,6 @@
         for client in islice(self.lingering, EVICTIONS):
             if not client.lingered and not client.stream.backlog():
                 client.lingered = True
-                client.stream.wake()
                 return
 
     def make_room(self) -> bool:
@@ -320,14 +324,28 @@
         Guards against crowds that connect and say nothing: who is in the middle of a command, has one open, or
         has written what is not read yet, stays. It costs the same however many there are.
         """
+        if not self.fresh and not self.free:
+            self.look_at_taking(self.clock())
         for client in islice(chain(self.fresh, self.free), EVICTIONS):
-            if not client.ending and client.rests:
+            if not client.ending and client.stream.quiet():
                 self.fresh.pop(client, None)
                 self.free.pop(client, None)
                 client.close("evicted")
                 return True
         return False
 
+    def look_at_taking(self, now: Micros) -> None:
+        """Who has taken its last answer by now is free and may make room, and who takes nothing for long is ended."""
+        for client in list(self.taking):
+            untaken = client.stream.backlog()
+            client.note_taken(untaken, now)
+            if not untaken:
+                del self.taking[client]
+                self.free[client] = None
+            elif ends.stands_still(now, client.taken_at, due=False) and not client.ending:
+                del self.taking[client]
+                client.abort("stalled")
+
     def cut_short(self) -> bool:
         """Guards against crowds of half commands: the longest unfinished ends, where no server can be reached else."""
         for client in islice(self.begun, EVICTIONS):
@@ -344,8 +362,9 @@
         limited number for requests, and with all of them held there is none left to ask on.
         """
         if not client.ending and not client.code and not client.commands.partial:
-            self.free.pop(client, None)
-            self.free[client] = None
+            for kept in self.free, self.taking:
+                kept.pop(client, None)
+            (self.taking if client.stream.backlog() else self.free)[client] = None
         self.trim(KEPT)
 
     def trim(self, since: Micros) -> None:
@@ -360,7 +379,7 @@
             if longest.used > self.clock() - since:
                 return
             del self.free[longest]
-            if longest.rests:
+            if longest.stream.quiet():
                 longest.close("kept-long")
 
     def sweep(self, longest: Micros) -> None:
@@ -369,6 +388,7 @@
         self.trim(KEPT)
         self.listen()  # guards against waiting for the end of a client where only connections to servers have ended
         now = self.clock()
+        self.look_at_taking(now)
         if self.drain_since and self.acceptor:
             self.drop_stuck_queue(now)
         for client in list(self.begun):
@@ -527,7 +547,7 @@
             if command.paid:
                 command.value = b""
                 self.budget.give_back(command.paid)
-        slot.answer = answer
+        slot.answer, slot.ready = answer, self.clock()
         if client.code and isinstance(answer, Passing):
             answer.flow.drop()
         await client.flush()
@@ -543,10 +563,10 @@
         after = before.value[0].replace(" ", "-") if before else "open" if record.attempts else "not-sent"
         self.requests.note("retried", after, record.id, server=server, attempt=len(record.attempts) + 1)
 
-    def answered(self, record: Record) -> None:
-        """Its final answer was written."""
+    def answered(self, record: Record, behind: Micros = 0) -> None:
+        """Its final answer was written; it had waited for those before it for so long."""
         with contextlib.suppress(Violation):  # counted and logged: the connection goes on
-            self.checker.answered(record)
+            self.checker.answered(record, behind)
 
     def unanswered(self, record: Record, code: str) -> None:
         """A connection has ended before this one's answer."""
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -42,6 +42,7 @@
 REST_AFTER = 20  # looks in a row that found nothing to do, before they become rarer
 FIRST_NEWS = 1.0  # seconds: so long a start waits for the list where what it says counts from the first moment
 STEP = 1_000_000  # microseconds: from then on the wall clock was set
+JUST_HALTED = 50_000  # microseconds since a process that was halted runs again, and hears what came meanwhile
 STANDS_STILL = 5.0  # seconds without a pass of the loop: the process hangs
 NAMES_SHOWN = 200  # characters of names in one line of the log
 STRICT = "SALTMOOR_STRICT"  # in the environment: a violated rule raises, for tests and soaks
@@ -587,8 +588,11 @@
 
         Guards against a process that was halted when the signal came: it may have come since it last ran.
         """
-        halted = int((time.monotonic() - self.looked) * 1_000_000) + self.clients.late_by
-        self.stop_told_at = self.stop_told_at or clock() - min(halted, MOST_AHEAD)
+        now, ran = clock(), clock() - int((time.monotonic() - self.looked) * 1_000_000)
+        if self.clients.late_looks:
+            looked, late = self.clients.late_looks[-1]
+            ran = looked - late if now - looked < JUST_HALTED else ran
+        self.stop_told_at = self.stop_told_at or max(ran, now - MOST_AHEAD)
         self.on_loop(self.hear_stop)
 
     def hear_stop(self) -> None:
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -4,6 +4,7 @@
 
 import time
 import unittest
+from collections import deque
 from types import SimpleNamespace
 
 from saltmoor.net import lifecycle
@@ -32,6 +33,7 @@
     clients = Clients.__new__(Clients)
     clients.open_ids, clients.deaf, clients.begun, clients.turns = set(), {}, {}, []
     clients.paced = clients.closing = clients.late = clients.asked = False
+    clients.late_looks, clients.drain_since, clients.leaving, clients.stop = deque(), 0, 0, None
     clients.reads, clients.missed_at, clients.stir, clients.profile_of = 0.0, 1, None, {}
     clients.clock = lambda: 0
     one = SimpleNamespace(
