Soak: answers are judged by the bytes that their clients got

The oracle took any value over 64 KiB that came cut for its server's doing, and did not look at slow readers at all: their answers were read on sockets that nothing was written down of. So nodes that reset a value in a drain were not seen.

Clients that take values at a pace through a small receive buffer write down when each head came, how many bytes they got and how the connection ended (soak/takers.py). Every answer whose head came is whole, or its client left, the node was killed, or (over 64 KiB) its server said that it cut it, went down, or was in a trouble that cuts; else a find of rule lost. Where a drain or a stop leaves less time than the client's pace needs, the value is the client's: the drain's 4 s, the moment in which the kill may come (written down now), less 0.25 s for one pause and the end. A new habit takes one value after the other so and asks for others behind it on the same connection, on nodes that drain, stop or are upgraded.

--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -4,9 +4,11 @@
 
     ask     t id tx node conn verb key profile mark wait    a client's try, its last byte written
     reply   t id how crc length hint                        its answer: served, refused, failed, odd
-    spoilt  t id bytes                                          an answer that ended before it was whole
+    head    t id node conn bytes                            the head of a value came, at a client that takes it at a pace
+    spoilt  t id bytes got how                              an answer that ended before it was whole: end, reset
     end     t id conn sent                                  its connection ended with no answer to it
     left    t id                                            its client gave up and closed the connection
+    silent  t id                                            it did so as nothing came for the request's time and longer
     extra   t id node bytes                                 bytes behind that answer, with nothing open
     got     t0 t1 server node id verb key mark conn         a command at a server; first and last byte
     told    t server id what crc                            value, receipt, miss, busy, failed, spoilt
@@ -15,8 +17,10 @@
     true    t server state                                  a line of the list changes, whoever hears of it when
     bad     t server node text                              a command that no client sends so
     life    t server what                                   up, down, fell
-    node    t node what code                                ready, killed, termed, hup, exited, drained, undrained, shot
+    node    t node what code                                ready, killed, termed, hup, exited, drained, undrained, shot,
+                                                            killable: a process that was told to end may be killed then
     conn    t node conn what                                up, down: a connection of a client with a habit
+    pace    t node conn bytes                               no more bytes a second are taken from that connection
     mn      t node yes                                      whether a node says that it takes clients
     call    t node what                                     its system calls fail so from now on; "" as ever again
     shared  t node count                                    so many sockets listen at its port
--- a/saltmoor/lab/clients.py
+++ b/saltmoor/lab/clients.py
@@ -312,7 +312,7 @@
             if how == "refused" or not line.asked:  # nothing was written: another node takes it
                 self.driver.line.at(self.driver.clock() + REFUSED, self._place_again, asked)
             elif line.held:
-                self.book.note("spoilt", self.driver.clock(), asked.id, line.announced())
+                self.book.note("spoilt", self.driver.clock(), asked.id, line.announced(), len(line.held))
                 self._settle(asked)
                 self._retry(asked.tx, 0)
             else:
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -64,11 +64,26 @@
     nodes: list[int] = field(default_factory=list)  # whom it was sent to, each time
     spoilt: int = 0
     announced: int = 0  # bytes that the value of a spoilt answer was to have
+    taken: int = 0  # bytes of it that its client had
+    cut_by: str = ""  # how its connection ended: end, reset; empty where its client didn't look
     left: int = 0
     gots: list[Got] = field(default_factory=list)
 
 
-SKIPPED = ("late", "rude", "shared", "true", "believes", "way", "call", "conn", "mn")  # rows that others read
+SKIPPED = (
+    "late",
+    "rude",
+    "shared",
+    "true",
+    "believes",
+    "way",
+    "call",
+    "conn",
+    "mn",
+    "pace",
+    "head",
+    "silent",
+)  # rows that others read
 
 
 class Ledger:
@@ -109,8 +124,9 @@
     def _reply(self, at, ident, how, crc, length, hint) -> None:
         self.asked[ident].replies.append((at, how, crc, length, hint))
 
-    def _spoilt(self, at, ident, size=0) -> None:
-        self.asked[ident].spoilt, self.asked[ident].announced = at, size
+    def _spoilt(self, at, ident, size=0, got=0, how="") -> None:
+        asked = self.asked[ident]
+        asked.spoilt, asked.announced, asked.taken, asked.cut_by = at, size, got, how
 
     def _end(self, at, ident, conn, sent) -> None:
         if ident in self.asked:
--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -320,8 +320,10 @@
 
     def wait_for_end(self, process: subprocess.Popen, gone: str) -> None:
         """Wait for the end of a process that was told so, and kill it when its time is over."""
+        after_s = self.kill_after_s()
+        self.book.note("node", clock() + int(after_s * 1e6), self.number, "killable", 0)
         try:
-            code = process.wait(self.kill_after_s())
+            code = process.wait(after_s)
             self.book.note("node", clock(), self.number, gone if gone == "exited" or code == 0 else "crashed", code)
         except subprocess.TimeoutExpired:
             # What it owes then is lost by its own doing; where it had much time, that it is there at all.
--- a/saltmoor/lab/soak/habits.py
+++ b/saltmoor/lab/soak/habits.py
@@ -17,6 +17,7 @@
 
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.scenario import Fault, Profile, Scenario
+from saltmoor.lab.soak.takers import Taker
 
 ROUND = "lame", "term", "series", "upgrade"  # troubles of a node that its clients with habits go on through
 BEFORE_S, AFTER_S = 1.5, 5.5  # of a trouble: from when until when they ask
@@ -29,7 +30,9 @@
 BATCH = 10
 WORK_US = 5000  # as the load's reads, in the mean
 LOOP_PAUSE_S, REST_PAUSE_S, BATCH_PAUSE_S, BYTE_PAUSE_S = 0.05, 1.1, 0.5, 0.01
-SLOW_BYTES, SLOW_PAUSE_S = 60_000, 0.05  # a slow reader takes so much at once
+SLOW_PACE = 1_200_000  # bytes a second that a slow reader takes
+TAKES_SHARE = 0.5  # of the longest deadline: how long one value takes that is asked on behind
+ASK_BEHIND_S = 0.1  # between two small requests behind it
 SMALL_WINDOW, LARGE_ONES = 1 << 13, 4  # bytes of a receive buffer, and how many large values are asked for
 CROWD_EVERY_S = 0.003  # between two connections of a crowd
 LONG_SHARE = 0.8  # of its deadline: how long a crowd's open requests take
@@ -63,8 +66,7 @@
         Raises `Ended`.
         """
         house = self.house
-        house.made += 1
-        ident, wait = f"{house.tag}{FIRST_NUMBER + house.made:010x}", int(profile.limit_ms) * 1000
+        ident, wait = house.ident(), int(profile.limit_ms) * 1000
         key = house.keys[house.rng.randrange(len(house.keys))]
         size = profile.value_bytes
         row = key, ident.encode(), profile.name.encode(), wait // 1000, WORK_US, size, delay_ms
@@ -85,8 +87,7 @@
     def note(self, ident: str, profile: Profile, key: bytes, wait: int) -> None:
         self.asked += 1
         self.open.append((ident, clock() + wait + PATIENCE_US))
-        row = FIRST_NUMBER + self.house.made, self.node, self.number, "mg", key.decode(), profile.name, "", wait
-        self.house.book.note("ask", clock(), ident, *row)
+        self.house.note_ask(ident, self.node, self.number, profile, key, wait)
 
     async def hear(self) -> None:
         try:
@@ -174,6 +175,16 @@
             self.takes_nothing,
         ]
 
+    def ident(self) -> str:
+        """The id of the next request."""
+        self.made += 1
+        return f"{self.tag}{FIRST_NUMBER + self.made:010x}"
+
+    def note_ask(self, ident: str, node: int, number: int, profile: Profile, key: bytes, wait: int) -> None:
+        """Write down the request that was made last."""
+        row = FIRST_NUMBER + self.made, node, number, "mg", key.decode(), profile.name, "", wait
+        self.book.note("ask", clock(), ident, *row)
+
     async def play(self, begin: int) -> None:
         """All of them, to the end of the run."""
         asking = [asyncio.create_task(self.ask_for_mn(node, begin)) for node in range(len(self.nodes))]
@@ -182,7 +193,7 @@
             if fault.on == "node" and fault.kind in ROUND:
                 for node in fault.which:
                     drawn = self.habits if fault.kind == "lame" else [self.rng.choice(self.habits)]
-                    for habit in (self.overlapping, *drawn):
+                    for habit in (self.overlapping, self.asks_behind, *drawn):
                         work.append(asyncio.create_task(self.live(node, habit, fault, begin)))
             if fault.kind == "crowd":
                 work += [asyncio.create_task(self.crowd(node, fault, begin)) for node in fault.which]
@@ -271,13 +282,40 @@
             raise Ended
 
     async def slow_reader(self, connection: Connection) -> None:
-        """Takes large values piece by piece, so that its answers are late by its own doing: they are not judged."""
-        sock = await self.ask_for_large(connection)
+        """Asks for large values, takes them slowly, and stays."""
+        taker = await self.taker(connection.node, SLOW_PACE)
         try:
-            while await asyncio.get_running_loop().sock_recv(sock, SLOW_BYTES):
-                await asyncio.sleep(SLOW_PAUSE_S)
+            for _ in range(LARGE_ONES):
+                taker.ask(self.bulk, self.bulk.value_bytes)
+            while await taker.rest(ASK_BEHIND_S):
+                await asyncio.sleep(ASK_BEHIND_S)
         finally:
-            sock.close()
+            taker.leave()
+
+    async def asks_behind(self, connection: Connection) -> None:
+        """Takes one large value after the other slowly, and asks for small ones behind it all the while."""
+        pace = int(self.bulk.value_bytes / (self.bulk.limit_ms / 1000 * TAKES_SHARE))
+        taker = await self.taker(connection.node, pace)
+        try:
+            while True:
+                taker.ask(self.bulk, self.bulk.value_bytes)
+                large = taker.open[-1] if taker.open else None
+                while large in taker.open:
+                    taker.ask(self.read, self.read.value_bytes)
+                    if not await taker.rest(ASK_BEHIND_S):
+                        raise Ended
+                if taker.over:
+                    raise Ended
+                await asyncio.sleep(ASK_BEHIND_S)
+        finally:
+            taker.leave()
+
+    async def taker(self, node: int, pace: int) -> Taker:
+        """A connection of its own, from which a client reads at that pace. Raises OSError."""
+        self.connections += 1
+        taker = Taker(self, node, FIRST_NUMBER + self.connections, pace)
+        await taker.connect()
+        return taker
 
     async def takes_nothing(self, connection: Connection) -> None:
         """Asks for large values and reads none."""
--- a/saltmoor/lab/soak/oracle.py
+++ b/saltmoor/lab/soak/oracle.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from saltmoor.lab.ledger import SLACK, Asked, Got, Ledger
-from saltmoor.lab.scenario import Scenario
+from saltmoor.lab.scenario import Fault, Scenario
 
 GONE_AFTER = 100_000  # microseconds: an attempt that begins so long after its client left is a lost request
 DEADLINE_SLACK = 150_000  # a server may be told so much more than its client has left
@@ -26,6 +26,8 @@
 CROSSES = 600_000  # an end crosses what is sent so long before it; the way and an overloaded node take their part
 TOLD_SHARE = 2 / 3  # of what pushed a cold server over, from nodes that were told of its start
 LARGEST_HELD = 65_536  # bytes: a larger value is passed on as it comes
+CLOSING = 100_000  # of a bound: the end is said, and seen
+SERVER_CUTS = ("silence", "hand-back")  # troubles of a server that cut a value which it has said whole
 NOT_ANSWERED = "its connection ended with no answer, after it was sent on"  # the ledger's words
 BROKEN_OFF = "its answer ended before it was whole"  # the ledger's words
 FAULT = re.compile(r"(?:violation|fault in|Traceback|internal)")
@@ -59,6 +61,7 @@
         return f"{self.rule.value} {self.subject}: {self.what}"
 
 
+SERVER = "s{}".format  # the name of the cache server with that number
 BY_NUMBER = {0: Rule.PROTOCOL, 1: Rule.LOST, 2: Rule.DUPLICATE, 3: Rule.DRAIN, 4: Rule.SLOW_START}
 
 
@@ -68,6 +71,9 @@
     def __init__(self, scenario: Scenario, ledger: Ledger, rows: list[list], begin: int, logs: list[Path]) -> None:
         self.scenario, self.ledger, self.begin, self.logs = scenario, ledger, begin, logs
         self.rows = rows
+        self.connection_of = {row[2]: row[5] for row in rows if row[0] == "ask"}
+        self.paces = {row[3]: row[4] for row in rows if row[0] == "pace"}  # of connections, in bytes a second
+        self.silent = {row[2] for row in rows if row[0] == "silent"}
         self.finds: list[Find] = []
         self.counts: Counter[str] = Counter()
 
@@ -77,8 +83,8 @@
             rule = BY_NUMBER[breach.rule]
             if rule is Rule.SLOW_START:
                 continue  # judged below, by who was told
-            if breach.what == BROKEN_OFF and self.streamed(breach.tx):
-                self.counts["large answers broken off"] += 1  # failed, as no node can finish what its server cut off
+            if breach.what == BROKEN_OFF:
+                self.broken_off(self.ledger.asked[breach.tx])
                 continue
             if breach.what == NOT_ANSWERED and self.broken(breach.tx):
                 self.counts["open on a connection that broke"] += 1  # reads of it were made to fail as Linux documents
@@ -103,6 +109,78 @@
         ends = list(zip(asked.nodes, asked.sent, asked.ended))
         return bool(ends) and all(self.failing(node, sent, ended, "recv") for node, sent, ended in ends)
 
+    def broken_off(self, asked: Asked) -> None:
+        """An answer whose head came is whole, or it was not the node that ended it."""
+        at = asked.spoilt
+        if self.cut_by_server(asked):
+            self.counts["large answers broken off by a server"] += 1
+        elif self.ledger.killed(asked.node, asked.at, at):
+            self.counts["answers broken off by a kill"] += 1
+        elif self.failing(asked.node, asked.at, at, "recv") or self.failing(asked.node, asked.at, at, "send"):
+            self.counts["answers on a connection that broke"] += 1
+        elif self.taken_too_slowly(asked):
+            self.counts["large answers taken too slowly for an end"] += 1
+        else:
+            what = f"{asked.taken} of {asked.announced} bytes came, then {'a reset' if asked.cut_by == 'reset' else 'an end'}"
+            self.find(Rule.LOST, asked.id, f"node {asked.node} broke off an answer: {what}{self.stage_of_end(asked)}")
+
+    def cut_by_server(self, asked: Asked) -> bool:
+        """Whether a server cut off a value that no node holds whole: it said so, went down, or was in such a trouble."""
+        if asked.announced <= LARGEST_HELD:
+            return False
+        if any(what == "spoilt" for what, _ in self.ledger.told[asked.id]):
+            return True
+        for got in asked.gots:
+            if any(
+                server == got.server and what in ("down", "fell") and got.first <= at <= asked.spoilt + SLACK
+                for at, server, what in self.ledger.life
+            ):
+                return True
+            if any(self.troubled(fault, got.server, got.first, asked.spoilt) for fault in self.scenario.fault):
+                return True
+        return False
+
+    def troubled(self, fault: Fault, server: str, since: int, until: int) -> bool:
+        """Whether that fault kept a server from giving what it had said."""
+        at = self.begin + int(fault.at_s * 1e6)
+        struck = (
+            server == "origin" if fault.on == "origin" else fault.on == "server" and server in map(SERVER, fault.which)
+        )
+        lasts = int((fault.for_s or self.scenario.length_s) * 1e6)
+        return struck and fault.kind in SERVER_CUTS and at - SLACK <= until and at + lasts + SLACK >= since
+
+    def taken_too_slowly(self, asked: Asked) -> bool:
+        """Whether what was left of a value would not have come to its client before the bound of a drain or a stop.
+
+        A node needs the last part of a bound itself: it may be held up, and says the end.
+        """
+        pace = self.paces.get(self.connection_of.get(asked.id, 0), 0)
+        if not pace:
+            return False
+        whole_at = asked.spoilt + (asked.announced - asked.taken) * 1_000_000 // pace
+        return any(whole_at > bound - HELD_UP - CLOSING for bound in self.bounds_at(asked.node, asked.spoilt))
+
+    def bounds_at(self, node: int, at: int) -> list[int]:
+        """The bounds of all drains and stops of a node that were on then."""
+        bounds = [
+            since + DRAIN_BOUND
+            for since, over in self.spans_of_drains(node)
+            if since - SLACK <= at <= max(over, since + DRAIN_BOUND) + SLACK
+        ]
+        told = 0
+        for moment, what in self.ledger.nodes[node]:
+            if what in ("termed", "successor"):
+                told = moment
+            elif what == "killable" and told:
+                bounds += [moment] if told - SLACK <= at <= moment + SLACK else []
+                told = 0
+        return bounds
+
+    def stage_of_end(self, asked: Asked) -> str:
+        """What the node was doing when it broke off that answer, for whoever reads the find."""
+        bounds = self.bounds_at(asked.node, asked.spoilt)
+        return f", {(min(bounds) - asked.spoilt) // 1000} ms before the bound of a drain or stop" if bounds else ""
+
     def find(self, rule: Rule, subject: str, what: str) -> None:
         self.finds.append(Find(rule, subject, what))
 
@@ -118,10 +196,6 @@
                 most += int(fault.ms * 1000) if fault.kind == "delay" else int(fault.for_s * 1e6)
         return most + (2_000_000 if self.ledger.paused(node, since, until) else 0)
 
-    def streamed(self, ident: str) -> bool:
-        asked = self.ledger.asked.get(ident)
-        return asked is not None and asked.announced > LARGEST_HELD
-
     def ending(self, node: int, since: int, until: int, *kinds: str) -> bool:
         """Whether the node was killed, or asked to end, about then, and not there again."""
         begun = 0
@@ -136,6 +210,8 @@
 
     def answered(self, asked: Asked) -> None:
         """One final answer, at the latest half a second behind its time, whatever happens to servers and others."""
+        if self.paces.get(self.connection_of.get(asked.id, 0)) and asked.id not in self.silent:
+            return  # its answer is late, or never taken, by its client's own pace
         if asked.replies:
             at = asked.replies[0][0]
             late = at - (asked.at + asked.wait) - self.ledger.read_late(at)
@@ -260,10 +336,22 @@
                 last[row[5]] = max(last.get(row[5], 0), row[1])
         for number in up:
             asked = last.get(number, 0)
-            if asked >= due - RECENT or not self.open_on(number, due):
+            if self.still_takes(number, due):
+                self.counts["held for a client that is too slow for the bound"] += 1
+            elif asked >= due - RECENT or not self.open_on(number, due):
                 what = f"asked last {(due - asked) // 1000} ms before" if asked else "nothing was asked on it"
                 self.find(Rule.HELD, f"node {node}", f"held connection {number} 4 s after it was to drain; {what}")
 
+    def still_takes(self, number: int, due: int) -> bool:
+        """Whether a value was on its way whose client could not have it before that bound: its head came too late."""
+        heads = [row for row in self.rows if row[0] == "head" and row[4] == number and row[1] <= due]
+        if not heads:
+            return False
+        _, at, ident, _, _, size = max(heads, key=lambda row: row[1])
+        replies = self.ledger.asked[ident].replies
+        whole_at = at + size * 1_000_000 // self.paces[number]
+        return not (replies and replies[0][0] <= due) and whole_at > due - SLACK - HELD_UP - CLOSING
+
     def open_on(self, number: int, at: int) -> bool:
         """Whether an answer was owed on that connection then."""
         idents = [row[2] for row in self.rows if row[0] == "ask" and row[5] == number and row[1] <= at]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -161,6 +161,57 @@
         before = ("stood", 60 * MS, 200 * MS, "stage"), ("stood", 216 * MS, 20 * MS, "proxy")
         self.assertEqual(self.finds(*late, *before), [Rule.DEADLINE])
 
+    LARGE = 600_000
+    HEAD = ("ask", 1_100 * MS, "a", 1, 0, 1, "mg", "k", "read", "m", 300 * MS), ("head", 1_150 * MS, "a", 0, 1, LARGE)
+
+    def cut(self, at: int, got: int, how: str = "reset") -> tuple:
+        return ("spoilt", at, "a", self.LARGE, got, how)
+
+    def test_an_answer_whose_head_came_and_that_is_not_whole(self):
+        self.assertEqual(self.finds(*self.HEAD, self.cut(1_900 * MS, 300_000)), [Rule.LOST])
+        self.assertEqual(self.finds(*self.HEAD, self.cut(1_900 * MS, 300_000, "end")), [Rule.LOST])
+        self.assertEqual(self.finds(*self.HEAD, ("left", 1_300 * MS, "a")), [])
+        killed = "node", 1_800 * MS, 0, "killed", 9
+        self.assertEqual(self.finds(*self.HEAD, self.cut(1_900 * MS, 300_000), killed), [])
+
+    def test_a_value_that_its_server_cut_off(self):
+        got, cut = self.got(1_110 * MS, 290 * MS), self.cut(1_900 * MS, 300_000)
+        self.assertEqual(self.finds(*self.HEAD, got, cut), [Rule.LOST])
+        self.assertEqual(self.finds(*self.HEAD, got, ("told", 1_140 * MS, "s0", "a", "spoilt", 0), cut), [])
+        self.assertEqual(self.finds(*self.HEAD, got, ("life", 1_800 * MS, "s0", "down"), cut), [])
+        self.assertEqual(self.finds(*self.HEAD, got, ("life", 1_800 * MS, "s1", "down"), cut), [Rule.LOST])
+        small = ("spoilt", 1_900 * MS, "a", 60_000, 30_000, "end")
+        self.assertEqual(self.finds(*self.HEAD, got, ("life", 1_800 * MS, "s0", "down"), small), [Rule.LOST])
+
+    def test_a_slow_client_s_value_is_owed_where_it_fits_into_a_drain_or_a_stop(self):
+        pace = self.UP, ("pace", 500 * MS, 0, 1, 300_000)  # the other half takes a second
+        for since, bound in (
+            (("node", 1_000 * MS, 0, "drained", 0), 5_000 * MS),
+            (("node", 1_000 * MS, 0, "termed", 15), 2_700 * MS),
+            (("node", 1_000 * MS, 0, "successor", 0), 2_700 * MS),
+        ):
+            ended = ("node", 2_700 * MS, 0, "killable", 0), ("node", 7_000 * MS, 0, "undrained", 0)
+            rows = *pace, *self.HEAD, since, *ended, ("conn", 4_900 * MS, 0, 1, "down")
+            self.assertEqual(self.finds(*rows, self.cut(bound - 1_300 * MS, 300_000)), [Rule.LOST])
+            self.assertEqual(self.finds(*rows, self.cut(bound - 1_200 * MS, 300_000)), [])
+        self.assertEqual(self.finds(*pace, *self.HEAD, self.cut(1_200 * MS, 300_000)), [Rule.LOST])
+
+    def test_a_slow_client_s_answer_is_late_by_its_own_pace_alone(self):
+        late = *self.HEAD, ("told", 1_140 * MS, "s0", "a", "value", 7), ("reply", 3_150 * MS, "a", "served", 7, 3, 0)
+        self.assertEqual(self.finds(*late), [Rule.LOST])
+        pace = self.UP, ("pace", 500 * MS, 0, 1, 300_000)
+        self.assertEqual(self.finds(*pace, *late), [])
+        left = *pace, self.asked(1_100 * MS), ("left", 2_010 * MS, "a")
+        self.assertEqual(self.finds(*left), [])
+        self.assertEqual(self.finds(*left, ("silent", 2_010 * MS, "a")), [Rule.LOST])
+
+    def test_a_connection_held_for_a_value_that_came_in_time_to_be_taken(self):
+        pace = self.UP, ("pace", 500 * MS, 0, 1, 300_000), *self.DRAINED
+        asked = self.asked(3_900 * MS)
+        soon, late = ("head", 2_500 * MS, "a", 0, 1, self.LARGE), ("head", 4_000 * MS, "a", 0, 1, self.LARGE)
+        self.assertEqual(self.finds(*pace, asked, soon), [Rule.HELD])
+        self.assertEqual(self.finds(*pace, asked, late), [])
+
     def test_a_yes_past_a_drain_s_bound(self):
         self.assertEqual(self.finds(("mn", 5_500 * MS, 0, True), *self.DRAINED), [Rule.HELD])
         self.assertEqual(self.finds(("mn", 4_500 * MS, 0, True), *self.DRAINED), [])
