Soak: nodes with a fraction of a core, and calls that count from when they were sent

A drain was written down when its call was answered, a call that nobody answered was forgotten with its drain, and no node of the soak was ever short of processor time; so nodes that hear a call late, or serve late under load, were not seen.

- A trouble starve halts a node in a row (it runs 25 or 50 of each 100 ms), whatever else happens to it.
Every plan has it through a whole drain of a node with a busy crowd of 360 clients, half of the plans through a stop behind it.
- A drain counts from when its call was sent, also where nobody answered; that is a find of its own (rule call: a caller waits for a second), unless the process was ending, paused, or its system calls were made to fail.
The oracle allows a starved node one pause of 0.15 s more for a drain's bound; no other rule is wider for it.

--- a/saltmoor/lab/book.py
+++ b/saltmoor/lab/book.py
@@ -18,11 +18,14 @@
     bad     t server node text                              a command that no client sends so
     life    t server what                                   up, down, fell
     node    t node what code                                ready, killed, termed, hup, exited, drained, undrained, shot,
-                                                            killable: a process that was told to end may be killed then
+                                                            killable: a process that was told to end may be killed then;
+                                                            drained, unheard: since the call was sent, the latter if
+                                                            nobody answered it; starved, fed: a share of a core alone
     conn    t node conn what                                up, down: a connection of a client with a habit
     pace    t node conn bytes                               no more bytes a second are taken from that connection
     mn      t node yes                                      whether a node says that it takes clients
     call    t node what                                     its system calls fail so from now on; "" as ever again
+    called  t node path answered ms                         a call at the second address: sent then, and how long it took
     shared  t node count                                    so many sockets listen at its port
     believes t node what                                what a node says of the others, asked four times a second
     way     t node node count bytes                     what one told the other
--- a/saltmoor/lab/ledger.py
+++ b/saltmoor/lab/ledger.py
@@ -83,6 +83,7 @@
     "pace",
     "head",
     "silent",
+    "called",
 )  # rows that others read
 
 
--- a/saltmoor/lab/second_address.py
+++ b/saltmoor/lab/second_address.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
+import socket
+from enum import Enum, auto
 
+from saltmoor.lab.book import clock
 from saltmoor.lab.ports import kept_ports
 from saltmoor.lab.wire import HOST
 
 WITHIN_S = 1.0  # a caller waits no longer
+SILENT_CALLERS = 3
 
 
 class SecondAddress:
@@ -30,18 +35,39 @@
         """The address of the process before it."""
         return f"{HOST}:{self.kept[(self.starts + 1) % 2].getsockname()[1]}"
 
+    def silent(self) -> list[socket.socket]:
+        """A few callers who connect to the newest process and say nothing, until they are closed."""
+        callers = []
+        for _ in range(SILENT_CALLERS):
+            with contextlib.suppress(OSError):
+                callers.append(socket.create_connection(self.kept[self.starts % 2].getsockname(), WITHIN_S))
+        return callers
+
     def close(self) -> None:
         for sock in self.kept:
             sock.close()
 
 
-def post(address: str, path: str) -> bool:
-    """One call: whether the answer is a yes."""
+class Answer(Enum):
+    """What a caller hears."""
+
+    YES = auto()
+    NO = auto()
+    NOBODY = auto()  # no process is there, or it ended meanwhile
+    NONE = auto()  # within the time that a caller waits
+
+
+def call(address: str, method: str, path: str) -> tuple[Answer, int]:
+    """One call: what came back, and when it was sent, in microseconds."""
     connection = http.client.HTTPConnection(address, timeout=WITHIN_S)
+    sent = clock()
     try:
-        connection.request("POST", path)
-        return connection.getresponse().status == 200
+        connection.request(method, path)
+        sent = clock()
+        return Answer.YES if connection.getresponse().status == 200 else Answer.NO, sent
+    except TimeoutError:
+        return Answer.NONE, sent
     except OSError:
-        return False
+        return Answer.NOBODY, sent
     finally:
         connection.close()
--- a/saltmoor/lab/soak/plan.py
+++ b/saltmoor/lab/soak/plan.py
@@ -24,12 +24,17 @@
 OVER_DRAIN = "upgrade", "upgrade", "hup", "settings", "pause", "series"
 OVER_DRAIN_SHARE = 0.6
 SHORT_PAUSE_S = 0.14
-CROWDS = "idle", "half", "half", "open", "large"
+DRAWN_CROWDS = "idle", "half", "half", "open", "large"
+CROWDS = (*DRAWN_CROWDS, "busy")
 CROWD_SIZES = 120, 250, 420  # the last is beyond what the most descriptors of a plan leave to clients
 LARGE_CROWD = 40  # clients that take large values slowly: more keep the lab itself from its work
 CROWD_BEFORE_S = 0.4, 1.5  # a crowd that fills a node begins so long before the drain or stop that it meets
 CROWD_LASTS_S = 3.0
 FILLED_SHARE = 0.4  # of the drains, stops and upgrades that are drawn
+STARVED_SHARES, STARVED_PERIOD_MS = (0.25, 0.25, 0.5), 100.0  # of a core, by halts of 75 and 50 ms
+STARVED_BEFORE_S, BUSY_BEFORE_S = 1.0, 2.5  # a node is starved, and a busy crowd comes, so long before its drain
+STOP_BEHIND_S, LONGEST_STOP_S = 0.2, 3.7  # a stop comes so long behind the end of that drain, and lasts
+BUSY_CROWD = 360
 DEADLINES = 0.3, 1.0  # of the longest ones: with short deadlines a process that is told to end is soon killed
 CLOCK_STEPS_S = -3600.0, -5.0, 5.0, 3600.0
 
@@ -99,7 +104,7 @@
         "profile": _profiles(rng),
         "load": _load(rng, nodes),
     }
-    said["fault"] = _troubles(rng, seconds, nodes, servers, said["nodes"])
+    said["fault"] = _troubles(rng, Random(f"{seed} soak beside"), seconds, nodes, servers, said["nodes"])
     return lab.check(said)
 
 
@@ -191,7 +196,10 @@
     }
 
 
-def _troubles(rng: Random, seconds: float, nodes: int, servers: int, settings: dict[str, Any]) -> list[dict[str, Any]]:
+def _troubles(
+    rng: Random, beside: Random, seconds: float, nodes: int, servers: int, settings: dict[str, Any]
+) -> list[dict[str, Any]]:
+    """All troubles; `beside` draws those that every plan has since later, so that the others stay as they were."""
     fit = [
         one
         for one in TROUBLES
@@ -215,8 +223,8 @@
             if kind in FILLED and rng.random() < FILLED_SHARE:
                 faults.append(_crowd(rng, faults[-1]["which"], at))
             at += lasts + rng.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
-    faults += _long_drain(rng, nodes)
-    faults.append(_cold_start(rng, servers))
+    filled, starved = _long_drain(rng, nodes), _starved_drain(beside, seconds, nodes)
+    faults += [*filled, _cold_start(rng, servers), *starved]
     return sorted(faults, key=lambda fault: fault["at_s"])
 
 
@@ -233,6 +241,39 @@
     return [_crowd(rng, drain["which"], drain["at_s"]), drain, over]
 
 
+def _starved_drain(rng: Random, seconds: float, nodes: int) -> list[dict[str, Any]]:
+    """A node with a fraction of a core and a busy crowd through a whole drain, on half of the plans a stop behind it."""
+    latest = max(SETTLE_S, seconds - CALM_S - PAST_BOUND_S - LONGEST_STOP_S)
+    at, which = round(max(rng.uniform(SETTLE_S, latest) + STARVED_BEFORE_S, BUSY_BEFORE_S), 2), [rng.randrange(nodes)]
+    starve = {
+        "kind": "starve",
+        "on": "node",
+        "at_s": round(at - STARVED_BEFORE_S, 2),
+        "for_s": round(STARVED_BEFORE_S + PAST_BOUND_S + 2 * STOP_BEHIND_S + LONGEST_STOP_S, 2),
+        "which": which,
+        "share": rng.choice(STARVED_SHARES),
+        "ms": STARVED_PERIOD_MS,
+    }
+    crowd = {
+        "kind": "crowd",
+        "on": "clients",
+        "at_s": round(at - BUSY_BEFORE_S, 2),
+        "for_s": BUSY_BEFORE_S + PAST_BOUND_S,
+        "which": which,
+        "crowd_of": "busy",
+        "count": BUSY_CROWD,
+    }
+    drain = {"kind": "lame", "on": "node", "at_s": at, "for_s": PAST_BOUND_S, "which": which}
+    stop = {
+        "kind": "term",
+        "on": "node",
+        "at_s": round(at + PAST_BOUND_S + STOP_BEHIND_S, 2),
+        "for_s": 0.1,
+        "which": which,
+    }
+    return [starve, crowd, drain, *([stop] if rng.random() < 0.5 else [])]
+
+
 def _crowd(rng: Random, nodes: list[int], at: float) -> dict[str, Any]:
     """A crowd at one of these nodes that is there when something else happens to it at that time."""
     return {
@@ -247,7 +288,7 @@
 
 def _members(rng: Random) -> dict[str, Any]:
     """How many clients a crowd has, and what each does."""
-    kind, count = rng.choice(CROWDS), rng.choice(CROWD_SIZES)
+    kind, count = rng.choice(DRAWN_CROWDS), rng.choice(CROWD_SIZES)
     return {"crowd_of": kind, "count": LARGE_CROWD if kind == "large" else count}
 
 
--- a/saltmoor/lab/soak/takers.py
+++ b/saltmoor/lab/soak/takers.py
@@ -51,6 +51,7 @@
         self.house.book.note("conn", clock(), self.node, self.number, "up")
         self.house.book.note("pace", clock(), self.node, self.number, self.pace)
         self.taking = asyncio.create_task(self.take())
+        self.taking.add_done_callback(lambda _: self.sock.close())
 
     def ask(self, profile: Profile, size: int) -> None:
         """Write one request for a value of so many bytes; what cannot be written whole ends the connection."""
@@ -144,7 +145,6 @@
                 self.house.book.note("end", clock(), ident, self.number, max(2, self.asked))
         self.open.clear()
         self.house.book.note("conn", clock(), self.node, self.number, "down")
-        self.sock.close()
 
     def leave(self) -> None:
         """The client closes it."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import socket
 import tempfile
+import threading
+import time
 import unittest
 from pathlib import Path
 from typing import Any
@@ -10,10 +13,13 @@
 import msgspec
 
 from saltmoor.lab import scenario as lab
+from saltmoor.lab import second_address
+from saltmoor.lab.book import clock
 from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.scenario import Scenario
 from saltmoor.lab.soak import plan, run
 from saltmoor.lab.soak.oracle import Find, Oracle, Rule
+from saltmoor.lab.wire import HOST
 
 MS = 1000
 SECONDS, PROCESSES = 20.0, 7
@@ -55,6 +61,29 @@
         self.assertGreater(max(counts), 352)  # what 512 descriptors leave to clients
         self.assertEqual(beside, 29, "each plan has a drain of a node that a crowd fills")
 
+    def test_a_node_has_a_fraction_of_a_core_through_a_whole_drain_and_some_stops(self):
+        stops = 0
+        for seed in range(1, 30):
+            with self.subTest(seed):
+                drawn = plan.draw(seed, seconds=60, processes=12)
+                (starve,) = (fault for fault in drawn.fault if fault.kind == "starve")
+                over = starve.at_s + starve.for_s
+
+                def beside(kind: str, lasts: float) -> bool:
+                    return any(
+                        fault.kind == kind
+                        and fault.which == starve.which
+                        and starve.at_s <= fault.at_s <= over - lasts
+                        and fault.for_s >= (lasts if kind == "lame" else 0)
+                        for fault in drawn.fault
+                    )
+
+                self.assertTrue(beside("lame", plan.PAST_BOUND_S))
+                busy = [fault for fault in drawn.fault if fault.kind == "crowd" and fault.crowd_of == "busy"]
+                self.assertEqual([fault.which for fault in busy], [starve.which])
+                stops += beside("term", plan.LONGEST_STOP_S)
+        self.assertGreater(stops, 5)
+
     def test_without_a_compiler_no_call_fails(self):
         for seed in range(1, 30):
             drawn = plan.draw(seed, seconds=60, processes=12, calls=False)
@@ -212,6 +241,30 @@
         self.assertEqual(self.finds(*pace, asked, soon), [Rule.HELD])
         self.assertEqual(self.finds(*pace, asked, late), [])
 
+    def test_a_node_with_a_fraction_of_a_core_has_one_pause_more(self):
+        starved = ("node", 100 * MS, 0, "starved", 25), ("node", 8_000 * MS, 0, "fed", 0)
+        for at, plain, with_a_pause in (
+            (5_040 * MS, [], []),
+            (5_100 * MS, [Rule.HELD], []),
+            (5_300 * MS, [Rule.HELD], [Rule.HELD]),
+        ):
+            idle = self.UP, ("conn", at, 0, 1, "down"), *self.DRAINED
+            self.assertEqual(self.finds(*idle), plain)
+            self.assertEqual(self.finds(*idle, *starved), with_a_pause)
+            yes = ("mn", at, 0, True), *self.DRAINED
+            self.assertEqual(self.finds(*yes), plain)
+            self.assertEqual(self.finds(*yes, *starved), with_a_pause)
+
+    def test_a_call_that_nobody_answers_within_a_second(self):
+        unheard = ("node", 1_000 * MS, 0, "unheard", 0), ("called", 1_000 * MS, 0, "/_lameduck/on", False, 1_000)
+        late = ("mn", 5_500 * MS, 0, True), self.DRAINED[1]
+        self.assertEqual(self.finds(*unheard), [Rule.CALL])
+        self.assertEqual(self.finds(*unheard, *late), [Rule.HELD, Rule.CALL])
+        self.assertEqual(self.finds(*unheard, *late, ("node", 1_500 * MS, 0, "killed", 9)), [])
+        fault = {"kind": "accept", "on": "calls", "at_s": 0.5, "for_s": 2.0, "which": [0], "share": 1.0}
+        self.assertEqual(self.finds(*unheard, *late, faults=(fault,)), [])
+        self.assertEqual(self.finds(("called", 1_000 * MS, 0, "/_ready", True, 900)), [])
+
     def test_a_yes_past_a_drain_s_bound(self):
         self.assertEqual(self.finds(("mn", 5_500 * MS, 0, True), *self.DRAINED), [Rule.HELD])
         self.assertEqual(self.finds(("mn", 4_500 * MS, 0, True), *self.DRAINED), [])
@@ -261,6 +314,34 @@
         self.assertEqual(self.finds(*rows, log="violation rule=drain request=a path=x reason=y\n"), [Rule.PROGRAM])
 
 
+class Calls(unittest.TestCase):
+    """A call at the second address is owed from when it was sent."""
+
+    def test_a_call_that_is_answered_late_counts_from_when_it_was_sent(self):
+        late_s = 0.2
+        with socket.create_server((HOST, 0)) as server:
+
+            def answer() -> None:
+                sock, _ = server.accept()
+                with sock:
+                    sock.recv(1000)
+                    time.sleep(late_s)
+                    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+            thread = threading.Thread(target=answer)
+            thread.start()
+            answer, sent = second_address.call("%s:%d" % server.getsockname(), "POST", "/_lameduck/on")
+            thread.join()
+        self.assertEqual(answer, second_address.Answer.YES)
+        self.assertGreaterEqual(clock() - sent, late_s * 1e6)
+
+    def test_nobody_there_is_no_call_unheard(self):
+        with socket.socket() as kept:
+            kept.bind((HOST, 0))
+            answer, _ = second_address.call("%s:%d" % kept.getsockname(), "POST", "/_lameduck/on")
+        self.assertEqual(answer, second_address.Answer.NOBODY)
+
+
 class Runs(unittest.TestCase):
     def play(self, seed: int, **options: Any) -> run.Verdict:
         """A run that says something: one that found nothing while the lab itself was late is void, and played again."""
