Soak: two planted faults, a call heard late and a reset over what was not taken

late-call: the second address hears a call once the clients' loop has little else to do (under a tenth of a core for 0.2 s, 2.5 s at the most), and the drain counts from then. reset-untaken: a connection is closed at once whatever its client's machine has not taken.

--- a/saltmoor/lab/soak/planted.py
+++ b/saltmoor/lab/soak/planted.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
+import time
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -15,10 +17,13 @@
 from saltmoor.guard import ends
 from saltmoor.guard.slow_start import warmth
 from saltmoor.model import Ended
-from saltmoor.net import acceptor, answers, client, clients, lifecycle, meta, node_life, upstream
+from saltmoor.net import acceptor, admin, answers, client, clients, lifecycle, meta, node_life, upstream
 
 LATE_STOP_US = 2_000_000  # a process that is told to end lives so much longer
 STALE_US = 400_000  # a server is told so much more than is left
+LITTLE_TO_DO = 0.1  # of a core: a loop that used less for LOOKED_FOR_S has little else to do
+LOOKED_FOR_S, HEARD_BY_S = 0.2, 2.5  # a call is heard by then, however much there is to do
+ENDS_THAT_WAIT = "take_leave", "linger"  # how an end waits for the client's machine
 
 
 def resend() -> None:
@@ -145,6 +150,37 @@
     answers.DRAINING = answers.TAKES_CLIENTS
 
 
+def late_call() -> None:
+    """A call at the second address is heard once the clients' loop has little else to do, and counts from then."""
+    plain_answer, plain_order = admin.Admin.answer, node_life.NodeLife.order
+
+    async def answer(self, sock, peer: str) -> None:
+        by = time.monotonic() + HEARD_BY_S
+        while time.monotonic() < by:
+            used = time.process_time()
+            await asyncio.sleep(LOOKED_FOR_S)
+            if time.process_time() - used < LITTLE_TO_DO * LOOKED_FOR_S:
+                break
+        await plain_answer(self, sock, peer)
+
+    def order(self, on: bool, *_, **__) -> node_life.Drain:
+        return plain_order(self, on)
+
+    admin.Admin.answer = answer
+    node_life.NodeLife.order = order
+
+
+def reset_untaken() -> None:
+    """A connection is closed at once, whatever its client's machine has not taken: a reset, where bytes stand unread."""
+
+    async def at_once(self, *_, **__) -> None:
+        return None
+
+    for name in ENDS_THAT_WAIT:
+        if hasattr(client.Client, name):
+            setattr(client.Client, name, at_once)
+
+
 PLANTS: dict[str, Callable[[], None]] = {
     "resend": resend,
     "close": close,
@@ -154,8 +190,10 @@
     "no-bound": no_bound,
     "anew": anew,
     "late-kill": late_kill,
+    "late-call": late_call,
     "queue": queue,
     "reset": reset,
+    "reset-untaken": reset_untaken,
     "yes": yes,
 }
 
