Soak: a second process takes over a drain among long requests, and a cold server joins in a burst

Now every plan has a drain that is not begun again meanwhile, with a second process 0.4 to 0.9 s behind it, and twelve clients that ask one request after the other for 0.9 of the longest deadline. It can show where deadlines are long (half of the plans). slow-start: the cold servers of the plans had been down, so that nodes sent them one request each until it was answered, whatever the start's share. Now a new server joins into a burst of twice the load; on half of the plans it begins at 0.02 and takes a minute to warm.

--- a/saltmoor/lab/nodes.py
+++ b/saltmoor/lab/nodes.py
@@ -352,20 +352,20 @@
             process.wait()
             self.book.note("node", clock(), self.number, gone, 0)
 
-    def drain(self, lasts: float) -> None:
+    def drain(self, lasts: float, steady: bool) -> None:
         """Staff empty it and take it back, by the second address of whichever process is there, beside silent callers."""
         silent = self.second.silent()
         try:
-            self.drain_beside_callers(lasts)
+            self.drain_beside_callers(lasts, steady)
         finally:
             for sock in silent:
                 sock.close()
 
-    def drain_beside_callers(self, lasts: float) -> None:
-        """The calls of one drain."""
+    def drain_beside_callers(self, lasts: float, steady: bool) -> None:
+        """The calls of one drain; `steady`: it is not ended and begun again meanwhile."""
         if not self.begin_drain():
             return
-        if self.rng.random() < AGAIN_SHARE:  # on, off and on again
+        if not steady and self.rng.random() < AGAIN_SHARE:  # on, off and on again
             time.sleep(self.rng.uniform(0.1, 1.0))
             self.book.note("node", clock(), self.number, "undrained", 0)
             if self.call("/_lameduck/off")[0] is Answer.YES:
@@ -545,7 +545,7 @@
         if fault.kind == "starve":
             thread = threading.Timer(after, node.starve, (fault.for_s, fault.share, fault.ms / 1000))
         elif fault.kind == "lame":  # other troubles go over it
-            thread = threading.Timer(after, node.drain, (fault.for_s or 0.5,))
+            thread = threading.Timer(after, node.drain, (fault.for_s or 0.5, fault.steady))
         else:
             thread = threading.Timer(after, node.strike, (fault.kind, fault.for_s or 0.5, self.known))
         thread.daemon = True
--- a/saltmoor/lab/scenario.py
+++ b/saltmoor/lab/scenario.py
@@ -228,6 +228,7 @@
     ms: NotNegative = 0.0  # length of a pause, a delay, a drain, a period of halts; so much older, for saved state
     every_s: Positive = 1.0  # between pauses, or batches of a deploy
     batch: Count = 1
+    steady: bool = False  # of a node's drain: it is not ended and begun again meanwhile
     new_id: bool = False  # a process that returns does so under a new id
     new_address: bool = False
     count: Count = 1  # servers that a grow adds; clients of a crowd
--- a/saltmoor/lab/soak/habits.py
+++ b/saltmoor/lab/soak/habits.py
@@ -38,6 +38,7 @@
 SMALL_WINDOW, LARGE_ONES = 1 << 13, 4  # bytes of a receive buffer, and how many large values are asked for
 CROWD_EVERY_S = 0.003  # between two connections of a crowd
 LONG_SHARE = 0.8  # of its deadline: how long a crowd's open requests take
+LONG_ONES, MANY_LONG_ONES, LONGEST_SHARE = 4, 12, 0.9  # clients that ask for what takes so much of the longest deadline
 
 
 class Ended(Exception):
@@ -220,6 +221,8 @@
             if fault.on == "node" and fault.kind in ROUND:
                 for node in fault.which:
                     drawn = self.habits if fault.kind == "lame" else [self.rng.choice(self.habits)]
+                    if fault.kind == "lame":
+                        drawn = [*drawn, *[self.longest] * (MANY_LONG_ONES if fault.steady else LONG_ONES)]
                     for habit in (self.overlapping, self.asks_behind, *drawn):
                         work.append(asyncio.create_task(self.live(node, habit, fault, begin)))
             if fault.kind == "crowd":
@@ -295,6 +298,13 @@
             await asyncio.sleep(REST_PAUSE_S)
             await connection.until_open(0)
 
+    async def longest(self, connection: Connection) -> None:
+        """One request after the other without a pause, each as long as the longest deadline lets it be."""
+        await asyncio.sleep(self.rng.random() * self.bulk.limit_ms / 1000)  # so that several ask in turn
+        while True:
+            connection.ask(self.bulk, delay_ms=int(self.bulk.limit_ms * LONGEST_SHARE))
+            await connection.until_open(0)
+
     async def half_commands(self, connection: Connection) -> None:
         """Begun, and gone on with byte by byte; now and then never finished."""
         while True:
--- a/saltmoor/lab/soak/plan.py
+++ b/saltmoor/lab/soak/plan.py
@@ -17,6 +17,8 @@
 TRACKS = 3  # troubles one after the other on each of so many tracks, which overlap
 SHORTEST_GAP_S, LONGEST_GAP_S = 0.1, 0.8  # between two on one track
 HELPERS = 3  # processes beside the nodes: stand-ins, load, proxy
+LONG_COLD = {"share": 0.02, "warm_s": 60}  # on half of the plans: cold still when nodes are told of a start
+BURST_TIMES, BURST_RISES_S, BURST_LASTS_S = 2.0, 0.3, 3.0
 RATE = 18.0  # requests a second for each node: a warm server gets more than a cold one stands
 CALL_SHARES = 0.05, 0.4
 PAST_BOUND_S = 4.6
@@ -34,6 +36,7 @@
 STARVED_SHARES, STARVED_PERIOD_MS = (0.25, 0.25, 0.5), 100.0  # of a core, by halts of 75 and 50 ms
 STARVED_BEFORE_S, BUSY_BEFORE_S = 1.0, 2.5  # a node is starved, and a busy crowd comes, so long before its drain
 STOP_BEHIND_S, LONGEST_STOP_S = 0.2, 3.7  # a stop comes so long behind the end of that drain, and lasts
+SECOND_PROCESS_S = 0.4, 0.9  # behind a drain's begin a second process starts, which takes over what is open
 BUSY_CROWD = 360
 DEADLINES = 0.3, 1.0  # of the longest ones: with short deadlines a process that is told to end is soon killed
 CLOCK_STEPS_S = -3600.0, -5.0, 5.0, 3600.0
@@ -104,10 +107,21 @@
         "profile": _profiles(rng),
         "load": _load(rng, nodes),
     }
+    cold = Random(f"{seed} soak cold")
+    said["cold"] |= cold.choice([{}, LONG_COLD])
     said["fault"] = _troubles(rng, Random(f"{seed} soak beside"), seconds, nodes, servers, said["nodes"])
+    join = _cold_join(cold, seconds)
+    said["fault"] = sorted([*said["fault"], join], key=lambda fault: fault["at_s"])
+    said["load"]["shape"] = _burst(join["at_s"])
     return lab.check(said)
 
 
+def _burst(at: float) -> list[tuple[float, float]]:
+    """The load's shape: a burst from when a cold cache server is there, past when all nodes are told of it."""
+    steps = (0.0, 1.0), (at, 1.0), (at + BURST_RISES_S, BURST_TIMES)
+    return [*steps, (at + BURST_LASTS_S, BURST_TIMES), (at + BURST_LASTS_S + BURST_RISES_S, 1.0)]
+
+
 def _nodes(rng: Random, count: int, calls: bool) -> dict[str, Any]:
     return {
         "count": count,
@@ -225,6 +239,7 @@
             at += lasts + rng.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
     filled, starved = _long_drain(rng, nodes), _starved_drain(beside, seconds, nodes)
     faults += [*filled, _cold_start(rng, servers), *starved]
+    faults += _drain_of_two(beside, seconds, nodes, [node for one in (*filled, *starved) for node in one["which"]])
     return sorted(faults, key=lambda fault: fault["at_s"])
 
 
@@ -274,6 +289,22 @@
     return [starve, crowd, drain, *([stop] if rng.random() < 0.5 else [])]
 
 
+def _drain_of_two(rng: Random, seconds: float, nodes: int, others: list[int]) -> list[dict[str, Any]]:
+    """A drain past a node's bound that a second process takes over before most connections are told; of no other node."""
+    at = round(rng.uniform(SETTLE_S, max(SETTLE_S, seconds - CALM_S - PAST_BOUND_S)), 2)
+    which = [rng.choice([node for node in range(nodes) if node not in others] or [0])]
+    return [
+        {"kind": "lame", "on": "node", "at_s": at, "for_s": PAST_BOUND_S, "which": which, "steady": True},
+        {
+            "kind": "upgrade",
+            "on": "node",
+            "at_s": round(at + rng.uniform(*SECOND_PROCESS_S), 2),
+            "for_s": 0.0,
+            "which": which,
+        },
+    ]
+
+
 def _crowd(rng: Random, nodes: list[int], at: float) -> dict[str, Any]:
     """A crowd at one of these nodes that is there when something else happens to it at that time."""
     return {
@@ -298,6 +329,12 @@
     return {"kind": "crash", "on": "server", "at_s": round(at, 2), "for_s": 1.0, "which": [rng.randrange(servers)]}
 
 
+def _cold_join(rng: Random, seconds: float) -> dict[str, Any]:
+    """A new cache server: cold, and with no failure that keeps nodes from sending to it."""
+    at = rng.uniform(SETTLE_S, max(SETTLE_S, seconds - CALM_S))
+    return {"kind": "grow", "on": "server", "at_s": round(at, 2), "for_s": 0.0, "which": [0], "count": 1}
+
+
 def _over_drain(rng: Random, drain: dict[str, Any], at: float) -> dict[str, Any]:
     """What else happens, at that time, to nodes that are to drain, while they do."""
     kind = rng.choice(OVER_DRAIN)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,6 +84,21 @@
                 stops += beside("term", plan.LONGEST_STOP_S)
         self.assertGreater(stops, 5)
 
+    def test_a_second_process_takes_over_before_most_connections_are_told_of_a_drain(self):
+        for seed in range(1, 30):
+            drawn = plan.draw(seed, seconds=60, processes=12)
+            drains = [fault for fault in drawn.fault if fault.kind == "lame" and fault.for_s >= plan.PAST_BOUND_S]
+            upgrades = [fault for fault in drawn.fault if fault.kind == "upgrade"]
+            soon = plan.SECOND_PROCESS_S[1] + 0.01
+            self.assertTrue(
+                any(
+                    drain.which == upgrade.which and 0 <= upgrade.at_s - drain.at_s <= soon
+                    for drain in drains
+                    for upgrade in upgrades
+                ),
+                seed,
+            )
+
     def test_without_a_compiler_no_call_fails(self):
         for seed in range(1, 30):
             drawn = plan.draw(seed, seconds=60, processes=12, calls=False)
