--- a/saltmoor/lab/soak/command.py
+++ b/saltmoor/lab/soak/command.py
@@ -43,7 +43,12 @@
 def _show(verdict: Verdict) -> None:
     counts = " ".join(f"{name}={count}" for name, count in sorted(verdict.counts.items()))
     print(f"seed {verdict.seed} {verdict.word}: {verdict.troubles} troubles, {verdict.seconds:.0f} s; {counts}")
-    for line in [*verdict.finds[:SHOWN], *verdict.void]:
+    rules = [find.split()[0] for find in verdict.finds]
+    if rules:
+        print("  " + ", ".join(f"{count} {rule}" for rule, count in Counter(rules).items()))
+    # The first of each rule comes first: guards against many of one kind that hide another.
+    order = sorted(range(len(rules)), key=lambda place: rules[:place].count(rules[place]))
+    for line in [*(verdict.finds[place] for place in order[:SHOWN]), *verdict.void]:
         print(f"  {line}")
     sys.stdout.flush()
 
