--- a/saltmoor/lab/soak/takers.py
+++ b/saltmoor/lab/soak/takers.py
@@ -65,6 +65,7 @@
         except OSError:
             whole = False
         if not whole:
+            self.end(RESET)
             self.taking.cancel()
             return
         self.asked += 1
