--- a/saltmoor/lab/soak/habits.py
+++ b/saltmoor/lab/soak/habits.py
@@ -17,6 +17,7 @@
 
 from saltmoor.lab.book import Book, clock
 from saltmoor.lab.scenario import Fault, Profile, Scenario
+from saltmoor.lab.soak.takers import Taker
 
 ROUND = "lame", "term", "series", "upgrade"  # troubles of a node that its clients with habits go on through
 BEFORE_S, AFTER_S = 1.5, 5.5  # of a trouble: from when until when they ask
@@ -27,12 +28,17 @@
 FIRST_NUMBER = 90_000_000  # of their connections and requests, which are none of the load's
 OVERLAP, OVERLAP_DELAY, OVERLAP_EVERY = 8, 0.4, 0.4  # open at once; of the deadline; of that delay
 BATCH = 10
+LONGEST_LINE, RECEIVED_AT_ONCE = 1 << 21, 1 << 16  # bytes
 WORK_US = 5000  # as the load's reads, in the mean
+LITTLE_WORK_US = 200  # of what a busy crowd asks for: it is to fill the node, and no server
 LOOP_PAUSE_S, REST_PAUSE_S, BATCH_PAUSE_S, BYTE_PAUSE_S = 0.05, 1.1, 0.5, 0.01
-SLOW_BYTES, SLOW_PAUSE_S = 60_000, 0.05  # a slow reader takes so much at once
+SLOW_PACE = 1_200_000  # bytes a second that a slow reader takes
+TAKES_SHARE = 0.5  # of the longest deadline: how long one value takes that is asked on behind
+ASK_BEHIND_S = 0.1  # between two small requests behind it
 SMALL_WINDOW, LARGE_ONES = 1 << 13, 4  # bytes of a receive buffer, and how many large values are asked for
 CROWD_EVERY_S = 0.003  # between two connections of a crowd
 LONG_SHARE = 0.8  # of its deadline: how long a crowd's open requests take
+LONG_ONES, MANY_LONG_ONES, LONGEST_SHARE = 4, 12, 0.9  # clients that ask for what takes so much of the longest deadline
 
 
 class Ended(Exception):
@@ -50,24 +56,40 @@
         self.announced = 0  # bytes of the value that is being read
 
     async def connect(self) -> None:
-        self.reader, self.writer = await asyncio.open_connection(*self.house.nodes[self.node], limit=1 << 21)
-        self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = socket.socket()
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            await asyncio.get_running_loop().sock_connect(self.sock, self.house.nodes[self.node])
+        except BaseException:
+            self.sock.close()
+            raise
         self.house.book.note("conn", clock(), self.node, self.number, "up")
+        self.reader = asyncio.StreamReader(limit=LONGEST_LINE)
+        self.receiving = asyncio.create_task(self.receive())
+        self.receiving.add_done_callback(lambda _: self.sock.close())
         self.hearing = asyncio.create_task(self.hear())
 
-    def ask(self, profile: Profile, *, head: int | None = None, delay_ms: int = 0) -> bytes:
+    async def receive(self) -> None:
+        try:
+            while data := await asyncio.get_running_loop().sock_recv(self.sock, RECEIVED_AT_ONCE):
+                self.reader.feed_data(data)
+            self.reader.feed_eof()
+        except OSError as error:
+            self.reader.set_exception(error)
+
+    def ask(self, profile: Profile, *, head: int | None = None, delay_ms: int = 0, work: int = WORK_US) -> bytes:
         """Write one request, or its first `head` bytes alone: then the rest is returned and nothing noted.
 
-        `delay_ms`: the cache server answers so much later.
+        `delay_ms`: the cache server answers so much later; `work`: of that server, in microseconds.
 
         Raises `Ended`.
         """
         house = self.house
-        house.made += 1
-        ident, wait = f"{house.tag}{FIRST_NUMBER + house.made:010x}", int(profile.limit_ms) * 1000
+        ident, wait = house.ident(), int(profile.limit_ms) * 1000
         key = house.keys[house.rng.randrange(len(house.keys))]
         size = profile.value_bytes
-        row = key, ident.encode(), profile.name.encode(), wait // 1000, WORK_US, size, delay_ms
+        row = key, ident.encode(), profile.name.encode(), wait // 1000, work, size, delay_ms
         data = b"mg %b v O%b Pc=%b,t=main,d=%d,w=%d,z=%d,y=%d\r\n" % row
         if head is not None:
             self.write(data[:head])
@@ -77,16 +99,23 @@
         return b""
 
     def write(self, data: bytes) -> None:
-        """Raises `Ended` where the connection broke, also if that was not heard yet."""
-        if self.over or self.writer.is_closing():
+        """Hand it to the kernel at once, so that what is noted as asked has been sent.
+
+        Raises `Ended` where the connection broke, also if that was not heard yet, or the kernel takes no more.
+        """
+        if self.over:
+            raise Ended
+        try:
+            whole = self.sock.send(data) == len(data)
+        except OSError:
+            whole = False
+        if not whole:
             raise Ended
-        self.writer.write(data)
 
     def note(self, ident: str, profile: Profile, key: bytes, wait: int) -> None:
         self.asked += 1
         self.open.append((ident, clock() + wait + PATIENCE_US))
-        row = FIRST_NUMBER + self.house.made, self.node, self.number, "mg", key.decode(), profile.name, "", wait
-        self.house.book.note("ask", clock(), ident, *row)
+        self.house.note_ask(ident, self.node, self.number, profile, key, wait)
 
     async def hear(self) -> None:
         try:
@@ -123,7 +152,7 @@
             self.open.clear()
             self.house.book.note("conn", clock(), self.node, self.number, "down")
             self.answered.set()
-            self.writer.close()
+            self.receiving.cancel()
 
     def leave(self) -> None:
         """The client closes it."""
@@ -174,6 +203,16 @@
             self.takes_nothing,
         ]
 
+    def ident(self) -> str:
+        """The id of the next request."""
+        self.made += 1
+        return f"{self.tag}{FIRST_NUMBER + self.made:010x}"
+
+    def note_ask(self, ident: str, node: int, number: int, profile: Profile, key: bytes, wait: int) -> None:
+        """Write down the request that was made last."""
+        row = FIRST_NUMBER + self.made, node, number, "mg", key.decode(), profile.name, "", wait
+        self.book.note("ask", clock(), ident, *row)
+
     async def play(self, begin: int) -> None:
         """All of them, to the end of the run."""
         asking = [asyncio.create_task(self.ask_for_mn(node, begin)) for node in range(len(self.nodes))]
@@ -182,7 +221,9 @@
             if fault.on == "node" and fault.kind in ROUND:
                 for node in fault.which:
                     drawn = self.habits if fault.kind == "lame" else [self.rng.choice(self.habits)]
-                    for habit in (self.overlapping, *drawn):
+                    if fault.kind == "lame":
+                        drawn = [*drawn, *[self.longest] * (MANY_LONG_ONES if fault.steady else LONG_ONES)]
+                    for habit in (self.overlapping, self.asks_behind, *drawn):
                         work.append(asyncio.create_task(self.live(node, habit, fault, begin)))
             if fault.kind == "crowd":
                 work += [asyncio.create_task(self.crowd(node, fault, begin)) for node in fault.which]
@@ -257,6 +298,13 @@
             await asyncio.sleep(REST_PAUSE_S)
             await connection.until_open(0)
 
+    async def longest(self, connection: Connection) -> None:
+        """One request after the other without a pause, each as long as the longest deadline lets it be."""
+        await asyncio.sleep(self.rng.random() * self.bulk.limit_ms / 1000)  # so that several ask in turn
+        while True:
+            connection.ask(self.bulk, delay_ms=int(self.bulk.limit_ms * LONGEST_SHARE))
+            await connection.until_open(0)
+
     async def half_commands(self, connection: Connection) -> None:
         """Begun, and gone on with byte by byte; now and then never finished."""
         while True:
@@ -271,13 +319,40 @@
             raise Ended
 
     async def slow_reader(self, connection: Connection) -> None:
-        """Takes large values piece by piece, so that its answers are late by its own doing: they are not judged."""
-        sock = await self.ask_for_large(connection)
+        """Asks for large values, takes them slowly, and stays."""
+        taker = await self.taker(connection.node, SLOW_PACE)
         try:
-            while await asyncio.get_running_loop().sock_recv(sock, SLOW_BYTES):
-                await asyncio.sleep(SLOW_PAUSE_S)
+            for _ in range(LARGE_ONES):
+                taker.ask(self.bulk, self.bulk.value_bytes)
+            while await taker.rest(ASK_BEHIND_S):
+                await asyncio.sleep(ASK_BEHIND_S)
         finally:
-            sock.close()
+            taker.leave()
+
+    async def asks_behind(self, connection: Connection) -> None:
+        """Takes one large value after the other slowly, and asks for small ones behind it all the while."""
+        pace = int(self.bulk.value_bytes / (self.bulk.limit_ms / 1000 * TAKES_SHARE))
+        taker = await self.taker(connection.node, pace)
+        try:
+            while True:
+                taker.ask(self.bulk, self.bulk.value_bytes)
+                large = taker.open[-1] if taker.open else None
+                while large in taker.open:
+                    taker.ask(self.read, self.read.value_bytes)
+                    if not await taker.rest(ASK_BEHIND_S):
+                        raise Ended
+                if taker.over:
+                    raise Ended
+                await asyncio.sleep(ASK_BEHIND_S)
+        finally:
+            taker.leave()
+
+    async def taker(self, node: int, pace: int) -> Taker:
+        """A connection of its own, from which a client reads at that pace. Raises OSError."""
+        self.connections += 1
+        taker = Taker(self, node, FIRST_NUMBER + self.connections, pace)
+        await taker.connect()
+        return taker
 
     async def takes_nothing(self, connection: Connection) -> None:
         """Asks for large values and reads none."""
@@ -316,7 +391,9 @@
 
     async def crowd_member(self, node: int, kind: str, until: int) -> None:
         """One client of a crowd, until the node ends its connection or the crowd goes."""
-        habit = {"half": self.half_for_good, "open": self.one_long, "large": self.slow_reader}.get(kind, self.idle)
+        habit = {"half": self.half_for_good, "open": self.one_long, "large": self.slow_reader, "busy": self.busy}.get(
+            kind, self.idle
+        )
         self.connections += 1
         connection = Connection(self, node, FIRST_NUMBER + self.connections)
         with contextlib.suppress(OSError, TimeoutError, Ended):
@@ -344,3 +421,10 @@
         """Asks once, for what takes most of its time, and stays."""
         connection.ask(self.read, delay_ms=int(self.read.limit_ms * LONG_SHARE))
         await self.ended(connection)
+
+    async def busy(self, connection: Connection) -> None:
+        """Asks for several at once, and again at once, each for little work."""
+        while True:
+            for _ in range(BATCH):
+                connection.ask(self.read, work=LITTLE_WORK_US)
+            await connection.until_open(0)
--- a/saltmoor/lab/soak/plan.py
+++ b/saltmoor/lab/soak/plan.py
@@ -17,6 +17,8 @@
 TRACKS = 3  # troubles one after the other on each of so many tracks, which overlap
 SHORTEST_GAP_S, LONGEST_GAP_S = 0.1, 0.8  # between two on one track
 HELPERS = 3  # processes beside the nodes: stand-ins, load, proxy
+LONG_COLD = {"share": 0.02, "warm_s": 60}  # on half of the plans: cold still when nodes are told of a start
+BURST_TIMES, BURST_RISES_S, BURST_LASTS_S = 2.0, 0.3, 3.0
 RATE = 18.0  # requests a second for each node: a warm server gets more than a cold one stands
 CALL_SHARES = 0.05, 0.4
 PAST_BOUND_S = 4.6
@@ -24,12 +26,18 @@
 OVER_DRAIN = "upgrade", "upgrade", "hup", "settings", "pause", "series"
 OVER_DRAIN_SHARE = 0.6
 SHORT_PAUSE_S = 0.14
-CROWDS = "idle", "half", "half", "open", "large"
+DRAWN_CROWDS = "idle", "half", "half", "open", "large"
+CROWDS = (*DRAWN_CROWDS, "busy")
 CROWD_SIZES = 120, 250, 420  # the last is beyond what the most descriptors of a plan leave to clients
 LARGE_CROWD = 40  # clients that take large values slowly: more keep the lab itself from its work
 CROWD_BEFORE_S = 0.4, 1.5  # a crowd that fills a node begins so long before the drain or stop that it meets
 CROWD_LASTS_S = 3.0
 FILLED_SHARE = 0.4  # of the drains, stops and upgrades that are drawn
+STARVED_SHARES, STARVED_PERIOD_MS = (0.25, 0.25, 0.5), 100.0  # of a core, by halts of 75 and 50 ms
+STARVED_BEFORE_S, BUSY_BEFORE_S = 1.0, 2.5  # a node is starved, and a busy crowd comes, so long before its drain
+STOP_BEHIND_S, LONGEST_STOP_S = 0.2, 3.7  # a stop comes so long behind the end of that drain, and lasts
+SECOND_PROCESS_S = 0.4, 0.9  # behind a drain's begin a second process starts, which takes over what is open
+BUSY_CROWD = 360
 DEADLINES = 0.3, 1.0  # of the longest ones: with short deadlines a process that is told to end is soon killed
 CLOCK_STEPS_S = -3600.0, -5.0, 5.0, 3600.0
 
@@ -99,10 +107,21 @@
         "profile": _profiles(rng),
         "load": _load(rng, nodes),
     }
-    said["fault"] = _troubles(rng, seconds, nodes, servers, said["nodes"])
+    cold = Random(f"{seed} soak cold")
+    said["cold"] |= cold.choice([{}, LONG_COLD])
+    said["fault"] = _troubles(rng, Random(f"{seed} soak beside"), seconds, nodes, servers, said["nodes"])
+    join = _cold_join(cold, seconds)
+    said["fault"] = sorted([*said["fault"], join], key=lambda fault: fault["at_s"])
+    said["load"]["shape"] = _burst(join["at_s"])
     return lab.check(said)
 
 
+def _burst(at: float) -> list[tuple[float, float]]:
+    """The load's shape: a burst from when a cold cache server is there, past when all nodes are told of it."""
+    steps = (0.0, 1.0), (at, 1.0), (at + BURST_RISES_S, BURST_TIMES)
+    return [*steps, (at + BURST_LASTS_S, BURST_TIMES), (at + BURST_LASTS_S + BURST_RISES_S, 1.0)]
+
+
 def _nodes(rng: Random, count: int, calls: bool) -> dict[str, Any]:
     return {
         "count": count,
@@ -191,7 +210,10 @@
     }
 
 
-def _troubles(rng: Random, seconds: float, nodes: int, servers: int, settings: dict[str, Any]) -> list[dict[str, Any]]:
+def _troubles(
+    rng: Random, beside: Random, seconds: float, nodes: int, servers: int, settings: dict[str, Any]
+) -> list[dict[str, Any]]:
+    """All troubles; `beside` draws those that every plan has since later, so that the others stay as they were."""
     fit = [
         one
         for one in TROUBLES
@@ -215,8 +237,9 @@
             if kind in FILLED and rng.random() < FILLED_SHARE:
                 faults.append(_crowd(rng, faults[-1]["which"], at))
             at += lasts + rng.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
-    faults += _long_drain(rng, nodes)
-    faults.append(_cold_start(rng, servers))
+    filled, starved = _long_drain(rng, nodes), _starved_drain(beside, seconds, nodes)
+    faults += [*filled, _cold_start(rng, servers), *starved]
+    faults += _drain_of_two(beside, seconds, nodes, [node for one in (*filled, *starved) for node in one["which"]])
     return sorted(faults, key=lambda fault: fault["at_s"])
 
 
@@ -233,6 +256,55 @@
     return [_crowd(rng, drain["which"], drain["at_s"]), drain, over]
 
 
+def _starved_drain(rng: Random, seconds: float, nodes: int) -> list[dict[str, Any]]:
+    """A node with a fraction of a core and a busy crowd through a whole drain, on half of the plans a stop behind it."""
+    latest = max(SETTLE_S, seconds - CALM_S - PAST_BOUND_S - LONGEST_STOP_S)
+    at, which = round(max(rng.uniform(SETTLE_S, latest) + STARVED_BEFORE_S, BUSY_BEFORE_S), 2), [rng.randrange(nodes)]
+    starve = {
+        "kind": "starve",
+        "on": "node",
+        "at_s": round(at - STARVED_BEFORE_S, 2),
+        "for_s": round(STARVED_BEFORE_S + PAST_BOUND_S + 2 * STOP_BEHIND_S + LONGEST_STOP_S, 2),
+        "which": which,
+        "share": rng.choice(STARVED_SHARES),
+        "ms": STARVED_PERIOD_MS,
+    }
+    crowd = {
+        "kind": "crowd",
+        "on": "clients",
+        "at_s": round(at - BUSY_BEFORE_S, 2),
+        "for_s": BUSY_BEFORE_S + PAST_BOUND_S,
+        "which": which,
+        "crowd_of": "busy",
+        "count": BUSY_CROWD,
+    }
+    drain = {"kind": "lame", "on": "node", "at_s": at, "for_s": PAST_BOUND_S, "which": which}
+    stop = {
+        "kind": "term",
+        "on": "node",
+        "at_s": round(at + PAST_BOUND_S + STOP_BEHIND_S, 2),
+        "for_s": 0.1,
+        "which": which,
+    }
+    return [starve, crowd, drain, *([stop] if rng.random() < 0.5 else [])]
+
+
+def _drain_of_two(rng: Random, seconds: float, nodes: int, others: list[int]) -> list[dict[str, Any]]:
+    """A drain past a node's bound that a second process takes over before most connections are told; of no other node."""
+    at = round(rng.uniform(SETTLE_S, max(SETTLE_S, seconds - CALM_S - PAST_BOUND_S)), 2)
+    which = [rng.choice([node for node in range(nodes) if node not in others] or [0])]
+    return [
+        {"kind": "lame", "on": "node", "at_s": at, "for_s": PAST_BOUND_S, "which": which, "steady": True},
+        {
+            "kind": "upgrade",
+            "on": "node",
+            "at_s": round(at + rng.uniform(*SECOND_PROCESS_S), 2),
+            "for_s": 0.0,
+            "which": which,
+        },
+    ]
+
+
 def _crowd(rng: Random, nodes: list[int], at: float) -> dict[str, Any]:
     """A crowd at one of these nodes that is there when something else happens to it at that time."""
     return {
@@ -247,7 +319,7 @@
 
 def _members(rng: Random) -> dict[str, Any]:
     """How many clients a crowd has, and what each does."""
-    kind, count = rng.choice(CROWDS), rng.choice(CROWD_SIZES)
+    kind, count = rng.choice(DRAWN_CROWDS), rng.choice(CROWD_SIZES)
     return {"crowd_of": kind, "count": LARGE_CROWD if kind == "large" else count}
 
 
@@ -257,6 +329,12 @@
     return {"kind": "crash", "on": "server", "at_s": round(at, 2), "for_s": 1.0, "which": [rng.randrange(servers)]}
 
 
+def _cold_join(rng: Random, seconds: float) -> dict[str, Any]:
+    """A new cache server: cold, and with no failure that keeps nodes from sending to it."""
+    at = rng.uniform(SETTLE_S, max(SETTLE_S, seconds - CALM_S))
+    return {"kind": "grow", "on": "server", "at_s": round(at, 2), "for_s": 0.0, "which": [0], "count": 1}
+
+
 def _over_drain(rng: Random, drain: dict[str, Any], at: float) -> dict[str, Any]:
     """What else happens, at that time, to nodes that are to drain, while they do."""
     kind = rng.choice(OVER_DRAIN)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import socket
 import tempfile
+import threading
+import time
 import unittest
 from pathlib import Path
 from typing import Any
@@ -10,10 +13,13 @@
 import msgspec
 
 from saltmoor.lab import scenario as lab
+from saltmoor.lab import second_address
+from saltmoor.lab.book import clock
 from saltmoor.lab.ledger import Ledger
 from saltmoor.lab.scenario import Scenario
 from saltmoor.lab.soak import plan, run
 from saltmoor.lab.soak.oracle import Find, Oracle, Rule
+from saltmoor.lab.wire import HOST
 
 MS = 1000
 SECONDS, PROCESSES = 20.0, 7
@@ -55,6 +61,44 @@
         self.assertGreater(max(counts), 352)  # what 512 descriptors leave to clients
         self.assertEqual(beside, 29, "each plan has a drain of a node that a crowd fills")
 
+    def test_a_node_has_a_fraction_of_a_core_through_a_whole_drain_and_some_stops(self):
+        stops = 0
+        for seed in range(1, 30):
+            with self.subTest(seed):
+                drawn = plan.draw(seed, seconds=60, processes=12)
+                (starve,) = (fault for fault in drawn.fault if fault.kind == "starve")
+                over = starve.at_s + starve.for_s
+
+                def beside(kind: str, lasts: float) -> bool:
+                    return any(
+                        fault.kind == kind
+                        and fault.which == starve.which
+                        and starve.at_s <= fault.at_s <= over - lasts
+                        and fault.for_s >= (lasts if kind == "lame" else 0)
+                        for fault in drawn.fault
+                    )
+
+                self.assertTrue(beside("lame", plan.PAST_BOUND_S))
+                busy = [fault for fault in drawn.fault if fault.kind == "crowd" and fault.crowd_of == "busy"]
+                self.assertEqual([fault.which for fault in busy], [starve.which])
+                stops += beside("term", plan.LONGEST_STOP_S)
+        self.assertGreater(stops, 5)
+
+    def test_a_second_process_takes_over_before_most_connections_are_told_of_a_drain(self):
+        for seed in range(1, 30):
+            drawn = plan.draw(seed, seconds=60, processes=12)
+            drains = [fault for fault in drawn.fault if fault.kind == "lame" and fault.for_s >= plan.PAST_BOUND_S]
+            upgrades = [fault for fault in drawn.fault if fault.kind == "upgrade"]
+            soon = plan.SECOND_PROCESS_S[1] + 0.01
+            self.assertTrue(
+                any(
+                    drain.which == upgrade.which and 0 <= upgrade.at_s - drain.at_s <= soon
+                    for drain in drains
+                    for upgrade in upgrades
+                ),
+                seed,
+            )
+
     def test_without_a_compiler_no_call_fails(self):
         for seed in range(1, 30):
             drawn = plan.draw(seed, seconds=60, processes=12, calls=False)
@@ -161,6 +205,81 @@
         before = ("stood", 60 * MS, 200 * MS, "stage"), ("stood", 216 * MS, 20 * MS, "proxy")
         self.assertEqual(self.finds(*late, *before), [Rule.DEADLINE])
 
+    LARGE = 600_000
+    HEAD = ("ask", 1_100 * MS, "a", 1, 0, 1, "mg", "k", "read", "m", 300 * MS), ("head", 1_150 * MS, "a", 0, 1, LARGE)
+
+    def cut(self, at: int, got: int, how: str = "reset") -> tuple:
+        return ("spoilt", at, "a", self.LARGE, got, how)
+
+    def test_an_answer_whose_head_came_and_that_is_not_whole(self):
+        self.assertEqual(self.finds(*self.HEAD, self.cut(1_900 * MS, 300_000)), [Rule.LOST])
+        self.assertEqual(self.finds(*self.HEAD, self.cut(1_900 * MS, 300_000, "end")), [Rule.LOST])
+        self.assertEqual(self.finds(*self.HEAD, ("left", 1_300 * MS, "a")), [])
+        killed = "node", 1_800 * MS, 0, "killed", 9
+        self.assertEqual(self.finds(*self.HEAD, self.cut(1_900 * MS, 300_000), killed), [])
+
+    def test_a_value_that_its_server_cut_off(self):
+        got, cut = self.got(1_110 * MS, 290 * MS), self.cut(1_900 * MS, 300_000)
+        self.assertEqual(self.finds(*self.HEAD, got, cut), [Rule.LOST])
+        self.assertEqual(self.finds(*self.HEAD, got, ("told", 1_140 * MS, "s0", "a", "spoilt", 0), cut), [])
+        self.assertEqual(self.finds(*self.HEAD, got, ("life", 1_800 * MS, "s0", "down"), cut), [])
+        self.assertEqual(self.finds(*self.HEAD, got, ("life", 1_800 * MS, "s1", "down"), cut), [Rule.LOST])
+        small = ("spoilt", 1_900 * MS, "a", 60_000, 30_000, "end")
+        self.assertEqual(self.finds(*self.HEAD, got, ("life", 1_800 * MS, "s0", "down"), small), [Rule.LOST])
+
+    def test_a_slow_client_s_value_is_owed_where_it_fits_into_a_drain_or_a_stop(self):
+        pace = self.UP, ("pace", 500 * MS, 0, 1, 300_000)  # the other half takes a second
+        for since, bound in (
+            (("node", 1_000 * MS, 0, "drained", 0), 5_000 * MS),
+            (("node", 1_000 * MS, 0, "termed", 15), 2_700 * MS),
+            (("node", 1_000 * MS, 0, "successor", 0), 2_700 * MS),
+        ):
+            ended = ("node", 2_700 * MS, 0, "killable", 0), ("node", 7_000 * MS, 0, "undrained", 0)
+            rows = *pace, *self.HEAD, since, *ended, ("conn", 4_900 * MS, 0, 1, "down")
+            self.assertEqual(self.finds(*rows, self.cut(bound - 1_300 * MS, 300_000)), [Rule.LOST])
+            self.assertEqual(self.finds(*rows, self.cut(bound - 1_200 * MS, 300_000)), [])
+        self.assertEqual(self.finds(*pace, *self.HEAD, self.cut(1_200 * MS, 300_000)), [Rule.LOST])
+
+    def test_a_slow_client_s_answer_is_late_by_its_own_pace_alone(self):
+        late = *self.HEAD, ("told", 1_140 * MS, "s0", "a", "value", 7), ("reply", 3_150 * MS, "a", "served", 7, 3, 0)
+        self.assertEqual(self.finds(*late), [Rule.LOST])
+        pace = self.UP, ("pace", 500 * MS, 0, 1, 300_000)
+        self.assertEqual(self.finds(*pace, *late), [])
+        left = *pace, self.asked(1_100 * MS), ("left", 2_010 * MS, "a")
+        self.assertEqual(self.finds(*left), [])
+        self.assertEqual(self.finds(*left, ("silent", 2_010 * MS, "a")), [Rule.LOST])
+
+    def test_a_connection_held_for_a_value_that_came_in_time_to_be_taken(self):
+        pace = self.UP, ("pace", 500 * MS, 0, 1, 300_000), *self.DRAINED
+        asked = self.asked(3_900 * MS)
+        soon, late = ("head", 2_500 * MS, "a", 0, 1, self.LARGE), ("head", 4_000 * MS, "a", 0, 1, self.LARGE)
+        self.assertEqual(self.finds(*pace, asked, soon), [Rule.HELD])
+        self.assertEqual(self.finds(*pace, asked, late), [])
+
+    def test_a_node_with_a_fraction_of_a_core_has_one_pause_more(self):
+        starved = ("node", 100 * MS, 0, "starved", 25), ("node", 8_000 * MS, 0, "fed", 0)
+        for at, plain, with_a_pause in (
+            (5_040 * MS, [], []),
+            (5_100 * MS, [Rule.HELD], []),
+            (5_300 * MS, [Rule.HELD], [Rule.HELD]),
+        ):
+            idle = self.UP, ("conn", at, 0, 1, "down"), *self.DRAINED
+            self.assertEqual(self.finds(*idle), plain)
+            self.assertEqual(self.finds(*idle, *starved), with_a_pause)
+            yes = ("mn", at, 0, True), *self.DRAINED
+            self.assertEqual(self.finds(*yes), plain)
+            self.assertEqual(self.finds(*yes, *starved), with_a_pause)
+
+    def test_a_call_that_nobody_answers_within_a_second(self):
+        unheard = ("node", 1_000 * MS, 0, "unheard", 0), ("called", 1_000 * MS, 0, "/_lameduck/on", False, 1_000)
+        late = ("mn", 5_500 * MS, 0, True), self.DRAINED[1]
+        self.assertEqual(self.finds(*unheard), [Rule.CALL])
+        self.assertEqual(self.finds(*unheard, *late), [Rule.HELD, Rule.CALL])
+        self.assertEqual(self.finds(*unheard, *late, ("node", 1_500 * MS, 0, "killed", 9)), [])
+        fault = {"kind": "accept", "on": "calls", "at_s": 0.5, "for_s": 2.0, "which": [0], "share": 1.0}
+        self.assertEqual(self.finds(*unheard, *late, faults=(fault,)), [])
+        self.assertEqual(self.finds(("called", 1_000 * MS, 0, "/_ready", True, 900)), [])
+
     def test_a_yes_past_a_drain_s_bound(self):
         self.assertEqual(self.finds(("mn", 5_500 * MS, 0, True), *self.DRAINED), [Rule.HELD])
         self.assertEqual(self.finds(("mn", 4_500 * MS, 0, True), *self.DRAINED), [])
@@ -210,6 +329,34 @@
         self.assertEqual(self.finds(*rows, log="violation rule=drain request=a path=x reason=y\n"), [Rule.PROGRAM])
 
 
+class Calls(unittest.TestCase):
+    """A call at the second address is owed from when it was sent."""
+
+    def test_a_call_that_is_answered_late_counts_from_when_it_was_sent(self):
+        late_s = 0.2
+        with socket.create_server((HOST, 0)) as server:
+
+            def answer() -> None:
+                sock, _ = server.accept()
+                with sock:
+                    sock.recv(1000)
+                    time.sleep(late_s)
+                    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+            thread = threading.Thread(target=answer)
+            thread.start()
+            answer, sent = second_address.call("%s:%d" % server.getsockname(), "POST", "/_lameduck/on")
+            thread.join()
+        self.assertEqual(answer, second_address.Answer.YES)
+        self.assertGreaterEqual(clock() - sent, late_s * 1e6)
+
+    def test_nobody_there_is_no_call_unheard(self):
+        with socket.socket() as kept:
+            kept.bind((HOST, 0))
+            answer, _ = second_address.call("%s:%d" % kept.getsockname(), "POST", "/_lameduck/on")
+        self.assertEqual(answer, second_address.Answer.NOBODY)
+
+
 class Runs(unittest.TestCase):
     def play(self, seed: int, **options: Any) -> run.Verdict:
         """A run that says something: one that found nothing while the lab itself was late is void, and played again."""
