--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -14,7 +14,7 @@
                      [--loss=P] [--seed=N] [--json=FILE] [--plot=FILE]
   saltmoor lab scale (--page=FILE | --counts=FILE)
   saltmoor lab soak [--seed=N] [--seeds=K] [--minutes=M] [--processes=P] [--jobs=J] [--keep=DIR] [--json=FILE]
-                    [--plant=FAULT] [--plan=FILE] [--shrink]
+                    [--plant=FAULT] [--plan=FILE] [--shrink] [--starve]
   saltmoor lab (-h | --help)
 
 SCENARIO is the name of one that comes with saltmoor, or a TOML file. A and B are checkouts of saltmoor, or
@@ -51,6 +51,7 @@
   --minutes=M     length of each run [default: 1]
   --processes=P   processes of each run, 10 to 40: nodes, stand-ins, load, a proxy [default: 12]
   --jobs=J        runs at once [default: 1]
+  --starve        give a node a fraction of a core through a drain, and a busy crowd
   --plant=FAULT   build a known fault into the nodes: resend, close, after-leave, slow-start or stale-deadline
   --plan=FILE     play this plan, as a failure has left it, instead of a drawn one
   --shrink        leave troubles out of a plan that fails as long as it still does
--- a/saltmoor/lab/soak/command.py
+++ b/saltmoor/lab/soak/command.py
@@ -62,6 +62,7 @@
         processes=int(_number(said, "--processes", FEWEST, MOST)),
         keep=Path(said["--keep"]) if said["--keep"] else None,
         plant=said["--plant"] or "",
+        starve=said["--starve"],
     )
     end_with_children()
     first = int(_number(said, "--seed", 0, 1 << 30))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 
 MS = 1000
 SECONDS, PROCESSES = 20.0, 7
+STARVED_SEED = 31
 SEEDS = 3, 8, 31  # drains, upgrades, kills, signals in series, new settings, a crowd
 PLANTED = {"stale-deadline": (3, Rule.DEADLINE), "yes": (17, Rule.HELD)}
 PLANTED_IN_A_CROWD = {"queue": (9000, Rule.LOST)}  # found where a crowd fills a node before it drains
@@ -366,6 +367,10 @@
                 return verdict
         self.fail(f"void: {verdict.void}")
 
+    def test_a_node_with_a_fraction_of_a_core_breaks_no_rule(self):
+        verdict = self.play(STARVED_SEED, starve=True)
+        self.assertEqual(verdict.finds, [])
+
     def test_fixed_seeds_break_no_rule(self):
         for seed in SEEDS:
             with self.subTest(seed):
