A connection lingers until its client has come to the end, for 1 s, not 40 ms

Callers see a large answer cut in its last bytes: a client that takes slowly and asks on has 500 to 598 of 600 KB when its own next write meets a reset, 1 to 2.4 s before a drain's bound. Cause: its machine had all, but the client itself had not read it yet when the connection was closed 40 ms later over its unread requests.

--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -47,8 +47,8 @@
 TAKES_NOTHING: Micros = 1_500_000  # a client that has taken nothing of its answer for so long, at the bound of its end
 GIVES_NOTHING: Micros = 4_000_000  # a server that has given no more of a large value for so long, where the end is due
 STILL: Micros = 10_000_000  # both at any other time
-SEES_END: Micros = 40_000  # how long a client that has taken all may take to see the end of its connection
-MOST_LINGER: Micros = 2_000_000  # of one that has taken all, is read and goes on sending
+SEES_END: Micros = 1_000_000  # how long a client whose machine has all may take to come to the end, and to say its own
+MOST_LINGER: Micros = 2_000_000  # of one that is in the middle of a command and goes on sending
 PASSES_TO_END = 3  # passes of the loop from the look at a connection that is due to its close
 MOST_AHEAD: Micros = 1_500_000
 
@@ -232,8 +232,8 @@
 def linger(now: Micros, outside: Outside, *, said: Micros, moved: Micros, gone_by: Micros) -> Linger:
     """Whether a connection may be closed without taking from its client what was written to it.
 
-    `said`: when its end was said; `moved`: when its client last took anything, or sent it where that is read;
-    `gone_by`: its bound, or 0. A client that takes something all the while may go on past the bound, for `STILL`.
+    `said`: when its end was said, where the rest of a command is read past, or 0; `moved`: when its client last took
+    anything; `gone_by`: its bound, or 0. A client that takes something all the while may go on past the bound, for `STILL`.
     """
     if outside.left:
         return Linger.CLOSE
@@ -241,7 +241,7 @@
     if outside.untaken:
         stopped = takes_nothing(now, moved) if late else now - moved >= STILL
         return Linger.RESET if stopped or late and now >= gone_by + STILL else Linger.WAIT
-    if now - moved >= SEES_END or now - said >= MOST_LINGER or late:
+    if now - moved >= SEES_END or said and now - said >= MOST_LINGER or late:
         return Linger.CLOSE
     return Linger.WAIT
 
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -156,7 +156,8 @@
             last_waited = self.stream.waited() if stood else 0
             self.came_at = self.used - last_waited
             self.waited = self.stood_for(last_waited, asked_at) if stood else 0
-            self.empty_at = self.empty_at if len(data) == BUFFER else self.used
+            if len(data) < BUFFER:  # it was read in an earlier pass, where the loop is late
+                self.empty_at = self.used - self.house.late_by
             try:
                 self.progress(len(data))
                 while (command := self.commands.next()) is not None:
@@ -422,7 +423,7 @@
                     await asyncio.wait({reading}, timeout=LOOK_AT_BACKLOG)
                 else:
                     await asyncio.sleep(LOOK_AT_BACKLOG)
-                self.look_on(self.house.clock())
+                self.look_on(self.house.clock(), said=self.end_said if reading else 0)
         finally:
             if reading:
                 reading.cancel()
@@ -435,7 +436,7 @@
                 left -= len(data)
                 self.taken_at = self.house.clock()
 
-    def look_on(self, now: Micros) -> None:
+    def look_on(self, now: Micros, said: Micros) -> None:
         """Whether it has lingered for long enough. Raises OSError: its client takes nothing any more."""
         outside = self.stream.outside()
         if outside.untaken:
@@ -443,7 +444,7 @@
         if not outside.left and self.stream.left():  # its end stands behind what is unread
             outside = replace(outside, left=True)
         gone_by = self.end_due.gone_by if self.end_due else 0
-        match ends.linger(now, outside, said=self.end_said, moved=self.taken_at, gone_by=gone_by):
+        match ends.linger(now, outside, said=said, moved=self.taken_at, gone_by=gone_by):
             case ends.Linger.CLOSE:
                 self.lingered = True
             case ends.Linger.RESET:
