A full node closes no lingering connection over what its client has asked

Cause: to make room the first lingering connection whose client's machine had all was closed at once, over its unread requests: a reset, which the client meets before it has read all. Why it works: only one on which nothing stands unread makes room; the others have their second.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -308,9 +308,9 @@
         return False
 
     def end_lingering(self) -> None:
-        """Close the first one whose client has all, and which stays only to see its client's end."""
+        """Close the first one whose client's machine has all, and on which nothing stands unread: that is no reset."""
         for client in islice(self.lingering, EVICTIONS):
-            if not client.lingered and not client.stream.backlog():
+            if not client.lingered and client.stream.quiet() and not client.stream.backlog():
                 client.lingered = True
                 return
 
