Lingering ends with its client, for 3 s at most; who is turned away gets its whole answer

Causes: 1 s is too short for a client with a large receive buffer that takes 0.6 MB/s; Overflow.turn_away made one call to send; the 10 ms of a late comer near the bound held behind it as well.

--- a/saltmoor/guard/ends.py
+++ b/saltmoor/guard/ends.py
@@ -42,12 +42,12 @@
 JUST_COME: Micros = 750_000  # who comes so shortly before a drain's bound has one of its own
 STRAY: Micros = 300_000  # how long a connection that comes late in a drain may stay before it is told
 REFUSED_STRAY: Micros = 100_000  # how long one of which nothing is served any more may take to ask,
-SHORTEST_STRAY: Micros = 10_000  # and at the least, where the bound is near or over, since the accept
+SHORTEST_STRAY: Micros = 10_000  # and at the least, where the bound is near, since the accept
 QUEUED: Micros = 500_000  # at the caps: a request may be refused so long behind its time, and `mn` is owed in 1 s
 TAKES_NOTHING: Micros = 1_500_000  # a client that has taken nothing of its answer for so long, at the bound of its end
 GIVES_NOTHING: Micros = 4_000_000  # a server that has given no more of a large value for so long, where the end is due
 STILL: Micros = 10_000_000  # both at any other time
-SEES_END: Micros = 1_000_000  # how long a client whose machine has all may take to come to the end, and to say its own
+SEES_END: Micros = 3_000_000  # how long a client whose machine has all may take to come to the end, and to say its own
 MOST_LINGER: Micros = 2_000_000  # of one that is in the middle of a command and goes on sending
 PASSES_TO_END = 3  # passes of the loop from the look at a connection that is due to its close
 MOST_AHEAD: Micros = 1_500_000
@@ -130,7 +130,9 @@
         told = since + plan.told_from + int((plan.told_by - plan.told_from) * share)
         commands_until = since + plan.commands_until
     elif refuses(plan, since, connected):
-        told = min(connected + REFUSED_STRAY, since + plan.bound - HELD_UP)
+        told = connected + REFUSED_STRAY
+        if since + plan.bound > connected:  # it is gone by the bound
+            told = min(told, since + plan.bound - HELD_UP)
         told = commands_until = max(told, accepted)
         reads_on = 0
     else:
--- a/saltmoor/net/overflow.py
+++ b/saltmoor/net/overflow.py
@@ -50,8 +50,8 @@
             sock.setblocking(False)
             data, unread, left = _read(sock)
             found, said = (Found.LEFT, b"") if left else self._answer(data)
-            if said:
-                sock.send(said)
+            while said:
+                said = said[sock.send(said) :]
         except OSError:
             pass
         if unread and found is not Found.BROKEN:
