Writes that wait for memory behind slow writers are answered within their time

Cause: Client.gather waited for Budget.take without a bound, behind all that had asked before; and what had stood in the socket was asked of the kernel for the first read behind the wait alone, so that the command began with all its time.

Change: guard.connections.memory_wait bounds the wait: half of the time for a command that has come whole, all of it for one that has not; then its value is read past and it is told busy. The wait counts against its time in each read until the socket was empty. A turn that is given up lets those behind it go.

The tests failed before: no answer within 0.9 and 2.9 s, 899 ms told where 700 were left, twice.

--- a/saltmoor/guard/connections.py
+++ b/saltmoor/guard/connections.py
@@ -71,6 +71,18 @@
     return ALLOWED if left > 0 else DENIED[Reason.DEADLINE_PASSED]
 
 
+def memory_wait(waited: Micros, *, given: Micros, whole: bool) -> Micros:
+    """How much longer a command may wait for memory until it is refused, or looked at again; 0: it is refused now.
+
+    `waited`: since its head came; `given`: how long its client waits for an answer; `whole`: its last byte has come.
+    A whole one waits for half of its time at most, so that as much is left to serve it, or to try again. Of one that is
+    not whole its client may have written all, more than the machine takes, and wait for as long: it is refused by then.
+    """
+    if waited < given // 2:
+        return given // 2 - waited
+    return 0 if whole else max(0, given - waited)
+
+
 def may_end(*, idle: bool, quiet: bool) -> Verdict:
     """Whether a connection may be ended from this side: `idle`, nothing that was read is unanswered or unfinished;
     `quiet`, nothing stands unread."""
--- a/saltmoor/net/buffers.py
+++ b/saltmoor/net/buffers.py
@@ -214,9 +214,17 @@
 
     def backlog(self) -> int:
         """Bytes that were written and that the other side's machine has not taken; 0 where the kernel does not tell."""
+        return self._queued(termios.TIOCOUTQ)
+
+    def unread(self) -> int:
+        """Bytes that have come and were not read yet; 0 where the kernel does not tell."""
+        return self._queued(termios.FIONREAD)
+
+    def _queued(self, request: int) -> int:
+        """Bytes in one of the socket's queues, by the request of ioctl that asks for it; 0 where it fails."""
         count = array("i", [0])
         try:
-            fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, count)
+            fcntl.ioctl(self.sock.fileno(), request, count)
         except OSError:
             return 0
         return count[0]
--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -17,7 +17,7 @@
 from saltmoor.config import BUFFER, LONGEST_HELD
 from saltmoor.guard import ends
 from saltmoor.guard.checks import Record
-from saltmoor.guard.connections import may_end
+from saltmoor.guard.connections import may_end, memory_wait
 from saltmoor.guard.ends import ConnectionEnd
 from saltmoor.model import Micros
 from saltmoor.net import answers, http, meta
@@ -84,7 +84,9 @@
         self.gathered = False
         self.room = asyncio.Event()
         self.turn: asyncio.Future[None] | None = None  # to be read from, while reads are paced
-        self.memory: asyncio.Task[None] | None = None  # it waits for that of a large value
+        self.memory: asyncio.Future[None] | None = None  # it waits for that of a large value
+        self.memory_awaited = False  # the unfinished command has waited for it, while bytes stood in the socket
+        self.unemptied = False  # the last read of bytes that may have stood has not taken all of them
         self.writer: asyncio.Task | None = None
         self.reader = asyncio.create_task(self.serve())
         house.fresh[self] = None
@@ -142,22 +144,19 @@
             data = b"" if self.gathered else await self.stream.read()
             if data is None:  # woken: what is above has changed
                 continue
-            self.used = self.house.clock()
-            stood = paced or self.may_have_stood(asked_at)
-            self.read_at = self.used
+            self.used = read_at = self.house.clock()
+            stood = paced or self.memory_awaited or self.may_have_stood(asked_at)
             if not data and not self.gathered:
                 return "client-left" if self.slots else self.ending or "client-closed"
             if (stood or self.house.paced or len(data) == BUFFER) and self.stream.left():
                 return "client-left"  # while its bytes stood in the socket; there may be more than were read
-            self.gathered = False
             self.house.fresh.pop(self, None)
             self.commands.feed(data)
             # Guards against work for clients that have gone on waiting while their bytes stood in the socket.
-            last_waited = self.stream.waited() if stood else 0
+            last_waited = self.stream.waited() if stood or self.unemptied else 0
             self.came_at = self.used - last_waited
-            self.waited = self.stood_for(last_waited, asked_at) if stood else 0
-            if len(data) < BUFFER:  # it was read in an earlier pass, where the loop is late
-                self.empty_at = self.used - self.house.late_by
+            longest_waited = self.stood_for(last_waited, asked_at) if stood else last_waited
+            self.note_read(len(data), stood)
             try:
                 self.progress(len(data))
                 while (command := self.commands.next()) is not None:
@@ -186,6 +185,19 @@
                 return "framing-lost"
             self.track()
 
+    def note_read(self, size: int, stood: bool) -> None:
+        """So many bytes were read; `stood`: they may have stood in the socket for a while.
+
+        Guards against what is read next of them being taken for fresh, though it stood as long.
+        """
+        if self.gathered:  # the socket was not read from
+            self.gathered = False
+            return
+        self.read_at = self.used
+        self.unemptied = size == BUFFER and (stood or self.unemptied)
+        if size < BUFFER:  # it was read in an earlier pass, where the loop is late
+            self.empty_at = self.used - self.house.late_by
+
     async def answer_and_end(self) -> str:
         """Nothing more is read: what is owed is answered, then the end is said; the reason's code."""
         if self.slots:
@@ -259,22 +271,42 @@
             self.began = min(self.used, self.began + size * 1_000_000 // SLOWEST)
 
     async def gather(self) -> None:
-        """Wait for the memory that a large value needs; its time goes on when there is some, unless it is cut."""
+        """Wait for the memory that a large value needs, for as long as its client's time allows; else read past it.
+
+        How long it may still take to come counts from then on, unless it is cut.
+        """
         self.began = 0
         self.house.begun.pop(self, None)
-        self.memory = asyncio.create_task(self.house.budget.take(self.commands.wants))
+        budget, size = self.house.budget, self.commands.wants
+        turn = self.memory = budget.ask(size)
         try:
-            await self.memory
+            while not turn.done() and (wait := self.memory_wait()):
+                self.memory_awaited = True
+                await asyncio.wait((turn,), timeout=wait / 1_000_000)
         except asyncio.CancelledError:
-            if not self.cut_asked or asyncio.current_task().cancelling():
-                raise
-            return
+            budget.withdraw(size, turn)
+            raise
         finally:
             self.memory = None
-        self.commands.paid()
+        if turn.done() and not turn.cancelled():
+            self.commands.paid()
+        else:
+            budget.withdraw(size, turn)
+            if self.cut_asked:
+                return
+            self.commands.read_past()
         self.began = self.used = self.house.clock()
         self.house.begun[self] = None
 
+    def memory_wait(self) -> Micros:
+        """How much longer its unfinished command may wait for memory; 0: no longer."""
+        has_come = len(self.commands.splitter.held) + self.stream.unread()
+        return memory_wait(
+            self.house.clock() - self.came_at,
+            given=self.house.given_to(self.commands.waiting),
+            whole=has_come >= self.commands.block_length,
+        )
+
     def cut(self) -> None:
         """End a command that does not go on: its client is told so.
 
@@ -467,6 +499,7 @@
 
     def take(self, command: meta.Command) -> None:
         self.count += 1
+        self.memory_awaited = False
         self.house.free.pop(self, None)
         self.house.taking.pop(self, None)
         slot = Slot()
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -465,6 +465,14 @@
             worst.reader.cancel()
         return bool(stalled)
 
+    def given_to(self, command: meta.Command) -> Micros:
+        """How long its client waits for an answer; 0 where its profile is not known."""
+        profile = self.profile_of.get(command.attrs.get(b"c", b""))
+        if profile is None:
+            return 0
+        wait, limit = command.attrs.get(b"d", b""), self.profiles[profile].limit
+        return min(int(wait) * 1000, limit) if wait else limit
+
     def begin(self, client: Client, slot: Slot, command: meta.Command) -> None:
         """A whole transaction has come: from here on it is owed an answer."""
         self.asked = True
@@ -474,10 +482,9 @@
         if profile is None:
             command.fault = "unknown profile"
             return
-        wait = command.attrs.get(b"d", b"")
-        given = min(int(wait) * 1000 if wait else self.profiles[profile].limit, self.profiles[profile].limit)
+        given = self.given_to(command)
         id_open = command.id in self.open_ids
-        memory = id_open or len(self.open_ids) < self.caps.txs or self.drop_stalled()
+        memory = not command.refused and (id_open or len(self.open_ids) < self.caps.txs or self.drop_stalled())
         until = client.end_due.answers_until if client.end_due else 0
         until = min(until or self.until, self.until or until)
         verdict = may_start(self.clock(), left=given - client.waited, until=until, id_open=id_open, memory=memory)
@@ -490,7 +497,7 @@
             client.close("draining")
             return
         if not verdict:  # nothing was sent, so trying again is harmless
-            slot.answer = meta.rolled_back(0)
+            slot.answer = meta.rolled_back(self.door.hint() // 1000 if command.refused else 0)
             self.requests.note("refused", verdict.reason.value, command.id.decode("latin-1"))
             return
         tenant, again = self.tenant_of.get(command.attrs.get(b"t", b"")), command.attrs.get(b"r") == b"1"
--- a/saltmoor/net/flow.py
+++ b/saltmoor/net/flow.py
@@ -79,19 +79,33 @@
     def fits(self, size: int) -> bool:
         return not self.used or self.used + size <= (self.total if size <= LONGEST_HELD else self.total * 3 // 4)
 
-    async def take(self, size: int) -> None:
+    def ask(self, size: int) -> asyncio.Future[None]:
+        """A turn that is done as soon as so many bytes are there, which may be at once, or never.
+
+        Who asks has to bound its wait, and to `withdraw` the turn where it does not want it any more.
+        """
         queue = self.small if size <= LONGEST_HELD else self.large
+        turn = asyncio.get_running_loop().create_future()
         if not queue and self.fits(size):
             self.used += size
-            return
-        turn = asyncio.get_running_loop().create_future()
-        queue.append((size, turn))
+            turn.set_result(None)
+        else:
+            queue.append((size, turn))
+        return turn
+
+    def withdraw(self, size: int, turn: asyncio.Future[None]) -> None:
+        """Nobody wants it any more: what was given comes back, and who waits behind it may go on."""
+        if not turn.cancel() and not turn.cancelled():
+            self.used -= size
+        self.serve()
+
+    async def take(self, size: int) -> None:
+        """Wait for so many bytes; the caller bounds the wait, by ending its task."""
+        turn = self.ask(size)
         try:
             await turn
         except asyncio.CancelledError:
-            # Guards against room that is given in the moment in which nobody wants it any more.
-            if turn.done() and not turn.cancelled():
-                self.give_back(size)
+            self.withdraw(size, turn)
             raise
 
     def give_back(self, size: int) -> None:
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -71,6 +71,7 @@
     attrs: dict[bytes, bytes] = field(default_factory=dict)
     value: bytes | bytearray = b""
     paid: int = 0  # bytes of the node's memory for values that it holds
+    refused: bool = False  # its value was read past, as there was no memory for it in time
     fault: str = ""
 
     @property
@@ -143,6 +144,16 @@
         self.waiting.paid, self.wants = self.wants, 0
         self.waiting.value, self.gathering, self.filled = bytearray(self.length), True, 0
 
+    @property
+    def block_length(self) -> int:
+        """Bytes of the value that the unfinished command has, the line's end behind it included."""
+        return self.length + 2
+
+    def read_past(self) -> None:
+        """The memory that it wants is not there in time: the value is dropped as it comes."""
+        self.waiting.refused, self.wants = True, 0
+        self.skip = self.block_length
+
     def gather(self) -> bool:
         """Move what has come into the large value; whether it is whole, its line's end included."""
         held, command = self.splitter.held, self.waiting
@@ -196,7 +207,7 @@
             if self.length > LONGEST_VALUE:
                 command.fault = "value too long"
             if command.fault:
-                self.skip = self.length + 2
+                self.skip = self.block_length
             elif self.length > UNPAID:
                 self.wants = self.length
 
