A command behind others of its connection is told what it has waited in the node

Cause: how long a command had stood was counted to the read that brought it; what it then stood in the node's own buffer, behind commands that were read with it, was not.

Evidence and test: tests.test_stood, behind as many others as one connection may have open: told 899 ms before, where the first had taken its time.

Change: the time since the read is added for each command that is taken.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -164,8 +164,9 @@
                         await self.deaf(self.answered(0))
                         await self.linger("client-quit")
                         return "client-quit"
-                    if not self.commands.partial:
-                        self.waited = last_waited
+                    # Guards against time told anew to what stands behind others that it was read with.
+                    behind = self.house.clock() - read_at
+                    self.waited = behind + (longest_waited if self.commands.partial else last_waited)
                     self.take(command)
                     if self.slots and self.slots[0].answer is not None:
                         await self.deaf(self.flush())
--- a/tests/test_stood.py
+++ b/tests/test_stood.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from saltmoor.net.buffers import Stream
+from saltmoor.net.client import PIPELINE
 from tests.helper import Town, read, settings, within
 
 STOOD = 0.3  # seconds
@@ -37,6 +38,8 @@
         while line := (await reader.readline()).decode():
             self.waits.append(int(re.search(r"d=(\d+)", line)[1]))
             tag = next(word for word in line.split() if word.startswith("O"))
+            if line.split()[1] == "slow":
+                await asyncio.sleep(STOOD)
             writer.write(f"VA 3 {tag} h1\r\nhit\r\n".encode())
         writer.close()
 
@@ -179,6 +182,18 @@
         self.play(scene)
         self.assertLess(took[0], 0.55)
 
+    def test_behind_as_many_others_as_one_connection_may_have_open(self):
+        """Guards against a command that stood in the node's own buffer being begun with all of its time."""
+
+        async def scene(town: Told) -> None:
+            one = await town.client()
+            one.say(read("slow", "0") + "".join(read("hit", str(number)) for number in range(1, PIPELINE + 4)))
+            await one.hear(PIPELINE + 4)
+
+        waits = self.play(scene)
+        self.assertEqual(len(waits), PIPELINE + 4)
+        self.assertLessEqual(max(waits[PIPELINE + 1 :]), 900 - STOOD * 1000 + SLACK_MS)
+
     def test_longer_than_its_client_waits(self):
         """Guards against an attempt with a moment left at a request whose time was over when it was read."""
         heard: list[bytes] = []
