A response lets go of its parser when it is whole or given up

Cause: http.Response has its parser, and the parser the response's methods: a cycle for each answer.

Evidence: tests.test_memory_freed with the collector off; its tests of answers kept those bytes before.

Change: Response.close drops the parser at the last byte; Flow.drop and the readers pass it on where an answer is given up. Result: the tests of answers pass.

--- a/saltmoor/net/flow.py
+++ b/saltmoor/net/flow.py
@@ -44,6 +44,7 @@
         """Nobody wants the rest: the connection cannot be used again, unless nothing is left on it."""
         if not self.over:
             self.over = True
+            self.reader.close()
             self.drop_link(code)
 
 
@@ -64,6 +65,10 @@
         self.passed += len(piece)
         return piece
 
+    def close(self) -> None:
+        """Nothing more is read: the value goes before its memory is given back."""
+        self.value = memoryview(b"")
+
 
 class Budget:
     """Memory for values that clients write: paid in whole before they are read, given back when answered.
--- a/saltmoor/net/http.py
+++ b/saltmoor/net/http.py
@@ -27,7 +27,7 @@
     def __init__(self, longest: int, each: Callable[[bytes], None] | None = None, held: int = 0) -> None:
         """`held`: a body that says a greater length is `large`: what has come of it is taken out of `body`."""
         self.longest, self.each, self.held, self.large, self.length = longest, each, held, False, 0
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)  # none once it is closed
         self.headers: dict[str, str] = {}
         self.body, self.status, self.whole, self.clean, self.interim = bytearray(), 0, False, False, 0
         self.fault, self.to_end = "", False
@@ -44,8 +44,17 @@
             if not self.whole:
                 raise Garbled(self.fault or str(error)) from None
             self.clean = False
+        if self.whole:
+            self.close()
         return self.whole
 
+    def close(self) -> None:
+        """Nothing more is read of it.
+
+        Guards against responses that are never freed by themselves: the parser has its methods, and so it has itself.
+        """
+        self.parser = None
+
     def refuse(self, fault: str) -> None:
         self.fault = fault
         raise Garbled(fault)
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -251,6 +251,9 @@
         """The connection has ended: there is no answer whose end that could be."""
         return False
 
+    def close(self) -> None:
+        """Nothing more is read."""
+
     def __init__(self) -> None:
         self.splitter = Splitter()
 
--- a/saltmoor/net/origin.py
+++ b/saltmoor/net/origin.py
@@ -45,6 +45,10 @@
     def ended(self) -> bool:
         return self.response.ended()
 
+    def close(self) -> None:
+        """Nothing more is read."""
+        self.response.close()
+
     @property
     def gathered(self) -> int:
         """Bytes held of a value whose length nobody said: it cannot be passed on before it is whole."""
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -54,6 +54,9 @@
 
     def feed(self, data: bytes) -> bool: ...
 
+    def close(self) -> None:
+        """Nothing more is read."""
+
 
 class Link:
     """One open connection to one server."""
