An overloaded node reads a command's whole value in one turn

Cause: a paced node reads connections in turn, and each read of 16 KiB asked for a turn: 256 of them for such a value, each wait bounded, their sum not.

Change: Client.waits_for_turn: a connection in the middle of a value needs none.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -132,7 +132,7 @@
                 return await self.answer_and_end()
             if self.ending and may_end(idle=self.idle, quiet=self.idle and self.stream.quiet()):
                 return await self.answer_and_end()
-            paced = self.house.paced and not self.ending and not self.house.refuses(self)
+            paced = self.waits_for_turn()
             if paced:
                 self.empty_at = self.house.clock() if self.stream.quiet() else self.empty_at
                 await self.deaf(self.house.next_turn(self))
@@ -186,6 +186,14 @@
                 return "framing-lost"
             self.track()
 
+    def waits_for_turn(self) -> bool:
+        """Whether it may be read from in its turn only, as the node is overloaded.
+
+        A turn is for a command: guards against a value of many reads that waits for one at each of them, with its memory
+        held and past its time.
+        """
+        return self.house.paced and not self.commands.waiting and not self.ending and not self.house.refuses(self)
+
     def note_read(self, size: int, stood: bool) -> None:
         """So many bytes were read; `stood`: they may have stood in the socket for a while.
 
--- a/tests/test_stood.py
+++ b/tests/test_stood.py
@@ -17,6 +17,7 @@
 
 STOOD = 0.3  # seconds
 SLACK_MS = 20
+WIDE = 400_000  # bytes of a value that takes many reads
 HANDED_ON_WAITS = 0.2  # seconds: half of the longest wait for a turn
 LONG_PASS = 0.006  # seconds of a pass of the loop: too short for the loop to be found late
 
@@ -89,6 +90,22 @@
         self.play(scene)
         self.assertLess(took[0], 0.55)
 
+    def test_a_paced_node_reads_a_whole_value_in_one_turn(self):
+        """Guards against a write whose value waits for a turn at each read, and has no answer when its time is over."""
+        heard: list[bytes] = []
+
+        async def scene(town: Told) -> None:
+            first = await town.client()
+            await first.ask("mn\r\n")
+            town.service.door.ran = lambda late, passed: 0.0  # an overloaded node: nothing more may be read
+            await asyncio.sleep(0.05)
+            one = await town.client()
+            one.writer.write(b"ms farm %d O1 Pc=put,t=acme,d=900,k=1\r\n" % WIDE + bytes(WIDE) + b"\r\n")
+            heard.append(await within(0.9 + 0.5, one.reader.readline()))
+
+        self.play(scene)
+        self.assertEqual(heard, [b"HD O1 cmade\r\n"])
+
     def test_several_in_the_queue_of_the_listener(self):
         """Guards against the first of several requests being taken for as fresh as the last one."""
 
