Connections that linger are closed just before a stop's last wait ends

Callers saw: a connection over unread bytes, whose client does not close its own end, was cut with the process in 3 of 5 runs of the new test ("stopped: clients=1").

Cause: it lingered until the very microsecond in which the stop's last wait ends; which came first was chance.

Change: 30 ms before that all that linger are closed.

--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -317,6 +317,11 @@
                 client.lingered = True
                 return
 
+    def end_all_lingering(self) -> None:
+        """Close all whose end is said, as the process is about to end: nothing is waited for behind that."""
+        for client in self.lingering:
+            client.lingered = True
+
     def make_room(self) -> bool:
         """For a connection to a server, which goes before clients that ask nothing: whether there may be room soon."""
         return self.leaving < EVICTIONS and (self.evict() or self.cut_short()) or self.leaving > 0 or bool(self.begun)
--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -37,6 +37,7 @@
 GRAIN = 2  # milliseconds
 HURRY = 0.05  # seconds between sweeps while connections are to end
 STOP_EVERY = 0.02  # the same once the process takes no new ones
+LAST_CLOSES = 30_000  # microseconds before a stop's bound, in which connections that linger are closed
 LATE_EVERY = 0.005  # seconds: how often the loop's lateness is looked at, and reading is paced
 REST_EVERY = 0.025  # seconds: the same while the node has nothing to do; a look costs 0.1 ms of a core by waking it
 REST_AFTER = 20  # looks in a row that found nothing to do, before they become rarer
@@ -673,7 +674,9 @@
         if self.clients.clients:
             self.clients.release(last=True)
             self.door.end_all()
-            while self.clients.clients and clock() < self.clients.until + CLOSING:
+            while self.clients.clients and (left := self.clients.until + CLOSING - clock()) > 0:
+                if left < LAST_CLOSES:
+                    self.clients.end_all_lingering()
                 await asyncio.sleep(0.005)
 
     def end(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,6 +21,7 @@
 import uvloop
 
 from saltmoor import config, model
+from saltmoor.guard import ends
 from saltmoor.model import Ended
 from saltmoor.net import http, lifecycle, meta
 from saltmoor.net.discovery import Discovery, Pieces
@@ -530,6 +531,31 @@
             ),
         )
 
+    def test_a_client_that_does_not_close_its_end(self):
+        """Guards against a connection that is still held when the process has ended, as its bound is not waited for."""
+
+        async def scene(town: Held) -> None:
+            one = await town.client()
+            one.say(read("held", "a"))
+            await town.seen(1)
+            await self.stop(town)
+            await asyncio.sleep(0.05 + ends.READS_ON / 1_000_000)
+            one.say(read("hit", "b"))  # stands unread
+            town.go.set()
+            self.assertIn("Oa", await answer(one))
+            self.assertEqual(await answer(one), "")
+            await town.running
+            self.assertIn("stopped: clients=0 txs=0", town.logged.getvalue())
+
+        self.play(
+            scene,
+            serve={"linger_ms": 0},
+            settings=settings(
+                classes=[{"name": "read", "repeat": "idempotent", "aim_ns": 10**9, "deadline_ns": 2 * 10**9}],
+                tenants=[],
+            ),
+        )
+
     def left(self, rules_before: int, rules_after: int | None, within: float) -> None:
         """A read that hangs is answered before the process ends, which it does in time."""
 
