In a long pass of the loop each connection leaves its further commands for the next

Cause: a connection took all commands that it had read in one step; with 300 such connections one pass of the loop took seconds, in which no timer and no other connection was heard.

Change: from 10 ms on in one pass, each connection leaves the rest for the next pass; what they wait is taken off their time as before.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -172,6 +172,8 @@
                         await self.deaf(self.flush())
                     if len(self.slots) > PIPELINE:
                         await self.deaf(self.answered(PIPELINE))
+                    if self.commands.partial and self.house.pass_is_long():
+                        await asyncio.sleep(0)
                 if self.commands.wants:
                     self.track()
                     await self.deaf(self.gather())
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -44,6 +44,7 @@
     400_000  # how long a client may wait to be read, at the listener too: its request is owed 0.5 s past its time
 )
 LATE_FROM = 4_000  # microseconds: from then on commands are asked how long they stood unread
+LONG_PASS = 10_000  # microseconds in one pass of the loop; from then on each connection goes on in the next one
 LAG_FROM, LAG_KEPT = 20_000, 5_000_000  # which lateness of the loop counts for ends, and for how long
 MISSED = 50_000  # how often clients that are not read from are looked at
 SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
@@ -161,6 +162,14 @@
             self.reads = max(0.0, self.reads - 1)
             turn.set_result(None)
 
+    def pass_is_long(self) -> bool:
+        """Whether so much has run since the loop came round that commands which wait leave the rest for the next pass.
+
+        Guards against a pass as long as all that many connections have read at once, in which no call, no timer and no
+        other connection is heard.
+        """
+        return self.clock() - self.looked_at > LONG_PASS
+
     def spawn(self, work) -> asyncio.Task:
         task = asyncio.create_task(work)
         self.tasks.add(task)
