Lines of KNOWN-RED.txt may count on slow machines alone; the runner measures the machine

Change: the runner prints how fast the machine is; a line that ends in ", slow machine" counts only where that reads as slow.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -167,6 +167,80 @@
         )
 
 
+SLOW, FAST = "--speed=9.0,10.0", "--speed=1.0,10.0"  # as of a machine; its calls make it slow
+
+
+class SlowMachine(Case):
+    """Lines that count on a slow machine alone: no failure is excused elsewhere, and nothing that did not come to its end."""
+
+    def line(self, name: str) -> str:
+        return f"{name}, a word, or two, issue 7, slow machine\n"
+
+    def test_a_failure_counts_by_the_machine_s_speed(self):
+        for name in BAD, BAD.rpartition(".")[0], "tests.test_two":
+            said = self.run_on(self.line(name), SLOW, test_two=TWO)
+            self.ends(said, 0, f"KNOWN RED {BAD}: a word, or two (issue 7), slow machine", "1 passed, 0 failed")
+            self.ends(self.run_on(self.line(name), FAST, test_two=TWO), 1, f"FAILED {BAD}", "1 passed, 1 failed")
+
+    def test_both_figures_make_a_machine_slow_and_are_printed_twice(self):
+        self.assertFalse(runner.Speed(runner.SLOW_CALL_US, runner.SLOW_TURN_NS).slow)
+        self.assertTrue(runner.Speed(runner.SLOW_CALL_US + 0.1, 0.0).slow)
+        self.assertTrue(runner.Speed(0.0, runner.SLOW_TURN_NS + 0.1).slow)
+        _, lines = self.run_on(None, SLOW, test_two=TWO)
+        said = "machine: a send and a receive 9.0 us, a turn of a loop 10.0 ns: slow"
+        self.assertEqual((lines[0], lines.count(said)), (said, 2))
+        measured = runner.measure_speed()
+        self.assertGreater(min(measured), 0.0)
+
+    def test_a_pass_is_no_fault(self):
+        good = TWO.replace('self.fail("on purpose")', "pass")
+        for speed in SLOW, FAST:
+            self.ends(self.run_on(self.line(BAD), speed, test_two=good), 0, "2 passed, 0 failed")
+
+    def test_another_failure_is_not_excused(self):
+        for other in "tests.test_two.Tw", "tests.test_two.Two.test_ba":
+            said = self.run_on(self.line(other), SLOW, test_two=TWO)
+            self.ends(
+                said,
+                1,
+                f"FAILED {BAD}",
+                f"FAILED KNOWN-RED.txt: there is no test {other}",
+                "1 passed, 2 failed",
+            )
+
+    def test_one_that_does_not_come_to_its_end(self):
+        dies = TWO.replace('self.fail("on purpose")', "__import__('os')._exit(0)")
+        self.ends(
+            self.run_on(self.line("tests.test_two"), SLOW, test_two=dies),
+            1,
+            f"FAILED {BAD}: its process",
+            f"FAILED {GOOD}: its process",
+            "0 passed, 2 failed",
+        )
+
+    def test_cases_are_printed_and_have_to_exist(self):
+        here = f"review/{min(HERE.glob('review/*/run.sh')).parent.name}/run.sh"
+        self.assertEqual(len(runner.known_red(RED.format(here))[0]), 1)
+        self.assertTrue(runner.Run.exists(runner.Red(here, "", 7, case=True), set()))
+        self.ends(
+            self.run_on(RED.format("review/9/run.sh"), test_two=TWO.replace("self.fail", "print")),
+            1,
+            "KNOWN RED review/9/run.sh: a word, or two (issue 7)",
+            "FAILED KNOWN-RED.txt: there is no test review/9/run.sh",
+            "2 passed, 1 failed",
+        )
+
+    def test_each_kind_has_its_own_limit(self):
+        names = [f"tests.test_a.A.test_{i}" for i in range(13)]
+        slow = "".join(map(self.line, names))
+        self.assertEqual(runner.known_red("".join(map(self.line, names[:12])))[1], [])
+        self.assertEqual(runner.known_red(slow)[1], ["KNOWN-RED.txt: 13 lines for slow machines, 12 at most"])
+        cases = "".join(RED.format(f"review/{i}/run.sh") for i in range(1, 5))
+        self.assertEqual(runner.known_red(cases)[1], ["KNOWN-RED.txt: 4 cases, 3 at most"])
+        self.assertEqual(len(runner.known_red("review/1/run.sh, a word, issue 7, slow machine\n")[1]), 1)
+        self.assertEqual(len(runner.known_red("review/0/run.sh, a word, issue 7\n")[1]), 1)
+
+
 class Modules(Case):
     """Each test that discovery finds is run once; what is not known to have passed has failed."""
 
