test_start takes ports that nobody else is given

Seen: "VA 100" for "VA 3" once, an answer of another test's stand-in. Cause, by reading: a port was free when it was asked for and given to another process before it was used. Change: the ports are reserved as other tests do. Result: the module passes; the case was not forced.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 import tempfile
 import time
@@ -22,7 +21,7 @@
 from saltmoor.net import discovery, keeper, lifecycle, sibling
 from saltmoor.net.log import Log
 from saltmoor.state import file
-from tests.helper import MS, Town, read, settings
+from tests.helper import MS, Town, read, reserve, settings
 
 READY, LONGEST = 10.0, 30.0  # seconds: nine in ten, and all
 SERVERS = 200
@@ -97,7 +96,9 @@
     async def launch(self, number: int, trouble: str, mode: str, slow: bool) -> tuple[float, float, str]:
         """Start a process; seconds until it says that it is ready, how many of them it waited for a core, and the
         first answer that it gives then; where other work made that late, one of the next two."""
-        listen, admin = free(), free()
+        kept = [reserve(), reserve()]
+        self.reserved += kept
+        listen, admin = (one.getsockname() for one in kept)
         name = f"n{number}"
         path, ours = Path(self.folder.name, name), Path(self.folder.name, f"{name}.toml")
         path.write_text(
@@ -143,12 +144,6 @@
         return took, busy, got
 
 
-def free() -> tuple[str, int]:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
 async def ready(admin: tuple[str, int]) -> bool:
     try:
         reader, writer = await asyncio.open_connection(*admin)
