--- a/saltmoor/net/discovery.py
+++ b/saltmoor/net/discovery.py
@@ -176,7 +176,7 @@
                 if not told:
                     self.log(f"discovery: failing for a reason of our own: {error}")
                 told = True
-            await asyncio.sleep(pauses.next(0) / 1_000_000)
+            await asyncio.sleep(pauses.next() / 1_000_000)
 
     async def follow(self, watch: Watch, silence: float, tell: Callable[[News], None]) -> None:
         host, port = watch.address
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -383,7 +383,7 @@
     async def connect(self, server: ServerId) -> Link | Ended:
         if server not in self.address:
             return Ended.NO_CONNECTION
-        pauses = Pauses(self.clock() + self.connect_wait)
+        pauses = Pauses(self.connect_wait)
         while True:
             made = await self.connect_once(server)
             now = self.clock()
@@ -391,7 +391,7 @@
                 return made
             if made is Unmade.THEIRS or self.trouble.alone(server, now):
                 return Ended.NO_CONNECTION
-            pause = pauses.next(now) if self.trouble.passing(now) else None
+            pause = pauses.next() if self.trouble.passing(now) else None
             if pause is None:
                 return Ended.NOT_SENT
             await asyncio.sleep(pause / 1_000_000)
--- a/tests/test_syscalls.py
+++ b/tests/test_syscalls.py
@@ -10,6 +10,7 @@
 import contextlib
 import errno
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -31,6 +32,7 @@
 SHUT = 0.6  # seconds without an accept: with the longest pause after it still within the 0.9 s that clients wait
 LATE = 1.0  # seconds: the clients' deadline
 HALF_A_CORE = 0.5
+RUNS, HELD_UP = 0.05, 0.12  # seconds for which a process runs, and is held up, in turn
 LIBRARY = tempfile.TemporaryDirectory()
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -219,6 +221,29 @@
 
         self.play(scene)
 
+    def test_connect_that_fails_while_the_process_is_held_up_is_made_again(self):
+        """Guards against a moment's shortage that passes for a lasting one, as few tries fit into the time it took."""
+
+        async def hold_up(node: asyncio.subprocess.Process) -> None:
+            while node.returncode is None:
+                node.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(HELD_UP)
+                node.send_signal(signal.SIGCONT)
+                await asyncio.sleep(RUNS)
+
+        async def scene(town: Shimmed) -> None:
+            town.shim.fail(Call.CONNECT, 0.5, errno.EADDRNOTAVAIL)
+            holding = asyncio.create_task(hold_up(await town.launch()))
+            clients = town.begin()
+            await asyncio.sleep(2 * LASTS)
+            self.assertGreater(town.shim.struck(Call.CONNECT), 0)
+            self.assert_all_served(town.since_last(), 50)
+            town.stopping = True
+            await asyncio.gather(*clients)
+            holding.cancel()
+
+        self.play(scene)
+
     def test_all_is_served_soon_after_there_was_no_route(self):
         """Guards against servers that are held to be down for what was our own trouble."""
         for error, lasts in (errno.ENETUNREACH, 6.0), (errno.EADDRNOTAVAIL, 2.0), (errno.ENOBUFS, 2.0):
