test_syscalls counts refusals apart where the machine did not run its cache server

Cause: the one cache server runs in the process of the test. Where that is not run for 0.05 s a probe has no answer, the server is silent, and the node answers at once that there is none; behind 0.17 s it rests for up to 0.375 s.

Change: only `busy`, and only within 0.5 s behind a pause of over 0.04 s that the process of the test saw itself, is counted apart and printed. All other ends, the least count of served ones and all bounds are as before; with no pause nothing differs. The judge has a test of its own, with times passed in.

--- a/tests/test_ends_judged.py
+++ b/tests/test_ends_judged.py
@@ -24,8 +24,6 @@
 from tests.test_event_sides import CALL_WITHIN, DRAIN, RECEIVE_BUFFER, TAKEN, InOneLoop, Sized, hold_up
 
 LONGEST = 3000  # milliseconds: the longest deadline of these towns
-HELD_UP = 0.15  # seconds for which the operators hold a node up
-STARVED = 0.8  # seconds for which the tests of late loops hold one up
 STUCK = 16  # clients that take nothing: as many as one look for somebody to evict goes through
 PAUSE = 1.8  # seconds for which a client that nobody tells to end takes nothing
 HEAD = 2_000_000  # microseconds that a client may take for a head
@@ -78,7 +76,7 @@
 
 
 class RequestsLost(InOneLoop):
-    def open_at_the_end_of_a_drain(self, asked_at: float, held_from: float, held_up: float) -> bytes:
+    def open_at_the_end_of_a_drain(self, asked_at: float, held_from: float, runs_again: float) -> bytes:
         """What the client of a request hears that is open while the loop is held up; moments count from the call."""
         got = []
 
@@ -94,7 +92,7 @@
             sock.send(read("hang", wait=LONGEST).encode())
             await until(begun + held_from)
             self.assertEqual(len(latest.slots), 1, "the request was taken and is open")
-            hold_up(held_up)
+            hold_up(begun + runs_again - time.monotonic())
             got.append(await heard(sock, begun + 4.0 - time.monotonic()))
             for one in socks:
                 one.close()
@@ -104,11 +102,11 @@
 
     def test_a_hold_up_before_a_drain_s_bound_resets_a_request_that_is_owed_its_answer(self):
         """Its time ends at 3.58 s, the loop runs again at 3.72 s: its answer has 0.28 s up to the bound."""
-        self.assertIn(b"SERVER_ERROR", self.open_at_the_end_of_a_drain(0.58, 3.57, HELD_UP))
+        self.assertIn(b"SERVER_ERROR", self.open_at_the_end_of_a_drain(0.58, 3.45, 3.72))
 
     def test_one_late_pass_in_a_drain_resets_a_request_long_before_the_bound(self):
         """Its time ends at 3.5 s, the loop runs again at 3.1 s."""
-        self.assertIn(b"SERVER_ERROR", self.open_at_the_end_of_a_drain(0.5, 2.3, STARVED))
+        self.assertIn(b"SERVER_ERROR", self.open_at_the_end_of_a_drain(0.5, 2.3, 3.1))
 
     def test_a_request_that_comes_once_nothing_is_read_is_read_and_dropped(self):
         """Guards against a lingering close that takes a whole request off the socket: what was read is owed an answer."""
@@ -254,7 +252,7 @@
 
 class StopHeldUp(InOneLoop):
     def test_a_hold_up_before_a_stop_s_bound_resets_a_request_that_is_owed_its_answer(self):
-        """The bound is the kill, 3.7 s after the signal; its time ends at 3.4 s, the loop runs again at 3.48 s."""
+        """The bound is the kill, 3.7 s after the signal; its time ends at 3.35 s, the loop runs again at 3.48 s."""
         got = []
 
         async def scene(town: Hanging) -> None:
@@ -262,11 +260,11 @@
             await asyncio.sleep(0.05)
             begun = time.monotonic()
             os.kill(os.getpid(), signal.SIGTERM)
-            await until(begun + 0.4)
+            await until(begun + 0.35)
             sock.send(read("hang", wait=LONGEST).encode())
-            await until(begun + 3.33)
+            await until(begun + 3.25)
             self.assertEqual(len(next(iter(town.service.clients.clients)).slots), 1, "taken, and open")
-            hold_up(HELD_UP)
+            hold_up(begun + 3.48 - time.monotonic())
             got.append(await heard(sock, begun + 3.7 - time.monotonic()))
             sock.close()
 
--- a/tests/test_syscalls.py
+++ b/tests/test_syscalls.py
@@ -1,7 +1,9 @@
 """System calls of a real node fail as Linux documents: who is answered meanwhile, who is closed, and how soon after.
 
 A preloaded library makes the calls of that one process fail (saltmoor/lab/soak/shim.py). Closed-loop clients ask all the
-while, every second one on a new connection for each request.
+while, every second one on a new connection for each request. The one cache server runs in the process of the test: where
+that was not run by the machine for a while, the node rightly answers that there is no server, and such an answer is
+counted apart.
 """
 
 from __future__ import annotations
@@ -30,9 +32,13 @@
 SETTLED = 0.5  # seconds after its end until all has to be as without; half of what the terms allow
 PAUSE = 0.03  # seconds between an answer and the next request
 SHUT = 0.6  # seconds without an accept: with the longest pause after it still within the 0.9 s that clients wait
+BUSY = b"SERVER_ERROR busy"
 LATE = 1.0  # seconds: the clients' deadline
 HALF_A_CORE = 0.5
 RUNS, HELD_UP = 0.05, 0.12  # seconds for which a process runs, and is held up, in turn
+BEAT = 0.005  # seconds between two looks at whether the process of the test runs
+SILENT = 0.04  # seconds for which it did not: a server is held to be silent after 0.05 s without an answer to a probe
+RESTS = 0.5  # seconds behind that: one that was silent is asked again within 0.375 s
 LIBRARY = tempfile.TemporaryDirectory()
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -40,6 +46,29 @@
 CONNECTION = errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH  # one connection's, that accept passes on
 
 
+class Pauses:
+    """When the process that has this did not run; moments in seconds of the monotonic clock."""
+
+    def __init__(self, now: float) -> None:
+        self.beat_at, self.ended_at = now, -RESTS
+
+    def beat(self, now: float) -> None:
+        """It runs."""
+        if now - self.beat_at > SILENT:
+            self.ended_at = now
+        self.beat_at = now
+
+    def excuse(self, now: float) -> bool:
+        """Whether its servers may have been silent so lately that a node has none to send to now."""
+        self.beat(now)
+        return now - self.ended_at < RESTS
+
+    async def watch(self) -> None:
+        while True:
+            self.beat(time.monotonic())
+            await asyncio.sleep(BEAT)
+
+
 class Shimmed(Twins):
     """Real processes of a node whose system calls fail as the test says."""
 
@@ -48,6 +77,9 @@
         self.shim = shim.Shim(shim.build(Path(LIBRARY.name)), Path(self.folder.name, "shim"))
         self.errors = Path(self.folder.name, "stderr")
         self.ends: Counter[str] = Counter()
+        self.excused = 0  # answers that there is no server, as it did not run
+        self.pauses = Pauses(time.monotonic())
+        self.watching = asyncio.create_task(self.pauses.watch())
         self.stopping = False
         self.words: list[str] = []  # more of the command line
         return self
@@ -88,10 +120,15 @@
                     reader, writer = await asyncio.open_connection(*self.address)
                 tag = f"{name:x}{count:x}"
                 writer.write(read("hit", tag).encode())
-                end = self.how(await self.answer(reader), tag)
+                end = self.how(got := await self.answer(reader), tag)
+                if got.startswith(BUSY) and self.pauses.excuse(time.monotonic()):
+                    end = "excused"
             if time.monotonic() - begun > LATE:
                 end = "late"
-            self.ends[end] += 1
+            if end == "excused":
+                self.excused += 1
+            else:
+                self.ends[end] += 1
             if (end != "served" or not keep) and writer:
                 writer.close()
                 writer = None
@@ -117,12 +154,30 @@
         return ends
 
 
+class PausesOfTheTest(unittest.TestCase):
+    def test_an_answer_is_excused_soon_after_a_pause_alone(self):
+        """Guards against a judge that takes every refusal for the machine's."""
+        pauses = Pauses(10.0)
+        self.assertFalse(pauses.excuse(10.0))
+        pauses.beat(10.0 + SILENT * 0.9)
+        self.assertFalse(pauses.excuse(10.0 + SILENT), "it ran all the time")
+        self.assertTrue(pauses.excuse(10.0 + SILENT * 2.1), "a pause that no beat has seen yet")
+        pause_end = 10.0 + SILENT * 2.1
+        for step in range(1, 100):
+            pauses.beat(pause_end + step * BEAT)
+        self.assertTrue(pauses.excuse(pause_end + 99 * BEAT))
+        self.assertFalse(pauses.excuse(pause_end + RESTS))
+
+
 class SystemCalls(unittest.TestCase):
     def play(self, scene) -> None:
         async def run() -> None:
             async with Shimmed() as town:
                 town.note = lambda text: None
                 await scene(town)
+                town.watching.cancel()
+                if town.excused:
+                    print(f"{town.excused} answers that the server was silent, as this process was not run")
 
         uvloop.run(asyncio.wait_for(run(), 40))
 
