--- a/saltmoor/lab/scale.py
+++ b/saltmoor/lab/scale.py
@@ -24,7 +24,7 @@
 
 MOST_MEMBERS, MOST_PROCESSES = 2_000, 200
 MEMORY_PART = 0.5  # of the machine's, at most
-MEMBER_MB = 1.6  # of one scripted member among 480, with its table; the guard's, measured generously
+MEMBER_MB = 1.6  # of one scripted member among 480, with its table; the guard's
 WRITES = ("--json", "--plot", "--counts")
 LIVE_PROCESSES = 24  # workers, real nodes, the lab's stand-ins and load
 EVENT_BOUNDS = {("relay", "site_worst_s"): 1.0, ("silent", "site_worst_s"): 1.0, ("cut", "caught_up_s"): 2.0}
