--- a/saltmoor/net/trouble.py
+++ b/saltmoor/net/trouble.py
@@ -1,8 +1,8 @@
 """Keeps track of trouble of our own at making connections: no port, no route, no memory on this machine.
 
 Such trouble says nothing of a server. While it has only just begun, or few tries have failed, a connection is worth
-another try; once it lasts, each try is one call and fails at once, so that requests are answered early. Decides on times that it is given; it must
-never do I/O.
+another try; once it lasts, each try is one call and fails at once, so that requests are answered early. Decides on times
+that it is given; it must never do I/O.
 """
 
 from __future__ import annotations
