--- a/tests/helper.py
+++ b/tests/helper.py
@@ -278,14 +278,14 @@
     def note(self, text: str) -> None:
         self.lines.append(text)
 
-    def ends(self, side: str) -> list[str]:
+    def codes_of(self, side: str) -> list[str]:
         """How connections of that side ended, since `codes` was last called."""
         lines = self.logged.getvalue().splitlines()[self.heard :]
         return [line.split("code=")[1].split()[0] for line in lines if f"end {side} " in line]
 
     def codes(self, side: str) -> None:
         """Note how connections of that side ended, since the last time."""
-        ends = self.ends(side)
+        ends = self.codes_of(side)
         self.heard = len(self.logged.getvalue().splitlines())
         self.note(f"ended {side}: {' '.join(sorted(ends))}")
 
@@ -295,7 +295,7 @@
         Guards against a look at the log between the end that a client hears and the node's hearing of the client's.
         """
         until = time.monotonic() + 1.0
-        while len(self.ends(side)) < count and time.monotonic() < until:
+        while len(self.codes_of(side)) < count and time.monotonic() < until:
             await asyncio.sleep(0.005)
 
     async def cache(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
