--- a/saltmoor/agenda.py
+++ b/saltmoor/agenda.py
@@ -12,6 +12,11 @@
 
 TICK, DUE = 1, 2  # tokens of the two timers
 MASK = (1 << 64) - 1
+FIRST_FACTOR, FIRST_SHIFT = (
+    0x9E3779B97F4A7C15,
+    31,
+)  # of the hash of a key and a salt: odd factors, so that no bit is lost
+SECOND_FACTOR, SECOND_SHIFT = 0xBF58476D1CE4E5B9, 29
 PERIOD = 250_000  # step of the periodic work: well under any time within which a server is told gone
 
 
@@ -23,9 +28,9 @@
 
 def spot(key: int, salt: int) -> float:
     """A number in (0, 1), the same at every node: the hash of a key and a server's salt."""
-    mixed = ((key ^ salt) * 0x9E3779B97F4A7C15) & MASK
-    mixed = ((mixed ^ (mixed >> 31)) * 0xBF58476D1CE4E5B9) & MASK
-    return ((mixed ^ (mixed >> 29)) + 1) / (MASK + 2)
+    mixed = ((key ^ salt) * FIRST_FACTOR) & MASK
+    mixed = ((mixed ^ (mixed >> FIRST_SHIFT)) * SECOND_FACTOR) & MASK
+    return ((mixed ^ (mixed >> SECOND_SHIFT)) + 1) / (MASK + 2)
 
 
 class Agenda:
--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -10,6 +10,7 @@
 from bisect import bisect, insort
 from collections.abc import Iterator
 from itertools import islice
+from operator import attrgetter
 
 from saltmoor import model
 from saltmoor.agenda import PERIOD, Agenda, salt
@@ -40,6 +41,7 @@
         self.configure(now, **settings)
         self.txs: dict[model.TxId, Tx] = {}
         self.servers, self.caches, self.origins = {}, [], []
+        self.not_ready, self.unlisted = [], []  # servers that left the list, or that it does not name, as it came last
         self.fetches: dict[int, list[Tx]] = {}  # by key: who waits for its fetch
         self.room, self.queued = Room(self.place.nodes), []  # at the origin; who waits for it
         self.recovery, self.patience, self.retry_budget = Recovery(now), Patience(), RetryBudget()
@@ -136,7 +138,9 @@
             server.unlisted, server.wary, server.answered = now, True, min(server.answered, now - self.fresh)
 
     def settle_list(self, now: Micros) -> None:
-        known = sorted((one for one in self.servers.values() if one.ready), key=lambda server: server.id)
+        known = sorted([one for one in self.servers.values() if one.ready], key=attrgetter("id"))
+        self.not_ready = [one for one in self.servers.values() if not one.ready]
+        self.unlisted = [one for one in known if one.unlisted]
         self.origins = [server for server in known if server.kind == self.origin_kind]
         self.caches = [server for server in known if server.kind != self.origin_kind]
         self.placement.listed(now, self.caches)
@@ -183,7 +187,7 @@
     def candidates(self, tx: Tx, now: Micros) -> Iterator[Server]:
         fit = (
             server
-            for server in self.placement.ranked(tx.key)
+            for server in self.placement.in_order(tx.key)
             if server not in tx.tried and self.usable(server, now) and may_attempt(tx, server, now, self.permits)
         )
         return islice(fit, tx.reach)
@@ -701,13 +705,14 @@
         self.placement.periodic(now)
         if now - self.asked_list > self.listing.within // 3:
             self.watch(now)
-        for server in self.servers.values():  # one that is not listed goes once unheard for so long
+        for server in self.unlisted[:]:  # one that is not listed goes once unheard for so long
             if server.unlisted and max(server.heard, server.unlisted) < now - UNLISTED:
                 server.ready, server.unlisted = False, 0
                 self.settle_list(now)
         # Guards against memory that grows with every server that ever was.
-        for server in [one for one in self.servers.values() if not (one.ready or one.out or one.asked >= 0)]:
+        for server in [one for one in self.not_ready if not (one.out or one.asked >= 0)]:
             del self.servers[server.id]
+            self.not_ready.remove(server)
             for mode in "down", "aside":
                 self.say(f"{mode} {server.name}", False, "left the list")
 
--- a/saltmoor/lab/scale_counts.py
+++ b/saltmoor/lab/scale_counts.py
@@ -163,13 +163,13 @@
 
     def ranked() -> None:
         key[0] += 1
-        one.placement.ranked(key[0])
+        next(one.placement.in_order(key[0]))
 
     add(
         "node: processor time to rank a key that is not kept",
         "us",
         took_us(ranked, 200),
-        "placement.Placement.ranked, 52 servers; 20,000 keys are kept",
+        "placement.Placement.in_order, 52 servers",
     )
     names = [f"node-{i:03}" for i in range(nodes)]
     for count in (60, nodes):
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -176,6 +176,7 @@
         self.address: dict[ServerId, tuple[str, int]] = {}
         self.draining: set[ServerId] = set()
         self.free: dict[ServerId, list[Link]] = {}
+        self.by_use: dict[Link, None] = {}  # the same, the one that is free for longest first
         self.late: dict[ServerId, list[Dial]] = {}  # on their way, with nobody waiting any more
         self.waiting: dict[ServerId, list[asyncio.Future]] = {}  # for a connection, if one should stand free first
         self.lateness = 0.0  # of connections that were not up in time, lately: the share that came up after all
@@ -199,8 +200,7 @@
                 self.address.pop(server, None)
                 self.never.discard(server)
                 self.trouble.forget(server)
-                for link in self.free.pop(server, []):
-                    self.close(link, "left-list")
+                self.close_free(server, "left-list")
         self.address |= stay
         for dial in [one for some in self.late.values() for one in some if not self.good_for(one.link)]:
             self.let_go(dial, "left-list")
@@ -268,7 +268,7 @@
                 if verdict.reason is Reason.SERVER_LEFT:
                     code = "left-list"
                 else:
-                    self.free.setdefault(server, []).append(link)  # as it was
+                    self.stand_free(link)  # as it was
                     link = None
                 return meta.Reply(Ended.NOT_SENT)
             parts = data() if callable(data) else list(data)
@@ -349,7 +349,26 @@
         else:
             link.used = used or self.clock()
             link.rests = link.used + REST * link.nameless
-            self.free.setdefault(link.server, []).append(link)
+            self.stand_free(link)
+
+    def stand_free(self, link: Link) -> None:
+        """The next exchange with its server may have it."""
+        self.free.setdefault(link.server, []).append(link)
+        self.by_use[link] = None
+
+    def take_off(self, link: Link) -> None:
+        """It does not stand free any more."""
+        self.by_use.pop(link, None)
+        links = self.free[link.server]
+        links.remove(link)
+        if not links:
+            del self.free[link.server]
+
+    def close_free(self, server: ServerId, code: str) -> None:
+        """Close what stands free to that server."""
+        for link in self.free.pop(server, []):
+            self.by_use.pop(link, None)
+            self.close(link, code)
 
     def flow(self, link: Link, reader: Reader) -> Flow:
         return Flow(reader.length, reader, link.stream.read, lambda code: self.leave(link, code), self.clock())
@@ -361,7 +380,7 @@
         """The free connection used last, if it is still good."""
         links = self.free.get(server, [])
         for link in [link for link in reversed(links) if link.rests <= self.clock()]:
-            links.remove(link)
+            self.take_off(link)
             if link.used > self.clock() - self.good and link.stream.quiet():
                 return link
             self.close(link, "stale")
@@ -501,14 +520,18 @@
         return link.server not in self.draining and self.address.get(link.server) == link.address
 
     def evict(self) -> bool:
-        """Close the one that is on its way longest with nobody waiting, else the free one used longest ago."""
+        """Close the one that is on its way longest with nobody waiting, else the one that is free for longest.
+
+        It costs the same however many there are.
+        """
         if self.late:
             self.let_go(min((ones[0] for ones in self.late.values()), key=lambda dial: dial.link.since), "evicted")
             return True
-        oldest = min((links for links in self.free.values() if links), default=None, key=lambda links: links[0].used)
+        oldest = next(iter(self.by_use), None)
         if oldest is None:
             return False
-        self.close(oldest.pop(0), "evicted")
+        self.take_off(oldest)
+        self.close(oldest, "evicted")
         return True
 
     def give_back(self, server: ServerId) -> None:
@@ -523,8 +546,7 @@
         self.forget(server)
 
     def forget(self, server: ServerId) -> None:
-        for link in self.free.pop(server, []):
-            self.close(link, "given-back")
+        self.close_free(server, "given-back")
 
     def sweep(self) -> None:
         """Close what would soon have been idle for too long."""
@@ -533,9 +555,9 @@
             self.ages.forget()
             self.forget_at = now + MEMORY
         self.good = self.ages.good(self.idle)
-        for links in self.free.values():
-            while links and links[0].used <= now - self.good:
-                self.close(links.pop(0), "idle")
+        while (oldest := next(iter(self.by_use), None)) and oldest.used <= now - self.good:
+            self.take_off(oldest)
+            self.close(oldest, "idle")
         for dial in [one for some in self.late.values() for one in some if one.link.since <= now - LATEST]:
             self.learn(dial.link.server, False)
             self.let_go(dial, "no-connection")
@@ -544,21 +566,20 @@
 
     def hand_on(self, give: Callable[[dict, int], bool]) -> None:
         """Pass free connections to the process that takes this one's place."""
-        for links in self.free.values():
-            while links:
-                link = links.pop()
-                if link.used > self.clock() - self.good and link.stream.quiet():
-                    give(
-                        {
-                            "server": link.server,
-                            "address": link.address,
-                            "since": link.since,
-                            "used": link.used,
-                            "exchanges": link.exchanges,
-                        },
-                        link.stream.sock.fileno(),
-                    )
-                self.close(link, "handed-on")
+        for link in [link for links in self.free.values() for link in reversed(links)]:
+            self.take_off(link)
+            if link.used > self.clock() - self.good and link.stream.quiet():
+                give(
+                    {
+                        "server": link.server,
+                        "address": link.address,
+                        "since": link.since,
+                        "used": link.used,
+                        "exchanges": link.exchanges,
+                    },
+                    link.stream.sock.fileno(),
+                )
+            self.close(link, "handed-on")
 
     def adopt(self, sock: socket.socket, said: dict) -> None:
         """A free connection of the process before this one."""
@@ -566,7 +587,7 @@
         link.used, link.exchanges = int(said["used"]), int(said["exchanges"])
         self.open += 1
         if self.address.get(link.server) == link.address and self.open <= self.cap():
-            self.free.setdefault(link.server, []).append(link)
+            self.stand_free(link)
         else:
             self.close(link, "evicted")
 
@@ -579,6 +600,5 @@
     def close_all(self) -> None:
         for dial in [one for some in self.late.values() for one in some]:
             self.let_go(dial, "stopping")
-        for links in self.free.values():
-            while links:
-                self.close(links.pop(), "stopping")
+        for server in list(self.free):
+            self.close_free(server, "stopping")
