Answers of servers are bounded in bytes in every part, not in their bodies alone

Cause: http.Response bounds bodies and the number of headers; the parser keeps an unfinished line until the request's time is over. The same held for status lines, chunk sizes and extensions, trailers and headers of one name, and for the number of lines of a report to a probe.

Change: 16 KiB at most in a row that are no body, and 16 KiB a report; what goes on is garbled, and its connection closed.

--- a/saltmoor/net/http.py
+++ b/saltmoor/net/http.py
@@ -11,6 +11,8 @@
 import httptools
 
 INTERIM = 8  # 1xx responses ahead of the one that counts
+HEADERS = 64  # of one response, trailers included
+LONGEST_FRAMING = 16_384  # bytes that are no body, in a row: of heads, interim ones included, chunk lines and trailers
 
 
 class Garbled(Exception):
@@ -31,9 +33,11 @@
         self.headers: dict[str, str] = {}
         self.body, self.status, self.whole, self.clean, self.interim = bytearray(), 0, False, False, 0
         self.fault, self.to_end = "", False
+        self.framing = 0  # bytes since the last ones of a body: what the parser and the headers hold is no more
 
     def feed(self, data: bytes) -> bool:
-        """True once the response is whole."""
+        """True once the response is whole; Garbled where it can't be read, or goes on too long with no body."""
+        self.framing += len(data)
         try:
             if not self.whole:
                 self.parser.feed_data(data)
@@ -46,6 +50,8 @@
             self.clean = False
         if self.whole:
             self.close()
+        elif self.framing > LONGEST_FRAMING:
+            raise Garbled("a head, a chunk line or trailers without end")
         return self.whole
 
     def close(self) -> None:
@@ -76,7 +82,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.whole:
             return
-        if len(self.headers) >= 64:
+        if len(self.headers) >= HEADERS:
             self.refuse("too many headers")
         # Guards against a good answer refused for the white space that may stand round a value.
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
@@ -95,6 +101,7 @@
     def on_body(self, data: bytes) -> None:
         if self.whole:
             return
+        self.framing = 0
         if self.each and self.status == 200:
             self.each(data)
             return
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -18,6 +18,7 @@
 
 LONGEST_LINE, LONGEST_KEY, LONGEST_ID = 2048, 250, 32
 SWALLOW = LONGEST_VALUE + (1 << 20)  # a value too long for us, but short enough to read past
+LONGEST_REPORT = 16_384  # bytes of an answer to a probe
 UNPAID = 4096  # a value up to this length is gathered without asking for memory
 PRINTABLE = bytes(range(33, 127))
 BEYOND = bytes(range(128, 256))  # not ASCII
@@ -337,8 +338,11 @@
     def __init__(self) -> None:
         super().__init__()
         self.reply = Reply(Ended.COMMITTED)
+        self.left = LONGEST_REPORT
 
     def feed(self, data: bytes) -> bool:
+        """True once the answer is whole; FramingLost where it is none, or too long."""
+        self.left -= len(data)
         self.splitter.held += data
         while (line := self.splitter.line()) is not None:
             words = line.split()
@@ -355,6 +359,8 @@
                     return True
                 case _:
                     raise FramingLost("no answer that we know")
+        if self.left < 0:
+            raise FramingLost("a report without end")
         return False
 
 
