With all places taken a request is refused; no connection that is owed answers is ended

Cause: at the bound of open requests Clients.begin gave the new one the place of the connection whose write had waited longest, however shortly, and ended it with all that it was owed.

Change: the new request is refused at once with when to come back; a quarter of the places is kept for connections with no other request. A connection that a successor does not take stays, where it was closed unsaid.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -76,6 +76,7 @@
         self.overdue = False  # it is held past its bound, which was counted
         self.cut_asked = False  # its unfinished command is cut as soon as it is not being read
         self.taken, self.taken_at = -1, self.since  # bytes of answers that its machine has; since when no more
+        self.write_begun: Micros = self.since  # when the last write of an answer, or of a piece of one, was begun
         self.value_since: Micros = 0  # when the large value that was begun last was begun,
         self.value_from = 0  # and how many bytes of answers its machine had then
         self.given_up: Micros = 0  # when what was open at its end got its final answer
@@ -397,6 +398,12 @@
         self.note_taken(self.stream.backlog(), now)
         return ends.takes_nothing(now, self.taken_at)
 
+    def stalled(self, now: Micros) -> bool:
+        """Whether its machine has taken nothing for long of what is written to it; asked again and again."""
+        untaken = self.stream.backlog()
+        self.note_taken(untaken, now)
+        return bool(untaken) and ends.stands_still(now, max(self.taken_at, self.write_begun), due=False)
+
     def note_taken(self, untaken: int, now: Micros) -> None:
         """Keep since when its machine has taken no more, of which so many bytes are left."""
         if self.stream.sock.sent - untaken != self.taken or not untaken:
@@ -536,6 +543,7 @@
                 if isinstance(self.slots[0].answer, Passing) and not self.fits(self.slots[0].answer.flow):
                     self.fail_value(self.slots[0])
                 answer = self.slots[0].answer
+                self.write_begun = turn
                 await (self.pass_on(answer) if isinstance(answer, Passing) else self.stream.write(answer))
                 slot = self.slots.popleft()
                 self.house.done(slot)
@@ -566,7 +574,7 @@
         self.value_since, self.value_from = self.house.clock(), self.stream.sock.sent - self.stream.backlog()
         await self.stream.write(answer.head)
         while piece := await self.next_piece(flow):
-            flow.moved = self.used = self.house.clock()
+            flow.moved = self.used = self.write_begun = self.house.clock()
             await self.stream.write(piece)
             flow.moved = self.house.clock()
         await self.stream.write(b"\r\n")
@@ -597,8 +605,9 @@
         Guards against bytes that are taken off the socket in this moment: then they are served here.
         """
         # Once the read is over it holds bytes that are nowhere else any more.
-        if not self.ending and not self.code and self.stream.waiting:
-            self.code = "handed-on" if self.give() else "cut-off"
+        # Where the other process takes none it stays here, and ends as any other.
+        if not self.ending and not self.code and self.stream.waiting and self.give():
+            self.code = "handed-on"
             self.reader.cancel()
 
     def close(self, code: str) -> None:
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -11,7 +11,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from hashlib import blake2b
 from heapq import nlargest
@@ -49,6 +49,7 @@
 MISSED = 50_000  # how often clients that are not read from are looked at
 SEEN = 10_000  # with no pass of the loop since then a client's end may have come that nobody has heard of
 EVICTIONS = 16  # connections on their way out at once: their descriptors are in the reserve
+PLACES_KEPT = 4  # one place for an open request of so many is kept for connections with no other
 HALF = 30_000  # how long a client may be in the middle of a command while no server can be reached for want of room
 
 
@@ -349,19 +350,26 @@
                 self.free.pop(client, None)
                 client.close("evicted")
                 return True
-        return False
+        return self.end_stalled(self.taking)
 
     def look_at_taking(self, now: Micros) -> None:
-        """Who has taken its last answer by now is free and may make room, and who takes nothing for long is ended."""
+        """Who has taken its last answer by now is free and may make room."""
         for client in list(self.taking):
             untaken = client.stream.backlog()
             client.note_taken(untaken, now)
             if not untaken:
                 del self.taking[client]
                 self.free[client] = None
-            elif ends.stands_still(now, client.taken_at, due=False) and not client.ending:
-                del self.taking[client]
+
+    def end_stalled(self, clients: Iterable[Client]) -> bool:
+        """End the first of these whose machine takes nothing of its answers for long; only where what it holds is short."""
+        now = self.clock()
+        for client in clients:
+            if not client.ending and not client.code and client.stalled(now):
+                self.taking.pop(client, None)
                 client.abort("stalled")
+                return True
+        return False
 
     def cut_short(self) -> bool:
         """Guards against crowds of half commands: the longest unfinished ends, where no server can be reached else."""
@@ -419,6 +427,8 @@
                 client.reader.cancel()
             if client.end_due and client.end_due.gone_by:
                 self.check_bound(client, now)
+        if not self.has_place(pipelined=True):
+            self.end_stalled([client for client in self.clients if client.writer])
 
     def drop_stuck_queue(self, now: Micros) -> None:
         """Guards against clients of a node that drains that cannot be accepted at all: their connections end in time."""
@@ -470,14 +480,14 @@
             client.left()
         return not client.code
 
-    def drop_stalled(self) -> bool:
-        """End the connection whose client has not read an answer for longest."""
-        stalled = [one for one in self.clients if one.writer and one.slots and isinstance(one.slots[0].answer, bytes)]
-        if stalled:
-            worst = min(stalled, key=lambda one: one.used)
-            worst.code = "stalled"
-            worst.reader.cancel()
-        return bool(stalled)
+    def has_place(self, *, pipelined: bool) -> bool:
+        """Whether one more request may be open; `pipelined`: its connection has others.
+
+        Answers that their clients have not taken hold their places. Guards against clients that ask much at once and take
+        it slowly, and leave no place to those that wait for each answer.
+        """
+        kept = self.caps.txs // PLACES_KEPT if pipelined else 0
+        return len(self.open_ids) < self.caps.txs - kept
 
     def given_to(self, command: meta.Command) -> Micros:
         """How long its client waits for an answer; 0 where its profile is not known."""
@@ -498,7 +508,7 @@
             return
         given = self.given_to(command)
         id_open = command.id in self.open_ids
-        memory = not command.refused and (id_open or len(self.open_ids) < self.caps.txs or self.drop_stalled())
+        memory = not command.refused and (id_open or self.has_place(pipelined=len(client.slots) > 1))
         until = client.end_due.answers_until if client.end_due else 0
         until = min(until or self.until, self.until or until)
         verdict = may_start(self.clock(), left=given - client.waited, until=until, id_open=id_open, memory=memory)
@@ -511,7 +521,8 @@
             client.close("draining")
             return
         if not verdict:  # nothing was sent, so trying again is harmless
-            slot.answer = meta.rolled_back(self.door.hint() // 1000 if command.refused else 0)
+            no_room = verdict.reason is Reason.NO_MEMORY
+            slot.answer = meta.rolled_back(self.door.hint() // 1000 if no_room else 0)
             self.requests.note("refused", verdict.reason.value, command.id.decode("latin-1"))
             return
         tenant, again = self.tenant_of.get(command.attrs.get(b"t", b"")), command.attrs.get(b"r") == b"1"
