What is read and won't be served is answered, also behind a large value

Cause: Commands.next hands out no command that wants memory before it has it or is told to read past it. Overflow took that for a value that had not come, and dropped what it had read behind it. The same in Client where reading ended, or a command was cut, while a write waited for memory.

Change: Commands.rest hands out what has come whole without asking for memory; Overflow and both places of Client use it. Overflow reads on behind 64 KiB.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -130,6 +130,7 @@
             if self.cut_asked:
                 self.cut_now()
             if not self.life.reads:
+                self.take_rest()
                 return await self.answer_and_end()
             if self.ending and may_end(idle=self.idle, quiet=self.idle and self.stream.quiet()):
                 return await self.answer_and_end()
@@ -331,11 +332,25 @@
     def cut_now(self) -> None:
         """Answer its unfinished command as such, and read nothing more."""
         self.cut_asked = False
-        if self.commands.partial:
+        if self.take_rest() and self.commands.partial:
             self.slots.append(Slot(answers.UNFINISHED))
-            self.forget()
+        self.forget()
         self.step(State.READS_NO_MORE, "unfinished")
 
+    def take_rest(self) -> bool:
+        """Take what has come whole, as nothing more is read; whether what stands behind it could be read.
+
+        Guards against commands that were read behind one that waited for memory, and would get no answer.
+        """
+        self.waited = self.house.clock() - self.came_at
+        try:
+            for command in self.commands.rest():
+                self.take(command)
+        except meta.FramingLost as error:
+            self.slots.append(Slot(answers.client_error(error)))
+            return False
+        return True
+
     def cut_for_good(self) -> None:
         """The same, whatever it waits for: its time is over, also where more of it comes all the while."""
         self.cut_asked = True
--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from math import isfinite
 from typing import TYPE_CHECKING
@@ -212,6 +213,19 @@
             elif self.length > UNPAID:
                 self.wants = self.length
 
+    def rest(self) -> Iterator[Command]:
+        """The commands that have come whole, where no memory is asked for any more: large values are dropped.
+
+        For commands that were read and won't be served: each is owed an answer. Raises FramingLost.
+        """
+        while True:
+            if self.wants:
+                self.read_past()
+            if (command := self.next()) is not None:
+                yield command
+            elif not self.wants:
+                return
+
 
 @dataclass(slots=True)
 class Reply:
--- a/saltmoor/net/overflow.py
+++ b/saltmoor/net/overflow.py
@@ -11,6 +11,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import Enum
 
 from saltmoor.model import Micros
@@ -18,7 +19,9 @@
 from saltmoor.net.counters import RequestLog
 from saltmoor.net.log import Log
 
-MOST_READ = 1 << 16  # bytes of one connection
+AT_ONCE = 1 << 14  # bytes of one read; all commands in them are answered
+MOST_READ = 8 << 20  # bytes of one connection: as much as the machine holds for it
+MOST_COMMANDS = 1024  # of one connection; then no more is read
 MOST_LINGERING = 4  # connections with more unread: their clients get a moment to see the end
 LINGER = 0.04  # seconds of that
 
@@ -34,6 +37,16 @@
     BROKEN = "broken"
 
 
+@dataclass(slots=True)
+class _Asked:
+    """What a connection that is turned away has asked, and what is said to it."""
+
+    found: Found = Found.NOTHING
+    answers: list[bytes] = field(default_factory=list)
+    unread: bool = False  # more may stand there
+    quit: bool = False
+
+
 class Overflow:
     """Turns connections away. `draining`: whether `mn` is a no; `hint`: how long who is refused is to stay away."""
 
@@ -48,9 +61,9 @@
         found, unread = Found.BROKEN, False
         try:
             sock.setblocking(False)
-            data, unread, left = _read(sock)
-            found, said = (Found.LEFT, b"") if left else self._answer(data)
-            while said:
+            asked = self._read(sock)
+            found, unread, said = asked.found, asked.unread, b"".join(asked.answers)
+            while said and found is not Found.LEFT:
                 said = said[sock.send(said) :]
         except OSError:
             pass
@@ -61,28 +74,59 @@
         self.log.counters.add("turned_away", found.value)
         self.log.ended("client", peer, "turned-away", asked=found.value, queued_ms=queued // 1000)
 
-    def _answer(self, data: bytes) -> tuple[Found, bytes]:
-        commands, said, found = meta.Commands(), [], Found.NOTHING
-        commands.feed(data)
+    def _read(self, sock: socket.socket) -> _Asked:
+        """What has come, and the answer to each command in it. Raises OSError.
+
+        Guards against commands that are read and get no answer: whatever is read is looked at to its end.
+        """
+        asked, commands, size = _Asked(), meta.Commands(), 0
         try:
-            while (command := commands.next() or commands.waiting) is not None:
-                if command.verb == b"quit":
+            while not asked.quit:
+                if size >= MOST_READ or len(asked.answers) >= MOST_COMMANDS:
+                    asked.unread = _has_unread(sock)
                     break
-                answer = answers.of_node(command, draining=self.draining())
-                if answer is None:
-                    found, answer = Found.REQUEST, self._refuse(command)
-                found = Found.OTHER_COMMAND if found is Found.NOTHING else found
-                said.append(answer)
-                if command is commands.waiting:  # the rest of its value is not waited for
+                try:
+                    data = sock.recv(AT_ONCE)
+                except BlockingIOError:
                     break
-            else:
-                if commands.partial:
-                    found = Found.UNFINISHED if found is Found.NOTHING else found
-                    said.append(answers.UNFINISHED)
+                if not data:
+                    asked.found = Found.LEFT
+                    return asked
+                size += len(data)
+                commands.feed(data)
+                self._answer(commands, asked)
+            self._answer_unfinished(commands, asked)
         except meta.FramingLost as error:
-            found = Found.UNFINISHED if found is Found.NOTHING else found
-            said.append(answers.client_error(error))
-        return found, b"".join(said)
+            asked.found = Found.UNFINISHED if asked.found is Found.NOTHING else asked.found
+            asked.answers.append(answers.client_error(error))
+            asked.unread = _has_unread(sock)
+        return asked
+
+    def _answer(self, commands: meta.Commands, asked: _Asked) -> None:
+        for command in commands.rest():
+            if command.verb == b"quit":
+                asked.quit = True
+                return
+            self._answer_one(command, asked)
+
+    def _answer_one(self, command: meta.Command, asked: _Asked) -> None:
+        answer = answers.of_node(command, draining=self.draining())
+        if answer is None:
+            asked.found, answer = Found.REQUEST, self._refuse(command)
+        elif asked.found is Found.NOTHING:
+            asked.found = Found.OTHER_COMMAND
+        asked.answers.append(answer)
+
+    def _answer_unfinished(self, commands: meta.Commands, asked: _Asked) -> None:
+        """The rest of a value is not waited for, nor that of a line."""
+        if asked.quit or not commands.partial:
+            return
+        if commands.waiting:
+            self._answer_one(commands.waiting, asked)
+            return
+        if asked.found is Found.NOTHING:
+            asked.found = Found.UNFINISHED
+        asked.answers.append(answers.UNFINISHED)
 
     def _refuse(self, command: meta.Command) -> bytes:
         self.requests.note("refused", "no-place", command.id.decode("latin-1"))
@@ -103,17 +147,9 @@
             sock.close()
 
 
-def _read(sock: socket.socket) -> tuple[bytes, bool, bool]:
-    """What has come, whether more may stand unread, and whether the client has ended the connection."""
-    parts: list[bytes] = []
-    room = MOST_READ
-    while room:
-        try:
-            part = sock.recv(room)
-        except BlockingIOError:
-            return b"".join(parts), False, False
-        if not part:
-            return b"".join(parts), False, True
-        parts.append(part)
-        room -= len(part)
-    return b"".join(parts), True, False
+def _has_unread(sock: socket.socket) -> bool:
+    """Whether bytes stand there that were not read."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return False
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -70,8 +70,10 @@
     def turn_away(self, said: bytes, *, draining: bool = False, leaves: bool = False) -> bytes:
         """All that the client hears up to the end of its connection, whatever it had said."""
         with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)  # all that is said stands there unread
             client = socket.create_connection(listener.getsockname(), timeout=5)
             self.addCleanup(client.close)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
             client.sendall(said)
             if leaves:
                 client.shutdown(socket.SHUT_WR)
@@ -94,6 +96,20 @@
         self.assertEqual(self.counts, {"request"})
         self.assertEqual(self.turn_away(write("key", "v" * 50_000).encode()), meta.rolled_back(250))
 
+    def test_what_stands_behind_a_large_value_is_answered_too(self):
+        """Guards against commands that are read with a value for which there is no memory, and get no answer (review/9)."""
+        for size in 4096, 4097, 6000, 16_384, 40_000, 100_000:
+            large = write("key", "v" * size)
+            with self.subTest(size=size):
+                said = large + read("hit") + large + write("key") + "mn\r\n"
+                heard = 4 * meta.rolled_back(250) + answers.TAKES_CLIENTS
+                self.assertEqual(self.turn_away(said.encode()), heard)
+                self.assertEqual(self.turn_away((read("hit") + large[:-9]).encode()), 2 * meta.rolled_back(250))
+
+    def test_many_commands_are_answered_all(self):
+        self.assertEqual(self.turn_away(900 * read("hit").encode()), 900 * meta.rolled_back(250))
+        self.assertEqual(self.turn_away(4000 * b"mn\r\n"), 4000 * answers.TAKES_CLIENTS)
+
     def test_whether_the_node_takes_clients_is_said(self):
         self.assertEqual(self.turn_away(b"mn\r\n"), answers.TAKES_CLIENTS)
         self.assertEqual(self.turn_away(b"mn\r\n", draining=True), answers.DRAINING)
--- a/tests/test_memory_waits.py
+++ b/tests/test_memory_waits.py
@@ -41,9 +41,9 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade")
         writer.close()
 
-    async def fill(self) -> None:
-        """What slow writers hold: all the memory that large values may have."""
-        self.held = self.service.budget.total * 3 // 4
+    async def fill(self, all_memory: bool = False) -> None:
+        """What slow writers hold: all the memory that large values may have, or all that there is."""
+        self.held = self.service.budget.total if all_memory else self.service.budget.total * 3 // 4
         await self.service.budget.take(self.held)
 
     def leave(self) -> None:
@@ -59,10 +59,10 @@
 
 
 class MemoryWaits(unittest.TestCase):
-    def play(self, scene) -> Slow:
+    def play(self, scene, all_memory: bool = False) -> Slow:
         async def run() -> Slow:
             async with Slow() as town:
-                await town.fill()
+                await town.fill(all_memory)
                 await scene(town)
                 town.leave()
             return town
@@ -133,6 +133,37 @@
         self.assertEqual(len(waits), 5)
         self.assertLessEqual(max(waits[3:]), WAIT_MS - HELD * 1000 + SLACK_MS)
 
+    def test_what_was_read_behind_a_write_that_waits_is_answered_where_its_connection_ends(self):
+        """Guards against commands that are read and get no answer, as the one before them waited for memory (review/9)."""
+        for end in (lambda client: client.finish("stopping")), (lambda client: client.cut_for_good()):
+            heard: list[bytes] = []
+
+            async def scene(town: Slow, end=end, heard=heard) -> None:
+                one = await town.client()
+                one.writer.write(put(9000, "large") + read("hit", "behind").encode() + put(5000, "more"))
+                held = await within(2.0, self.waiting(town))
+                end(held)
+                for _ in range(3):
+                    line = await within(2.0, one.reader.readline())
+                    heard.append(line)
+                    if line.startswith(b"VA"):
+                        await one.reader.readline()
+
+            with self.subTest(end=end):
+                town = self.play(scene, all_memory=True)
+                self.assertEqual([line[:4] for line in heard], [b"SERV", heard[1][:4], b"SERV"])
+                self.assertTrue(heard[1].startswith((b"VA 3 Obehind", b"SERVER_ERROR")), heard)
+                self.assertEqual(town.waits, [])
+
+    @staticmethod
+    async def waiting(town: Slow):
+        """The connection that waits for memory."""
+        while True:
+            for client in town.service.clients.clients:
+                if client.memory:
+                    return client
+            await asyncio.sleep(0.005)
+
 
 class MemoryWait(unittest.TestCase):
     """The bound alone."""
