A command keeps its line and the names that a node reads, not each word of it

Cause: a Command kept a list of its words and a table of all its names for as long as it was open: 47 kB for a line of 2 kB in 270 fields, so 680 open ones may take 30 MB that no bound knows of.

Change: three parts of the line, and of the names c, t, d and r alone: 2.8 kB. What goes on to a server is the same to the byte.

--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -23,6 +23,7 @@
 UNPAID = 4096  # a value up to this length is gathered without asking for memory
 PRINTABLE = bytes(range(33, 127))
 BEYOND = bytes(range(128, 256))  # not ASCII
+READ = b"c", b"t", b"d", b"r"  # the names that a node reads, of those that a command lists
 NAMED = b"c", b"t"  # profile and tenant: names of the settings, in any letters
 NOTES = {(b"h1", False): 1, (b"h0", False): 2, (b"h0", True): 3}
 
@@ -67,10 +68,12 @@
 
     verb: bytes
     key: bytes = b""
-    words: list[bytes] = field(default_factory=list)  # all of the line, as it came
     id: bytes = b""
-    listed: bytes = b""  # the names and values, as they came
-    attrs: dict[bytes, bytes] = field(default_factory=dict)
+    before: bytes = b""  # the line up to its names and values,
+    listed: bytes = b""  # these, as they came,
+    behind: bytes = b""  # and the rest of it
+    attrs: dict[bytes, bytes] = field(default_factory=dict)  # of the names that a node reads
+    length: bytes = b""  # of a write: what the line says of its value's
     value: bytes | bytearray = b""
     paid: int = 0  # bytes of the node's memory for values that it holds
     refused: bool = False  # its value was read past, as there was no memory for it in time
@@ -82,46 +85,53 @@
 
 
 def parse(line: bytes) -> Command:
+    """The command of a line. What is kept of it is a few times as long as the line, however many words it has."""
     words = line.split()
     verb = words[0] if words else b""
     if verb not in (b"mg", b"ms"):
-        return Command(verb, words=words)
-    command = Command(verb, words[1] if len(words) > 1 else b"", words)
-    command.fault = "bad key or line" if line.translate(None, PRINTABLE + b" " + BEYOND) else understand(command)
+        return Command(verb)
+    command = Command(verb, words[1] if len(words) > 1 else b"")
+    if command.write and len(words) > 2:
+        command.length = words[2]
+    bare = line.translate(None, PRINTABLE + b" " + BEYOND)
+    command.fault = "bad key or line" if bare else understand(command, words)
     return command
 
 
-def understand(command: Command) -> str:
+def understand(command: Command, words: list[bytes]) -> str:
     """Take the flags apart; what is wrong with the command, if anything.
 
     Guards against passing on what no server can use: it would be refused at one after the other, and what was
     learnt of their health with it.
     """
-    flags = command.words[3 if command.write else 2 :]
+    first = 3 if command.write else 2
+    flags = words[first:]
     if not 0 < len(command.key) <= LONGEST_KEY:
         return "bad key or line"
-    for flag in flags:
+    for place, flag in enumerate(flags, first):
         if flag[:1] == b"O" and not command.id:
             command.id = flag[1:]
         elif flag[:1] == b"P" and not command.listed:
             command.listed = flag[1:]
+            command.before, command.behind = b" ".join(words[:place]), b" ".join(words[place + 1 :])
         elif flag != b"v" or command.write:
             return "flag not known, or twice"
     if not command.id or not command.listed or len(command.id) > LONGEST_ID:
         return "O and P are needed"
     pairs = [pair.partition(b"=") for pair in command.listed.split(b",")]
-    command.attrs = {name: value for name, _, value in pairs}
+    names = {name for name, _, _ in pairs}
+    command.attrs = {name: value for name, _, value in pairs if name in READ}
     # Guards against refusing a whole deployment whose profiles or tenants are not named in ASCII: names may be so,
     # nothing else.
     named = sum(len(name) - len(name.translate(None, BEYOND)) for name in map(command.attrs.get, NAMED) if name)
-    if named < sum(len(word) - len(word.translate(None, BEYOND)) for word in command.words):
+    if named < sum([len(word) - len(word.translate(None, BEYOND)) for word in words]):
         return "bad key or line"
     wait = command.attrs.get(b"d")
-    if len(command.attrs) < len(pairs):
+    if len(names) < len(pairs):
         return "a name twice"
     if wait is not None and not (wait.isdigit() and len(wait) < 10):
         return "bad wait"
-    if not command.write and (b"v" not in flags or b"k" in command.attrs):
+    if not command.write and (b"v" not in flags or b"k" in names):
         return "a read has v and no key of a write"
     return ""
 
@@ -201,7 +211,7 @@
             command = parse(line)
             if not command.write:
                 return command
-            length = command.words[2] if len(command.words) > 2 else b""
+            length = command.length
             if not length.isdigit() or len(length) > 12 or int(length) > SWALLOW:
                 raise FramingLost("bad data length")
             self.length = int(length)
@@ -385,8 +395,8 @@
 
 def hop_bytes(command: Command, wait_ms: int) -> list[bytes]:
     """The command as it goes on to a cache server."""
-    words = [b"P" + listed(command, wait_ms) if word == b"P" + command.listed else word for word in command.words]
-    line = b" ".join(words) + b"\r\n"
+    behind = [command.behind] if command.behind else []
+    line = b" ".join([command.before, b"P" + listed(command, wait_ms), *behind]) + b"\r\n"
     return value_parts(line, command.value, b"\r\n") if command.write else [line]
 
 
