A request that is over lets go of its attempts

Cause: Tx and Hop know each other, and stayed until the collector ran: 200 requests left 200 of each with it off, 590 bytes a request.

Change: Node.feed empties the list of attempts once the request is over and none is out.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -222,12 +222,15 @@
             self.at(now + self.probe_wait, self.wake_askers, server, now)
 
     def feed(self, now: Micros, tx: Tx, given: In | None) -> None:
-        while given is not None:
+        while given is not None and tx.state is not State.DONE:
             row = TABLE.get((tx.state, given)) or ANYWHERE.get(given)
-            if row is None or tx.state is State.DONE:
+            if row is None:
                 return
             tx.state, effect = row
             given = effect(self, tx, now)
+        # Guards against a request and its attempts, which know each other, staying when both are over.
+        if tx.state is State.DONE and all(hop.ended for hop in tx.hops):
+            tx.hops.clear()
 
     def check(self, tx: Tx, now: Micros) -> In | None:
         """Ask the preferred server's queue, or take its fresh answer."""
