What is kept by key of served reads is bounded in bytes

Cause: FetchShedding.stored kept each key for 30 s, at any rate of new ones; its bound of 5,000 keys applied to older ones alone, and each period copied all of it.

Change: 4 MB by table, the one kept for longest goes; old ones are taken off the front. Below the bound what is kept is the same.

--- a/saltmoor/fetch_shedding.py
+++ b/saltmoor/fetch_shedding.py
@@ -12,6 +12,9 @@
 from saltmoor.model import Ended, Hop, Micros, Server, Tx
 
 STORED_MOST = 5_000  # keys beyond which old ones are forgotten at once
+KEPT_BYTES = 4 << 20  # of what is kept by key, of either kind, however fast new keys come
+KEY_BYTES = 224  # of one key: it, its time, its server's place, and its places in tables
+KEYS_MOST = KEPT_BYTES // KEY_BYTES
 STORED_FOR: Micros = 30_000_000  # a key that was served so long ago may have been evicted
 FORGET_EVERY: Micros = 5_000_000
 SERVED_STEP = 0.05  # what one served read adds to the share that is taken
@@ -39,7 +42,9 @@
             # All that was taken without knowing counts, so that fewer are turned away where many are stored.
             if key not in self.stored:
                 self.taken = min(1.0, self.taken + SERVED_STEP)
-            self.stored[key] = now, attempt.server
+            self.stored.pop(key, None)
+            self.stored[key] = now, attempt.server  # the last one: they stand in order of time
+            self.keep_most(self.stored)
         elif ended is Ended.ERROR and fetch:
             self.stored.pop(key, None)
             attempt.unfetched = True
@@ -47,7 +52,15 @@
 
     def found_no_room(self, key: int, until: Micros) -> None:
         """Until then the next read of that key would find none either."""
+        self.no_room.pop(key, None)
         self.no_room[key] = until
+        self.keep_most(self.no_room)
+
+    @staticmethod
+    def keep_most(by_key: dict) -> None:
+        """Guards against memory that grows with keys that are ever new: the one kept for longest goes."""
+        if len(by_key) > KEYS_MOST:
+            del by_key[next(iter(by_key))]
 
     def lacks_room(self, now: Micros, key: int) -> bool:
         return self.no_room.get(key, now) > now
@@ -77,5 +90,6 @@
     def forget(self, now: Micros) -> None:
         """What is too old to count; to be called each period."""
         if len(self.stored) > STORED_MOST or now % FORGET_EVERY < PERIOD:
-            self.stored = {key: kept for key, kept in self.stored.items() if kept[0] > now - STORED_FOR}
+            while self.stored and next(iter(self.stored.values()))[0] <= now - STORED_FOR:
+                del self.stored[next(iter(self.stored))]
         self.no_room = {key: until for key, until in self.no_room.items() if until > now}
