--- a/saltmoor/guard/checks.py
+++ b/saltmoor/guard/checks.py
@@ -59,6 +59,12 @@
     attempts: list[Attempt] = field(default_factory=list)
     answered: bool = False
 
+    @property
+    def would_repeat(self) -> bool:
+        """Whether the same request from anew might take effect a second time."""
+        idempotent = self.profile.repeat is Repeat.IDEMPOTENT
+        return not idempotent and any(attempt.may_have_run for attempt in self.attempts)
+
 
 class Checker:
     """Counts violations by rule. `budget` and `window` are the settings' of further attempts and of slow start."""
--- a/saltmoor/net/clients.py
+++ b/saltmoor/net/clients.py
@@ -37,6 +37,7 @@
 from saltmoor.net.node_life import monotonic, waited
 from saltmoor.net.overflow import Overflow
 from saltmoor.net.sibling import Sibling
+from saltmoor.net.spent_ids import SpentIds
 from saltmoor.net.upstream import Upstream
 
 KEPT = 500_000  # how long a connection stays free at least, unless there is no room for another
@@ -93,6 +94,7 @@
         self.budget = budget
         self.tasks: set[asyncio.Task] = set()
         self.open_ids: set[bytes] = set()
+        self.spent_ids = SpentIds()
         self.closing = self.late = self.paced = False  # late: the loop is, so that commands wait in their sockets
         self.late_by: Micros = 0  # how late the loop was, the worse of the last two looks
         self.late_before: Micros = 0  # at the last one
@@ -507,7 +509,7 @@
             command.fault = "unknown profile"
             return
         given = self.given_to(command)
-        id_open = command.id in self.open_ids
+        id_open = command.id in self.open_ids or self.spent_ids.has(command.id, self.clock())
         memory = not command.refused and (id_open or self.has_place(pipelined=len(client.slots) > 1))
         until = client.end_due.answers_until if client.end_due else 0
         until = min(until or self.until, self.until or until)
@@ -547,6 +549,8 @@
         """Its answer was written, or it needs none any more."""
         if slot.tx:
             self.open_ids.discard(slot.id)
+            if slot.answer is None and slot.record.would_repeat:  # its client has left
+                self.spent_ids.add(slot.id, self.clock())
             self.door.leave(slot.tx)
             # Guards against a task that is never freed: it keeps the error that it was cancelled with, whose traceback has
             # the frame that has this.
