test_late holds its stand-in's port, and fills its queue by what the kernel tells

Beside three busy loops a run of all tests failed once: test_one_that_is_refused_in_the_end found a connection that had come up where it is to be refused.

Traced by trial: the test closes its listener and waits up to a second for the next try to connect; a listener that is given that port meanwhile takes it, and the same assertion fails. The queue of the stand-in could also pass for full where the machine was late with a connection. Which of the two it was in that run is not known. Both are mended: the port stays reserved, as in other tests, and the kernel has to say that somebody waits. What is checked is the same.

--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -19,11 +19,11 @@
 
 from saltmoor import config, model
 from saltmoor.model import Ended, Readiness
-from saltmoor.net import lifecycle, meta, upstream
+from saltmoor.net import lifecycle, meta, tcp_info, upstream
 from saltmoor.net.buffers import Buffers
 from saltmoor.net.flow import Budget
 from saltmoor.net.log import Log
-from tests.helper import MS, Caller, Town, read, settings
+from tests.helper import MS, Caller, Town, read, reserve, settings
 
 WAIT = 60 * MS  # the stated time for a connection
 
@@ -32,7 +32,9 @@
     """A cache server to which connections come up only once the test opens it."""
 
     def __init__(self) -> None:
-        self.socket = socket.create_server(("127.0.0.1", 0), backlog=0)
+        # Guards against another process being given the port once this one has closed it, and taking what comes there.
+        self.reserved = reserve()
+        self.socket = socket.create_server(self.reserved.getsockname(), backlog=0, reuse_port=True)
         self.address = self.socket.getsockname()
         self.came: list[str] = []
         self.peers: list[int] = []  # the ports that connections came from
@@ -43,7 +45,8 @@
             self.fill.append(sock := socket.socket())
             sock.setblocking(False)
             sock.connect_ex(self.address)
-            if not select.select([], [sock], [], 0.05)[1]:
+            up = select.select([], [sock], [], 0.05)[1]
+            if not up and tcp_info.waiting(self.socket):  # else the machine is late with the first one
                 break
         self.fill.pop().close()
 
@@ -70,7 +73,7 @@
         self.server = await asyncio.start_server(serve, sock=self.socket)
 
     def close(self) -> None:
-        for one in *self.fill, *self.writers, self.server or self.socket:
+        for one in *self.fill, *self.writers, self.server or self.socket, self.reserved:
             one.close()
 
 
