A connection that an upgrade hands on goes on resting behind its last answer

What decides whether a connection may be used goes with it as one typed message, LinkState. One without the rest comes of an older version of the program, and rests from the moment in which it comes. The message is read before the descriptor is taken: one that can't be understood left it to be closed twice.

The first test of tests/test_handed_links.py fails without the change.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -29,6 +29,7 @@
 from saltmoor.net.clients import EVICTIONS, Clients
 from saltmoor.net.discovery import Discovery, News
 from saltmoor.net.flow import Budget
+from saltmoor.net.link_state import LinkState
 from saltmoor.net.log import Log
 from saltmoor.net.node_life import NodeLife, Phase
 from saltmoor.net.sibling import Meeting, Message, Sibling
@@ -312,7 +313,8 @@
         if "client" in said and fds:
             self.clients.adopt(socket.socket(fileno=fds.pop(0)), said)
         elif "server" in said and fds:
-            self.upstream.adopt(socket.socket(fileno=fds.pop(0)), said)
+            state = LinkState.parse(said)
+            self.upstream.adopt(socket.socket(fileno=fds.pop(0)), state)
         elif "lame" in said:
             self.hear_drain(said)
         elif "left" in said:  # it ends: what it does not hold any more is there for this one
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -22,6 +22,7 @@
 from saltmoor.net import errors, http, meta, tcp_info
 from saltmoor.net.buffers import Buffers, Stream, family
 from saltmoor.net.flow import Budget, Flow, Kept
+from saltmoor.net.link_state import LinkState
 from saltmoor.net.log import Log
 from saltmoor.net.trouble import LocalTrouble, Pauses
 
@@ -569,22 +570,18 @@
         for link in [link for links in self.free.values() for link in reversed(links)]:
             self.take_off(link)
             if link.used > self.clock() - self.good and link.stream.quiet():
-                give(
-                    {
-                        "server": link.server,
-                        "address": link.address,
-                        "since": link.since,
-                        "used": link.used,
-                        "exchanges": link.exchanges,
-                    },
-                    link.stream.sock.fileno(),
-                )
+                state = LinkState(link.server, link.address, link.since, link.used, link.exchanges, link.rests)
+                give(state.message(), link.stream.sock.fileno())
             self.close(link, "handed-on")
 
-    def adopt(self, sock: socket.socket, said: dict) -> None:
-        """A free connection of the process before this one."""
-        link = Link(str(said["server"]), tuple(said["address"]), Stream(sock, self.buffers), int(said["since"]))
-        link.used, link.exchanges = int(said["used"]), int(said["exchanges"])
+    def adopt(self, sock: socket.socket, state: LinkState) -> None:
+        """A free connection of the process before this one.
+
+        Where that one does not say how long it rests, more may come of its last answer.
+        """
+        link = Link(state.server, state.address, Stream(sock, self.buffers), state.since)
+        link.used, link.exchanges = state.used, state.exchanges
+        link.rests = self.clock() + REST if state.rests is None else state.rests
         self.open += 1
         if self.address.get(link.server) == link.address and self.open <= self.cap():
             self.stand_free(link)
--- /dev/null
+++ b/tests/test_handed_links.py
@@ -0,0 +1,142 @@
+"""Connections to servers that one process of a node hands to the next: used there as the first one would have.
+
+Guards against answers that were made for others (review/1).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import unittest
+from typing import Any
+
+import msgspec
+
+from saltmoor import config, model
+from saltmoor.model import Ended, Readiness
+from saltmoor.net import lifecycle, meta, upstream
+from saltmoor.net.buffers import Buffers
+from saltmoor.net.flow import Budget
+from saltmoor.net.link_state import LinkState
+from saltmoor.net.log import Log
+from saltmoor.net.upstream import Upstream
+from tests.helper import read, within
+
+BEHIND = 0.008  # seconds between an answer and its second copy
+SERVED_IN = 0.02  # seconds
+REST_OVER = 1.5 * upstream.REST / 1_000_000  # seconds
+
+
+class Server:
+    """Answers with the key; to `busy` it gives an answer that names no request, and to `busy-twice` a second copy."""
+
+    async def __aenter__(self) -> Server:
+        self.connections: list[asyncio.StreamWriter] = []
+        self.listening = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = self.listening.sockets[0].getsockname()[:2]
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        self.listening.close()
+        for writer in self.connections:
+            writer.close()
+        await asyncio.sleep(0.01)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.append(writer)
+        while words := (await reader.readline()).decode().split():
+            key, tag = words[1], next(word for word in words if word.startswith("O"))
+            if not key.startswith("busy"):
+                await asyncio.sleep(SERVED_IN)
+                writer.write(f"VA {len(key)} {tag} h1\r\n{key}\r\n".encode())
+                continue
+            writer.write(b"SERVER_ERROR busy\r\n")
+            if key == "busy-twice":
+                asyncio.get_running_loop().call_later(BEHIND, writer.write, b"SERVER_ERROR busy\r\n")
+        writer.close()
+
+
+class Process:
+    """The connections of one process of a node, without the rest of it."""
+
+    def __init__(self, server: Server) -> None:
+        self.links = Upstream(
+            Buffers(16),
+            Log(),
+            lifecycle.clock,
+            budget=Budget(1 << 20),
+            cap=lambda: 16,
+            make_room=lambda: False,
+            idle=30_000_000,
+            connect_wait=1_000_000,
+            figures=True,
+        )
+        self.links.listed([config.Line(model.Member("s1", 0, 0, 0, Readiness.READY, 1.0, 0), server.address)])
+
+    async def ask(self, key: str) -> meta.Reply:
+        command = meta.parse(read(key).strip().encode())
+        until = self.links.clock() + 1_000_000
+        lines = meta.hop_bytes(command, 900)
+        return await within(5, self.links.exchange("s1", lines, meta.HopReply(command), until))
+
+    def hand_to(self, heir: Process, **changed: Any) -> None:
+        """Hand on all that is free; a message key that is `changed` to None is left out of what the heir is told."""
+
+        def give(message: dict[str, Any], descriptor: int) -> bool:
+            told = json.loads(json.dumps(message)) | changed
+            state = LinkState.parse({key: value for key, value in told.items() if value is not None})
+            heir.links.adopt(socket.socket(fileno=os.dup(descriptor)), state)
+            return True
+
+        self.links.hand_on(give)
+
+
+class HandedLinks(unittest.IsolatedAsyncioTestCase):
+    async def test_what_rests_goes_on_resting(self):
+        """A second copy of the answer before is not taken for the next one's."""
+        for changed in {}, {"rests": None}:  # as told, and by an older version of the program, which tells no rest
+            async with Server() as server:
+                first, second = Process(server), Process(server)
+                self.assertIsNot((await first.ask("busy-twice")).ended, Ended.COMMITTED)
+                first.hand_to(second, **changed)
+                self.assertEqual(len(second.links.free["s1"]), 1)
+                for _ in range(2):  # the first one would be given the copy
+                    with self.subTest(changed=changed):
+                        self.assertIs((await second.ask("key")).ended, Ended.COMMITTED)
+                    await asyncio.sleep(REST_OVER)
+                self.assertEqual(len(server.connections), 2)
+                for process in first, second:
+                    process.links.close_all()
+
+    async def test_what_has_rested_is_used_again(self):
+        async with Server() as server:
+            first, second = Process(server), Process(server)
+            await first.ask("busy")
+            first.hand_to(second)
+            await asyncio.sleep(REST_OVER)
+            self.assertIs((await second.ask("key")).ended, Ended.COMMITTED)
+            self.assertEqual(len(server.connections), 1)
+            second.links.close_all()
+
+    async def test_what_does_not_rest_is_used_at_once(self):
+        async with Server() as server:
+            first, second = Process(server), Process(server)
+            await first.ask("key")
+            first.hand_to(second)
+            self.assertIs((await second.ask("key")).ended, Ended.COMMITTED)
+            self.assertEqual(len(server.connections), 1)
+            second.links.close_all()
+
+    def test_each_field_stays_itself(self):
+        state = LinkState("s1", ("127.0.0.1", 7001), since=5, used=7, exchanges=2, rests=9)
+        self.assertEqual(LinkState.parse(json.loads(json.dumps(state.message()))), state)
+        self.assertEqual(LinkState.parse(state.message() | {"later": 1}), state)
+        for key in "server", "address", "since", "used", "exchanges":
+            with self.assertRaises(msgspec.ValidationError):
+                LinkState.parse(state.message() | {key: None})
+
+
+if __name__ == "__main__":
+    unittest.main()
