A voter that starts is silent for the longest grant of any settings

A voter that started was silent for the lease of its settings of now; what it had granted before by a longer one still stood. No act was seen done twice, as acts carry their number.

No grant is for longer than 5 s now (LONGEST_GRANT), and each voter that starts is silent for that and a tenth, whatever its settings, wall clock or list of voters say. A longer lease_ms is a lease of 5 s that is renewed sooner; its flight is a quarter of that at most. A holder whose lease is over is not shown any more. The rule and its proof: docs/duties.md.

--- a/saltmoor/duties/lease.py
+++ b/saltmoor/duties/lease.py
@@ -1,9 +1,10 @@
 """Owns leases by a majority, without disk: what a voter grants, how a candidate becomes owner and stops being one.
 
 PaxosLease (Trencseni, Gazso, Reinhardt 2012) with numbers that rise as fences. Assumed: clocks that run within RATE of
-each other between two readings; nothing of delays, order, loss, or what the wall says. A voter that starts is silent
-for the longest lease, so one that lost its memory helps nobody to grant twice. Numbers rise with the wall clock and
-with every number that was seen. It must never read a clock, send, or act. docs/duties-design.md says what is proven.
+each other between two readings; nothing of delays, order, loss, or what the wall says. No grant is for longer than
+LONGEST_GRANT, and a voter that starts is silent for as long, so one that lost its memory helps nobody to grant twice.
+Numbers rise with the wall clock and with every number that was seen. It must never read a clock, send, or act.
+docs/duties.md has the rule and its proof.
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 from saltmoor.model import Micros
 
 RATE = 0.1  # clocks run within so much of true time, together: 5% fast and 5% slow
+LONGEST_GRANT: Micros = 5_000_000  # the same for all settings: a voter that starts can't know what they were before
+FLIGHTS = 4  # a flight is this part of its lease at most
 BITS = 8  # of a number's lower end: the place among the candidates, so that no two have the same
 
 
@@ -52,14 +55,17 @@
 
 @dataclass(slots=True)
 class Voter:
-    """Grants, for each duty, one lease at a time."""
+    """Grants, for each duty, one lease at a time; `longest`: of one grant, for all voters of all times the same."""
 
     started: Micros
-    longest: Micros
+    longest: Micros = LONGEST_GRANT
     kept: dict[str, Kept] = field(default_factory=dict)
 
     def silent(self, now: Micros) -> bool:
-        """Guards against a vote twice: what it granted before it lost its memory may still stand."""
+        """Guards against a vote twice: what it granted before it lost its memory may still stand.
+
+        However it has come to start: with another lease or list of voters, or with a wall clock that was set back.
+        """
         return now < self.started + int(self.longest * (1 + RATE))
 
     def hear(self, now: Micros, who: str, ask: Ask) -> Vote | None:
@@ -90,6 +96,12 @@
         )
 
 
+def granted(lease: Micros, flight: Micros) -> tuple[Micros, Micros]:
+    """How long one grant is asked for, and the flight within it, where the settings say `lease` and `flight`."""
+    lease = min(lease, LONGEST_GRANT)
+    return lease, min(flight, lease // FLIGHTS)
+
+
 class State(Enum):
     IDLE = auto()
     PREPARING = auto()
--- a/saltmoor/net/duties.py
+++ b/saltmoor/net/duties.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from saltmoor.config import Dutiful
-from saltmoor.duties.lease import Ask, Claim, Vote, Voter
+from saltmoor.duties.lease import Ask, Claim, Vote, Voter, granted
 from saltmoor.model import Micros
 from saltmoor.net.peers.node import Peers
 from saltmoor.peers import frames
@@ -97,7 +97,8 @@
         self.peers, self.given, self.log, self.clock = peers, given, log, peers.clock
         now = self.clock()
         everyone = sorted({*given.voters, *given.before})
-        self.voter = Voter(now, given.lease) if peers.name in everyone else None
+        lease, flight = granted(given.lease, given.flight)
+        self.voter = Voter(now) if peers.name in everyone else None
         # Only voters are candidates: each has a place of its own, so no two numbers are the same.
         self.claims = (
             {
@@ -107,8 +108,8 @@
                     everyone.index(peers.name),
                     list(given.voters),
                     list(given.before),
-                    given.lease,
-                    given.flight,
+                    lease,
+                    flight,
                     next=now,
                 )
                 for duty in given.use
@@ -274,7 +275,7 @@
                     "number": one.fence,
                     "left_ms": max(0, one.until - now) // 1000,
                     "held_ms": (now - one.since) // 1000 if one.owns(now) else 0,
-                    "holder": one.holder[0],
+                    "holder": one.holder[0] if one.holder[1] > now else "",
                     "takes": one.takes,
                     "wrote": self.wrote,
                 }
