A write that waited for room at the origin is not sent to a cache server

A write never reads again: turn_comes_later says no to it. The new test in tests/test_choice.py saw the origin once and a cache server then; now the origin twice.

--- a/saltmoor/choice.py
+++ b/saltmoor/choice.py
@@ -372,10 +372,11 @@
 
     def turn_comes_later(self, tx: Tx, note: int, now: Micros) -> bool:
         """Guards against a fetch by each node of what all miss: where the cache server tells that another is
-        out, the copy is asked for once more after the time that takes, as far as hops and the goal allow.
+        out, the copy is asked for once more after the time that takes, as far as hops and the goal allow. A write has none.
         """
         return (
-            note == OTHERS
+            not tx.write
+            and note == OTHERS
             and self.recovery.phase is not Phase.STEADY
             and tx.shared_key
             and len(tx.hops) + 2 <= self.permits.hops
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,6 +2,7 @@
 
 from saltmoor import model
 from saltmoor.model import Ended, ListKind, Readiness, Repeat
+from saltmoor.recovery.phase import Phase
 from saltmoor.recovery.room import Room
 from tests.helper import JOURNALLED, MS, ONCE, Script, TraceCase
 
@@ -188,6 +189,21 @@
         script.tx(20, key=20, write=True)
         self.check("origin-full", script)
 
+    def test_a_write_that_waited_for_room_goes_to_the_origin_alone(self):
+        """Guards against one that is taken for a read while copies fill, and sent to a cache server (issue 83)."""
+        script = Script(origin=True)
+        node = script.node
+        node.recovery.phase, node.fetch, node.room.limit, node.room.usual = Phase.FILLING, 10 * MS, 1.0, 10 * MS
+        script.tx(1, JOURNALLED, write=True)
+        script.wait(30)
+        script.tx(2, JOURNALLED, write=True)
+        script.ends(1, 0, 99, Ended.FULL, took=10)  # its place goes to the second, and it waits for another
+        script.wait(20)
+        script.ends(2, 0, 99, Ended.COMMITTED, took=10)
+        sent = [line.split("->")[1].strip() for line in script.lines if "   tx 1 ->" in line]
+        self.assertEqual(sent, ["server 99", "server 99"], script.lines)
+        self.assertFalse([line for line in script.lines if "probe" in line])
+
     def test_an_origin_whose_times_vary_keeps_its_room(self):
         """Guards against taking a wide spread of times for a full origin: only the usual time tells."""
         script, room = Script(), Room()
