A connection past its bound whose client has all ends without a reset

The node reset it: a value that a server gives past the bound of a drain is written on, and its connection ends once the client has it. Between the last byte and the end of the stream lies a pass of the loop; a look at the connections in that pass found it past its bound, with nothing on its way, and aborted it, with a reset.

--- a/saltmoor/net/client.py
+++ b/saltmoor/net/client.py
@@ -456,9 +456,13 @@
         self.house.requests.note("failed", "end-due", slot.record.id)
 
     def abort(self, code: str) -> None:
-        """End it at once, and give up what its machine has not taken: the kernel would hold that for long."""
+        """End it at once, and give up what its machine has not taken: the kernel would hold that for long.
+
+        Guards against a reset behind a whole answer, where its machine has all: that one ends as any other.
+        """
         self.code = code
-        self.stream.abandon()
+        if self.stream.backlog():
+            self.stream.abandon()
         self.reader.cancel()
 
     def forget(self) -> None:
