--- a/tests/test_handed_links.py
+++ b/tests/test_handed_links.py
@@ -73,13 +73,18 @@
             connect_wait=1_000_000,
             figures=True,
         )
-        self.links.listed([config.Line(model.Member("s1", 0, 0, 0, Readiness.READY, 1.0, 0), server.address)])
+        self.list("s1", server)
 
-    async def ask(self, key: str) -> meta.Reply:
+    def list(self, name: str, server: Server) -> None:
+        """That server alone is listed from now on, at that address."""
+        member = model.Member(name, 0, 0, 0, Readiness.READY, 1.0, 0)
+        self.links.listed([config.Line(member, server.address)], whole=True)
+
+    async def ask(self, key: str, name: str = "s1") -> meta.Reply:
         command = meta.parse(read(key).strip().encode())
         until = self.links.clock() + 1_000_000
         lines = meta.hop_bytes(command, 900)
-        return await within(5, self.links.exchange("s1", lines, meta.HopReply(command), until))
+        return await within(5, self.links.exchange(name, lines, meta.HopReply(command), until))
 
     def hand_to(self, heir: Process, **changed: Any) -> None:
         """Hand on all that is free; a message key that is `changed` to None is left out of what the heir is told."""
@@ -129,6 +134,26 @@
             self.assertEqual(len(server.connections), 1)
             second.links.close_all()
 
+    async def test_another_server_at_the_address_of_one_that_has_gone(self):
+        async with Server() as server:
+            first, second = Process(server), Process(server)
+            await first.ask("key")
+            second.list("s2", server)
+            first.hand_to(second)
+            self.assertEqual((second.links.free, second.links.open), ({}, 0))
+            self.assertIs((await second.ask("key", "s2")).ended, Ended.COMMITTED)
+            self.assertEqual(len(server.connections), 2)
+            second.links.close_all()
+
+    async def test_a_server_that_is_listed_elsewhere_by_now(self):
+        async with Server() as server, Server() as elsewhere:
+            first, second = Process(server), Process(elsewhere)
+            await first.ask("key")
+            first.hand_to(second)
+            self.assertIs((await second.ask("key")).ended, Ended.COMMITTED)
+            self.assertEqual([len(one.connections) for one in (server, elsewhere)], [1, 1])
+            second.links.close_all()
+
     def test_each_field_stays_itself(self):
         state = LinkState("s1", ("127.0.0.1", 7001), since=5, used=7, exchanges=2, rests=9)
         self.assertEqual(LinkState.parse(json.loads(json.dumps(state.message()))), state)
