The two processes of an upgrade tell each other of ids that may not run again

Each process remembered such ids for itself.

They tell each other of each id as it is spent, and of all to a process that says it is ready. Nothing waits for the other process: Sibling.say_at_once tries once. Open: an id whose client still waits at the one process is not refused by the other.

--- a/saltmoor/net/lifecycle.py
+++ b/saltmoor/net/lifecycle.py
@@ -33,6 +33,7 @@
 from saltmoor.net.log import Log
 from saltmoor.net.node_life import NodeLife, Phase
 from saltmoor.net.sibling import Meeting, Message, Sibling
+from saltmoor.net.spent_ids import SpentIdsMessage
 from saltmoor.net.upstream import Upstream
 
 GRAIN = 2  # milliseconds
@@ -171,6 +172,7 @@
             checker=self.checker,
             drains=lambda: self.life.drain.on,
         )
+        self.clients.spent_ids.tell = self.tell_spent
         self.say_given(given)
         self.settings(given)
         self.sharing = None
@@ -315,6 +317,10 @@
         elif "server" in said and fds:
             state = LinkState.parse(said)
             self.upstream.adopt(socket.socket(fileno=fds.pop(0)), state)
+        elif "ready" in said:
+            all(self.sibling.say(ids.message()) for ids in self.clients.spent_ids.messages())
+        elif "spent" in said:
+            self.clients.spent_ids.take(SpentIdsMessage.parse(said), clock())
         elif "lame" in said:
             self.hear_drain(said)
         elif "left" in said:  # it ends: what it does not hold any more is there for this one
@@ -322,6 +328,11 @@
         for fd in fds:  # a queue that is offered late, by one that hung: guards against holding it and never accepting
             os.close(fd)
 
+    def tell_spent(self, ids: SpentIdsMessage) -> None:
+        """A request that may have run must not run again at the other process."""
+        if self.sibling:
+            self.sibling.say_at_once(ids.message())
+
     def alone(self) -> None:
         """The other process has gone, one way or another."""
         self.sibling = None
--- a/saltmoor/net/sibling.py
+++ b/saltmoor/net/sibling.py
@@ -13,7 +13,7 @@
 import os
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -45,15 +45,23 @@
 
     def say(self, message: Message, *fds: int) -> bool:
         """Whether the other one has it, or will."""
+        return self._send(message, fds, tries=2)
+
+    def say_at_once(self, message: Message) -> bool:
+        """The same, with no wait where the other one does not read: what is said so may be lost."""
+        return self._send(message, (), tries=1)
+
+    def _send(self, message: Message, fds: Sequence[int], tries: int) -> bool:
         data = json.dumps(message).encode()
         if not self.alive or len(data) > LONGEST:
             return False
-        for _ in range(2):
+        for left in reversed(range(tries)):
             try:
                 socket.send_fds(self.pair, [data], fds)
                 return True
             except BlockingIOError:
-                select.select([], [self.pair], [], FULL)
+                if left:
+                    select.select([], [self.pair], [], FULL)
             except OSError:
                 break
         return False
