--- a/saltmoor/net/meta.py
+++ b/saltmoor/net/meta.py
@@ -161,6 +161,13 @@
         """Bytes of the value that the unfinished command has, the line's end behind it included."""
         return self.length + 2
 
+    @property
+    def missing(self) -> int:
+        """Bytes of the unfinished command's value that have not come; 0 where it has none."""
+        if not self.waiting:
+            return 0
+        return self.skip or self.block_length - self.filled - len(self.splitter.held)
+
     def read_past(self) -> None:
         """The memory that it wants is not there in time: the value is dropped as it comes."""
         self.waiting.refused, self.wants = True, 0
--- a/saltmoor/net/overflow.py
+++ b/saltmoor/net/overflow.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import socket
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -22,7 +21,7 @@
 AT_ONCE = 1 << 14  # bytes of one read; all commands in them are answered
 MOST_READ = 8 << 20  # bytes of one connection: as much as the machine holds for it
 MOST_COMMANDS = 1024  # of one connection; then no more is read
-MOST_LINGERING = 4  # connections with more unread: their clients get a moment to see the end
+MOST_LINGERING = 4  # connections whose clients send more, and get a moment to see the end
 LINGER = 0.04  # seconds of that
 
 
@@ -44,6 +43,7 @@
     found: Found = Found.NOTHING
     answers: list[bytes] = field(default_factory=list)
     unread: bool = False  # more may stand there
+    missing: int = 0  # bytes of an unfinished value, which its client is still sending
     quit: bool = False
 
 
@@ -54,25 +54,25 @@
         self, log: Log, requests: RequestLog, *, draining: Callable[[], bool], hint: Callable[[], Micros]
     ) -> None:
         self.log, self.requests, self.draining, self.hint = log, requests, draining, hint
-        self.lingering: deque[socket.socket] = deque()
+        self.lingering: dict[socket.socket, int] = {}  # and what is missing of its unfinished value
 
     def turn_away(self, sock: socket.socket, peer: str, queued: Micros) -> None:
         """Answer what was asked on it, and end it; `queued`: how long it waited to be accepted."""
-        found, unread = Found.BROKEN, False
+        asked = _Asked(Found.BROKEN)
         try:
             sock.setblocking(False)
             asked = self._read(sock)
-            found, unread, said = asked.found, asked.unread, b"".join(asked.answers)
-            while said and found is not Found.LEFT:
+            said = b"".join(asked.answers)
+            while said and asked.found is not Found.LEFT:
                 said = said[sock.send(said) :]
         except OSError:
             pass
-        if unread and found is not Found.BROKEN:
-            self._linger(sock)
+        if asked.unread or asked.missing:
+            self._linger(sock, asked.missing)
         else:
             sock.close()
-        self.log.counters.add("turned_away", found.value)
-        self.log.ended("client", peer, "turned-away", asked=found.value, queued_ms=queued // 1000)
+        self.log.counters.add("turned_away", asked.found.value)
+        self.log.ended("client", peer, "turned-away", asked=asked.found.value, queued_ms=queued // 1000)
 
     def _read(self, sock: socket.socket) -> _Asked:
         """What has come, and the answer to each command in it. Raises OSError.
@@ -122,6 +122,7 @@
         if asked.quit or not commands.partial:
             return
         if commands.waiting:
+            asked.missing = commands.missing
             self._answer_one(commands.waiting, asked)
             return
         if asked.found is Found.NOTHING:
@@ -132,18 +133,40 @@
         self.requests.note("refused", "no-place", command.id.decode("latin-1"))
         return meta.rolled_back(self.hint() // 1000)
 
-    def _linger(self, sock: socket.socket) -> None:
-        """Guards against a reset, for what stands unread, that takes the answer with it."""
+    def _linger(self, sock: socket.socket, missing: int) -> None:
+        """Say the end, and stay for a moment; of an unfinished value the rest is read past.
+
+        Guards against a reset, for what stands unread or is still being sent, that takes the answer with it. Nothing else
+        is read: a command that is read is owed an answer.
+        """
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_WR)
-        self.lingering.append(sock)
+        self.lingering[sock] = missing
         while len(self.lingering) > MOST_LINGERING:
-            self.lingering.popleft().close()
-        asyncio.get_running_loop().call_later(LINGER, self._close, sock)
+            self._close(next(iter(self.lingering)))
+        loop = asyncio.get_running_loop()
+        if missing:
+            loop.add_reader(sock, self._read_past, sock)
+        loop.call_later(LINGER, self._close, sock)
+
+    def _read_past(self, sock: socket.socket) -> None:
+        """Drop what has come of the value, up to its end or the client's."""
+        try:
+            size = len(sock.recv(min(AT_ONCE, self.lingering[sock])))
+        except BlockingIOError:
+            return
+        except OSError:
+            size = 0
+        self.lingering[sock] -= size
+        if not size:
+            self._close(sock)
+        elif not self.lingering[sock]:
+            asyncio.get_running_loop().remove_reader(sock)
 
     def _close(self, sock: socket.socket) -> None:
         if sock in self.lingering:
-            self.lingering.remove(sock)
+            del self.lingering[sock]
+            asyncio.get_running_loop().remove_reader(sock)
             sock.close()
 
 
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -17,7 +17,7 @@
 from saltmoor.net.acceptor import Acceptor, Taken
 from saltmoor.net.counters import RequestLog
 from saltmoor.net.log import Log
-from saltmoor.net.overflow import Overflow
+from saltmoor.net.overflow import LINGER, Overflow
 from tests.helper import Town, read, within, write
 
 MS = 1000
@@ -78,12 +78,17 @@
             if leaves:
                 client.shutdown(socket.SHUT_WR)
             sock, _ = listener.accept()
+            self.addCleanup(sock.close)
             time.sleep(0.02)
             log = Log()
             requests = RequestLog(log, time.monotonic, log.counters)
-            with contextlib.redirect_stderr(io.StringIO()):
-                overflow = Overflow(log, requests, draining=lambda: draining, hint=lambda: 250 * MS)
+            overflow = Overflow(log, requests, draining=lambda: draining, hint=lambda: 250 * MS)
+
+            async def turn_away() -> None:
                 overflow.turn_away(sock, "client", 0)
+
+            with contextlib.redirect_stderr(io.StringIO()):
+                uvloop.run(turn_away())
             self.counts = {reason for name, reason in log.counters.counts if name == "turned_away"}
             heard = b""
             while part := client.recv(1 << 16):
@@ -128,6 +133,50 @@
         self.assertEqual(self.counts, {"left"})
 
 
+class StillSending(unittest.IsolatedAsyncioTestCase):
+    """A client that is turned away in the middle of a value, and sends the rest before it looks for an answer."""
+
+    async def turned_away(self, said: bytes, rest: bytes) -> bytes:
+        loop, log = asyncio.get_running_loop(), Log()
+        overflow = Overflow(
+            log, RequestLog(log, time.monotonic, log.counters), draining=lambda: False, hint=lambda: 250 * MS
+        )
+        with socket.create_server(("127.0.0.1", 0)) as listener, socket.socket() as client:
+            client.setblocking(False)
+            await loop.sock_connect(client, listener.getsockname())
+            await loop.sock_sendall(client, said)
+            sock, _ = listener.accept()
+            await asyncio.sleep(0.01)
+            with contextlib.redirect_stderr(io.StringIO()):
+                overflow.turn_away(sock, "client", 0)
+            await within(2.0, loop.sock_sendall(client, rest))  # raises where the node has closed
+            heard = await within(2.0, loop.sock_recv(client, 100))
+            await asyncio.sleep(2 * LINGER)
+            self.assertEqual((overflow.lingering, sock.fileno()), ({}, -1))
+        return heard
+
+    async def test_it_can_send_all_and_hears_its_answer(self):
+        for size in 3_000, 40_000, 3_000_000:
+            value = write("key", "v" * size).encode()
+            for before in 100, 2_500:
+                with self.subTest(size=size, before=before):
+                    self.assertEqual(await self.turned_away(value[:before], value[before:]), meta.rolled_back(250))
+
+    async def test_what_stands_behind_the_value_is_not_read(self):
+        """Guards against commands that are read and get no answer."""
+        value = write("key", "v" * 40_000).encode()
+        taken: list[int] = []
+        plain = Overflow._read_past
+
+        def count(overflow: Overflow, sock: socket.socket) -> None:
+            plain(overflow, sock)
+            taken.append(overflow.lingering.get(sock, -1))
+
+        with mock.patch.object(Overflow, "_read_past", count):
+            await self.turned_away(value[:100], value[100:] + read("hit").encode())
+        self.assertEqual(taken[-1], 0)
+
+
 class HalfCommand(unittest.TestCase):
     def test_a_command_counts_as_unfinished_since_its_bytes_came(self):
         """Guards against a client that waits at the listener first, and then is owed its error later than others."""
