net/link.py, ages.py and time_out.py out of upstream.py; lab compare: missing figures

net/upstream.py held the pool, one connection, its way up, the learnt age of free ones and the time-out of an exchange: 604 lines, now 489. Code moved as it was; its constants have their unit's type.

--- a/saltmoor/lab/cli.py
+++ b/saltmoor/lab/cli.py
@@ -171,6 +171,20 @@
     return 0
 
 
+def compared(name: str, values: list[tuple[float | None, float | None]]) -> str:
+    """One figure's line: the means of both sides, of their differences, and the spread of these.
+
+    A round in which a side has no such figure, as it was not reached, counts for neither.
+    """
+    pairs = [(float(a), float(b)) for a, b in values if a is not None and b is not None]
+    if not pairs:
+        return f"  {name:24} " + " ".join(f"{'none':>10}" for _ in range(4))
+    gaps = [b - a for a, b in pairs]
+    spread = statistics.stdev(gaps) if len(gaps) > 1 else 0.0
+    of_a, of_b = (statistics.mean(side) for side in zip(*pairs))
+    return f"  {name:24} {of_a:10.4g} {of_b:10.4g} {statistics.mean(gaps):+10.3g} {spread:10.3g}"
+
+
 def compare(said: dict) -> int:
     """Two builds on the same seeds, in turn, with the spread between runs."""
     from saltmoor.lab import experiment, nodes
@@ -190,12 +204,8 @@
     print(f"{scenario.name}: {len(pairs)} of {rounds} rounds count; A {builds[0].name}, B {builds[1].name}")
     print(f"  {'figure':24} {'A':>10} {'B':>10} {'B - A':>10} {'spread':>10}")
     for name in pairs[0][0].figures if pairs else ():
-        a, b = ([float(one.figures.get(name, 0)) for one in side] for side in zip(*pairs))
-        gaps = [two - one for one, two in zip(a, b)]
-        spread = statistics.stdev(gaps) if len(gaps) > 1 else 0.0
-        means = f"{statistics.mean(a):10.4g} {statistics.mean(b):10.4g} {statistics.mean(gaps):+10.3g}"
-        print(f"  {name:24} {means} {spread:10.3g}")
-        held = held and not (name == "breaches" and any(b))
+        print(compared(name, [(a.figures.get(name, 0), b.figures.get(name, 0)) for a, b in pairs]))
+    held = held and not any(b.figures.get("breaches") for _, b in pairs)
     if said["--json"]:
         Path(said["--json"]).write_bytes(msgspec.json.encode({"A": results[0], "B": results[1]}))
     return 0 if pairs and held else 1
--- a/saltmoor/net/upstream.py
+++ b/saltmoor/net/upstream.py
@@ -8,11 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import socket
 from collections.abc import Callable, Container
 from enum import Enum, auto
-from typing import Protocol
 
 from saltmoor import config
 from saltmoor.config import LONGEST_HELD
@@ -20,110 +18,25 @@
 from saltmoor.guard.verdicts import Reason
 from saltmoor.model import Ended, Micros, Readiness, ServerId
 from saltmoor.net import errors, http, meta, tcp_info
+from saltmoor.net.ages import Ages
 from saltmoor.net.buffers import Buffers, Stream, family
 from saltmoor.net.flow import Budget, Flow, Kept
+from saltmoor.net.link import OWN_TROUBLE, Dial, Link, Reader
 from saltmoor.net.link_state import LinkState
 from saltmoor.net.log import Log
+from saltmoor.net.time_out import TimeOut
 from saltmoor.net.trouble import LocalTrouble, Pauses
 
 STEP = 1 << 18  # bytes: how memory is asked for where a value's length is not known
-REST = 25_000  # how long a connection stands free first after an answer that does not say to what it is one:
+REST: Micros = 25_000  # how long a connection stands free first after an answer that does not say to what it is one:
 # guards against a second copy of it that comes some milliseconds late, and would be the next one's answer
-ROOM = 40_000  # how long clients that are on their way out may take to leave their descriptor
-MEMORY = 10_000_000  # what was learnt of connections is worth half after so long
-LATEST = 2_000_000  # a connection that is not up so long after it was begun is let go: the time-out for those
+ROOM: Micros = 40_000  # how long clients that are on their way out may take to leave their descriptor
+MEMORY: Micros = 10_000_000  # what was learnt of connections is worth half after so long
+LATEST: Micros = 2_000_000  # a connection that is not up so long after it was begun is let go: the time-out for those
 # who wait for it is shorter, and what nobody waits for may not keep a descriptor for ever
-REFUSED, OWN_TROUBLE = "refused", "own-trouble"  # why a connection has not come up: codes for the log
-PASSES_TO_READ = 2  # passes of the loop: one brings in what has come, the next hands it on
 LATE_ONES = 4  # as many may be on their way to one server with nobody waiting: it bears only so many
 
 
-class Reader(Protocol):
-    """Takes what a connection brings until the answer is whole."""
-
-    reply: meta.Reply
-    clean: bool  # nothing came beyond the answer: another may follow on this connection
-    large: bool  # its answer is to be passed on in pieces
-    length: int
-    done: bool  # of a large one: all of it was taken
-    nameless: bool  # its answer does not say to what it is one
-    gathered: int  # bytes held of an answer whose length is not known
-
-    def ended(self) -> bool: ...
-
-    def take(self) -> bytes: ...
-
-    def feed(self, data: bytes) -> bool: ...
-
-    def close(self) -> None:
-        """Nothing more is read."""
-
-
-class Link:
-    """One open connection to one server."""
-
-    def __init__(self, server: ServerId, address: tuple[str, int], stream: Stream, since: Micros) -> None:
-        self.server, self.address, self.stream, self.since, self.used = server, address, stream, since, since
-        self.exchanges = 0
-        self.nameless = False  # its last answer did not say to what it was one
-        self.rests: Micros = 0  # until then it is not used, as more may come of the answer before
-
-
-class Dial:
-    """A connection on its way up; it holds a descriptor until it is up, has failed or is let go."""
-
-    def __init__(self, link: Link) -> None:
-        self.link = link
-        self.over: asyncio.Future[str] = link.stream.loop.create_future()  # no code: it is up
-        sock = link.stream.sock
-        try:
-            sock.connect(link.address)
-        except BlockingIOError:
-            link.stream.loop.add_writer(sock, self.end)
-        except OSError as error:
-            self.over.set_result(self.code_of(error))
-        else:
-            self.over.set_result("")
-
-    def end(self, code: str = "") -> None:
-        """The kernel is done with it; or it is let go, with that code."""
-        sock = self.link.stream.sock
-        self.link.stream.loop.remove_writer(sock)
-        number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        self.over.set_result(code or (self.code_of(OSError(number, os.strerror(number))) if number else ""))
-
-    @staticmethod
-    def code_of(error: OSError) -> str:
-        return OWN_TROUBLE if errors.verdict(errors.Call.CONNECT, error).fault is errors.Fault.OURS else REFUSED
-
-
-class TimeOut:
-    """Cancels a task after some seconds, once what had come to the sockets by then was read.
-
-    Guards against a late loop, which runs timers first: an answer that stands unread is none that did not come.
-    """
-
-    def __init__(self, seconds: float, task: asyncio.Task, passes: int = PASSES_TO_READ) -> None:
-        self.task, self.loop = task, asyncio.get_running_loop()
-        self.handle: asyncio.Handle = self.loop.call_later(seconds, self.due, passes)
-
-    def due(self, passes: int) -> None:
-        """So many passes of the loop are left."""
-        if passes:
-            self.handle = self.loop.call_soon(self.due, passes - 1)
-        else:
-            self.task.cancel()
-
-    def cancel(self) -> None:
-        """The task is over, or nothing is due any more.
-
-        Guards against a task that is never freed: it keeps the error that it was cancelled with, whose traceback has
-        the frame that has this.
-        """
-        self.handle.cancel()
-        self.task = None
-
-
 class Unmade(Enum):
     """Why there is no connection."""
 
@@ -131,33 +44,9 @@
     OURS = auto()
 
 
-class Ages:
-    """How long a free connection stays good: less than the settings say where uses after such a time broke.
-
-    Guards against servers, or what stands between, that drop idle connections early and without a word.
-    """
-
-    def __init__(self) -> None:
-        self.uses = [[0.0, 0.0] for _ in range(32)]  # how many, how many broke; by doublings of milliseconds
-
-    def learn(self, age: Micros, broke: bool) -> None:
-        counts = self.uses[min(31, (age // 1000).bit_length())]
-        counts[0] += 1
-        counts[1] += broke
-
-    def forget(self) -> None:
-        """Half of it, so that what was given up is tried again some time."""
-        self.uses = [[used / 2, broke / 2] for used, broke in self.uses]
-
-    def good(self, most: Micros) -> Micros:
-        """The age from which on every fourth use or more broke."""
-        for i, (used, broke) in enumerate(self.uses):
-            if broke >= 4 and 4 * broke > used:
-                return min(most, 1000 << i >> 1)
-        return most
-
-
 class Upstream:
+    """The pool of a node's connections to its servers: `cap` of them at most, open or on their way up."""
+
     def __init__(
         self,
         buffers: Buffers,
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -238,6 +238,11 @@
             self.assertEqual(cli.main(["run", "no-such-scenario"]), 2)
             self.assertEqual(cli.main(["compare", "/nowhere", "/nowhere"]), 2)
 
+    def test_a_figure_that_a_round_has_not_is_compared_over_the_others(self):
+        line = cli.compared("back_s", [(1.0, 2.0), (None, 9.0), (2.0, 5.0)]).split()
+        self.assertEqual(line, ["back_s", "1.5", "3.5", "+2", "1.41"])
+        self.assertEqual(cli.compared("back_s", [(None, 1.0)]).split(), ["back_s", "none", "none", "none", "none"])
+
     def test_a_run_from_start_to_end(self):
         """A real node against stand-ins: bounds held, a report written, the same arrivals again.
 
