A descriptor that the other process of an upgrade has sent is closed once

Where a message of the other process could not be carried out, all descriptors that came with it were closed, also one that a socket owned by then: its number could be another socket's when that one was closed in turn. The new test in tests/test_handed_links.py ended with EBADF before, and so did the test behind it, whose socket had got the number. Who is told takes out of the list what it keeps; only the rest is closed.

--- a/saltmoor/net/sibling.py
+++ b/saltmoor/net/sibling.py
@@ -81,11 +81,12 @@
     def hear(self) -> None:
         while self.alive:
             try:
-                data, fds, _, _ = socket.recv_fds(self.pair, LONGEST, 8)
+                data, received, _, _ = socket.recv_fds(self.pair, LONGEST, 8)
             except BlockingIOError:
                 return
             except OSError:
-                data, fds = b"", []
+                data, received = b"", []
+            fds = list(received)  # who is told takes out what it keeps
             if not data:
                 self.end()
                 return
@@ -93,7 +94,7 @@
                 message = json.loads(data)
                 if "ready" in message:
                     self.ready, self.shares = True, bool(message.get("shares", True))
-                self.told(message, list(fds))
+                self.told(message, fds)
             except Exception as error:  # another version of the program may say what this one does not know
                 self.log(f"sibling: not understood: {type(error).__name__}: {error}")
                 for fd in fds:
--- a/tests/test_handed_links.py
+++ b/tests/test_handed_links.py
@@ -21,6 +21,7 @@
 from saltmoor.net.flow import Budget
 from saltmoor.net.link_state import LinkState
 from saltmoor.net.log import Log
+from saltmoor.net.sibling import Sibling
 from saltmoor.net.upstream import Upstream
 from tests.helper import read, within
 
@@ -154,6 +155,28 @@
             self.assertEqual([len(one.connections) for one in (server, elsewhere)], [1, 1])
             second.links.close_all()
 
+    async def test_a_descriptor_that_was_taken_stays_open_where_its_message_fails(self):
+        """Guards against closing a number that another socket may have by then."""
+        here, there = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        taken, left = socket.socketpair()
+        kept: list[socket.socket] = []
+
+        def told(message: dict[str, Any], descriptors: list[int]) -> None:
+            kept.append(socket.socket(fileno=descriptors.pop(0)))
+            raise ValueError("of another version")
+
+        sibling = Sibling(here, Log())
+        sibling.told = told
+        socket.send_fds(there, [b"{}"], [taken.fileno(), left.fileno()])
+        await asyncio.sleep(0.01)
+        open_now = len(os.listdir("/proc/self/fd"))
+        self.assertEqual(kept[0].send(b"x"), 1)
+        kept[0].close()
+        self.assertEqual(len(os.listdir("/proc/self/fd")), open_now - 1)
+        sibling.end()
+        for sock in there, taken, left:
+            sock.close()
+
     def test_each_field_stays_itself(self):
         state = LinkState("s1", ("127.0.0.1", 7001), since=5, used=7, exchanges=2, rests=9)
         self.assertEqual(LinkState.parse(json.loads(json.dumps(state.message()))), state)
