--- a/tests/test_duty_settings.py
+++ b/tests/test_duty_settings.py
@@ -19,6 +19,7 @@
 
 NAMES = ("n0", "n1", "n2")
 SHORT, MIDDLE, LONG = LEASES = (500 * MS, 2_000 * MS, 600_000 * MS)
+HOUR: Micros = 3_600_000 * MS
 STEP: Micros = 100 * MS
 DUTY = "d"
 
@@ -31,17 +32,18 @@
     """Three nodes' duties on one clock, without disk, and a network that loses nothing but holds what it is told to."""
 
     def __init__(self, lease: Micros) -> None:
-        self.now: Micros = 1_000_000 * MS
+        self.now: Micros = 2 * HOUR
         self.wire: list[tuple[str, str, object]] = []  # from, to, message
         self.nodes: dict[str, Duties] = {}
         for name in NAMES:
             self.restart(name, lease)
 
-    def restart(self, name: str, lease: Micros) -> None:
+    def restart(self, name: str, lease: Micros, behind: Micros = 0) -> None:
+        """With that lease, and with a wall clock that is `behind` the others'."""
         peers = SimpleNamespace(
             name=name,
             clock=lambda: self.now,
-            wall=lambda: self.now,
+            wall=lambda: self.now - behind,
             members=SimpleNamespace(chance=lambda: 0.1 + 0.3 * NAMES.index(name)),
             messenger=SimpleNamespace(
                 route=lambda *route: None,
@@ -96,6 +98,8 @@
 EVENTS = (
     *(f"restart {place} {lease}" for place, lease in product((1, 2), LEASES)),  # places behind the owner's
     f"restart 0 {SHORT}",
+    f"restart 1 {SHORT} {HOUR}",
+    f"restart 2 {MIDDLE} {HOUR}",
     f"run {600 * MS}",
     f"run {3_000 * MS}",
     f"hold {600 * MS}",
@@ -116,7 +120,8 @@
     for event in path:
         what, *numbers = event.split()
         if what == "restart":
-            fleet.restart(names[int(numbers[0])], int(numbers[1]))
+            place, *settings = map(int, numbers)
+            fleet.restart(names[place], *settings)
         else:
             fleet.run(int(numbers[0]), held=what == "hold")
         fleet.check()
