--- a/saltmoor/net/link_state.py
+++ b/saltmoor/net/link_state.py
@@ -5,14 +5,14 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict, dataclass
 from typing import Any
 
-import msgspec
-
 from saltmoor.model import Micros
 
 
-class LinkState(msgspec.Struct, frozen=True):
+@dataclass(slots=True, frozen=True)
+class LinkState:
     """All that decides whether, and when, the connection may be used."""
 
     server: str
@@ -24,9 +24,19 @@
 
     def message(self) -> dict[str, Any]:
         """Its form between processes: JSON with the names above as keys."""
-        return msgspec.to_builtins(self)
+        return asdict(self)
 
     @classmethod
     def parse(cls, message: dict[str, Any]) -> LinkState:
-        """Raises msgspec.ValidationError where something is missing or of another type; unknown keys are passed over."""
-        return msgspec.convert(message, cls)
+        """Raises KeyError, TypeError or ValueError where it is not what a node writes; unknown keys are passed over."""
+        host, port = message["address"]
+        since, used, exchanges = (int(message[key]) for key in ("since", "used", "exchanges"))
+        rests = message.get("rests")
+        return cls(
+            str(message["server"]),
+            (str(host), int(port)),
+            since,
+            used,
+            exchanges,
+            None if rests is None else int(rests),
+        )
--- a/saltmoor/net/spent_ids.py
+++ b/saltmoor/net/spent_ids.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from typing import Any
 
-import msgspec
-
 from saltmoor.model import Micros
 
 REMEMBERED_FOR: Micros = 30_000_000
@@ -18,19 +17,20 @@
 IDS_A_MESSAGE = 256
 
 
-class SpentIdsMessage(msgspec.Struct, frozen=True):
+@dataclass(slots=True, frozen=True)
+class SpentIdsMessage:
     """What one process of a node tells the other: ids in Latin-1, and since when each is remembered, on their clock."""
 
     spent: list[tuple[str, Micros]]
 
     def message(self) -> dict[str, Any]:
         """Its form between processes: JSON with the name above as key."""
-        return msgspec.to_builtins(self)
+        return {"spent": self.spent}
 
     @classmethod
     def parse(cls, message: dict[str, Any]) -> SpentIdsMessage:
-        """Raises msgspec.ValidationError; unknown keys are passed over."""
-        return msgspec.convert(message, cls)
+        """Raises KeyError, TypeError or ValueError where it is not what a node writes; unknown keys are passed over."""
+        return cls([(str(request_id), int(since)) for request_id, since in message["spent"]])
 
 
 class SpentIds:
